Prove guarantees, whole gangs and one run of a job under faults

Ruled out: one shard for all records (a write of every record on each change). Now a job's accelerators are blocked until its record is stored. (2) A claim waited behind a worker on probe ('claim4 is queued'); guarantees now hold on workers on probe at a cost.

--- a/hfgang/blame.go
+++ b/hfgang/blame.go
@@ -127,7 +127,7 @@
 }
 
 // probeFree tells whether a job may use the workers on probe in a block: only an
-// idempotent, preemptible one, and one at a time.
+// idempotent one, and one at a time.
 func (s *Scheduler) probeFree(j *job, grants []*hfwire.Grant) bool {
 	for _, g := range grants {
 		w := s.workers[g.GetWorker()]
@@ -141,6 +141,12 @@
 	return true
 }
 
+// onProbe tells whether an accelerator's worker is on probe.
+func (s *Scheduler) onProbe(accelerator int) bool {
+	w := s.workers[s.layout.sites[s.layout.at[accelerator]].worker.Name()]
+	return w != nil && w.record.onProbe
+}
+
 func (s *Scheduler) busyWorker(name string) bool {
 	st := s.layout.sites[s.layout.index[name]]
 	for a := range st.worker.Accelerators() {
--- /dev/null
+++ b/hfgang/gang_test.go
@@ -0,0 +1,246 @@
+package hfgang
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/heatherfront/heatherfront/hfconfig"
+	"github.com/heatherfront/heatherfront/hfworker"
+)
+
+// partialBound is the stated bound on how long a part of a gang can be seen without
+// the rest: a dead member's sight stays fresh for two polls and two beats, what was
+// renewed by then lapses one lease later, and a poll takes up to a step.
+const partialBound = 2*worldPoll + 2*worldBeat + worldLease + time.Second
+
+// urgentBound is the time within which urgent work starts.
+const urgentBound = 3900 * time.Millisecond
+
+func TestGangRunsToItsEnd(t *testing.T) {
+	w := newWorld(1, eights(4), testBook(nil, nil))
+	w.boot()
+	token := w.submit("j1", "a", "once", 16, 5*time.Second)
+	w.run(time.Second)
+	require.Equal(t, CodeOK, w.replies[token].Code())
+	require.Equal(t, StateRunning, w.state("j1"))
+	w.run(10 * time.Second)
+	require.Equal(t, StateDone, w.state("j1"))
+	require.Len(t, w.ran["j1"], 1)
+	require.Zero(t, w.longest)
+}
+
+// TestReclaim fills the domain with preemptible work and then claims every
+// guarantee at once.
+func TestReclaim(t *testing.T) {
+	shapes := []hfconfig.Shape{{Domain: "a", Size: 16, Count: 1}, {Domain: "a", Size: 4, Count: 2}}
+	w := newWorld(2, eights(4), testBook(shapes, []hfconfig.Shape{{Domain: "a", Size: 8, Count: 1}}))
+	w.boot()
+	for i := range 8 {
+		w.submit(fmt.Sprintf("fill%d", i), "c", "filler", 4, time.Hour)
+	}
+	w.run(3 * time.Second)
+	idle, _ := w.s.Idle()
+	require.Zero(t, idle, "the filler takes all of the domain")
+	w.submit("c16", "a", "urgent", 16, time.Minute)
+	w.submit("c4", "a", "urgent", 4, time.Minute)
+	w.submit("d4", "a", "urgent", 4, time.Minute)
+	w.submit("c8", "b", "urgent", 8, time.Minute)
+	w.run(urgentBound)
+	for _, id := range []string{"c16", "c4", "d4", "c8"} {
+		require.Equal(t, StateRunning, w.state(id), "%s: %s", id, w.s.explain(w.s.jobs[id], w.now))
+	}
+	require.NoError(t, w.s.Check())
+}
+
+// chaos is one randomised run. It returns the first broken promise.
+func chaos(t *rapid.T, change func(*world)) error {
+	shapes := []hfconfig.Shape{{Domain: "a", Size: 8, Count: 2}, {Domain: "a", Size: 12, Count: 1}}
+	w := newWorld(rapid.Uint64().Draw(t, "seed"), eights(6), testBook(shapes, []hfconfig.Shape{{Domain: "a", Size: 4, Count: 2}}))
+	if change != nil {
+		change(w)
+	}
+	w.boot()
+	works := []string{"urgent", "once", "again", "filler", "filler"}
+	accounts := []string{"a", "b", "c"}
+	for n := range rapid.IntRange(10, 40).Draw(t, "operations") {
+		name := fmt.Sprintf("w%02d", rapid.IntRange(0, 5).Draw(t, "worker"))
+		switch rapid.IntRange(0, 11).Draw(t, "operation") {
+		case 0, 1, 2, 3, 4:
+			size := rapid.SampledFrom([]int{1, 2, 4, 8, 12, 16}).Draw(t, "size")
+			run := time.Duration(rapid.IntRange(1, 20).Draw(t, "run")) * time.Second
+			w.submit(fmt.Sprintf("j%d", n), rapid.SampledFrom(accounts).Draw(t, "account"), rapid.SampledFrom(works).Draw(t, "work"), size, run)
+		case 5:
+			w.kill(name)
+		case 6:
+			w.workers[name].cut = true
+		case 7:
+			w.workers[name].dead, w.workers[name].cut = false, false
+		case 8:
+			w.down = !w.down
+		case 9:
+			w.crash(time.Duration(rapid.IntRange(0, 15000).Draw(t, "gap")) * time.Millisecond)
+		case 10:
+			w.tokens++
+			w.feed(Cancel(w.tokens, fmt.Sprintf("j%d", rapid.IntRange(0, n).Draw(t, "job")), "", "test"))
+		case 11:
+			w.workers[name].fails = !w.workers[name].fails
+		}
+		w.run(time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond)
+		if err := w.broken(); err != nil {
+			return err
+		}
+	}
+	return w.finale()
+}
+
+// crash kills the leader; another takes over after a gap in which only the
+// observers act.
+func (w *world) crash(gap time.Duration) {
+	w.s = New("a", NewTiming(worldLease, w.fleet.Freshness(), time.Hour)) // knows nothing, does nothing
+	w.run(gap)
+	w.lead()
+}
+
+// broken looks at the promises from outside the scheduler, and asks it as well.
+func (w *world) broken() error {
+	if err := w.s.Check(); err != nil {
+		return err
+	}
+	if w.longest > partialBound {
+		return fmt.Errorf("part of a gang ran alone for %s, bound %s", w.longest, partialBound)
+	}
+	for id, attempts := range w.ran {
+		if j, ok := w.s.jobs[id]; ok && !j.record.GetIdempotent() && len(attempts) > 1 {
+			return fmt.Errorf("non-idempotent job %s ran %d times", id, len(attempts))
+		}
+	}
+	return nil
+}
+
+// finale lets everything recover and claims each guarantee that is met.
+func (w *world) finale() error {
+	w.down = false
+	for _, fw := range w.workers {
+		fw.dead, fw.cut, fw.fails = false, false, false
+	}
+	w.run(partialBound + 5*time.Second)
+	claims := map[string]bool{}
+	for i, sh := range w.s.shapes {
+		if sh.met && len(sh.claims) == 0 {
+			id := fmt.Sprintf("claim%d", i)
+			claims[id] = true
+			w.submit(id, sh.account, "urgent", sh.size, time.Minute)
+		}
+	}
+	w.run(urgentBound)
+	for id := range claims {
+		if j := w.s.jobs[id]; j.state() != StateRunning {
+			return fmt.Errorf("claim %s is %s: %s", id, j.state(), w.s.explain(j, w.now))
+		}
+	}
+	return w.broken()
+}
+
+func TestPromisesUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if err := chaos(t, nil); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// TestWrongRulesAreFound runs the same faults with one wrong rule each. The run has
+// to find it out, or the proof proves nothing.
+func TestWrongRulesAreFound(t *testing.T) {
+	wrong := map[string]func(*world){
+		"fixed work sits on guarantees":  func(w *world) { w.rules.mayTake = func(*Scheduler, Block) bool { return true } },
+		"release before all are held":    func(w *world) { w.rules.mayRelease = func(*job) bool { return true } },
+		"a lost attempt is always rerun": func(w *world) { w.rules.mayRerun = func(*job) bool { return true } },
+	}
+	for name, change := range wrong {
+		t.Run(name, func(t *testing.T) {
+			found := 0
+			for seed := 0; seed < 300 && found == 0; seed++ {
+				rapid.Custom(func(rt *rapid.T) bool {
+					if chaos(rt, change) != nil {
+						found++
+					}
+					return true
+				}).Example(seed)
+			}
+			require.Positive(t, found, "no run found the wrong rule out")
+		})
+	}
+}
+
+// TestMemberDiesWhileNobodyLeads leaves a gang to its observers alone: the rest has
+// to lapse within the bound. The same run with a rule that renews without looking
+// at the whole gang has to exceed it.
+func TestMemberDiesWhileNobodyLeads(t *testing.T) {
+	blind := func(*hfworker.Fleet, hfworker.Gang, uint32, time.Time) bool { return true }
+	for name, faults := range map[string]func(*world){
+		"dead":   func(w *world) { w.kill("w01") },
+		"cut":    func(w *world) { w.workers["w01"].cut = true },
+		"failed": func(w *world) { w.workers["w01"].fails = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			run := func(rule hfworker.Rule) time.Duration {
+				w := newWorld(5, eights(4), testBook(nil, nil))
+				w.rule = rule
+				w.boot()
+				w.submit("j1", "a", "again", 32, time.Minute)
+				w.run(3 * time.Second)
+				require.Equal(t, StateRunning, w.state("j1"))
+				faults(w)
+				w.crash(20 * time.Second)
+				return w.longest
+			}
+			require.LessOrEqual(t, run(hfworker.Whole), partialBound)
+			require.Greater(t, run(blind), partialBound, "the wrong rule is not found out")
+		})
+	}
+}
+
+// TestReuseWaitsForTheRecord is a found fault: accelerators were given to the next
+// job before it was stored that the last one had left them. Records of different
+// shards are stored in no order, so a new leader could load two jobs on one
+// accelerator.
+func TestReuseWaitsForTheRecord(t *testing.T) {
+	w := newWorld(3, eights(1), testBook(nil, nil))
+	w.boot()
+	w.submit("first", "a", "once", 8, time.Second)
+	w.run(time.Second)
+	w.submit("second", "a", "once", 8, time.Second)
+	w.down = true
+	w.run(10 * time.Second)
+	require.Equal(t, StateDone, w.state("first"))
+	require.Equal(t, StateQueued, w.state("second"), "the end of the first is not stored yet")
+	w.down = false
+	w.run(time.Second)
+	require.Equal(t, StateRunning, w.state("second"))
+}
+
+// TestStartOfAReplacedLeader lets a paused leader's last commands arrive after
+// another has taken over.
+func TestStartOfAReplacedLeader(t *testing.T) {
+	w := newWorld(4, eights(2), testBook(nil, nil))
+	w.boot()
+	w.submit("j1", "a", "once", 16, 5*time.Second)
+	w.run(100 * time.Millisecond)
+	j := w.s.jobs["j1"]
+	require.Equal(t, StateStarting, j.state())
+	late := []TaskCmd{j.command(VerbStart, j.members[0]), j.command(VerbStart, j.members[1])}
+	w.crash(0)
+	w.run(3 * time.Second)
+	for _, c := range late {
+		w.act(c)
+	}
+	w.run(20 * time.Second)
+	require.Equal(t, StateDone, w.state("j1"))
+	require.Len(t, w.ran["j1"], 1, "it ran in one attempt only")
+	require.LessOrEqual(t, w.longest, partialBound)
+}
--- a/hfgang/job.go
+++ b/hfgang/job.go
@@ -60,16 +60,18 @@
 	members   []*member
 	block     Block // where its grants lie; empty when it has none
 	plan      *plan
-	shape     *shape    // the guarantee in which it runs, or nil
-	after     []Cmd     // to be done once the record is stored
-	pending   []Cmd     // to be done once the commit under way is stored
-	dirty     bool      // changed since the last commit was built
-	sent      bool      // part of the commit under way
-	saved     []int64   // progress of the checkpoints confirmed
-	saveUntil time.Time // checkpoints are waited for until then; zero when none is under way
-	avoid     string    // worker that did not start a member last
-	abort     time.Time // a start that is not complete by then is given up
-	settled   time.Time // from here on a member missing from a report is lost
+	shape     *shape          // the guarantee in which it runs, or nil
+	leaves    []*hfwire.Grant // given up in the record, not stored yet; nobody else may have them
+	freeing   []*hfwire.Grant // given up in the commit under way
+	after     []Cmd           // to be done once the record is stored
+	pending   []Cmd           // to be done once the commit under way is stored
+	dirty     bool            // changed since the last commit was built
+	sent      bool            // part of the commit under way
+	saved     []int64         // progress of the checkpoints confirmed
+	saveUntil time.Time       // checkpoints are waited for until then; zero when none is under way
+	avoid     string          // worker that did not start a member last
+	abort     time.Time       // a start that is not complete by then is given up
+	settled   time.Time       // from here on a member missing from a report is lost
 }
 
 func (j *job) id() string { return j.record.GetId() }
--- a/hfgang/member.go
+++ b/hfgang/member.go
@@ -1,6 +1,9 @@
 package hfgang
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/heatherfront/heatherfront/hfwire"
@@ -31,6 +34,9 @@
 // release lets a gang run, once it is recorded that it may.
 func (s *Scheduler) release(j *job, now time.Time) []Cmd {
 	if !j.record.GetReleased() {
+		if !j.every(func(m *member) bool { return m.phase == phaseHeld }) {
+			s.broken = fmt.Errorf("%w: job %s released before all members were held", ErrGang, j.id())
+		}
 		j.record.Released = true
 		j.record.Started = now.UnixMilli()
 		j.enter(StateRunning, "all members are up", now)
@@ -133,7 +139,7 @@
 		return nil // no answer: the start window decides
 	}
 	mb.phase = phaseHeld
-	if j.every(func(m *member) bool { return m.phase == phaseHeld }) {
+	if s.rules.mayRelease(j) {
 		return s.release(j, now)
 	}
 	return nil
@@ -228,6 +234,10 @@
 		delete(j.shape.claims, j.id())
 		j.shape = nil
 	}
+	if len(j.record.GetGrants()) > 0 {
+		j.leaves = append(j.leaves, j.record.GetGrants()...)
+		s.leaving[j] = true
+	}
 	j.record.Grants, j.record.Next = nil, ""
 	j.members, j.block = nil, Block{}
 	s.stale, s.resurvey = true, true
@@ -253,7 +263,7 @@
 // lose ends a released attempt whose members did not all survive. Only an
 // idempotent job may run again.
 func (s *Scheduler) lose(j *job, why string, now time.Time) []Cmd {
-	if j.record.GetIdempotent() {
+	if s.rules.mayRerun(j) {
 		return s.stop(j, StateQueued, why, now)
 	}
 	return s.stop(j, StateUnknown, why, now)
@@ -305,21 +315,16 @@
 		}
 		return jobs
 	}
-	for _, j := range s.open {
-		for _, m := range j.members {
-			if m.grant.GetWorker() == name {
-				jobs = append(jobs, j)
-				break
-			}
-		}
-	}
-	return jobs
+	return inOrder(s.open, func(j *job) bool {
+		return slices.ContainsFunc(j.members, func(m *member) bool { return m.grant.GetWorker() == name })
+	})
 }
 
 // orphans stops tasks on a worker that no open job accounts for.
 func (s *Scheduler) orphans(name string, w *worker) []Cmd {
 	var cmds []Cmd
-	for id, t := range w.tasks {
+	for _, id := range slices.Sorted(maps.Keys(w.tasks)) {
+		t := w.tasks[id]
 		if t.GetState() != hfworker.StateHeld && t.GetState() != hfworker.StateRunning {
 			continue
 		}
--- a/hfgang/place.go
+++ b/hfgang/place.go
@@ -10,6 +10,7 @@
 const (
 	reserveAfter  = time.Minute // a job that waited longer may reserve the next block
 	shapeOverlap  = 1000        // placement cost of one accelerator in a shape's block
+	probeCost     = 100_000     // placement cost of a worker on probe, for guarantees
 	suspectCost   = 10_000      // placement cost of a worker that the job avoids
 	scheduleLimit = 256         // waiting jobs looked at in one pass
 )
@@ -128,7 +129,7 @@
 		return nil
 	}
 	for i := p.block.lo; i < p.block.hi; i++ {
-		if s.held[i] != nil {
+		if s.held[i] != nil || s.blocked[i] {
 			return nil
 		}
 	}
@@ -138,7 +139,7 @@
 
 // carryOut starts a job, or preempts the victims of its plan first.
 func (s *Scheduler) carryOut(j *job, p *plan, now time.Time) []Cmd {
-	if len(p.victims) == 0 {
+	if len(p.victims) == 0 && !s.anyBlocked(p.block) {
 		s.begin(j, p.block, p.shape, now)
 		return nil
 	}
@@ -161,6 +162,15 @@
 	return cmds
 }
 
+func (s *Scheduler) anyBlocked(b Block) bool {
+	for i := b.lo; i < b.hi; i++ {
+		if s.blocked[i] {
+			return true
+		}
+	}
+	return false
+}
+
 // dropPlan gives up a plan.
 func (s *Scheduler) dropPlan(j *job) {
 	if j.plan == nil {
@@ -218,7 +228,10 @@
 		}
 		s.layout.Blocks(j.size(), sh.block, func(b Block) bool {
 			victims, cost, ok := s.victims(b, j, now)
-			if ok && s.allowed(b, j) && (best == nil || sh.size < bestSize || cost < bestCost) {
+			if !s.probeFree(j, s.layout.grants(b)) {
+				cost += probeCost // a guarantee holds on workers on probe as well, if there is no other place
+			}
+			if ok && s.layout.usable(b) && (best == nil || sh.size < bestSize || cost < bestCost) {
 				best = &plan{block: b, shape: sh, victims: victims}
 				bestSize, bestCost = sh.size, cost
 			}
@@ -254,7 +267,7 @@
 		if !j.fixed() || s.outside(c.block) {
 			return &plan{block: c.block}
 		}
-		if n < yieldTries && s.yields(c.block) {
+		if n < yieldTries && s.rules.mayTake(s, c.block) {
 			return &plan{block: c.block}
 		}
 	}
@@ -279,7 +292,7 @@
 	sums := make([]int, s.layout.Total()+1)
 	for i := range s.layout.at {
 		sums[i+1] = sums[i]
-		if s.held[i] != nil || s.planned[i] != nil || !s.layout.sites[s.layout.at[i]].usable {
+		if s.held[i] != nil || s.planned[i] != nil || s.blocked[i] || !s.layout.sites[s.layout.at[i]].usable {
 			sums[i+1]++
 		}
 	}
--- a/hfgang/record.go
+++ b/hfgang/record.go
@@ -42,10 +42,11 @@
 
 func (s *Scheduler) commit(shard int) Cmd {
 	record := &hfwire.Shard{}
-	for _, j := range s.byShard[shard] {
+	for _, j := range inOrder(s.byShard[shard], nil) {
 		if j.dirty {
 			j.dirty, j.sent = false, true
 			j.pending, j.after = j.after, nil
+			j.freeing, j.leaves = j.leaves, nil
 			j.next = hfwire.Copy(j.record)
 		}
 		if j.next != nil {
@@ -61,20 +62,32 @@
 func (s *Scheduler) stored(shard int, now time.Time) []Cmd {
 	s.busy[shard] = false
 	var cmds []Cmd
-	for _, j := range s.byShard[shard] {
-		if !j.sent {
-			continue
-		}
+	for _, j := range inOrder(s.byShard[shard], func(j *job) bool { return j.sent }) {
 		j.sent = false
 		if j.shown.GetState() != j.next.GetState() {
 			cmds = append(cmds, ChangedCmd{job: j.next})
 		}
 		j.shown, j.next = j.next, nil
+		s.free(j)
 		cmds = append(cmds, s.ready(j, now)...)
 	}
 	return cmds
 }
 
+// free lets others have the accelerators that a job gave up, now that this is
+// stored. Records of different shards are stored in no order: were they reused
+// before, a new leader could find two jobs on one accelerator.
+func (s *Scheduler) free(j *job) {
+	if j.freeing == nil {
+		return
+	}
+	j.freeing = nil
+	if j.leaves == nil {
+		delete(s.leaving, j)
+	}
+	s.resurvey, s.stale = true, true
+}
+
 // ready returns the commands that waited for a record, without those that the job
 // has outrun since, such as a start after a cancellation.
 func (s *Scheduler) ready(j *job, now time.Time) []Cmd {
@@ -113,7 +126,7 @@
 		}
 	}
 	var cmds []Cmd
-	for _, j := range s.open {
+	for _, j := range inOrder(s.open, nil) {
 		cmds = append(cmds, s.resume(j, now)...)
 	}
 	s.survey()
@@ -143,7 +156,7 @@
 	if s.book != nil {
 		s.reconcile(s.book)
 	}
-	for _, j := range s.open {
+	for _, j := range inOrder(s.open, (*job).placed) {
 		if !j.record.GetClaimed() || !j.placed() || j.shape != nil {
 			continue
 		}
--- a/hfgang/shape.go
+++ b/hfgang/shape.go
@@ -178,6 +178,9 @@
 			if s.held[i] != nil {
 				cost++
 			}
+			if s.onProbe(i) {
+				cost += probeCost
+			}
 		}
 		if bestCost < 0 || cost < bestCost {
 			best, bestCost = b, cost
--- a/hfgang/state.go
+++ b/hfgang/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sort"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -67,10 +68,27 @@
 	}
 }
 
+// rules are the decisions on which the promises rest. The proofs put wrong ones in
+// their place and have to find it out.
+type rules struct {
+	mayRelease func(j *job) bool                // whether a starting gang may run
+	mayTake    func(s *Scheduler, b Block) bool // whether fixed work may take a block
+	mayRerun   func(j *job) bool                // whether a lost attempt may be followed by another
+}
+
+func soundRules() rules {
+	return rules{
+		mayRelease: func(j *job) bool { return j.every(func(m *member) bool { return m.phase == phaseHeld }) },
+		mayTake:    func(s *Scheduler, b Block) bool { return s.yields(b) },
+		mayRerun:   func(j *job) bool { return j.record.GetIdempotent() },
+	}
+}
+
 // Scheduler decides for one failure domain. It holds no connection and no clock:
 // Update takes what happened and returns what is to be done.
 type Scheduler struct {
 	domain   string
+	rules    rules
 	timing   Timing
 	loaded   bool // records were read under the current epoch
 	book     *hfaccount.Book
@@ -80,15 +98,18 @@
 	jobs     map[string]*job
 	open     map[string]*job // the jobs that are not final
 	shapes   []*shape
-	held     []*job   // by accelerator, the job that holds it
-	planned  []*job   // by accelerator, the job that waits for it
-	shapeAt  []*shape // by accelerator, the met shape whose block it is in
+	held     []*job        // by accelerator, the job that holds it
+	planned  []*job        // by accelerator, the job that waits for it
+	blocked  []bool        // by accelerator, whether a job gave it up and this is not stored yet
+	leaving  map[*job]bool // the jobs that gave accelerators up so
+	shapeAt  []*shape      // by accelerator, the met shape whose block it is in
 	byShard  [Shards]map[string]*job
 	changed  [Shards]bool   // a record of the shard changed since its last commit was built
 	busy     [Shards]bool   // a commit of the shard is under way
 	used     map[string]int // accelerators in use or planned, by account
 	learned  map[string]*estimate
 	stale    bool         // something changed that may let a job start
+	broken   error        // the first invariant that an update broke
 	resurvey bool         // a job left its accelerators
 	reserved *reservation // the block kept for a job that waited long, or nil
 	expired  time.Time    // last look for finished jobs to drop
@@ -101,8 +122,8 @@
 //	cmds := s.Update(hfgang.Load(shards), time.Now())
 func New(domain string, timing Timing) *Scheduler {
 	s := &Scheduler{
-		domain: domain, timing: timing, rows: map[string]hfworker.Worker{}, workers: map[string]*worker{},
-		jobs: map[string]*job{}, open: map[string]*job{}, used: map[string]int{}, learned: map[string]*estimate{},
+		domain: domain, rules: soundRules(), timing: timing, rows: map[string]hfworker.Worker{}, workers: map[string]*worker{},
+		jobs: map[string]*job{}, open: map[string]*job{}, used: map[string]int{}, leaving: map[*job]bool{}, learned: map[string]*estimate{},
 		layout: NewLayout(domain, nil),
 	}
 	for i := range s.byShard {
@@ -241,7 +262,11 @@
 // survey rebuilds the maps by accelerator from jobs, plans and shapes.
 func (s *Scheduler) survey() {
 	n := s.layout.Total()
-	s.held, s.planned, s.shapeAt = make([]*job, n), make([]*job, n), make([]*shape, n)
+	s.held, s.planned, s.shapeAt, s.blocked = make([]*job, n), make([]*job, n), make([]*shape, n), make([]bool, n)
+	for j := range s.leaving {
+		s.block(j.leaves)
+		s.block(j.freeing)
+	}
 	clear(s.used)
 	for _, j := range s.open {
 		account := s.account(j)
@@ -263,6 +288,15 @@
 	}
 }
 
+func (s *Scheduler) block(grants []*hfwire.Grant) {
+	for _, g := range grants {
+		b := s.layout.block(g)
+		for i := b.lo; i < b.hi; i++ {
+			s.blocked[i] = true
+		}
+	}
+}
+
 func (s *Scheduler) occupy(j *job) {
 	for _, m := range j.members {
 		b := s.layout.block(m.grant)
@@ -284,6 +318,9 @@
 
 // Check returns the first broken invariant, or nil.
 func (s *Scheduler) Check() error {
+	if s.broken != nil {
+		return s.broken
+	}
 	owner := map[string]*job{}
 	for _, j := range s.open {
 		if err := s.checkJob(j, owner); err != nil {
@@ -323,6 +360,19 @@
 	return nil
 }
 
+// inOrder returns jobs by id, so that the same messages always lead to the same
+// decisions.
+func inOrder(jobs map[string]*job, keep func(*job) bool) []*job {
+	var list []*job
+	for _, j := range jobs {
+		if keep == nil || keep(j) {
+			list = append(list, j)
+		}
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].id() < list[b].id() })
+	return list
+}
+
 // Depth returns the number of jobs that wait and that hold accelerators.
 func (s *Scheduler) Depth() (queued, placed int) {
 	for _, j := range s.open {
@@ -339,7 +389,7 @@
 // of the largest block among them.
 func (s *Scheduler) Idle() (idle, largest int) {
 	free := func(i int) bool {
-		return s.held[i] == nil && s.planned[i] == nil && s.layout.sites[s.layout.at[i]].usable
+		return s.held[i] == nil && s.planned[i] == nil && !s.blocked[i] && s.layout.sites[s.layout.at[i]].usable
 	}
 	for i := range s.layout.at {
 		if free(i) {
--- a/hfgang/tick.go
+++ b/hfgang/tick.go
@@ -14,7 +14,7 @@
 		return nil
 	}
 	var cmds []Cmd
-	for _, j := range s.open {
+	for _, j := range inOrder(s.open, (*job).placed) {
 		switch j.state() {
 		case StateStarting:
 			cmds = append(cmds, s.tickStarting(j, now)...)
--- /dev/null
+++ b/hfgang/world_test.go
@@ -0,0 +1,384 @@
+package hfgang
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/heatherfront/heatherfront/hfaccount"
+	"github.com/heatherfront/heatherfront/hfconfig"
+	"github.com/heatherfront/heatherfront/hfseed"
+	"github.com/heatherfront/heatherfront/hfwire"
+	"github.com/heatherfront/heatherfront/hfworker"
+)
+
+func TestMain(m *testing.M) { hfseed.Main(m) }
+
+const (
+	worldLease = 4 * time.Second
+	worldPoll  = time.Second
+	worldBeat  = 250 * time.Millisecond
+	worldStep  = 50 * time.Millisecond
+)
+
+// fakeTask is a task on a fake worker.
+type fakeTask struct {
+	cmd   TaskCmd
+	state string
+	until time.Time // lease
+	end   time.Time // of its run
+}
+
+// fakeWorker does what the brief promises of workers, and no more.
+type fakeWorker struct {
+	row   hfworker.Worker
+	tasks map[string]*fakeTask
+	ended map[string]string
+	dead  bool // the machine is gone with its tasks
+	cut   bool // it runs on, and nobody reaches it
+	fails bool // every task that it runs fails
+}
+
+// worldEvent is something that happens at a later moment.
+type worldEvent struct {
+	at   time.Time
+	do   func()
+	only *Scheduler // not done when another scheduler leads by then; nil: always
+}
+
+// world runs a scheduler against fake workers and a fake store on a clock of its
+// own.
+type world struct {
+	now     time.Time
+	random  *rand.Rand
+	s       *Scheduler
+	fleet   *hfworker.Fleet
+	rule    hfworker.Rule
+	rules   rules
+	workers map[string]*fakeWorker
+	rows    map[string]hfworker.Worker
+	book    *hfaccount.Book
+	stored  [Shards]*hfwire.Shard
+	down    bool // the store
+	events  []worldEvent
+	replies map[uint64]ReplyCmd
+	ran     map[string]map[uint32]bool // job to the attempts of which a member ran
+	partial map[hfworker.Gang]time.Time
+	longest time.Duration // that a gang was seen partial
+	tokens  uint64
+}
+
+func newWorld(seed uint64, sizes []int, book *hfaccount.Book) *world {
+	w := &world{
+		now: time.Unix(1_790_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)), rule: hfworker.Whole, rules: soundRules(),
+		workers: map[string]*fakeWorker{}, rows: map[string]hfworker.Worker{}, book: book,
+		replies: map[uint64]ReplyCmd{}, ran: map[string]map[uint32]bool{}, partial: map[hfworker.Gang]time.Time{},
+	}
+	for i, n := range sizes {
+		name := fmt.Sprintf("w%02d", i)
+		row := hfworker.NewWorker(name, name, "a", "one", fmt.Sprintf("r%d", i/8), i%8, n, false)
+		w.rows[name] = row
+		w.workers[name] = &fakeWorker{row: row, tasks: map[string]*fakeTask{}, ended: map[string]string{}}
+	}
+	return w
+}
+
+// boot starts the observers and the first leader.
+func (w *world) boot() {
+	w.fleet = hfworker.NewFleet(worldPoll, worldBeat, w.rule)
+	all := map[string]bool{}
+	var rows []hfworker.Worker
+	for name, r := range w.rows {
+		all[name] = true
+		rows = append(rows, r)
+	}
+	w.fleet.Update(hfworker.Listed(rows), w.now)
+	w.fleet.Update(hfworker.Duty(all), w.now)
+	w.lead()
+	w.run(2 * time.Second)
+}
+
+// lead makes a new scheduler take over from the stored records.
+func (w *world) lead() {
+	w.s = New("a", NewTiming(worldLease, w.fleet.Freshness(), time.Hour))
+	w.s.rules = w.rules
+	w.feed(Accounts(w.book))
+	w.feed(Fleet(w.rows))
+	w.fleet.Sights("a", w.now, func(worker string, tasks []*hfwire.Task, lost bool) { w.feed(Report(worker, tasks, lost)) })
+	w.feed(Load(w.stored[:]))
+}
+
+func (w *world) feed(msg Msg) {
+	s := w.s
+	cmds := s.Update(msg, w.now)
+	for _, cmd := range cmds {
+		w.carryOut(s, cmd)
+	}
+}
+
+func (w *world) later(d time.Duration, only *Scheduler, do func()) {
+	w.events = append(w.events, worldEvent{at: w.now.Add(d), do: do, only: only})
+}
+
+func (w *world) delay(most int) time.Duration {
+	return time.Duration(w.random.IntN(most)+1) * time.Millisecond
+}
+
+func (w *world) carryOut(s *Scheduler, cmd Cmd) {
+	switch c := cmd.(type) {
+	case CommitCmd:
+		w.commit(s, c)
+	case TaskCmd:
+		// What was sent arrives although its sender has been replaced since.
+		w.later(w.delay(200), nil, func() {
+			answer, ok := w.act(c)
+			if ok && w.s == s {
+				w.later(w.delay(50), s, func() { w.feed(answer) })
+			}
+		})
+	case ReplyCmd:
+		w.replies[c.token] = c
+	}
+}
+
+// commit stores a shard under the fence: a replaced leader's write has no effect.
+func (w *world) commit(s *Scheduler, c CommitCmd) {
+	w.later(w.delay(30), s, func() {
+		if w.down {
+			w.commit(s, c)
+			return
+		}
+		w.stored[c.shard] = c.record
+		w.later(w.delay(10), s, func() { w.feed(Stored(c.shard)) })
+	})
+}
+
+// act lets a fake worker answer a command.
+func (w *world) act(c TaskCmd) (TaskMsg, bool) {
+	fw := w.workers[c.grant.GetWorker()]
+	if fw == nil || fw.dead || fw.cut {
+		return Answered(c, "", false, 0), true
+	}
+	t, ok := fw.tasks[c.task]
+	switch c.verb {
+	case VerbStart:
+		if !ok && fw.ended[c.task] != "" {
+			return Answered(c, "", true, 0), true
+		}
+		if !ok {
+			fw.tasks[c.task] = &fakeTask{cmd: c, state: hfworker.StateHeld, until: w.now.Add(worldLease)}
+		}
+		return Answered(c, hfworker.StateHeld, false, 0), true
+	case VerbStop:
+		if ok {
+			fw.end(t, hfworker.StateStopped)
+		} else if fw.ended[c.task] == "" {
+			fw.ended[c.task] = hfworker.StateStopped
+		}
+		return Answered(c, fw.ended[c.task], false, 0), true
+	}
+	if !ok {
+		return Answered(c, "", true, 0), true
+	}
+	if c.verb == VerbRelease && t.state == hfworker.StateHeld {
+		t.state = hfworker.StateRunning
+		t.end = w.now.Add(time.Duration(c.run-c.from) * time.Millisecond)
+		w.noteRun(c)
+	}
+	return Answered(c, t.state, false, c.from), true
+}
+
+func (w *world) noteRun(c TaskCmd) {
+	if w.ran[c.job] == nil {
+		w.ran[c.job] = map[uint32]bool{}
+	}
+	w.ran[c.job][c.attempt] = true
+}
+
+func (fw *fakeWorker) end(t *fakeTask, state string) {
+	fw.ended[t.cmd.task] = state
+	delete(fw.tasks, t.cmd.task)
+}
+
+// run lets time pass.
+func (w *world) run(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(worldStep)
+		w.happen()
+		w.advance()
+		w.observe()
+		if w.s != nil {
+			w.feed(TickMsg{})
+		}
+		w.watchGangs()
+	}
+}
+
+func (w *world) happen() {
+	due := w.events
+	w.events = nil
+	sort.SliceStable(due, func(i, j int) bool { return due[i].at.Before(due[j].at) })
+	for _, e := range due {
+		switch {
+		case e.at.After(w.now):
+			w.events = append(w.events, e)
+		case e.only == nil || e.only == w.s:
+			e.do()
+		}
+	}
+}
+
+// advance ends tasks whose run or lease is over.
+func (w *world) advance() {
+	for _, name := range slices.Sorted(maps.Keys(w.workers)) {
+		fw := w.workers[name]
+		for _, id := range slices.Sorted(maps.Keys(fw.tasks)) {
+			t := fw.tasks[id]
+			switch {
+			case t.state == hfworker.StateRunning && fw.fails:
+				fw.end(t, hfworker.StateFailed)
+			case t.state == hfworker.StateRunning && !t.end.After(w.now):
+				fw.end(t, hfworker.StateDone)
+			case !t.until.After(w.now):
+				fw.end(t, hfworker.StateStopped)
+			}
+		}
+	}
+}
+
+// observe polls the workers whose time has come, renewing what the rule allows.
+func (w *world) observe() {
+	for _, cmd := range w.fleet.Update(hfworker.TickMsg{}, w.now) {
+		poll, ok := cmd.(hfworker.PollCmd)
+		if !ok {
+			continue
+		}
+		for _, c := range w.poll(poll) {
+			if r, ok := c.(hfworker.ReportCmd); ok && w.s != nil {
+				w.feed(Report(r.Worker(), r.Tasks(), r.Lost()))
+			}
+		}
+	}
+}
+
+func (w *world) poll(c hfworker.PollCmd) []hfworker.Cmd {
+	fw := w.workers[c.Worker().Name()]
+	if fw.dead || fw.cut {
+		return w.fleet.Update(hfworker.Failed(fw.row.Name()), w.now)
+	}
+	for _, id := range c.Renew() {
+		if t, ok := fw.tasks[id]; ok {
+			t.until = w.now.Add(worldLease)
+		}
+	}
+	var tasks []*hfwire.Task
+	for id, t := range fw.tasks {
+		tasks = append(tasks, mustParse(id, t.state))
+	}
+	for id, state := range fw.ended {
+		tasks = append(tasks, mustParse(id, state))
+	}
+	return w.fleet.Update(hfworker.Polled(fw.row.Name(), tasks, w.now), w.now)
+}
+
+func mustParse(id, state string) *hfwire.Task {
+	t, err := hfworker.ParseTask(id, state)
+	if err != nil {
+		panic(err)
+	}
+	return t
+}
+
+// watchGangs measures from outside for how long a part of a gang does work without
+// the rest.
+func (w *world) watchGangs() {
+	running, sizes := map[hfworker.Gang]int{}, map[hfworker.Gang]int{}
+	for _, fw := range w.workers {
+		for _, t := range fw.tasks {
+			g := hfworker.NewGang(t.cmd.job, t.cmd.attempt)
+			if t.state == hfworker.StateRunning && !fw.dead {
+				running[g]++
+				sizes[g] = int(t.cmd.size)
+			}
+		}
+		for id, state := range fw.ended {
+			t := mustParse(id, state)
+			if state == hfworker.StateDone {
+				running[hfworker.NewGang(t.GetJob(), t.GetAttempt())]++
+			}
+		}
+	}
+	for g, size := range sizes {
+		if running[g] >= size {
+			delete(w.partial, g)
+			continue
+		}
+		since, ok := w.partial[g]
+		if !ok {
+			w.partial[g] = w.now
+			continue
+		}
+		w.longest = max(w.longest, w.now.Sub(since))
+	}
+	for g := range w.partial {
+		if sizes[g] == 0 {
+			delete(w.partial, g)
+		}
+	}
+}
+
+// kill takes a worker away with its tasks.
+func (w *world) kill(name string) {
+	fw := w.workers[name]
+	fw.dead = true
+	fw.tasks, fw.ended = map[string]*fakeTask{}, map[string]string{}
+}
+
+func (w *world) submit(id, account, work string, size int, run time.Duration) uint64 {
+	w.tokens++
+	k := w.book.View().Works()[work]
+	w.feed(Submit(w.tokens, &hfwire.Job{
+		Id: id, Account: account, Caller: account + "-caller", Work: work, Class: string(k.Class), Size: uint32(size),
+		Preemptible: k.Preemptible, Idempotent: k.Idempotent, Run: run.Milliseconds(), Command: "run",
+	}))
+	return w.tokens
+}
+
+func (w *world) state(id string) string {
+	if j, ok := w.s.jobs[id]; ok {
+		return j.state()
+	}
+	return ""
+}
+
+// testBook returns accounts a and b with guarantees, c without, and the kinds of
+// work that the tests use.
+func testBook(a, b []hfconfig.Shape) *hfaccount.Book {
+	s := hfconfig.NewState(time.Unix(0, 0))
+	all := []string{"a", "b", "c"}
+	resources := []hfconfig.Resource{
+		hfconfig.NewResource(hfconfig.KindAccount, "a", &hfconfig.Account{Guarantees: a}),
+		hfconfig.NewResource(hfconfig.KindAccount, "b", &hfconfig.Account{Guarantees: b}),
+		hfconfig.NewResource(hfconfig.KindAccount, "c", &hfconfig.Account{}),
+		hfconfig.NewResource(hfconfig.KindWork, "urgent", &hfconfig.Work{Type: "job", Class: "urgent", Idempotent: true, Accounts: all}),
+		hfconfig.NewResource(hfconfig.KindWork, "once", &hfconfig.Work{Type: "job", Class: "normal", Accounts: all}),
+		hfconfig.NewResource(hfconfig.KindWork, "again", &hfconfig.Work{Type: "job", Class: "normal", Idempotent: true, Accounts: all}),
+		hfconfig.NewResource(hfconfig.KindWork, "filler", &hfconfig.Work{Type: "job", Class: "batch", Idempotent: true, Preemptible: true, Accounts: all}),
+	}
+	for i, r := range resources {
+		s.Update(hfconfig.Learned(r.At(int64(i+1))), time.Unix(0, 0))
+	}
+	return hfaccount.NewBook(s.View())
+}
+
+func eights(n int) []int {
+	sizes := make([]int, n)
+	for i := range sizes {
+		sizes[i] = 8
+	}
+	return sizes
+}
--- a/hfworker/fleet.go
+++ b/hfworker/fleet.go
@@ -1,7 +1,8 @@
 package hfworker
 
 import (
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/heatherfront/heatherfront/hfwire"
@@ -385,7 +386,7 @@
 // due returns the polls whose time has come, with the tasks that may be renewed.
 func (f *Fleet) due(now time.Time) []Cmd {
 	var cmds []Cmd
-	for name := range f.mine {
+	for _, name := range slices.Sorted(maps.Keys(f.mine)) {
 		s := f.sight(name)
 		w, ok := f.workers[name]
 		if !ok || now.Before(s.next) {
@@ -402,7 +403,8 @@
 func (f *Fleet) renewable(s *sight, now time.Time) ([]string, []Cmd) {
 	var renew []string
 	var cmds []Cmd
-	for id, t := range s.tasks {
+	for _, id := range slices.Sorted(maps.Keys(s.tasks)) {
+		t := s.tasks[id]
 		if t.GetState() != StateRunning {
 			continue
 		}
@@ -416,7 +418,6 @@
 			cmds = append(cmds, PartialCmd{gang: g})
 		}
 	}
-	sort.Strings(renew)
 	return renew, cmds
 }
 
@@ -447,7 +448,8 @@
 // Sights calls visit with the tasks of every worker of a domain that was freshly
 // seen, or that is lost.
 func (f *Fleet) Sights(domain string, now time.Time, visit func(worker string, tasks []*hfwire.Task, lost bool)) {
-	for name, s := range f.sights {
+	for _, name := range slices.Sorted(maps.Keys(f.sights)) {
+		s := f.sights[name]
 		if f.workers[name].domain != domain || (!s.lost && !now.Before(s.until)) {
 			continue
 		}
