--- a/hfconfig/check.go
+++ b/hfconfig/check.go
@@ -89,6 +89,9 @@
 	if len(w.Accounts) == 0 {
 		return fmt.Errorf("%w: spec.accounts is empty", ErrInvalid)
 	}
+	if w.Preemptible && !w.Idempotent {
+		return fmt.Errorf("%w: spec.preemptible: a non-idempotent job cannot be preempted, as it must not run again", ErrInvalid)
+	}
 	return first(
 		oneOf("type", w.Type, TypeRequest, TypeJob),
 		oneOf("class", string(w.Class), string(ClassUrgent), string(ClassNormal), string(ClassBatch)),
--- a/hfrequest/queue.go
+++ b/hfrequest/queue.go
@@ -128,9 +128,8 @@
 	return [4]*node{q.root, class, account, caller}
 }
 
-// Push adds a ticket. When the queue is full, the newest ticket of the caller with
-// the most tickets in the least urgent class gives way, unless the new one is that
-// caller's. It returns false when the new ticket itself has no place.
+// Push adds a ticket. When the queue is full, another one may have to give way. It
+// returns false when the new ticket itself has no place.
 func (q *Queue) Push(t *Ticket) bool {
 	if q.root.queued >= q.limit && !q.evict(t) {
 		return false
@@ -148,26 +147,40 @@
 	return true
 }
 
-// evict makes room for a ticket.
+// evict makes room for a ticket: the class that holds most of the queue for its
+// share gives way to one that holds less, and within a class the caller with the
+// most tickets to one with fewer. A flood of any class thus leaves the others their
+// part of the queue.
 func (q *Queue) evict(t *Ticket) bool {
-	classes := hfconfig.Classes()
-	for i := len(classes) - 1; i >= 0; i-- {
-		class := q.root.children[string(classes[i])]
-		longest := longestCaller(class)
-		if longest == nil {
-			continue
-		}
-		mine := q.path(t)[3]
-		if classes[i].Rank() < t.class.Rank() || longest == mine || classes[i] == t.class && len(longest.tickets) <= len(mine.tickets)+1 {
-			return false
+	mine := q.path(t)
+	crowded := q.crowded()
+	longest := longestCaller(crowded)
+	if longest == nil {
+		return false
+	}
+	if crowded == mine[1] && len(longest.tickets) <= len(mine[3].tickets)+1 {
+		return false
+	}
+	if crowded != mine[1] && float64(mine[1].queued+1)/mine[1].weight >= float64(crowded.queued)/crowded.weight {
+		return false
+	}
+	victim := longest.tickets[len(longest.tickets)-1]
+	longest.tickets = longest.tickets[:len(longest.tickets)-1]
+	q.uncount(victim)
+	victim.ready(Evicted)
+	return true
+}
+
+// crowded returns the class that holds most of the queue for its share.
+func (q *Queue) crowded() *node {
+	var most *node
+	for _, c := range hfconfig.Classes() {
+		n := q.root.children[string(c)]
+		if most == nil || float64(n.queued)/n.weight > float64(most.queued)/most.weight {
+			most = n
 		}
-		victim := longest.tickets[len(longest.tickets)-1]
-		longest.tickets = longest.tickets[:len(longest.tickets)-1]
-		q.uncount(victim)
-		victim.ready(Evicted)
-		return true
 	}
-	return false
+	return most
 }
 
 func longestCaller(class *node) *node {
