--- a/hfapi/job.go
+++ b/hfapi/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -147,7 +148,7 @@
 	jobs, err := a.backend.Cancel(c.Request().Context(), &hfwire.Cancel{
 		Id: q.GetId(), Account: identity.Account(), Reason: "cancelled by " + identity.Caller(),
 	})
-	if eris.Is(err, ErrEnded) && len(jobs.GetJobs()) > 0 {
+	if errors.Is(err, ErrEnded) && len(jobs.GetJobs()) > 0 {
 		return writeJob(c, http.StatusConflict, jobs.GetJobs()[0], "")
 	}
 	if err != nil {
--- a/hfapi/problem.go
+++ b/hfapi/problem.go
@@ -1,10 +1,10 @@
 package hfapi
 
 import (
+	"errors"
 	"net/http"
 
 	"github.com/labstack/echo/v4"
-	"github.com/rotisserie/eris"
 
 	"github.com/heatherfront/heatherfront/hfconfig"
 	"github.com/heatherfront/heatherfront/hfrequest"
@@ -28,13 +28,13 @@
 // leaves the effect unknown.
 func failure(err error) error {
 	switch {
-	case eris.Is(err, hfconfig.ErrInvalid), eris.Is(err, ErrInvalid):
+	case errors.Is(err, hfconfig.ErrInvalid), errors.Is(err, ErrInvalid):
 		return problem(http.StatusUnprocessableEntity, err.Error())
-	case eris.Is(err, hfconfig.ErrStale), eris.Is(err, ErrConflict), eris.Is(err, ErrEnded):
+	case errors.Is(err, hfconfig.ErrStale), errors.Is(err, ErrConflict), errors.Is(err, ErrEnded):
 		return problem(http.StatusConflict, err.Error())
-	case eris.Is(err, hfconfig.ErrMissing), eris.Is(err, ErrMissing):
+	case errors.Is(err, hfconfig.ErrMissing), errors.Is(err, ErrMissing):
 		return problem(http.StatusNotFound, err.Error())
-	case eris.Is(err, hfconfig.ErrOlderStore), eris.Is(err, ErrNotRun):
+	case errors.Is(err, hfconfig.ErrOlderStore), errors.Is(err, ErrNotRun):
 		return outcomeProblem(http.StatusServiceUnavailable, hfrequest.OutcomeNotRun, err.Error())
 	default:
 		return outcomeProblem(http.StatusGatewayTimeout, hfrequest.OutcomeUnknown, err.Error())
--- a/hfapi/request.go
+++ b/hfapi/request.go
@@ -30,9 +30,6 @@
 	if !ok || work.Type != hfconfig.TypeRequest {
 		return outcomeProblem(http.StatusNotFound, hfrequest.OutcomeNotRun, "no kind of request "+name+" for this account")
 	}
-	if ok, why := a.backend.Ready(); !ok && !a.backend.Stopping() {
-		return outcomeProblem(http.StatusServiceUnavailable, hfrequest.OutcomeNotRun, why)
-	}
 	body, err := a.readBody(c)
 	if err != nil {
 		return err //nolint:wrapcheck // an answer already
@@ -45,6 +42,9 @@
 	if err != nil {
 		return err //nolint:wrapcheck // an answer already
 	}
+	if ok, why := a.backend.Ready(); !ok && !a.backend.Stopping() {
+		return notReady(claim, why)
+	}
 	header := c.Request().Header
 	call := hfrequest.NewCall(id, name, identity.Account(), header.Get(echo.HeaderContentType), header.Get(headerService), body, began.Add(timeout))
 	answer := a.desk.Serve(c.Request().Context(), call, a.terms(identity, work), claim)
@@ -52,6 +52,16 @@
 	return reply(c, id, answer)
 }
 
+// notReady refuses a request before its id is claimed. Of an id that may have come
+// before to another instance, it cannot be said that it did not run.
+func notReady(claim bool, why string) error {
+	if claim {
+		return outcomeProblem(http.StatusServiceUnavailable, hfrequest.OutcomeUnknown,
+			"this receipt was not run, and whether an earlier one was cannot be told; the same id can be sent again: "+why)
+	}
+	return outcomeProblem(http.StatusServiceUnavailable, hfrequest.OutcomeNotRun, why)
+}
+
 func (a *API) terms(i hfaccount.Identity, w *hfconfig.Work) hfrequest.Terms {
 	weight, limit := 1, 0
 	if t, ok := a.backend.Book().Terms(i.Account()); ok {
--- a/hfconfig/writer.go
+++ b/hfconfig/writer.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	"github.com/google/uuid"
-	"github.com/rotisserie/eris"
 
 	"github.com/heatherfront/heatherfront/hfstore"
 )
@@ -26,7 +26,7 @@
 		return Resource{}, fmt.Errorf("%w: resource is larger than %d bytes", ErrInvalid, hfstore.MaxValueBytes)
 	}
 	revision, err := hfstore.Swap(ctx, s, r.Key(), value, expected)
-	if eris.Is(err, hfstore.ErrConflict) {
+	if errors.Is(err, hfstore.ErrConflict) {
 		return Resource{}, fmt.Errorf("%w: %s", ErrStale, r.Key())
 	}
 	if err != nil {
--- a/hfgang/leader.go
+++ b/hfgang/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -113,7 +114,7 @@
 	if err := g.Wait(); err != nil {
 		return fmt.Errorf("lead domain %s: %w", l.domain, err)
 	}
-	if cause := context.Cause(ctx); eris.Is(cause, ErrFenced) {
+	if cause := context.Cause(ctx); errors.Is(cause, ErrFenced) {
 		return fmt.Errorf("lead domain %s: %w", l.domain, cause)
 	}
 	return nil
@@ -183,7 +184,7 @@
 			l.versions[n] = version
 			return shard, nil
 		}
-		if !eris.Is(err, hfstore.ErrConflict) {
+		if !errors.Is(err, hfstore.ErrConflict) {
 			return nil, fmt.Errorf("shard %s: %w", key, err)
 		}
 		item, err = l.store.Get(ctx, key)
@@ -302,7 +303,7 @@
 			_ = l.Send(ctx, Stored(c.shard)) // fails only at the end
 			return
 		}
-		if eris.Is(err, hfstore.ErrConflict) {
+		if errors.Is(err, hfstore.ErrConflict) {
 			l.fail(ErrFenced)
 			return
 		}
@@ -335,7 +336,7 @@
 		return
 	}
 	state, from, err := l.call(ctx, address, c)
-	refused := eris.Is(err, hfworker.ErrRefused)
+	refused := errors.Is(err, hfworker.ErrRefused)
 	_ = l.Send(ctx, Answered(c, state, refused, from)) // fails only at the end
 }
 
--- a/hflease/campaign.go
+++ b/hflease/campaign.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -40,7 +41,7 @@
 
 // settle finds out whether a failed write took effect.
 func settle(ctx context.Context, s hfstore.Store, key string, value []byte, cause error) (int64, error) {
-	if eris.Is(cause, hfstore.ErrConflict) {
+	if errors.Is(cause, hfstore.ErrConflict) {
 		return 0, ErrHeld
 	}
 	item, err := s.Get(ctx, key)
@@ -104,7 +105,7 @@
 		case err == nil:
 			t.Extend(now, TTL)
 			next = now.Add(TTL / 3)
-		case eris.Is(err, hfstore.ErrLeaseLost):
+		case errors.Is(err, hfstore.ErrLeaseLost):
 			t.End()
 			return
 		}
--- a/hfledger/keeper.go
+++ b/hfledger/keeper.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/heatherfront/heatherfront/hfloop"
@@ -103,7 +103,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	item, err := k.store.Get(ctx, c.key)
-	if eris.Is(err, hfstore.ErrNotFound) {
+	if errors.Is(err, hfstore.ErrNotFound) {
 		return Loaded(c.key, 0, nil)
 	}
 	if err != nil {
@@ -124,7 +124,7 @@
 		return Failed(c.key, false)
 	}
 	version, err := hfstore.Swap(ctx, k.store, c.key, value, c.version)
-	if eris.Is(err, hfstore.ErrConflict) {
+	if errors.Is(err, hfstore.ErrConflict) {
 		return Failed(c.key, true)
 	}
 	if err != nil {
--- a/hfserve/claim.go
+++ b/hfserve/claim.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/heatherfront/heatherfront/hfevent"
@@ -34,7 +34,7 @@
 		if err == nil {
 			return verdict.GetFirst(), verdict.GetHolder(), nil
 		}
-		if eris.Is(err, hfpeer.ErrRefused) {
+		if errors.Is(err, hfpeer.ErrRefused) {
 			s.log.Event(hfevent.LedgerWaits, zap.Error(err))
 			return false, "", fmt.Errorf("claim at %s: %w", owner, err)
 		}
--- a/hfserve/config.go
+++ b/hfserve/config.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/heatherfront/heatherfront/hfaccount"
@@ -38,10 +38,10 @@
 			down = false
 			continue
 		}
-		if eris.Is(err, hfstore.ErrCompacted) {
+		if errors.Is(err, hfstore.ErrCompacted) {
 			after = -1
 		}
-		if !down && ctx.Err() == nil && !eris.Is(err, hfstore.ErrCompacted) {
+		if !down && ctx.Err() == nil && !errors.Is(err, hfstore.ErrCompacted) {
 			down = true
 			s.log.Event(hfevent.StoreDown, zap.Error(err))
 		}
--- a/hfserve/jobs.go
+++ b/hfserve/jobs.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sort"
 	"strings"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/heatherfront/heatherfront/hfaccount"
@@ -128,7 +128,7 @@
 	if r := in.GetRefusal(); r != nil {
 		return nil, refusalError(r)
 	}
-	if eris.Is(err, hfpeer.ErrNoLink) {
+	if errors.Is(err, hfpeer.ErrNoLink) {
 		return nil, fmt.Errorf("%w: %w", hfapi.ErrNotRun, err)
 	}
 	if err != nil {
@@ -188,10 +188,10 @@
 	var unanswered error
 	for _, domain := range s.Domains() {
 		jobs, err := s.askLeader(ctx, domain, build(domain))
-		if err == nil || eris.Is(err, hfapi.ErrEnded) {
+		if err == nil || errors.Is(err, hfapi.ErrEnded) {
 			return jobs, err
 		}
-		if !eris.Is(err, hfapi.ErrMissing) {
+		if !errors.Is(err, hfapi.ErrMissing) {
 			unanswered = err
 		}
 	}
--- a/hfserve/lead.go
+++ b/hfserve/lead.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sort"
 	"strings"
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/heatherfront/heatherfront/hfconfig"
@@ -178,7 +178,7 @@
 			return leader.Run(ctx, func() []hfgang.Msg { return s.firstMessages(domain) })
 		})
 		event := hfevent.LeaderLost
-		if eris.Is(err, hfstore.ErrUnavailable) {
+		if errors.Is(err, hfstore.ErrUnavailable) {
 			event = hfevent.TakeoverRetry
 		}
 		s.log.Event(event, zap.String("domain", domain), zap.Int64("epoch", tenure.Epoch()), zap.Error(err))
--- a/hfserve/list.go
+++ b/hfserve/list.go
@@ -90,6 +90,9 @@
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&rows); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrList, err)
 	}
+	if len(rows) == 0 {
+		return nil, fmt.Errorf("%w: it is empty", ErrList)
+	}
 	return rows, nil
 }
 
--- a/hfserve/node.go
+++ b/hfserve/node.go
@@ -20,6 +20,7 @@
 
 const (
 	storeTimeout = 1500 * time.Millisecond
+	platformIdle = 8 // idle connections to one address of the platform
 	// drainTime is how long a stopping instance still takes requests, for the
 	// balancer and the other instances to notice. It is at most a third of the stop
 	// time of the settings.
@@ -38,7 +39,8 @@
 // Listen opens the sockets of an instance. It fails when an address is taken or a
 // key file cannot be used.
 func Listen(s *hfsettings.Settings, logger *zap.Logger) (*Node, error) {
-	var dialer Dialer = &net.Dialer{Timeout: time.Second}
+	plain := ownDialer(s.Peer())
+	var dialer Dialer = plain
 	var keys *hfkey.Keys
 	if s.Secure() {
 		var err error
@@ -46,7 +48,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("open instance: %w", err)
 		}
-		dialer = keys.Dialer(&net.Dialer{Timeout: time.Second})
+		dialer = keys.Dialer(plain)
 	}
 	public, err := net.Listen("tcp", s.Listen())
 	if err != nil {
@@ -61,14 +63,25 @@
 		public = tls.NewListener(public, keys.Public())
 		peer = tls.NewListener(peer, keys.Mutual())
 	}
-	store := hfstore.New(s.Store(), &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}, storeTimeout)
-	server := New(s, logger, store, dialer)
+	transport := &http.Transport{DialContext: plain.DialContext, MaxIdleConnsPerHost: platformIdle, IdleConnTimeout: time.Minute}
+	platform := &http.Client{Transport: transport}
+	server := New(s, logger, hfstore.New(s.Store(), platform, storeTimeout), platform, dialer)
 	return &Node{
 		server: server, api: hfapi.New(server, server.Desk(), s.Operator(), s.MaxBody()),
 		public: public, peer: peer, stop: s.Stop,
 	}, nil
 }
 
+// ownDialer connects from the address on which the instance listens for others, so
+// that a network's rules for that address cover both directions.
+func ownDialer(peer string) *net.Dialer {
+	d := &net.Dialer{Timeout: time.Second}
+	if a, err := net.ResolveTCPAddr("tcp", peer); err == nil && !a.IP.IsUnspecified() {
+		d.LocalAddr = &net.TCPAddr{IP: a.IP}
+	}
+	return d
+}
+
 // Server returns the instance behind the listeners.
 func (n *Node) Server() *Server { return n.server }
 
--- a/hfserve/server.go
+++ b/hfserve/server.go
@@ -68,17 +68,18 @@
 // Dialer opens connections to other instances.
 type Dialer = hfpeer.Dialer
 
-// New returns an instance that has not started.
-func New(s *hfsettings.Settings, logger *zap.Logger, store hfstore.Store, dialer Dialer) *Server {
+// New returns an instance that has not started. platform is the client for the
+// membership list, the workers and the endpoints' health pages.
+func New(s *hfsettings.Settings, logger *zap.Logger, store hfstore.Store, platform *http.Client, dialer Dialer) *Server {
 	registry := metrics.NewRegistry()
 	now := time.Now()
 	incarnation := uuid.NewString()
 	srv := &Server{
 		settings: s, log: hfevent.New(logger, registry), registry: registry, incarnation: incarnation,
 		store:    hfstore.NewBudget(store, registry),
-		platform: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}},
+		platform: platform,
 		links:    hfpeer.NewLinks(s.Name(), incarnation, dialer, registry),
-		members:  hfloop.NewCell(hfpeer.New(s.Name(), s.Peer(), s.Domain(), s.Region(), incarnation, s.Suspect(), now)),
+		members:  hfloop.NewCell(hfpeer.New(s.Name(), s.Reach(), s.Domain(), s.Region(), incarnation, s.Suspect(), now)),
 		config:   hfloop.NewCell(hfconfig.NewState(now)),
 		fleet:    hfloop.NewCell(hfworker.NewFleet(s.Poll(), s.Beat(), hfworker.Whole)),
 		burn:     hfloop.NewCell(hfreport.NewBurn()),
--- a/hfsettings/access.go
+++ b/hfsettings/access.go
@@ -20,6 +20,14 @@
 // Peer returns the address for other instances.
 func (s *Settings) Peer() string { return s.peer }
 
+// Reach returns the address at which other instances reach this one.
+func (s *Settings) Reach() string {
+	if s.reach == "" {
+		return s.peer
+	}
+	return s.reach
+}
+
 // Store returns the URL of the platform's store.
 func (s *Settings) Store() string { return s.store }
 
--- a/hfsettings/settings.go
+++ b/hfsettings/settings.go
@@ -29,6 +29,7 @@
 	region   string
 	listen   string // IP:port for callers and operators
 	peer     string // IP:port for other instances
+	reach    string // IP:port at which other instances reach peer; "": peer itself
 	store    string // URL
 	members  string // URL
 	seeds    string // name=IP:port, separated by commas; used while the list is away
@@ -58,6 +59,7 @@
 	fs.StringVar(&s.region, "region", "", "region of this instance")
 	fs.StringVar(&s.listen, "listen", "127.0.0.1:8080", "IP:port for callers and operators")
 	fs.StringVar(&s.peer, "peer", "127.0.0.1:8081", "IP:port for the other instances")
+	fs.StringVar(&s.reach, "peer-reach", "", "IP:port at which the other instances reach --peer, if it differs")
 	fs.StringVar(&s.store, "store-url", "", "URL of the platform's store")
 	fs.StringVar(&s.members, "members-url", "", "URL of the platform's membership list")
 	fs.StringVar(&s.seeds, "seeds", "", "name=IP:port of other instances, separated by commas, for when the list is away")
@@ -100,7 +102,7 @@
 		needed("name", s.name), plain("name", s.name),
 		needed("domain", s.domain), plain("domain", s.domain),
 		needed("region", s.region), plain("region", s.region),
-		address("listen", s.listen), address("peer", s.peer),
+		address("listen", s.listen), address("peer", s.peer), address("peer-reach", s.Reach()),
 		url("store-url", s.store), url("members-url", s.members),
 		within("lease", *s.lease, time.Second, 5*time.Minute),
 		within("beat", *s.beat, 50*time.Millisecond, 5*time.Second),
--- a/hfstand/members.go
+++ b/hfstand/members.go
@@ -26,8 +26,9 @@
 
 // MembersFault is what PUT /fault sets on the membership list.
 type MembersFault struct {
-	Down bool  `json:"down"`
-	Lag  int64 `json:"lag"` // age of the answer in milliseconds
+	Down  bool  `json:"down"`
+	Lag   int64 `json:"lag"`   // age of the answer in milliseconds
+	Stuck bool  `json:"stuck"` // the answer stays as it was when this was set
 }
 
 type membersVersion struct {
@@ -41,6 +42,7 @@
 	rows  map[string]Member
 	past  []membersVersion // oldest first
 	fault MembersFault
+	stuck []Member
 }
 
 // NewMembers returns an empty list.
@@ -53,6 +55,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.fault = f
+	if len(m.past) > 0 {
+		m.stuck = m.past[len(m.past)-1].rows
+	}
 }
 
 // Set adds or changes a row.
@@ -90,6 +95,9 @@
 	if m.fault.Down {
 		return nil, false
 	}
+	if m.fault.Stuck {
+		return m.stuck, true
+	}
 	limit := time.Now().Add(-time.Duration(m.fault.Lag) * time.Millisecond)
 	rows := []Member{}
 	for _, v := range m.past {
--- a/hfstore/client.go
+++ b/hfstore/client.go
@@ -4,14 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
-
-	"github.com/rotisserie/eris"
 )
 
 // watchWait is how long the store holds a watch that has no event.
@@ -119,7 +118,7 @@
 // Renew implements Store.
 func (c *Client) Renew(ctx context.Context, lease string) error {
 	err := c.call(ctx, http.MethodPut, "/v1/leases/"+lease, nil, nil, nil)
-	if eris.Is(err, ErrNotFound) {
+	if errors.Is(err, ErrNotFound) {
 		return fmt.Errorf("renew lease: %w", ErrLeaseLost)
 	}
 	if err != nil {
--- /dev/null
+++ b/hfstore/store_test.go
@@ -0,0 +1,122 @@
+package hfstore_test
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/heatherfront/heatherfront/hfstand"
+	"github.com/heatherfront/heatherfront/hfstore"
+)
+
+// open returns a client of a fresh stand-in.
+func open(t *testing.T) (*hfstand.Store, *hfstore.Client) {
+	t.Helper()
+	stand := hfstand.NewStore()
+	server := httptest.NewServer(stand.Handler())
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return stand, hfstore.New(server.URL, server.Client(), 300*time.Millisecond)
+}
+
+func TestContract(t *testing.T) {
+	_, c := open(t)
+	ctx := t.Context()
+	_, err := c.Get(ctx, "a/1")
+	require.ErrorIs(t, err, hfstore.ErrNotFound)
+	v1, err := c.Put(ctx, "a/1", []byte("one"), 0, "")
+	require.NoError(t, err)
+	_, err = c.Put(ctx, "a/1", []byte("two"), 0, "")
+	require.ErrorIs(t, err, hfstore.ErrConflict)
+	v2, err := c.Put(ctx, "a/1", []byte("two"), v1, "")
+	require.NoError(t, err)
+	require.Greater(t, v2, v1)
+	item, err := c.Get(ctx, "a/1")
+	require.NoError(t, err)
+	require.Equal(t, "two", string(item.Value()))
+	items, revision, err := c.List(ctx, "a/")
+	require.NoError(t, err)
+	require.Len(t, items, 1)
+	require.Equal(t, v2, revision)
+	events, _, err := c.Watch(ctx, "a/", v1)
+	require.NoError(t, err)
+	require.Len(t, events, 1)
+	require.ErrorIs(t, c.Delete(ctx, "a/1", v1), hfstore.ErrConflict)
+	require.NoError(t, c.Delete(ctx, "a/1", v2))
+	_, _, err = c.Watch(ctx, "a/", revision+1000)
+	require.ErrorIs(t, err, hfstore.ErrCompacted, "a watch ahead of a restored store")
+}
+
+func TestLeases(t *testing.T) {
+	_, c := open(t)
+	ctx := t.Context()
+	lease, err := c.Grant(ctx, 50*time.Millisecond)
+	require.NoError(t, err)
+	_, err = c.Put(ctx, "k", []byte("v"), 0, lease)
+	require.NoError(t, err)
+	require.NoError(t, c.Renew(ctx, lease))
+	require.Eventually(t, func() bool {
+		_, err := c.Get(ctx, "k")
+		return err != nil
+	}, 5*time.Second, 10*time.Millisecond)
+	require.ErrorIs(t, c.Renew(ctx, lease), hfstore.ErrLeaseLost)
+}
+
+// TestSwapUnderFaults writes with answers lost, the store down and a racing writer.
+func TestSwapUnderFaults(t *testing.T) {
+	for name, row := range map[string]struct {
+		fault func(*hfstand.Store, *hfstore.Client)
+		want  error
+		value string
+	}{
+		"no fault":        {func(*hfstand.Store, *hfstore.Client) {}, nil, "mine"},
+		"an answer lost":  {func(s *hfstand.Store, _ *hfstore.Client) { s.Fault(hfstand.StoreFault{Lost: 1}) }, nil, "mine"},
+		"answers lost":    {func(s *hfstand.Store, _ *hfstore.Client) { s.Fault(hfstand.StoreFault{Lost: 3}) }, nil, "mine"},
+		"down throughout": {func(s *hfstand.Store, _ *hfstore.Client) { s.Fault(hfstand.StoreFault{Down: true}) }, hfstore.ErrUnavailable, ""},
+		"another was first": {func(_ *hfstand.Store, c *hfstore.Client) {
+			_, _ = c.Put(context.Background(), "k", []byte("other"), 0, "")
+		}, hfstore.ErrConflict, "other"},
+		"slower than the time limit": {func(s *hfstand.Store, _ *hfstore.Client) {
+			s.Fault(hfstand.StoreFault{Slow: 400})
+			time.AfterFunc(500*time.Millisecond, func() { s.Fault(hfstand.StoreFault{}) })
+		}, nil, "mine"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			stand, c := open(t)
+			row.fault(stand, c)
+			_, err := hfstore.Swap(t.Context(), c, "k", []byte("mine"), 0)
+			require.ErrorIs(t, err, row.want)
+			stand.Fault(hfstand.StoreFault{})
+			item, err := c.Get(t.Context(), "k")
+			if row.value == "" {
+				require.ErrorIs(t, err, hfstore.ErrNotFound)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, row.value, string(item.Value()))
+		})
+	}
+}
+
+func TestBudgetRefusesWhatItCannotSend(t *testing.T) {
+	_, c := open(t)
+	b := hfstore.NewBudget(c, metrics.NewRegistry())
+	b.Share(hfstore.TotalWrites) // one write a second
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	sent := 0
+	for sent < hfstore.TotalWrites {
+		if err := b.Delete(ctx, "none", 1); errors.Is(err, hfstore.ErrBudget) {
+			break
+		}
+		sent++
+	}
+	require.Equal(t, hfstore.TotalWrites/8, sent, "the burst, and then no more")
+}
--- a/hfstore/swap.go
+++ b/hfstore/swap.go
@@ -3,10 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"time"
-
-	"github.com/rotisserie/eris"
 )
 
 const (
@@ -28,10 +27,10 @@
 		if err == nil {
 			return next, nil
 		}
-		if eris.Is(err, ErrConflict) && attempt == 0 {
+		if errors.Is(err, ErrConflict) && attempt == 0 {
 			return 0, fmt.Errorf("swap: %w", err)
 		}
-		if eris.Is(err, ErrBudget) && attempt == 0 {
+		if errors.Is(err, ErrBudget) && attempt == 0 {
 			return 0, fmt.Errorf("swap: %w", err)
 		}
 		found, done, readErr := readBack(ctx, s, key, value, version)
@@ -54,7 +53,7 @@
 // readBack returns the current version of the key and whether it holds value.
 func readBack(ctx context.Context, s Store, key string, value []byte, version int64) (int64, bool, error) {
 	item, err := s.Get(ctx, key)
-	if eris.Is(err, ErrNotFound) {
+	if errors.Is(err, ErrNotFound) {
 		return 0, false, nil
 	}
 	if err != nil {
