--- a/hfconfig/state.go
+++ b/hfconfig/state.go
@@ -116,7 +116,6 @@
 		cmds := s.join(m.resources)
 		if m.complete > 0 {
 			s.raise(m.complete)
-			s.older = s.older && m.complete < s.highest
 		}
 		return cmds
 	case ListedMsg:
@@ -135,7 +134,7 @@
 
 func (s *State) list(m ListedMsg) []Cmd {
 	cmds := s.join(m.resources)
-	s.older = m.revision < s.highest
+	s.older = m.revision < s.highest || s.lacks(m.resources)
 	if s.older {
 		return append(cmds, OlderCmd{have: s.highest, shown: m.revision})
 	}
@@ -143,6 +142,22 @@
 	return cmds
 }
 
+// lacks tells whether a listing does not have a resource at the revision held here.
+// Deleted resources stay in the store as tombstones, so a store that was not set
+// back has them all.
+func (s *State) lacks(listed []Resource) bool {
+	shown := make(map[string]int64, len(listed))
+	for _, r := range listed {
+		shown[r.Key()] = r.revision
+	}
+	for key, r := range s.entries {
+		if shown[key] < r.revision {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *State) raise(complete int64) {
 	s.complete = max(s.complete, complete)
 	s.loaded = true
--- a/hfgang/member.go
+++ b/hfgang/member.go
@@ -275,18 +275,18 @@
 	if !ok {
 		return nil
 	}
-	wasGone := w.gone()
+	wasGone, wasStale := w.gone(), w.stale
 	if m.lost {
 		w.lose(now)
 		w.tasks = nil
 	} else {
-		w.heard, w.lost = true, false
+		w.heard, w.lost, w.stale, w.seen = true, false, false, now
 		w.tasks = make(map[string]*hfwire.Task, len(m.tasks))
 		for _, t := range m.tasks {
 			w.tasks[t.GetId()] = t
 		}
 	}
-	if wasGone != w.gone() {
+	if wasGone != w.gone() || wasStale != w.stale {
 		s.refreshUsable()
 		s.match()
 		s.stale = true
@@ -301,6 +301,32 @@
 	return cmds
 }
 
+// seen takes the word that some workers' reports are still fresh.
+func (s *Scheduler) seen(names []string, now time.Time) {
+	for _, name := range names {
+		if w, ok := s.workers[name]; ok && w.heard && !w.lost {
+			w.seen = now
+		}
+	}
+	s.refreshStale(now)
+}
+
+// refreshStale takes workers whose reports are no longer fresh out of placement, and
+// fresh ones in again. What runs on them is left to its observers.
+func (s *Scheduler) refreshStale(now time.Time) {
+	changed := false
+	for _, w := range s.workers {
+		stale := w.heard && !w.lost && now.Sub(w.seen) > s.timing.fresh()
+		changed = changed || stale != w.stale
+		w.stale = stale
+	}
+	if changed {
+		s.refreshUsable()
+		s.match()
+		s.stale = true
+	}
+}
+
 // on returns the jobs with a member on a worker, in a fixed order.
 func (s *Scheduler) on(name string) []*job {
 	var jobs []*job
@@ -368,7 +394,7 @@
 		return s.lostMember(j, m, now), true
 	}
 	t, ok := w.tasks[j.task(m.grant.GetIndex())]
-	settled := !j.settled.IsZero() && !now.Before(j.settled)
+	settled := !j.settled.IsZero() && !w.seen.Before(j.settled) // a report from before the release shows nothing
 	switch {
 	case !ok && j.state() == StateRunning && settled:
 		return s.lose(j, "worker "+m.grant.GetWorker()+" no longer has its member", now), true
--- a/hfgang/message.go
+++ b/hfgang/message.go
@@ -39,6 +39,13 @@
 	return ReportMsg{worker: worker, tasks: tasks, lost: lost}
 }
 
+// SeenMsg tells that the last reports of some workers still show what they run: they
+// were heard of within the freshness of the Timing, and nothing changed.
+type SeenMsg struct{ workers []string }
+
+// Seen returns a SeenMsg.
+func Seen(workers []string) SeenMsg { return SeenMsg{workers: workers} }
+
 // SubmitMsg asks to accept a job.
 type SubmitMsg struct {
 	token uint64
@@ -99,6 +106,7 @@
 func (BookMsg) gangMsg()    {}
 func (WorkersMsg) gangMsg() {}
 func (ReportMsg) gangMsg()  {}
+func (SeenMsg) gangMsg()    {}
 func (SubmitMsg) gangMsg()  {}
 func (CancelMsg) gangMsg()  {}
 func (QueryMsg) gangMsg()   {}
--- a/hfgang/state.go
+++ b/hfgang/state.go
@@ -38,6 +38,8 @@
 	heard  bool
 	lost   bool
 	silent time.Time // since when it is lost, or not heard yet
+	seen   time.Time // last moment at which its report was known to be fresh
+	stale  bool      // its report was not fresh for longer than a report may take
 	record blame
 }
 
@@ -163,6 +165,8 @@
 		s.setWorkers(m.workers, now)
 	case ReportMsg:
 		return s.report(m, now)
+	case SeenMsg:
+		s.seen(m.workers, now)
 	case SubmitMsg:
 		return s.submit(m, now)
 	case CancelMsg:
@@ -255,7 +259,7 @@
 	for i := range s.layout.sites {
 		st := &s.layout.sites[i]
 		w := s.workers[st.worker.Name()]
-		st.usable = w != nil && w.heard && !w.lost && !w.record.aside && !st.worker.Leaving()
+		st.usable = w != nil && w.heard && !w.lost && !w.stale && !w.record.aside && !st.worker.Leaving()
 	}
 }
 
--- a/hfgang/tick.go
+++ b/hfgang/tick.go
@@ -13,6 +13,7 @@
 	if !s.loaded {
 		return nil
 	}
+	s.refreshStale(now)
 	var cmds []Cmd
 	for _, j := range inOrder(s.open, (*job).placed) {
 		switch j.state() {
--- a/hfserve/beat.go
+++ b/hfserve/beat.go
@@ -69,6 +69,7 @@
 		s.tellPeers(cmds)
 		s.divide(now)
 		s.lendSelf(now)
+		s.tellSeen(ctx, now)
 		for _, p := range hfloop.With(s.members, (*hfpeer.State).Known) {
 			since, ok := hfloop.With2(s.peers, func(x *exchanges) (uint64, bool) { return x.begin(p) })
 			if !ok {
--- a/hfserve/config.go
+++ b/hfserve/config.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/heatherfront/heatherfront/hfaccount"
+	"github.com/heatherfront/heatherfront/hfapi"
 	"github.com/heatherfront/heatherfront/hfconfig"
 	"github.com/heatherfront/heatherfront/hfevent"
 	"github.com/heatherfront/heatherfront/hfgang"
@@ -68,6 +69,10 @@
 			return after, fmt.Errorf("list watched keys: %w", err)
 		}
 		s.takeItems(ctx, items, revision, true)
+		if hfloop.With(s.config, (*hfconfig.State).Older) {
+			pause(ctx, watchPause)
+			return -1, nil // looks at the whole again until the store is no longer behind
+		}
 		return revision, nil
 	}
 	items, revision, err := s.store.Watch(ctx, hfconfig.WatchPrefix, after)
@@ -214,6 +219,9 @@
 	if err := s.admitGuarantees(view.With(r), r); err != nil {
 		return hfconfig.Resource{}, fmt.Errorf("admit %s %s: %w", r.Kind(), r.Name(), err)
 	}
+	if err := s.storeIsCurrent(ctx, r.Key()); err != nil {
+		return hfconfig.Resource{}, fmt.Errorf("look at the store: %w", err)
+	}
 	written, err := hfconfig.Write(ctx, s.store, r, current.Revision())
 	if err != nil {
 		return hfconfig.Resource{}, fmt.Errorf("store %s %s: %w", r.Kind(), r.Name(), err)
@@ -223,6 +231,20 @@
 	return written, nil
 }
 
+// storeIsCurrent refuses a write to a store that was set back, before the watch has
+// noticed it. It costs one small read for each change of the configuration.
+func (s *Server) storeIsCurrent(ctx context.Context, key string) error {
+	highest := hfloop.With(s.config, (*hfconfig.State).Highest)
+	_, revision, err := s.store.List(ctx, key)
+	if err != nil {
+		return fmt.Errorf("%w: nothing was written: %w", hfapi.ErrNotRun, err)
+	}
+	if revision < highest {
+		return hfconfig.ErrOlderStore
+	}
+	return nil
+}
+
 // admitGuarantees refuses an account whose guarantees could not lie side by side
 // with all others although every worker were idle.
 func (s *Server) admitGuarantees(v *hfconfig.View, r hfconfig.Resource) error {
--- a/hfserve/lead.go
+++ b/hfserve/lead.go
@@ -227,6 +227,20 @@
 	}
 }
 
+// tellSeen tells every leadership of this instance which reports are still fresh.
+func (s *Server) tellSeen(ctx context.Context, now time.Time) {
+	s.mu.Lock()
+	leaders := make(map[string]*hfgang.Leader, len(s.leading))
+	for domain, l := range s.leading {
+		leaders[domain] = l
+	}
+	s.mu.Unlock()
+	for domain, l := range leaders {
+		fresh := hfloop.With(s.fleet, func(f *hfworker.Fleet) []string { return f.Fresh(domain, now) })
+		_ = l.Send(ctx, hfgang.Seen(fresh)) // fails only when the leadership ends
+	}
+}
+
 // watcher passes a leader's decisions on to the log and the burn report.
 type watcher struct{ server *Server }
 
--- a/hfserve/server.go
+++ b/hfserve/server.go
@@ -61,6 +61,7 @@
 	changed  chan struct{}             // closed and replaced when the configuration or a lead changes
 	stopping atomic.Bool
 	sequence atomic.Uint64
+	warmed   atomic.Bool  // a slot was lent once
 	warm     time.Time    // slots are waited for until then
 	lastSeen atomic.Int64 // Unix nanoseconds of the last answer of the store
 }
@@ -188,7 +189,7 @@
 		return false, "the configuration is not loaded"
 	case hfloop.With(s.config, func(c *hfconfig.State) bool { return c.Isolated(now) }):
 		return false, "neither the store nor another instance is heard"
-	case now.Before(s.warm) && !s.anySlot(now):
+	case now.Before(s.warm) && !s.warmed.Load() && !s.anySlot(now):
 		return false, "no slots are lent yet"
 	}
 	return true, ""
@@ -202,6 +203,9 @@
 		_, total := r.Free(now)
 		any = total > 0 || len(r.Rows()) == 0
 	})
+	if any {
+		s.warmed.Store(true)
+	}
 	return any
 }
 
--- a/hfsettings/settings.go
+++ b/hfsettings/settings.go
@@ -64,7 +64,7 @@
 	fs.StringVar(&s.members, "members-url", "", "URL of the platform's membership list")
 	fs.StringVar(&s.seeds, "seeds", "", "name=IP:port of other instances, separated by commas, for when the list is away")
 	fs.StringVar(&s.operator, "operator-hash", "", "hash of the first operator's secret (heatherfront hash)")
-	s.lease = fs.Duration("lease", 12*time.Second, "lease of a task on a worker, 1s to 5m; at least three polls")
+	s.lease = fs.Duration("lease", 12*time.Second, "lease of a task on a worker, 1s to 5m; at least the suspicion time, two polls and two beats, so that a gang outlives the instance that renews it")
 	s.beat = fs.Duration("beat", 500*time.Millisecond, "interval of messages between instances, 50ms to 5s")
 	s.poll = fs.Duration("poll", 4*time.Second, "interval of calls to a worker, 100ms to 1m")
 	s.check = fs.Duration("check", time.Second, "interval of health checks of an endpoint, 50ms to 3s")
@@ -111,7 +111,7 @@
 		within("suspect", *s.suspect, 3**s.beat, time.Minute),
 		within("stop", *s.stop, time.Second, 10*time.Minute),
 		within("retain", *s.retain, time.Minute, 90*24*time.Hour),
-		within("lease", *s.lease, 3**s.poll, 5*time.Minute),
+		within("lease", *s.lease, *s.suspect+2**s.poll+2**s.beat, 5*time.Minute),
 		between("max-body", s.maxBody, 1, 16<<20),
 		between("queue", int64(s.queue), 1, 100000),
 		s.checkSeeds(), s.checkTLS(),
--- a/hfworker/fleet.go
+++ b/hfworker/fleet.go
@@ -60,6 +60,7 @@
 	lost     bool
 	failures int       // polls in a row without an answer
 	next     time.Time // next poll, if this instance observes the worker
+	renewed  time.Time // last poll that renewed a task
 	version  uint64    // of the fleet at the last change that other instances have to hear
 }
 
@@ -164,6 +165,10 @@
 // worker counts as lost. Polls after a failure come at a quarter of the interval.
 const lossPolls = 3
 
+// soonPart is the part of a poll interval after which a worker is polled again when
+// it gave no answer or its tasks could not be renewed.
+const soonPart = 4
+
 // selfObserver marks sights from this instance's own polls.
 const selfObserver = "."
 
@@ -265,16 +270,33 @@
 func (f *Fleet) polled(m PolledMsg, now time.Time) []Cmd {
 	s := f.sight(m.worker)
 	s.failures = 0
+	cmds := f.see(m.worker, selfObserver, m.tasks, false, m.sent.Add(f.Freshness()))
 	if f.mine[m.worker] {
-		s.next = m.sent.Add(f.poll())
+		s.next = f.nextPoll(s, m.sent, now)
+	}
+	return cmds
+}
+
+// nextPoll returns when to poll a worker again: soon, when it runs tasks that the
+// last poll did not renew, as after this instance took the worker over.
+func (f *Fleet) nextPoll(s *sight, sent, now time.Time) time.Time {
+	late := s.renewed.Before(sent.Add(-f.poll()))
+	for _, t := range s.tasks {
+		if t.GetState() != StateRunning || !late {
+			continue
+		}
+		if f.rule(f, NewGang(t.GetJob(), t.GetAttempt()), t.GetSize(), now) {
+			return now
+		}
+		return sent.Add(f.poll() / soonPart)
 	}
-	return f.see(m.worker, selfObserver, m.tasks, false, m.sent.Add(f.Freshness()))
+	return sent.Add(f.poll())
 }
 
 func (f *Fleet) failed(worker string, now time.Time) []Cmd {
 	s := f.sight(worker)
 	s.failures++
-	s.next = now.Add(f.poll() / 4)
+	s.next = now.Add(f.poll() / soonPart)
 	if s.failures < lossPolls || s.lost {
 		return nil
 	}
@@ -394,6 +416,9 @@
 		}
 		s.next = now.Add(f.poll())
 		renew, partial := f.renewable(s, now)
+		if len(renew) > 0 {
+			s.renewed = now
+		}
 		cmds = append(cmds, partial...)
 		cmds = append(cmds, PollCmd{worker: w, renew: renew})
 	}
@@ -457,15 +482,20 @@
 	}
 }
 
+// Fresh returns the workers of a domain that were freshly seen.
+func (f *Fleet) Fresh(domain string, now time.Time) []string {
+	var fresh []string
+	for name, s := range f.sights {
+		if f.workers[name].domain == domain && !s.lost && now.Before(s.until) {
+			fresh = append(fresh, name)
+		}
+	}
+	return fresh
+}
+
 // Workers returns the workers of the membership list.
 func (f *Fleet) Workers() map[string]Worker { return f.workers }
 
-// Live tells whether a worker was freshly seen.
-func (f *Fleet) Live(worker string, now time.Time) bool {
-	s, ok := f.sights[worker]
-	return ok && !s.lost && now.Before(s.until)
-}
-
 // Tasks returns the number of tasks known.
 func (f *Fleet) Tasks() int {
 	n := 0
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -63,7 +63,7 @@
 for i in 0 1 2; do
   run "entry$i" "$hf" serve --name "entry$i" --domain "${domains[$i]}" --region "${regions[$i]}" \
     --listen "127.0.0.1:$((base + 30 + i))" --peer "127.0.0.1:$((base + 40 + i))" \
-    --store-url "$store" --members-url "$members" --operator-hash "$hash" --lease 4s --poll 1s
+    --store-url "$store" --members-url "$members" --operator-hash "$hash" --lease 6s --poll 1s
 done
 for i in 0 1 2; do wait_for "http://127.0.0.1:$((base + 30 + i))/ready"; done
 
