--- a/hfgang/layout.go
+++ b/hfgang/layout.go
@@ -16,6 +16,9 @@
 // Size returns the number of accelerators.
 func (b Block) Size() int { return b.hi - b.lo }
 
+// Low returns the index of the first accelerator.
+func (b Block) Low() int { return b.lo }
+
 func (b Block) overlaps(o Block) bool { return b.lo < o.hi && o.lo < b.hi }
 
 func (b Block) within(o Block) bool { return o.lo <= b.lo && b.hi <= o.hi }
@@ -101,8 +104,8 @@
 	return b.Size() > l.rack || l.sites[first].worker.Rack() == l.sites[last].worker.Rack()
 }
 
-// all returns the range of every accelerator.
-func (l *Layout) all() Block { return Block{lo: 0, hi: len(l.at)} }
+// All returns the range of every accelerator.
+func (l *Layout) All() Block { return Block{lo: 0, hi: len(l.at)} }
 
 // usable tells whether every worker of a block can take work.
 func (l *Layout) usable(b Block) bool {
@@ -152,7 +155,7 @@
 	}
 	for size := min(limit, len(l.at)); size > 0; size-- {
 		found := false
-		l.Blocks(size, l.all(), func(b Block) bool {
+		l.Blocks(size, l.All(), func(b Block) bool {
 			found = taken[b.hi] == taken[b.lo]
 			return !found
 		})
@@ -172,7 +175,7 @@
 	used := make([]bool, len(l.at))
 	for _, size := range sizes {
 		found := false
-		l.Blocks(size, l.all(), func(b Block) bool {
+		l.Blocks(size, l.All(), func(b Block) bool {
 			for i := b.lo; i < b.hi; i++ {
 				if used[i] {
 					return true
--- a/hfgang/place.go
+++ b/hfgang/place.go
@@ -256,7 +256,7 @@
 	}
 	var choices []choice
 	taken := s.takenSums()
-	s.layout.Blocks(j.size(), s.layout.all(), func(b Block) bool {
+	s.layout.Blocks(j.size(), s.layout.All(), func(b Block) bool {
 		if taken[b.hi] == taken[b.lo] && s.allowed(b, j) && !s.intrudes(j, b, now) {
 			choices = append(choices, choice{block: b, cost: s.cost(j, b, taken)})
 		}
--- a/hfgang/reclaim.go
+++ b/hfgang/reclaim.go
@@ -60,7 +60,7 @@
 func (s *Scheduler) push(j *job, now time.Time) *plan {
 	var best *plan
 	bestLoss := 0.0
-	s.layout.Blocks(j.size(), s.layout.all(), func(b Block) bool {
+	s.layout.Blocks(j.size(), s.layout.All(), func(b Block) bool {
 		if !s.allowed(b, j) || (j.fixed() && !s.outside(b)) {
 			return true
 		}
@@ -86,7 +86,7 @@
 		return
 	}
 	ends := s.ends(now)
-	s.layout.Blocks(j.size(), s.layout.all(), func(b Block) bool {
+	s.layout.Blocks(j.size(), s.layout.All(), func(b Block) bool {
 		if !s.layout.usable(b) || j.fixed() && !s.outside(b) {
 			return true
 		}
--- a/hfgang/record.go
+++ b/hfgang/record.go
@@ -186,7 +186,7 @@
 		return nil
 	}
 	s.unplace(best)
-	s.layout.Blocks(best.size, s.layout.all(), func(b Block) bool {
+	s.layout.Blocks(best.size, s.layout.All(), func(b Block) bool {
 		if j.block.within(b) && s.clear(b, j) {
 			s.place(best, b)
 		}
--- a/hfgang/shape.go
+++ b/hfgang/shape.go
@@ -169,7 +169,7 @@
 func (s *Scheduler) bestHold(sh *shape) (Block, bool) {
 	var best Block
 	bestCost := -1
-	s.layout.Blocks(sh.size, s.layout.all(), func(b Block) bool {
+	s.layout.Blocks(sh.size, s.layout.All(), func(b Block) bool {
 		if !s.holdable(b, sh) {
 			return true
 		}
--- /dev/null
+++ b/hfmodel/experiment/main.go
@@ -0,0 +1,67 @@
+// Command experiment prints the measurements of docs/MEASUREMENTS.md that drive the
+// decision code with modelled load.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/heatherfront/heatherfront/hfmodel"
+)
+
+func main() {
+	root := &ffcli.Command{
+		ShortUsage:  "experiment <jobs|slope|requests>",
+		Subcommands: []*ffcli.Command{jobs(), slope(), requests()},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	if err := root.ParseAndRun(context.Background(), os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "experiment:", err)
+		os.Exit(1)
+	}
+}
+
+func jobs() *ffcli.Command {
+	fs := flag.NewFlagSet("jobs", flag.ExitOnError)
+	days := fs.Uint64("days", 5, "days of each deployment; day N has seed N")
+	return &ffcli.Command{Name: "jobs", ShortHelp: "days of gang jobs against first-fit in arrival order", FlagSet: fs, Exec: func(context.Context, []string) error {
+		var seeds []uint64
+		for n := range *days {
+			seeds = append(seeds, n+1)
+		}
+		for _, d := range hfmodel.Deployments() {
+			hfmodel.WriteDays(os.Stdout, d, seeds)
+		}
+		return nil
+	}}
+}
+
+func slope() *ffcli.Command {
+	fs := flag.NewFlagSet("slope", flag.ExitOnError)
+	return &ffcli.Command{Name: "slope", ShortHelp: "decision time and store bytes at several sizes, one day each", FlagSet: fs, Exec: func(_ context.Context, args []string) error {
+		if len(args) == 0 {
+			args = []string{"50", "144", "720"}
+		}
+		for _, text := range args {
+			n, err := strconv.Atoi(text)
+			if err != nil {
+				return fmt.Errorf("number of workers: %w", err)
+			}
+			hfmodel.WriteDays(os.Stdout, hfmodel.Sized(n), []uint64{1})
+		}
+		return nil
+	}}
+}
+
+func requests() *ffcli.Command {
+	fs := flag.NewFlagSet("requests", flag.ExitOnError)
+	return &ffcli.Command{Name: "requests", ShortHelp: "floods and a large caller against first-come-first-served", FlagSet: fs, Exec: func(context.Context, []string) error {
+		hfmodel.WriteRequests(os.Stdout)
+		return nil
+	}}
+}
--- a/hfpeer/links.go
+++ b/hfpeer/links.go
@@ -164,16 +164,18 @@
 	in, out metrics.Counter
 }
 
-func (c *counter) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
+// Read implements net.Conn. The error is passed on as it is, as io.Reader asks.
+func (c *counter) Read(b []byte) (n int, err error) {
+	n, err = c.Conn.Read(b)
 	c.in.Inc(int64(n))
-	return n, err //nolint:wrapcheck // io.Reader: io.EOF must stay as it is
+	return
 }
 
-func (c *counter) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
+// Write implements net.Conn.
+func (c *counter) Write(b []byte) (n int, err error) {
+	n, err = c.Conn.Write(b)
 	c.out.Inc(int64(n))
-	return n, err //nolint:wrapcheck // io.Writer
+	return
 }
 
 // Serve answers the calls of other instances until ctx ends or the listener
--- a/hfserve/node.go
+++ b/hfserve/node.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -63,9 +64,11 @@
 		public = tls.NewListener(public, keys.Public())
 		peer = tls.NewListener(peer, keys.Mutual())
 	}
-	transport := &http.Transport{DialContext: plain.DialContext, MaxIdleConnsPerHost: platformIdle, IdleConnTimeout: time.Minute}
+	traffic := &traffic{next: plain, registry: metrics.NewRegistry()}
+	transport := &http.Transport{DialContext: traffic.DialContext, MaxIdleConnsPerHost: platformIdle, IdleConnTimeout: time.Minute}
 	platform := &http.Client{Transport: transport}
 	server := New(s, logger, hfstore.New(s.Store(), platform, storeTimeout), platform, dialer)
+	traffic.show(server.Registry())
 	return &Node{
 		server: server, api: hfapi.New(server, server.Desk(), s.Operator(), s.MaxBody()),
 		public: public, peer: peer, stop: s.Stop,
--- a/hfserve/server.go
+++ b/hfserve/server.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -245,4 +246,17 @@
 	waiting, flying := s.desk.Load()
 	metrics.GetOrRegisterGauge("requests.waiting", s.registry).Update(int64(waiting))
 	metrics.GetOrRegisterGauge("requests.flying", s.registry).Update(int64(flying))
+	metrics.GetOrRegisterGauge("tasks.known", s.registry).Update(int64(hfloop.With(s.fleet, (*hfworker.Fleet).Tasks)))
+	s.gaugeProcess()
+}
+
+// gaugeProcess shows the processor time and memory of this process.
+func (s *Server) gaugeProcess() {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return
+	}
+	spent := time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	metrics.GetOrRegisterGauge("process.cpu.ms", s.registry).Update(spent.Milliseconds())
+	metrics.GetOrRegisterGauge("process.peak.kb", s.registry).Update(usage.Maxrss)
 }
--- a/hfstand/stand/main.go
+++ b/hfstand/stand/main.go
@@ -9,12 +9,14 @@
 	"flag"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/heatherfront/heatherfront/hfstand"
 )
@@ -23,8 +25,8 @@
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
 	root := &ffcli.Command{
-		ShortUsage:  "stand <store|members|worker|minion> [flags]",
-		Subcommands: []*ffcli.Command{plain("store", hfstand.NewStore().Handler()), plain("members", hfstand.NewMembers().Handler()), worker(), minion()},
+		ShortUsage:  "stand <store|members|worker|minion|fleet> [flags]",
+		Subcommands: []*ffcli.Command{plain("store", hfstand.NewStore().Handler()), plain("members", hfstand.NewMembers().Handler()), worker(), minion(), fleet()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	if err := root.ParseAndRun(ctx, os.Args[1:]); err != nil {
@@ -52,6 +54,33 @@
 	}}
 }
 
+// fleet runs many workers in one process, for measurements.
+func fleet() *ffcli.Command {
+	fs := flag.NewFlagSet("fleet", flag.ExitOnError)
+	row, list := memberFlags(fs, "worker")
+	count := fs.Int("count", 10, "workers; the first listens on --listen, the others on the ports after it")
+	return &ffcli.Command{Name: "fleet", FlagSet: fs, Exec: func(ctx context.Context, _ []string) error {
+		first, err := netip.ParseAddrPort(row.Address)
+		if err != nil {
+			return fmt.Errorf("fleet address: %w", err)
+		}
+		g, ctx := errgroup.WithContext(ctx)
+		for i := range *count {
+			one := *row
+			one.Name = fmt.Sprintf("%s%d", row.Name, i)
+			one.Address = netip.AddrPortFrom(first.Addr(), first.Port()+uint16(i)).String()
+			one.Rack, one.Position = fmt.Sprintf("r%03d", i/8), i%8
+			if err := register(*list, one, "live"); err != nil {
+				return fmt.Errorf("register worker: %w", err)
+			}
+			g.Go(func() error {
+				return serve(ctx, one.Address, hfstand.NewWorker(one.Name, uint32(one.Accelerators)).Handler())
+			})
+		}
+		return g.Wait()
+	}}
+}
+
 func minion() *ffcli.Command {
 	fs := flag.NewFlagSet("minion", flag.ExitOnError)
 	row, list := memberFlags(fs, "minion")
