Pages, and the first measured slopes of control

Cause: docs/CAPACITY.md has to be worked out from measured slopes. Found: following the membership list cost 7.8 KB/s at 41 rows and would cost 150 KB/s at the target; it is now fetched the more seldom the longer it is, at 4 KB/s.

--- /dev/null
+++ b/hfevent/event_test.go
@@ -0,0 +1,32 @@
+package hfevent
+
+import (
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+)
+
+func TestCatalogueAndPageAgree(t *testing.T) {
+	page, err := os.ReadFile("../docs/EVENTS.md")
+	require.NoError(t, err)
+	numbers := map[int]bool{}
+	for _, e := range Catalogue() {
+		require.False(t, numbers[e.Number()], "number %d is used twice", e.Number())
+		numbers[e.Number()] = true
+		require.Contains(t, string(page), fmt.Sprintf("| %d | %s | %s | %s |", e.Number(), e.Name(), e.Level(), e.Means()))
+	}
+}
+
+func TestEventIsLoggedAndCounted(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	registry := metrics.NewRegistry()
+	New(zap.New(core), registry).Event(Started, zap.String("name", "e1"))
+	require.Equal(t, 1, logs.Len())
+	require.Equal(t, int64(100), logs.All()[0].ContextMap()["event"])
+	require.Equal(t, int64(1), metrics.GetOrRegisterCounter("event.started", registry).Count())
+}
--- a/hfgang/tick.go
+++ b/hfgang/tick.go
@@ -6,7 +6,7 @@
 
 // retryEvery is the interval at which waiting jobs are looked at although nothing
 // was reported: ageing and probes pass with time alone.
-const retryEvery = time.Second
+const retryEvery = 10 * time.Second
 
 // tick does what time alone makes due.
 func (s *Scheduler) tick(now time.Time) []Cmd {
--- /dev/null
+++ b/hfkey/keys_test.go
@@ -0,0 +1,145 @@
+package hfkey
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// authority signs certificates for 127.0.0.1.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	raw  []byte
+}
+
+func newAuthority(t *testing.T) authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	require.NoError(t, err)
+	cert, err := x509.ParseCertificate(raw)
+	require.NoError(t, err)
+	return authority{cert: cert, key: key, raw: raw}
+}
+
+func writePEM(t *testing.T, file, kind string, raw []byte) {
+	require.NoError(t, os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: raw}), 0o600))
+}
+
+// issue writes a certificate, its key and the authority, and returns their files.
+func (a authority) issue(t *testing.T, dir, name string, serial int64) (cert, key, root string) {
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: name}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, template, a.cert, &private.PublicKey, a.key)
+	require.NoError(t, err)
+	encoded, err := x509.MarshalECPrivateKey(private)
+	require.NoError(t, err)
+	cert, key, root = filepath.Join(dir, name+".pem"), filepath.Join(dir, name+".key"), filepath.Join(dir, name+".ca")
+	writePEM(t, cert, "CERTIFICATE", raw)
+	writePEM(t, key, "EC PRIVATE KEY", encoded)
+	writePEM(t, root, "CERTIFICATE", a.raw)
+	return cert, key, root
+}
+
+// echo serves connections of other instances and returns the address.
+func echo(t *testing.T, k *Keys) string {
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ln := tls.NewListener(plain, k.Mutual())
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(conn, conn)
+				_ = conn.Close()
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// talk sends a byte and returns the serial number of the server's certificate.
+func talk(t *testing.T, k *Keys, address string) (int64, error) {
+	conn, err := k.Dialer(&net.Dialer{Timeout: time.Second}).DialContext(t.Context(), "tcp", address)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := conn.Write([]byte{1}); err != nil {
+		return 0, err
+	}
+	if _, err := io.ReadFull(conn, make([]byte, 1)); err != nil {
+		return 0, err
+	}
+	return conn.(*tls.Conn).ConnectionState().PeerCertificates[0].SerialNumber.Int64(), nil
+}
+
+func TestBothSidesNeedTheAuthority(t *testing.T) {
+	dir, ours := t.TempDir(), newAuthority(t)
+	server, err := New(ours.issue(t, dir, "server", 2))
+	require.NoError(t, err)
+	client, err := New(ours.issue(t, dir, "client", 3))
+	require.NoError(t, err)
+	stranger, err := New(newAuthority(t).issue(t, dir, "stranger", 4))
+	require.NoError(t, err)
+	address := echo(t, server)
+	serial, err := talk(t, client, address)
+	require.NoError(t, err)
+	require.Equal(t, int64(2), serial)
+	_, err = talk(t, stranger, address)
+	require.Error(t, err, "a certificate of another authority")
+}
+
+func TestRotationWithoutRestart(t *testing.T) {
+	dir, ours := t.TempDir(), newAuthority(t)
+	server, err := New(ours.issue(t, dir, "server", 2))
+	require.NoError(t, err)
+	client, err := New(ours.issue(t, dir, "client", 3))
+	require.NoError(t, err)
+	address := echo(t, server)
+	certificate, _, _ := ours.issue(t, dir, "server", 9)
+	stamp := time.Now().Add(time.Minute)
+	require.NoError(t, os.Chtimes(certificate, stamp, stamp))
+	require.Eventually(t, func() bool {
+		serial, err := talk(t, client, address)
+		return err == nil && serial == 9
+	}, 20*time.Second, 100*time.Millisecond)
+	require.NoError(t, os.WriteFile(certificate, []byte("broken"), 0o600))
+	require.Eventually(t, func() bool {
+		serial, err := talk(t, client, address)
+		return err == nil && serial == 9 && server.Err() != nil
+	}, 20*time.Second, 100*time.Millisecond, "the last good keys stay in use")
+}
+
+func TestBadFiles(t *testing.T) {
+	_, err := New("none", "none", "none")
+	require.ErrorIs(t, err, ErrKey)
+}
--- a/hfmodel/day.go
+++ b/hfmodel/day.go
@@ -145,8 +145,10 @@
 	}
 	x.feed(hfgang.Seen(names))
 	x.feed(hfgang.TickMsg{})
-	if idle, largest := x.s.Idle(); idle > 0 && x.now.Unix()%300 == 0 {
-		x.result.fragment = append(x.result.fragment, float64(largest)/float64(min(idle, 64)))
+	if x.now.Unix()%300 == 0 {
+		if idle, largest := x.s.Idle(); idle > 0 {
+			x.result.fragment = append(x.result.fragment, float64(largest)/float64(min(idle, 64)))
+		}
 	}
 	x.at(x.now.Add(tickEvery), x.tick)
 }
@@ -226,7 +228,7 @@
 		if r == nil {
 			r = &running{began: x.now, from: time.Duration(c.From()) * time.Millisecond}
 			x.runs[key] = r
-			x.at(x.now.Add(a.run-r.from+reportLag), func() { x.end(c, r) })
+			x.at(x.now.Add(a.run-r.from), func() { x.end(c, r) })
 		}
 		x.setTask(c, state)
 	case hfgang.VerbCheckpoint:
@@ -249,7 +251,9 @@
 }
 
 func (x *day) setTask(c hfgang.TaskCmd, state string) {
-	on := x.tasks[c.Grant().GetWorker()]
+	name := c.Grant().GetWorker()
+	x.at(x.now.Add(reportLag), func() { x.report(name) })
+	on := x.tasks[name]
 	if state == hfworker.StateStopped {
 		delete(on, c.Task())
 		return
@@ -260,36 +264,36 @@
 	}
 }
 
-// end reports that every member of a gang finished.
+// end lets every member of a gang finish.
 func (x *day) end(c hfgang.TaskCmd, r *running) {
 	if r.over {
 		return
 	}
 	r.over = true
 	for _, name := range sortedNames(x.tasks) {
-		changed := false
-		for id, t := range x.tasks[name] {
-			if t.GetJob() == c.Job() && t.GetAttempt() == c.Attempt() {
-				x.tasks[name][id], _ = hfworker.ParseTask(id, hfworker.StateDone)
-				changed = true
-			}
-		}
-		if !changed {
-			continue
-		}
-		var list []*hfwire.Task
-		for _, t := range x.tasks[name] {
-			list = append(list, t)
-		}
-		x.feed(hfgang.Report(name, list, false))
 		for id, t := range x.tasks[name] {
-			if t.GetState() == hfworker.StateDone {
-				delete(x.tasks[name], id)
+			if t.GetJob() != c.Job() || t.GetAttempt() != c.Attempt() {
+				continue
 			}
+			x.tasks[name][id], _ = hfworker.ParseTask(id, hfworker.StateDone)
+			x.at(x.now.Add(reportLag), func() { x.report(name) })
+			x.at(x.now.Add(endedFor), func() { delete(x.tasks[name], id) })
 		}
 	}
 }
 
+// endedFor is how long an ended task stays in the reports.
+const endedFor = time.Minute
+
+// report tells the scheduler what a worker runs.
+func (x *day) report(name string) {
+	list := make([]*hfwire.Task, 0, len(x.tasks[name]))
+	for _, t := range x.tasks[name] {
+		list = append(list, t)
+	}
+	x.feed(hfgang.Report(name, list, false))
+}
+
 func sortedNames(tasks map[string]map[string]*hfwire.Task) []string {
 	names := make([]string, 0, len(tasks))
 	for name := range tasks {
--- a/hfserve/list.go
+++ b/hfserve/list.go
@@ -23,8 +23,9 @@
 var ErrList = eris.New("membership list unavailable")
 
 const (
-	listInterval = time.Second
+	listShortest = time.Second
 	listTimeout  = 2 * time.Second
+	listRate     = 4 << 10 // bytes a second that following the list may cost
 	maxListBytes = 8 << 20
 )
 
@@ -44,13 +45,18 @@
 
 const stateLeaving = "leaving"
 
-// followList takes the membership list again and again. While it gives no answer,
-// the last one stays in use, with the instances of the settings.
+// followList takes the membership list again and again, the more seldom the longer it
+// is. While it gives no answer, the last one stays in use, with the instances of the
+// settings.
 func (s *Server) followList(ctx context.Context) error {
 	s.takeSeeds()
 	failing := false
-	return every(ctx, listInterval, func(ctx context.Context) {
-		rows, err := s.fetchList(ctx)
+	var next time.Time
+	return every(ctx, listShortest, func(ctx context.Context) {
+		if time.Now().Before(next) {
+			return
+		}
+		rows, size, err := s.fetchList(ctx)
 		if err != nil {
 			if !failing {
 				s.log.Event(hfevent.ListFailed, zap.Error(err))
@@ -59,6 +65,7 @@
 			return
 		}
 		failing = false
+		next = time.Now().Add(time.Duration(size) * time.Second / listRate)
 		s.takeList(ctx, rows)
 	})
 }
@@ -71,29 +78,34 @@
 	s.takePeers(rows)
 }
 
-func (s *Server) fetchList(ctx context.Context) ([]row, error) {
+// fetchList returns the list and its size in bytes.
+func (s *Server) fetchList(ctx context.Context) ([]row, int, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.settings.Members()+"/v1/members", nil)
 	if err != nil {
-		return nil, fmt.Errorf("build list call: %w", err)
+		return nil, 0, fmt.Errorf("build list call: %w", err)
 	}
 	resp, err := s.platform.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrList, err)
+		return nil, 0, fmt.Errorf("%w: %w", ErrList, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("%w: status %d", ErrList, resp.StatusCode)
+		return nil, 0, fmt.Errorf("%w: status %d", ErrList, resp.StatusCode)
+	}
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	if err != nil {
+		return nil, 0, fmt.Errorf("%w: %w", ErrList, err)
 	}
 	var rows []row
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&rows); err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrList, err)
+	if err := json.Unmarshal(raw, &rows); err != nil {
+		return nil, 0, fmt.Errorf("%w: %w", ErrList, err)
 	}
 	if len(rows) == 0 {
-		return nil, fmt.Errorf("%w: it is empty", ErrList)
+		return nil, 0, fmt.Errorf("%w: it is empty", ErrList)
 	}
-	return rows, nil
+	return rows, len(raw), nil
 }
 
 func (s *Server) takeList(ctx context.Context, rows []row) {
--- /dev/null
+++ b/hfsettings/settings_test.go
@@ -0,0 +1,59 @@
+package hfsettings
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func good() []string {
+	return []string{
+		"--name", "e1", "--domain", "a", "--region", "one",
+		"--store-url", "http://127.0.0.1:1", "--members-url", "http://127.0.0.1:2",
+	}
+}
+
+func parse(args []string) (*Settings, error) {
+	fs := flag.NewFlagSet("serve", flag.ContinueOnError)
+	fs.SetOutput(&strings.Builder{})
+	s := New(fs)
+	return s, s.Parse(fs, args)
+}
+
+func TestSettingsNameTheFault(t *testing.T) {
+	_, err := parse(good())
+	require.NoError(t, err)
+	for _, row := range [][2]string{
+		{"name", ""}, {"name", "E 1"}, {"domain", ""}, {"region", "x_y"}, {"listen", "host:80"}, {"peer", "127.0.0.1"},
+		{"peer-reach", "x"}, {"store-url", "127.0.0.1:1"}, {"members-url", "http://list:80"}, {"lease", "1ms"}, {"lease", "11s"},
+		{"beat", "1ms"}, {"poll", "2m"}, {"check", "5s"}, {"suspect", "1s"}, {"stop", "1h"}, {"retain", "1s"},
+		{"max-body", "0"}, {"queue", "0"}, {"seeds", "x"}, {"tls-key", "k"},
+	} {
+		_, err := parse(append(good(), "--"+row[0], row[1]))
+		require.ErrorIs(t, err, ErrSetting, row)
+		require.ErrorContains(t, err, "--"+row[0][:3], row)
+	}
+}
+
+func TestEnvironment(t *testing.T) {
+	t.Setenv("HEATHERFRONT_NAME", "from-environment")
+	s, err := parse(good()[2:])
+	require.NoError(t, err)
+	require.Equal(t, "from-environment", s.Name())
+	s, err = parse(good())
+	require.NoError(t, err)
+	require.Equal(t, "e1", s.Name(), "a flag goes before the environment")
+}
+
+func TestPageListsEverySetting(t *testing.T) {
+	page, err := os.ReadFile("../docs/SETTINGS.md")
+	require.NoError(t, err)
+	fs := flag.NewFlagSet("serve", flag.ContinueOnError)
+	New(fs)
+	fs.VisitAll(func(f *flag.Flag) {
+		require.Contains(t, string(page), "| --"+f.Name+" | "+f.DefValue+" | "+f.Usage+" |")
+	})
+}
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -7,7 +7,7 @@
 cd "$(dirname "$0")/.."
 
 base=${HF_CAPACITY_PORT:-18800}
-seconds=${HF_CAPACITY_SECONDS:-12}
+seconds=${HF_CAPACITY_SECONDS:-10}
 dir=$(mktemp -d)
 pids=()
 stop_all() {
@@ -60,7 +60,7 @@
   while [ "$n" -lt "$jobs" ]; do
     if "$hf" submit --credential c:s --work w --size 1 --run 36000000 --domain a >/dev/null 2>&1; then n=$((n + 1)); else sleep 0.2; fi
   done
-  sleep 10
+  sleep 6
   local cpu=0 bytes=0 peers=0 calls=0
   for e in "${entries[@]}"; do
     cpu=$((cpu - $(metric "$e" process.cpu.ms))); bytes=$((bytes - $(metric "$e" platform.bytes)))
