Beats without news come half as often, over streams that stay open

Ruled out: the comparison of configurations (digests only) and the worker polls (the same at 1 instance). Change: streams between instances are reused, a beat without news is sent every second interval, the rows of workers are shared instead of copied, and process gauges are read once a second. The suspicion time must be at least six beats now; the settings check it.

--- a/hfpeer/links.go
+++ b/hfpeer/links.go
@@ -32,6 +32,8 @@
 	writeTimeout   = 2 * time.Second
 	keepAlive      = 10 * time.Second
 	redialPause    = 200 * time.Millisecond
+	idleStreams    = 16   // kept open on a link between calls
+	readBuffer     = 512  // bytes; most messages are smaller
 	maxPeerStreams = 1024 // calls of other instances served at once
 )
 
@@ -55,10 +57,39 @@
 
 type session struct {
 	mu    sync.Mutex // held while dialling
-	mux   *yamux.Session
+	mux   *link
 	retry time.Time // no dial before this moment
 }
 
+// link is one connection with the streams on it that no call uses.
+type link struct {
+	*yamux.Session
+	idle chan *yamux.Stream
+}
+
+// open returns a stream that was used before, or a new one.
+func (l *link) open() (*yamux.Stream, error) {
+	select {
+	case s := <-l.idle:
+		return s, nil
+	default:
+	}
+	s, err := l.OpenStream()
+	if err != nil {
+		return nil, fmt.Errorf("open stream: %w", err)
+	}
+	return s, nil
+}
+
+// keep puts a stream back for the next call.
+func (l *link) keep(s *yamux.Stream) {
+	select {
+	case l.idle <- s:
+	default:
+		_ = s.Close()
+	}
+}
+
 // NewLinks returns links that call as self. Bytes are counted in the registry.
 func NewLinks(self, incarnation string, d Dialer, registry metrics.Registry) *Links {
 	return &Links{self: self, incarnation: incarnation, dialer: d, registry: registry, sessions: map[string]*session{}}
@@ -77,18 +108,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("call %s: %w", to.name, err)
 	}
-	stream, err := mux.OpenStream()
+	stream, err := mux.open()
 	if err != nil {
 		return nil, fmt.Errorf("call %s: %w: %w", to.name, ErrNoLink, err)
 	}
-	defer func() { _ = stream.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	counted := &counter{Conn: stream, out: l.bytes("out", to.region), in: l.bytes("in", to.region)}
-	if err := hfwire.Write(counted, out); err != nil {
-		return nil, fmt.Errorf("call %s: %w: %w", to.name, ErrNoReply, err)
+	in, err := l.exchange(stream, to.region, out)
+	if !stop() || err != nil {
+		_ = stream.Close()
+	} else {
+		mux.keep(stream)
 	}
-	in, err := hfwire.Read(bufio.NewReader(counted), &hfwire.Envelope{})
 	if err != nil {
 		return nil, fmt.Errorf("call %s: %w: %w", to.name, ErrNoReply, err)
 	}
@@ -98,6 +128,19 @@
 	return in, nil
 }
 
+// exchange writes one message and reads its reply.
+func (l *Links) exchange(stream net.Conn, region string, out *hfwire.Envelope) (*hfwire.Envelope, error) {
+	counted := &counter{Conn: stream, out: l.bytes("out", region), in: l.bytes("in", region)}
+	if err := hfwire.Write(counted, out); err != nil {
+		return nil, fmt.Errorf("exchange: %w", err)
+	}
+	in, err := hfwire.Read(bufio.NewReaderSize(counted, readBuffer), &hfwire.Envelope{})
+	if err != nil {
+		return nil, fmt.Errorf("exchange: %w", err)
+	}
+	return in, nil
+}
+
 func (l *Links) bytes(direction, region string) metrics.Counter {
 	return metrics.GetOrRegisterCounter("peer.bytes."+direction+"."+region, l.registry)
 }
@@ -113,7 +156,7 @@
 	return s
 }
 
-func (l *Links) connect(ctx context.Context, address string) (*yamux.Session, error) {
+func (l *Links) connect(ctx context.Context, address string) (*link, error) {
 	s := l.session(address)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -134,8 +177,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("open session with %s: %w: %w", address, ErrNoLink, err)
 	}
-	s.mux = mux
-	return mux, nil
+	s.mux = &link{Session: mux, idle: make(chan *yamux.Stream, idleStreams)}
+	return s.mux, nil
 }
 
 // Close ends every link.
@@ -231,15 +274,21 @@
 	_ = g.Wait() // the streams report their errors to their callers
 }
 
+// serveStream answers one call after the other until the peer closes the stream.
 func serveStream(ctx context.Context, stream *yamux.Stream, handle Handler) {
 	defer func() { _ = stream.Close() }()
-	in, err := hfwire.Read(bufio.NewReader(stream), &hfwire.Envelope{})
-	if err != nil {
-		return
-	}
-	out := handle(ctx, in)
-	if out == nil {
-		return
+	reader := bufio.NewReaderSize(stream, readBuffer)
+	for {
+		in, err := hfwire.Read(reader, &hfwire.Envelope{})
+		if err != nil {
+			return
+		}
+		out := handle(ctx, in)
+		if out == nil {
+			return
+		}
+		if err := hfwire.Write(stream, out); err != nil {
+			return // the caller sees a missing reply
+		}
 	}
-	_ = hfwire.Write(stream, out) // the caller sees a missing reply
 }
--- a/hfserve/beat.go
+++ b/hfserve/beat.go
@@ -14,9 +14,11 @@
 
 // exchange is the state of the beats to one peer.
 type exchange struct {
-	busy        bool   // a beat is under way; the next one waits for it
-	incarnation string // that acked belongs to
-	acked       uint64 // version of the fleet that the peer has heard
+	busy        bool      // a beat is under way; the next one waits for it
+	incarnation string    // that acked belongs to
+	acked       uint64    // version of the fleet that the peer has heard
+	told        uint64    // digest of the configuration in the last beat that was answered
+	sent        time.Time // of the last beat that was answered
 }
 
 // exchanges holds the state of the beats to all peers.
@@ -26,8 +28,16 @@
 
 func (x *exchanges) forget(peer string) { delete(x.byName, peer) }
 
-// begin returns the version that a peer has heard, unless a beat is under way.
-func (x *exchanges) begin(p hfpeer.Peer) (since uint64, ok bool) {
+// news is what a beat would tell a peer beyond that this instance lives.
+type news struct {
+	version uint64 // of the fleet
+	digest  uint64 // of the configuration
+	demand  bool   // requests wait
+}
+
+// begin returns the version that a peer has heard, unless a beat is under way, or
+// there is no news and the last one was sent less than quiet ago.
+func (x *exchanges) begin(p hfpeer.Peer, n news, now time.Time, quiet time.Duration) (since uint64, ok bool) {
 	e, known := x.byName[p.Name()]
 	if !known {
 		e = &exchange{}
@@ -37,14 +47,17 @@
 		return 0, false
 	}
 	if e.incarnation != p.Incarnation() {
-		e.incarnation, e.acked = p.Incarnation(), 0
+		e.incarnation, e.acked, e.sent = p.Incarnation(), 0, time.Time{}
+	}
+	if !n.demand && e.acked == n.version && e.told == n.digest && now.Sub(e.sent) < quiet {
+		return 0, false
 	}
 	e.busy = true
 	return e.acked, true
 }
 
 // end takes the result of a beat.
-func (x *exchanges) end(p hfpeer.Peer, heard uint64, ok, full bool) {
+func (x *exchanges) end(p hfpeer.Peer, heard, told uint64, ok, full bool, sent time.Time) {
 	e, known := x.byName[p.Name()]
 	if !known {
 		return
@@ -54,7 +67,7 @@
 	case full:
 		e.acked = 0
 	case ok && e.incarnation == p.Incarnation():
-		e.acked = heard
+		e.acked, e.told, e.sent = heard, told, sent
 	}
 }
 
@@ -70,8 +83,11 @@
 		s.divide(now)
 		s.lendSelf(now)
 		s.tellSeen(ctx, now)
+		n := s.news()
 		for _, p := range hfloop.With(s.members, (*hfpeer.State).Known) {
-			since, ok := hfloop.With2(s.peers, func(x *exchanges) (uint64, bool) { return x.begin(p) })
+			since, ok := hfloop.With2(s.peers, func(x *exchanges) (uint64, bool) {
+				return x.begin(p, n, now, quietBeats*s.settings.Beat()-s.settings.Beat()/2)
+			})
 			if !ok {
 				continue
 			}
@@ -83,6 +99,16 @@
 	})
 }
 
+// quietBeats is the number of beat intervals between two beats without news.
+const quietBeats = 2
+
+// news returns what the next beats have to tell.
+func (s *Server) news() news {
+	version := hfloop.With(s.fleet, (*hfworker.Fleet).Version)
+	waiting, _ := s.desk.Load()
+	return news{version: version, digest: hfloop.With(s.config, (*hfconfig.State).Digest), demand: waiting > 0 || s.stopping.Load()}
+}
+
 // beat sends one beat and takes the loans that come back.
 func (s *Server) beat(ctx context.Context, p hfpeer.Peer, since uint64) {
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
@@ -94,7 +120,7 @@
 	in, err := s.links.Call(ctx, p, out)
 	ack := in.GetAck()
 	ok := err == nil && ack != nil
-	hfloop.With(s.peers, func(x *exchanges) bool { x.end(p, heard, ok, ack.GetFull()); return true })
+	hfloop.With(s.peers, func(x *exchanges) bool { x.end(p, heard, beat.GetDigest(), ok, ack.GetFull(), sent); return true })
 	if !ok {
 		return
 	}
--- a/hfserve/list.go
+++ b/hfserve/list.go
@@ -141,15 +141,10 @@
 	s.divide(now)
 }
 
-// workerRows returns a copy of the workers of the membership list.
+// workerRows returns the workers of the membership list. The map must not be
+// changed.
 func (s *Server) workerRows() map[string]hfworker.Worker {
-	return hfloop.With(s.fleet, func(f *hfworker.Fleet) map[string]hfworker.Worker {
-		rows := make(map[string]hfworker.Worker, len(f.Workers()))
-		for name, w := range f.Workers() {
-			rows[name] = w
-		}
-		return rows
-	})
+	return hfloop.With(s.fleet, (*hfworker.Fleet).Workers)
 }
 
 func (s *Server) takePeers(rows []hfpeer.Row) {
--- a/hfserve/server.go
+++ b/hfserve/server.go
@@ -83,7 +83,7 @@
 		links:    hfpeer.NewLinks(s.Name(), incarnation, dialer, registry),
 		members:  hfloop.NewCell(hfpeer.New(s.Name(), s.Reach(), s.Domain(), s.Region(), incarnation, s.Suspect(), now)),
 		config:   hfloop.NewCell(hfconfig.NewState(now)),
-		fleet:    hfloop.NewCell(hfworker.NewFleet(s.Poll(), s.Beat(), hfworker.Whole)),
+		fleet:    hfloop.NewCell(hfworker.NewFleet(s.Poll(), quietBeats*s.Beat(), hfworker.Whole)),
 		burn:     hfloop.NewCell(hfreport.NewBurn()),
 		peers:    hfloop.NewCell(newExchanges()),
 		duties:   hfloop.NewCell(&duties{}),
@@ -225,11 +225,14 @@
 }
 
 func (s *Server) sweepLoop(ctx context.Context) error {
-	next := time.Now().Add(sweepLedger)
+	next, gauged := time.Now().Add(sweepLedger), time.Time{}
 	return every(ctx, sweepInterval, func(ctx context.Context) {
 		now := time.Now()
 		s.desk.Sweep(now)
-		s.gauge()
+		if now.Sub(gauged) >= time.Second {
+			gauged = now
+			s.gauge()
+		}
 		if now.After(next) {
 			next = now.Add(sweepLedger)
 			s.sweepShards(ctx, now)
--- a/hfsettings/settings.go
+++ b/hfsettings/settings.go
@@ -68,7 +68,7 @@
 	s.beat = fs.Duration("beat", 500*time.Millisecond, "interval of messages between instances, 50ms to 5s")
 	s.poll = fs.Duration("poll", 4*time.Second, "interval of calls to a worker, 100ms to 1m")
 	s.check = fs.Duration("check", time.Second, "interval of health checks of an endpoint, 50ms to 3s")
-	s.suspect = fs.Duration("suspect", 3*time.Second, "silence after which an instance's duties move; at least three beats")
+	s.suspect = fs.Duration("suspect", 3*time.Second, "silence after which an instance's duties move; at least six beats, as one without news comes every second beat")
 	s.stop = fs.Duration("stop", 30*time.Second, "time a planned stop may take, 1s to 10m")
 	s.retain = fs.Duration("retain", 7*24*time.Hour, "time for which finished jobs are kept, 1m to 90 days")
 	fs.Int64Var(&s.maxBody, "max-body", 1<<20, "largest request and answer in bytes, 1 to 16 MiB")
@@ -108,7 +108,7 @@
 		within("beat", *s.beat, 50*time.Millisecond, 5*time.Second),
 		within("poll", *s.poll, 100*time.Millisecond, time.Minute),
 		within("check", *s.check, 50*time.Millisecond, 3*time.Second),
-		within("suspect", *s.suspect, 3**s.beat, time.Minute),
+		within("suspect", *s.suspect, 6**s.beat, time.Minute),
 		within("stop", *s.stop, time.Second, 10*time.Minute),
 		within("retain", *s.retain, time.Minute, 90*24*time.Hour),
 		within("lease", *s.lease, *s.suspect+2**s.poll+2**s.beat, 5*time.Minute),
--- a/hfsettings/settings_test.go
+++ b/hfsettings/settings_test.go
@@ -27,10 +27,27 @@
 	_, err := parse(good())
 	require.NoError(t, err)
 	for _, row := range [][2]string{
-		{"name", ""}, {"name", "E 1"}, {"domain", ""}, {"region", "x_y"}, {"listen", "host:80"}, {"peer", "127.0.0.1"},
-		{"peer-reach", "x"}, {"store-url", "127.0.0.1:1"}, {"members-url", "http://list:80"}, {"lease", "1ms"}, {"lease", "11s"},
-		{"beat", "1ms"}, {"poll", "2m"}, {"check", "5s"}, {"suspect", "1s"}, {"stop", "1h"}, {"retain", "1s"},
-		{"max-body", "0"}, {"queue", "0"}, {"seeds", "x"}, {"tls-key", "k"},
+		{"name", ""},
+		{"name", "E 1"},
+		{"domain", ""},
+		{"region", "x_y"},
+		{"listen", "host:80"},
+		{"peer", "127.0.0.1"},
+		{"peer-reach", "x"},
+		{"store-url", "127.0.0.1:1"},
+		{"members-url", "http://list:80"},
+		{"lease", "1ms"},
+		{"lease", "11s"},
+		{"beat", "1ms"},
+		{"poll", "2m"},
+		{"check", "5s"},
+		{"suspect", "1s"},
+		{"stop", "1h"},
+		{"retain", "1s"},
+		{"max-body", "0"},
+		{"queue", "0"},
+		{"seeds", "x"},
+		{"tls-key", "k"},
 	} {
 		_, err := parse(append(good(), "--"+row[0], row[1]))
 		require.ErrorIs(t, err, ErrSetting, row)
--- a/hfworker/fleet.go
+++ b/hfworker/fleet.go
@@ -224,17 +224,18 @@
 	return nil
 }
 
+// list replaces the map of workers, which others may be reading.
 func (f *Fleet) list(workers []Worker) {
-	listed := map[string]bool{}
+	rows := make(map[string]Worker, len(workers))
 	for _, w := range workers {
-		listed[w.name] = true
-		f.workers[w.name] = w
+		rows[w.name] = w
 	}
-	for name := range f.workers {
-		if !listed[name] && f.sights[name] == nil {
-			delete(f.workers, name)
+	for name, w := range f.workers {
+		if _, listed := rows[name]; !listed && f.sights[name] != nil {
+			rows[name] = w // until it is lost and forgotten
 		}
 	}
+	f.workers = rows
 }
 
 // take starts to observe the workers of a new duty and leaves the others.
@@ -482,6 +483,9 @@
 	}
 }
 
+// Version returns the version that a peer has heard when it heard all.
+func (f *Fleet) Version() uint64 { return f.version }
+
 // Fresh returns the workers of a domain that were freshly seen.
 func (f *Fleet) Fresh(domain string, now time.Time) []string {
 	var fresh []string
@@ -493,7 +497,8 @@
 	return fresh
 }
 
-// Workers returns the workers of the membership list.
+// Workers returns the workers of the membership list. The map does not change any
+// more and must not be changed.
 func (f *Fleet) Workers() map[string]Worker { return f.workers }
 
 // Tasks returns the number of tasks known.
