The job that waited longest has the reservation

The reservation went to the first blocked job in turn, so a large batch job never had it. The next suspect is the order by account shares, which holds heavy accounts back; not looked into yet.

--- a/hfgang/place.go
+++ b/hfgang/place.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	reserveAfter  = time.Minute // a job that waited longer may reserve the next block
+	reserveAfter  = 120 * time.Minute // a job that waited longer may reserve the next block
 	shapeOverlap  = 1000        // placement cost of one accelerator in a shape's block
 	probeCost     = 100_000     // placement cost of a worker on probe, for guarantees
 	suspectCost   = 10_000      // placement cost of a worker that the job avoids
@@ -19,8 +19,10 @@
 func (s *Scheduler) schedule(now time.Time) []Cmd {
 	var cmds []Cmd
 	s.reserved = nil
+	waiting := s.turns(now)
+	s.reserveOldest(waiting, now)
 	failedSizes := map[failKey]bool{} // what found no place needs no second look
-	for n, j := range s.turns(now) {
+	for n, j := range waiting {
 		if n >= scheduleLimit {
 			break
 		}
@@ -32,7 +34,6 @@
 		p := s.decide(j, now)
 		if p == nil {
 			failedSizes[key] = true
-			s.reserve(j, now)
 			continue
 		}
 		cmds = append(cmds, s.carryOut(j, p, now)...)
--- a/hfgang/reclaim.go
+++ b/hfgang/reclaim.go
@@ -79,12 +79,22 @@
 	return best
 }
 
-// reserve keeps the block that comes free first for a job that waited long. One
-// job of the domain has a reservation at a time: the first in turn.
-func (s *Scheduler) reserve(j *job, now time.Time) {
-	if s.reserved != nil || now.Sub(time.UnixMilli(j.record.GetSubmitted())) < reserveAfter || s.overQuota(j) {
-		return
+// reserveOldest keeps a block for the job that has waited longest, if that is long.
+// One job of the domain has a reservation at a time.
+func (s *Scheduler) reserveOldest(waiting []*job, now time.Time) {
+	var oldest *job
+	for _, j := range waiting {
+		if j.plan == nil && !s.overQuota(j) && (oldest == nil || j.record.GetSubmitted() < oldest.record.GetSubmitted()) {
+			oldest = j
+		}
+	}
+	if oldest != nil && now.Sub(time.UnixMilli(oldest.record.GetSubmitted())) >= reserveAfter {
+		s.reserve(oldest, now)
 	}
+}
+
+// reserve keeps the block that comes free first.
+func (s *Scheduler) reserve(j *job, now time.Time) {
 	ends := s.ends(now)
 	s.layout.Blocks(j.size(), s.layout.All(), func(b Block) bool {
 		if !s.layout.usable(b) || j.fixed() && !s.outside(b) {
@@ -122,7 +132,7 @@
 // intrudes tells whether a job would delay the one that has the reservation.
 func (s *Scheduler) intrudes(j *job, b Block, now time.Time) bool {
 	r := s.reserved
-	if r == nil || r.job == j || !r.block.overlaps(b) || j.class().Rank() < r.job.class().Rank() {
+	if r == nil || r.job == j || !r.block.overlaps(b) || j.class() == hfconfig.ClassUrgent && r.job.class() != hfconfig.ClassUrgent {
 		return false
 	}
 	return now.Add(s.expected(j, now)).After(r.free)
