A report passed over is asked for again

Cause: the other cause of gangs that waited for ever: at the start, an instance that did not know the others yet took itself for the observer of all workers and passed another one's report over; when the duty had moved there, that one saw no change and told nothing. Ruled out: claims left on a guarantee (none of the size), probes (no task had failed). Change: an instance that loses a worker asks every observer for all it observes; the fleet keeps whose reports are complete. Before: TestReportPassedOverIsAskedForAgain did not hold by construction (nothing was asked again). After: it passes.

--- a/hfgang/place.go
+++ b/hfgang/place.go
@@ -9,10 +9,10 @@
 
 const (
 	reserveAfter  = 120 * time.Minute // a job that waited longer may reserve the next block
-	shapeOverlap  = 1000        // placement cost of one accelerator in a shape's block
-	probeCost     = 100_000     // placement cost of a worker on probe, for guarantees
-	suspectCost   = 10_000      // placement cost of a worker that the job avoids
-	scheduleLimit = 256         // waiting jobs looked at in one pass
+	shapeOverlap  = 1000              // placement cost of one accelerator in a shape's block
+	probeCost     = 100_000           // placement cost of a worker on probe, for guarantees
+	suspectCost   = 10_000            // placement cost of a worker that the job avoids
+	scheduleLimit = 256               // waiting jobs looked at in one pass
 )
 
 // schedule starts or plans as many waiting jobs as it can, in the order of turns.
--- a/hfserve/beat.go
+++ b/hfserve/beat.go
@@ -245,11 +245,11 @@
 	}
 	s.compareConfig(ctx, p, beat)
 	reports := hfloop.With(s.fleet, func(f *hfworker.Fleet) []hfworker.Cmd {
-		return f.Update(hfworker.Heard(in.GetSender(), beat.GetFull(), beat.GetReports()), now)
+		return f.Update(hfworker.Heard(in.GetSender(), in.GetIncarnation(), beat.GetFull(), beat.GetReports()), now)
 	})
 	s.tellFleet(ctx, reports)
 	s.takeHealth(p, beat.GetHealth(), now)
-	ack := &hfwire.Ack{Full: s.unknownObserver(in.GetSender(), in.GetIncarnation(), beat)}
+	ack := &hfwire.Ack{Full: hfloop.With(s.fleet, func(f *hfworker.Fleet) bool { return f.Lacks(in.GetSender(), in.GetIncarnation()) })}
 	if !p.Leaving() {
 		for _, l := range s.serveBorrower(p, beat.GetUsage(), beat.GetDemand(), now) {
 			ack.Loans = append(ack.Loans, &hfwire.Loan{
@@ -261,17 +261,3 @@
 	out.Body = &hfwire.Envelope_Ack{Ack: ack}
 	return out
 }
-
-// unknownObserver tells whether this instance has not heard a full beat of a run
-// of another instance, and so may lack some of what it observes.
-func (s *Server) unknownObserver(sender, incarnation string, beat *hfwire.Beat) bool {
-	return hfloop.With(s.duties, func(d *duties) bool {
-		if d.heardFull == nil {
-			d.heardFull = map[string]string{}
-		}
-		if beat.GetFull() {
-			d.heardFull[sender] = incarnation
-		}
-		return d.heardFull[sender] != incarnation
-	})
-}
--- a/hfserve/duty.go
+++ b/hfserve/duty.go
@@ -13,11 +13,10 @@
 )
 
 // duties remembers for which members and rows the duties were divided last, so
-// that they are divided anew only after a change, and whose full beat was heard.
+// that they are divided anew only after a change, and which endpoints do not serve.
 type duties struct {
-	key       string
-	unwell    map[string]*hfwire.Health // owned endpoints that do not serve
-	heardFull map[string]string         // by instance, the incarnation whose full beat was heard
+	key    string
+	unwell map[string]*hfwire.Health // owned endpoints that do not serve
 }
 
 // divide decides which workers this instance observes and whose endpoints' slots it
--- a/hfworker/fleet.go
+++ b/hfworker/fleet.go
@@ -83,15 +83,16 @@
 // reason: a task is renewed only while every member of its gang was freshly seen
 // running or done.
 type Fleet struct {
-	workers map[string]Worker
-	sights  map[string]*sight
-	members map[Gang]map[uint32]string // index to worker, from the sights
-	mine    map[string]bool
-	poll    func() time.Duration
-	beat    func() time.Duration
-	rule    Rule
-	partial map[Gang]bool // told already
-	version uint64        // rises with every change of a sight of this instance
+	workers  map[string]Worker
+	sights   map[string]*sight
+	members  map[Gang]map[uint32]string // index to worker, from the sights
+	mine     map[string]bool
+	poll     func() time.Duration
+	beat     func() time.Duration
+	rule     Rule
+	partial  map[Gang]bool     // told already
+	complete map[string]string // by observer, the incarnation of which all is known that it observes
+	version  uint64            // rises with every change of a sight of this instance
 }
 
 // NewFleet returns an empty fleet that polls its workers at an interval and hears
@@ -99,7 +100,7 @@
 func NewFleet(poll, beat time.Duration, rule Rule) *Fleet {
 	return &Fleet{
 		workers: map[string]Worker{}, sights: map[string]*sight{}, members: map[Gang]map[uint32]string{},
-		mine: map[string]bool{}, partial: map[Gang]bool{}, rule: rule,
+		mine: map[string]bool{}, partial: map[Gang]bool{}, complete: map[string]string{}, rule: rule,
 		poll: func() time.Duration { return poll }, beat: func() time.Duration { return beat },
 	}
 }
@@ -149,13 +150,25 @@
 			f.sight(name).failures = 0
 		}
 	}
+	lost := false
 	for name := range f.mine {
 		if !mine[name] {
+			lost = true
 			f.touch(f.sight(name))      // tells the others that it is no longer observed here
 			f.sight(name).observer = "" // and, if it comes back, that it is again
 		}
 	}
 	f.mine = mine
+	if lost {
+		// Reports on these workers were passed over while they were this instance's.
+		clear(f.complete)
+	}
+}
+
+// Lacks tells whether something may be missing of what a run of another instance
+// observes, so that it has to send all.
+func (f *Fleet) Lacks(observer, incarnation string) bool {
+	return f.complete[observer] != incarnation
 }
 
 func (f *Fleet) touch(s *sight) {
@@ -211,6 +224,9 @@
 func (f *Fleet) heard(m HeardMsg, now time.Time) []Cmd {
 	var cmds []Cmd
 	until := now.Add(f.Freshness())
+	if m.full {
+		f.complete[m.observer] = m.incarnation
+	}
 	for _, r := range m.reports {
 		if f.mine[r.GetWorker()] {
 			continue
--- a/hfworker/fleet_test.go
+++ b/hfworker/fleet_test.go
@@ -67,8 +67,8 @@
 		"heard long ago": {func(f *Fleet, now time.Time) { heard(f, now.Add(-f.Freshness()), task(1, 2, StateRunning), false) }, 0},
 		"no longer observed": {func(f *Fleet, now time.Time) {
 			heard(f, now.Add(-f.Freshness()), task(1, 2, StateRunning), false)
-			f.Update(Heard("peer", false, []*hfwire.Report{{Worker: "w1", Dropped: true}}), now)
-			f.Update(Heard("peer", false, nil), now)
+			f.Update(Heard("peer", "p1", false, []*hfwire.Report{{Worker: "w1", Dropped: true}}), now)
+			f.Update(Heard("peer", "p1", false, nil), now)
 		}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -86,7 +86,7 @@
 	if member != nil {
 		r.Tasks = []*hfwire.Task{member}
 	}
-	f.Update(Heard("peer", false, []*hfwire.Report{r}), now)
+	f.Update(Heard("peer", "p1", false, []*hfwire.Report{r}), now)
 }
 
 // TestReportsTellWhatIsNew checks that a peer hears every change once, and all after
@@ -122,7 +122,7 @@
 	beat := func() {
 		var reports []*hfwire.Report
 		reports, heardUpTo = observer.Reports(heardUpTo)
-		leader.Update(Heard("observer", false, reports), now)
+		leader.Update(Heard("observer", "o1", heardUpTo == 0, reports), now)
 	}
 	observer.Update(Polled("w0", nil, now), now)
 	beat()
@@ -136,6 +136,23 @@
 	require.Equal(t, []string{"w0"}, leader.Fresh("a", now))
 }
 
+// TestReportPassedOverIsAskedForAgain is a found fault: an instance that took itself
+// for a worker's observer passed another one's report over, and lacked it when the
+// duty had moved there.
+func TestReportPassedOverIsAskedForAgain(t *testing.T) {
+	now := time.Unix(0, 0)
+	f := testFleet(now, "w1")
+	f.Update(Heard("peer", "p1", true, nil), now)
+	require.False(t, f.Lacks("peer", "p1"))
+	require.True(t, f.Lacks("peer", "p2"), "another run of it")
+	heard(f, now, task(0, 1, StateRunning), false)
+	f.Update(Duty(nil), now)
+	require.True(t, f.Lacks("peer", "p1"))
+	f.Update(Heard("peer", "p1", true, []*hfwire.Report{{Worker: "w1"}}), now)
+	require.False(t, f.Lacks("peer", "p1"))
+	require.Equal(t, []string{"w1"}, f.Fresh("a", now))
+}
+
 func TestTaskIDs(t *testing.T) {
 	for _, id := range []string{"", "a", "a.b", "a.1.2", "a.1.2.x", "a.1.2.-3", "a.1.2.3.4"} {
 		_, err := ParseTask(id, StateHeld)
--- a/hfworker/message.go
+++ b/hfworker/message.go
@@ -41,14 +41,15 @@
 
 // HeardMsg brings what another instance observes.
 type HeardMsg struct {
-	observer string
-	full     bool
-	reports  []*hfwire.Report
+	observer    string
+	incarnation string // of the observer
+	full        bool   // every worker that it observes is in the reports
+	reports     []*hfwire.Report
 }
 
 // Heard returns a HeardMsg.
-func Heard(observer string, full bool, reports []*hfwire.Report) HeardMsg {
-	return HeardMsg{observer: observer, full: full, reports: reports}
+func Heard(observer, incarnation string, full bool, reports []*hfwire.Report) HeardMsg {
+	return HeardMsg{observer: observer, incarnation: incarnation, full: full, reports: reports}
 }
 
 // TickMsg lets time pass.
