A job does not return at once to the worker on which it failed

Cause: with one bad worker and a full domain, a requeued job was placed on the only idle worker, the bad one, again and again, until it counted as at fault itself (TestBadWorkerAndPoisonJobAreToldApart: 'failed' instead of 'done'). Ruled out: the count of distinct jobs that sets a worker aside (it was right, and came too late for the first job). Change: for 30 s a job is not placed on a worker on which it failed; the event of a worker that is taken back, listed but never written, is written. Before: the new test failed. Conclusion: bad workers and poison jobs are told apart at the level of decisions.

--- a/hfgang/blame.go
+++ b/hfgang/blame.go
@@ -117,13 +117,21 @@
 	return nil
 }
 
-// clearBlame takes a success as proof that its workers are well.
-func (s *Scheduler) clearBlame(j *job, _ time.Time) {
+// clearBlame takes a success as proof that its workers are well, and tells which of
+// them take work again.
+func (s *Scheduler) clearBlame(j *job) []Cmd {
+	var cmds []Cmd
 	for _, m := range j.members {
-		if w, ok := s.workers[m.grant.GetWorker()]; ok {
-			w.record = blame{}
+		w, ok := s.workers[m.grant.GetWorker()]
+		if !ok {
+			continue
+		}
+		if w.record.tries > 0 {
+			cmds = append(cmds, AsideCmd{worker: m.grant.GetWorker(), back: true})
 		}
+		w.record = blame{}
 	}
+	return cmds
 }
 
 // probeFree tells whether a job may use the workers on probe in a block: only an
--- a/hfgang/gang_test.go
+++ b/hfgang/gang_test.go
@@ -230,6 +230,34 @@
 	require.Equal(t, StateDone, w.state("j2"))
 }
 
+// TestBadWorkerAndPoisonJobAreToldApart lets one worker fail all it runs, and then one
+// job fail wherever it runs.
+func TestBadWorkerAndPoisonJobAreToldApart(t *testing.T) {
+	w := newWorld(7, eights(4), testBook(nil, nil))
+	w.boot()
+	w.workers["w00"].fails = true
+	for i := range 16 {
+		w.submit(fmt.Sprint("j", i), "a", "again", 8, 2*time.Second)
+	}
+	w.run(29 * time.Second)
+	for i := range 16 {
+		require.Equal(t, StateDone, w.state(fmt.Sprint("j", i)), "a bad worker fails no job for good")
+	}
+	require.Equal(t, []AsideCmd{{worker: "w00"}}, w.aside)
+	w.workers["w00"].fails = false
+	w.run(probeFirst)
+	for i := range 4 {
+		w.submit(fmt.Sprint("k", i), "a", "again", 8, 2*time.Second)
+	}
+	w.run(20 * time.Second)
+	require.Equal(t, []AsideCmd{{worker: "w00"}, {worker: "w00", back: true}}, w.aside)
+	w.submitCommand("bad", "a", "again", 1, time.Second, "poison")
+	w.run(40 * time.Second)
+	require.Equal(t, StateFailed, w.state("bad"))
+	require.Len(t, w.ran["bad"], poisonAfter)
+	require.Len(t, w.aside, 2, "no worker is set aside for it")
+}
+
 // TestReuseWaitsForTheRecord is a found fault: accelerators were given to the next
 // job before it was stored that the last one had left them. Records of different
 // shards are stored in no order, so a new leader could load two jobs on one
--- a/hfgang/member.go
+++ b/hfgang/member.go
@@ -245,8 +245,9 @@
 
 // finish enters a final state.
 func (s *Scheduler) finish(j *job, state, why string, now time.Time) []Cmd {
+	var cmds []Cmd
 	if state == StateDone {
-		s.clearBlame(j, now)
+		cmds = s.clearBlame(j)
 	}
 	grants := j.record.GetGrants()
 	s.vacate(j)
@@ -257,7 +258,7 @@
 	delete(s.open, j.id())
 	s.learn(j)
 	s.touch(j)
-	return nil
+	return cmds
 }
 
 // lose ends a released attempt whose members did not all survive. Only an
--- a/hfgang/place.go
+++ b/hfgang/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/heatherfront/heatherfront/hfconfig"
@@ -12,6 +13,7 @@
 	shapeOverlap  = 1000              // placement cost of one accelerator in a shape's block
 	probeCost     = 100_000           // placement cost of a worker on probe, for guarantees
 	suspectCost   = 10_000            // placement cost of a worker that the job avoids
+	shunFor       = 30 * time.Second  // a job does not return to a worker on which it failed for this time
 	scheduleLimit = 256               // waiting jobs looked at in one pass
 )
 
@@ -46,13 +48,16 @@
 	account    string
 	class      string
 	size       int
-	fixed, ide bool
+	fixed      bool
+	idempotent bool
+	avoids     string // the workers on which it failed; others may find a place where it finds none
 }
 
 func (s *Scheduler) failKey(j *job) failKey {
 	return failKey{
 		account: s.account(j), class: j.record.GetClass(), size: j.size(),
-		fixed: j.fixed(), ide: j.record.GetIdempotent(),
+		fixed: j.fixed(), idempotent: j.record.GetIdempotent(),
+		avoids: j.avoid + " " + strings.Join(j.record.GetSuspects(), " "),
 	}
 }
 
@@ -243,8 +248,23 @@
 }
 
 // allowed tells whether a job may use every worker of a block.
-func (s *Scheduler) allowed(b Block, j *job) bool {
-	return s.layout.usable(b) && s.probeFree(j, s.layout.grants(b))
+func (s *Scheduler) allowed(b Block, j *job, now time.Time) bool {
+	return s.layout.usable(b) && !s.shuns(b, j, now) && s.probeFree(j, s.layout.grants(b))
+}
+
+// shuns tells whether a block has a worker on which the job failed or was refused a
+// short while ago.
+func (s *Scheduler) shuns(b Block, j *job, now time.Time) bool {
+	steps := j.record.GetSteps()
+	if len(steps) == 0 || now.Sub(time.UnixMilli(steps[len(steps)-1].GetAt())) >= shunFor {
+		return false
+	}
+	for i := s.layout.at[b.lo]; i <= s.layout.at[b.hi-1]; i++ {
+		if s.avoids(j, s.layout.sites[i].worker.Name()) {
+			return true
+		}
+	}
+	return false
 }
 
 // idle places a job on idle accelerators: where the gap that remains is smallest,
@@ -258,7 +278,7 @@
 	var choices []choice
 	taken := s.takenSums()
 	s.layout.Blocks(j.size(), s.layout.All(), func(b Block) bool {
-		if taken[b.hi] == taken[b.lo] && s.allowed(b, j) && !s.intrudes(j, b, now) {
+		if taken[b.hi] == taken[b.lo] && s.allowed(b, j, now) && !s.intrudes(j, b, now) {
 			choices = append(choices, choice{block: b, cost: s.cost(j, b, taken)})
 		}
 		return true
--- a/hfgang/reclaim.go
+++ b/hfgang/reclaim.go
@@ -61,7 +61,7 @@
 	var best *plan
 	bestLoss := 0.0
 	s.layout.Blocks(j.size(), s.layout.All(), func(b Block) bool {
-		if !s.allowed(b, j) || (j.fixed() && !s.outside(b)) {
+		if !s.allowed(b, j, now) || (j.fixed() && !s.outside(b)) {
 			return true
 		}
 		victims, lost, ok := s.victims(b, j, now)
--- a/hfgang/world_test.go
+++ b/hfgang/world_test.go
@@ -71,6 +71,7 @@
 	partial map[hfworker.Gang]time.Time
 	longest time.Duration // that a gang was seen partial
 	tokens  uint64
+	aside   []AsideCmd // in order
 }
 
 func newWorld(seed uint64, sizes []int, book *hfaccount.Book) *world {
@@ -143,6 +144,8 @@
 		})
 	case ReplyCmd:
 		w.replies[c.token] = c
+	case AsideCmd:
+		w.aside = append(w.aside, c)
 	}
 }
 
@@ -238,7 +241,7 @@
 		for _, id := range slices.Sorted(maps.Keys(fw.tasks)) {
 			t := fw.tasks[id]
 			switch {
-			case t.state == hfworker.StateRunning && fw.fails:
+			case t.state == hfworker.StateRunning && (fw.fails || t.cmd.command == "poison"):
 				fw.end(t, hfworker.StateFailed)
 			case t.state == hfworker.StateRunning && !t.end.After(w.now):
 				fw.end(t, hfworker.StateDone)
@@ -347,11 +350,15 @@
 }
 
 func (w *world) submit(id, account, work string, size int, run time.Duration) uint64 {
+	return w.submitCommand(id, account, work, size, run, "run")
+}
+
+func (w *world) submitCommand(id, account, work string, size int, run time.Duration, command string) uint64 {
 	w.tokens++
 	k := w.book.View().Works()[work]
 	w.feed(Submit(w.tokens, &hfwire.Job{
 		Id: id, Account: account, Caller: account + "-caller", Work: work, Class: string(k.Class), Size: uint32(size),
-		Preemptible: k.Preemptible, Idempotent: k.Idempotent, Run: run.Milliseconds(), Command: "run",
+		Preemptible: k.Preemptible, Idempotent: k.Idempotent, Run: run.Milliseconds(), Command: command,
 	}))
 	return w.tokens
 }
