The proof of leaving endpoints finds a router that heeds no sign

Change: the same count runs against a router whose knowledge of the sign is taken away. Before: only the sound router was run. After: the heedless one gives all slots of the leaving endpoint away and is found for four of the five signs (of an endpoint that is not listed, nothing is left to heed).

--- a/hfendpoint/endpoint_test.go
+++ b/hfendpoint/endpoint_test.go
@@ -29,8 +29,25 @@
 	}
 }
 
+// picked returns how many of a round of requests go to an endpoint that has been told
+// of by a sign.
+func picked(sign func(*Router), endpoint string, now time.Time) int {
+	r := NewRouter("one")
+	r.List(rows("one", "one"), now)
+	lent(r, now)
+	sign(r)
+	count := 0
+	for range 2 * testSlots {
+		if e, ok := r.Pick(nil, now); ok && e.Name() == endpoint {
+			count++
+		}
+	}
+	return count
+}
+
 // TestLeavingEndpointGetsNoWork gives each sign that an endpoint leaves; from then on
-// no request goes there, and what the list says in its lag does not matter.
+// no request goes there. A router that does not heed the sign is found out by the
+// same count.
 func TestLeavingEndpointGetsNoWork(t *testing.T) {
 	now := time.Unix(0, 0)
 	for name, sign := range map[string]func(*Router){
@@ -41,17 +58,15 @@
 		"it is not listed any more": func(r *Router) { r.List(rows("one", "one")[1:], now) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			r := NewRouter("one")
-			r.List(rows("one", "one"), now)
-			lent(r, now)
-			sign(r)
-			for range testSlots {
-				e, ok := r.Pick(nil, now)
-				require.True(t, ok)
-				require.Equal(t, "m1", e.Name())
+			require.Zero(t, picked(sign, "m0", now))
+			require.Equal(t, testSlots, picked(sign, "m1", now))
+			heedless := func(r *Router) {
+				sign(r)
+				*r.spots["m0"] = spot{row: rows("one")[0], limit: testSlots, until: now.Add(time.Hour)}
+			}
+			if name != "it is not listed any more" { // nothing is left of it to heed
+				require.Equal(t, testSlots, picked(heedless, "m0", now))
 			}
-			_, ok := r.Pick(nil, now)
-			require.False(t, ok)
 		})
 	}
 }
