--- a/hfapi/job.go
+++ b/hfapi/job.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -41,7 +42,7 @@
 	}
 	request, err := readJob(c)
 	if err != nil {
-		return err //nolint:wrapcheck // an answer already
+		return fmt.Errorf("submit: %w", err)
 	}
 	work, ok := a.backend.Book().Work(identity.Account(), request.Work)
 	if !ok || work.Type != hfconfig.TypeJob {
--- a/hfapi/problem.go
+++ b/hfapi/problem.go
@@ -47,7 +47,8 @@
 		return
 	}
 	status, body := http.StatusInternalServerError, Problem{Reason: err.Error()}
-	if he, ok := err.(*echo.HTTPError); ok { //nolint:errorlint // echo hands over its own type
+	var he *echo.HTTPError
+	if errors.As(err, &he) {
 		status = he.Code
 		if p, ok := he.Message.(Problem); ok {
 			body = p
--- a/hfapi/request.go
+++ b/hfapi/request.go
@@ -1,6 +1,7 @@
 package hfapi
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -32,15 +33,15 @@
 	}
 	body, err := a.readBody(c)
 	if err != nil {
-		return err //nolint:wrapcheck // an answer already
+		return fmt.Errorf("request: %w", err)
 	}
 	timeout, err := requestTimeout(c, work)
 	if err != nil {
-		return err //nolint:wrapcheck // an answer already
+		return fmt.Errorf("request: %w", err)
 	}
 	id, claim, err := requestID(c, work)
 	if err != nil {
-		return err //nolint:wrapcheck // an answer already
+		return fmt.Errorf("request: %w", err)
 	}
 	if ok, why := a.backend.Ready(); !ok && !a.backend.Stopping() {
 		return notReady(claim, why)
--- a/hfapi/resource.go
+++ b/hfapi/resource.go
@@ -1,6 +1,7 @@
 package hfapi
 
 import (
+	"fmt"
 	"net/http"
 	"sort"
 	"strconv"
@@ -43,7 +44,7 @@
 func (a *API) listResources(c echo.Context) error {
 	kind, err := kindOf(c)
 	if err != nil {
-		return err //nolint:wrapcheck // an answer already
+		return fmt.Errorf("resource: %w", err)
 	}
 	list := []ResourceStatus{}
 	for _, r := range a.backend.View().List(kind) {
@@ -55,7 +56,7 @@
 func (a *API) getResource(c echo.Context) error {
 	kind, err := kindOf(c)
 	if err != nil {
-		return err //nolint:wrapcheck // an answer already
+		return fmt.Errorf("resource: %w", err)
 	}
 	r, ok := a.backend.View().Find(kind, c.Param("name"))
 	if !ok || r.Deleted() {
@@ -92,7 +93,7 @@
 func (a *API) putResource(c echo.Context) error {
 	kind, err := kindOf(c)
 	if err != nil {
-		return err //nolint:wrapcheck // an answer already
+		return fmt.Errorf("resource: %w", err)
 	}
 	manifests, err := hfconfig.ReadManifests(c.Request().Body)
 	if err != nil {
@@ -112,11 +113,11 @@
 func (a *API) deleteResource(c echo.Context) error {
 	kind, err := kindOf(c)
 	if err != nil {
-		return err //nolint:wrapcheck // an answer already
+		return fmt.Errorf("resource: %w", err)
 	}
 	expected, err := revisionOf(c, "revision")
 	if err != nil {
-		return err //nolint:wrapcheck // an answer already
+		return fmt.Errorf("resource: %w", err)
 	}
 	tombstone := hfconfig.NewResource(kind, c.Param("name"), nil).Tombstone()
 	written, err := a.backend.Write(c.Request().Context(), tombstone, expected)
@@ -142,7 +143,7 @@
 func (a *API) watch(c echo.Context) error {
 	after, err := revisionOf(c, "after")
 	if err != nil {
-		return err //nolint:wrapcheck // an answer already
+		return fmt.Errorf("resource: %w", err)
 	}
 	timer := time.NewTimer(longestWatch)
 	defer timer.Stop()
@@ -175,7 +176,7 @@
 func (a *API) applied(c echo.Context) error {
 	revision, err := revisionOf(c, "revision")
 	if err != nil {
-		return err //nolint:wrapcheck // an answer already
+		return fmt.Errorf("resource: %w", err)
 	}
 	return c.JSON(http.StatusOK, a.backend.Applied(revision))
 }
--- a/hfcommand/job.go
+++ b/hfcommand/job.go
@@ -151,8 +151,11 @@
 	if err != nil {
 		return fmt.Errorf("job %s: %w", id, err)
 	}
-	if err := showJobs(c, r, j); err != nil || *c.output == "json" || r.Explain == "" {
-		return err //nolint:wrapcheck // wrapped by showJobs
+	if err := showJobs(c, r, j); err != nil {
+		return fmt.Errorf("job %s: %w", id, err)
+	}
+	if *c.output == "json" || r.Explain == "" {
+		return nil
 	}
 	_, _ = fmt.Fprintln(c.streams.out, r.Explain)
 	for _, step := range j.GetSteps() {
--- a/hfcommand/resource.go
+++ b/hfcommand/resource.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
-	"github.com/rotisserie/eris"
 
 	"github.com/heatherfront/heatherfront/hfaccount"
 	"github.com/heatherfront/heatherfront/hfapi"
@@ -123,8 +122,11 @@
 		if err != nil {
 			return fmt.Errorf("get %s: %w", arg, err)
 		}
-		if err := showResources(c, []hfapi.ResourceStatus{r}); err != nil || *c.output == "json" {
-			return eris.Wrap(err, "get")
+		if err := showResources(c, []hfapi.ResourceStatus{r}); err != nil {
+			return fmt.Errorf("get %s: %w", arg, err)
+		}
+		if *c.output == "json" {
+			return nil
 		}
 		for _, instance := range sortedKeys(r.Applied) {
 			_, _ = fmt.Fprintf(s.out, "in force on %s: %t\n", instance, r.Applied[instance])
--- a/hfconfig/manifest.go
+++ b/hfconfig/manifest.go
@@ -107,7 +107,7 @@
 		return strict(doc, Objective{})
 	default:
 		_, err := newSpec(kind)
-		return nil, err
+		return nil, fmt.Errorf("spec: %w", err)
 	}
 }
 
--- a/hfgang/leader.go
+++ b/hfgang/leader.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -55,11 +54,10 @@
 	observer Observer
 	lease    func() time.Duration
 	loop     *hfloop.Loop[Msg, Cmd]
-	tokens   atomic.Uint64
+	replies  *hfloop.Replies[ReplyCmd]
 	calls    chan struct{} // limits calls to workers
 
 	mu       sync.Mutex
-	waiting  map[uint64]chan ReplyCmd
 	versions [Shards]int64
 	address  map[string]string // of workers by name
 	group    *errgroup.Group
@@ -71,7 +69,7 @@
 func NewLeader(domain string, t *hflease.Tenure, s hfstore.Store, w Workers, o Observer, timing Timing) *Leader {
 	l := &Leader{
 		domain: domain, tenure: t, store: s, workers: w, observer: o, lease: timing.lease,
-		calls: make(chan struct{}, maxWorkerCall), waiting: map[uint64]chan ReplyCmd{}, address: map[string]string{},
+		calls: make(chan struct{}, maxWorkerCall), replies: hfloop.NewReplies[ReplyCmd](), address: map[string]string{},
 		ended: make(chan struct{}),
 	}
 	l.loop = hfloop.New[Msg, Cmd](New(domain, timing), l.do, o.Broken)
@@ -237,16 +235,8 @@
 // fails with ErrNoLeader when the leadership ended before; the message may then
 // have had its effect.
 func (l *Leader) Ask(ctx context.Context, build func(token uint64) Msg) (ReplyCmd, error) {
-	token := l.tokens.Add(1)
-	answer := make(chan ReplyCmd, 1)
-	l.mu.Lock()
-	l.waiting[token] = answer
-	l.mu.Unlock()
-	defer func() {
-		l.mu.Lock()
-		delete(l.waiting, token)
-		l.mu.Unlock()
-	}()
+	token, answer, forget := l.replies.Open()
+	defer forget()
 	if err := l.Send(ctx, build(token)); err != nil {
 		return ReplyCmd{}, fmt.Errorf("ask: %w", err)
 	}
@@ -273,12 +263,7 @@
 			return nil
 		})
 	case ReplyCmd:
-		l.mu.Lock()
-		answer, ok := l.waiting[c.token]
-		l.mu.Unlock()
-		if ok {
-			answer <- c
-		}
+		l.replies.Answer(c.token, c)
 	case ChangedCmd:
 		l.observer.JobChanged(c.job)
 	case AsideCmd:
--- a/hfledger/keeper.go
+++ b/hfledger/keeper.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -25,14 +23,12 @@
 	store   hfstore.Store
 	loop    *hfloop.Loop[Msg, Cmd]
 	group   *errgroup.Group
-	tokens  atomic.Uint64
-	mu      sync.Mutex
-	waiting map[uint64]chan VerdictCmd
+	replies *hfloop.Replies[VerdictCmd]
 }
 
 // NewKeeper returns a keeper that starts its goroutines in group.
 func NewKeeper(s hfstore.Store, writer string, group *errgroup.Group, broken func(error)) *Keeper {
-	k := &Keeper{store: s, group: group, waiting: map[uint64]chan VerdictCmd{}}
+	k := &Keeper{store: s, group: group, replies: hfloop.NewReplies[VerdictCmd]()}
 	k.loop = hfloop.New[Msg, Cmd](New(writer), k.do, broken)
 	return k
 }
@@ -49,39 +45,25 @@
 // and who is. It fails with ErrID, ErrWindow or ErrNotRecorded; then the holder
 // must not act on the id.
 func (k *Keeper) Claim(ctx context.Context, id, holder string) (bool, string, error) {
-	token := k.tokens.Add(1)
-	answer := make(chan VerdictCmd, 1)
-	k.mu.Lock()
-	k.waiting[token] = answer
-	k.mu.Unlock()
-	defer func() {
-		k.mu.Lock()
-		delete(k.waiting, token)
-		k.mu.Unlock()
-	}()
+	token, answer, forget := k.replies.Open()
+	defer forget()
 	if err := k.loop.Send(ctx, Claim(token, id, holder)); err != nil {
 		return false, "", fmt.Errorf("claim: %w: %w", ErrNotRecorded, err)
 	}
-	select {
-	case v := <-answer:
-		if v.err != nil {
-			return false, "", fmt.Errorf("claim: %w", v.err)
-		}
-		return v.first, v.holder, nil
-	case <-ctx.Done():
+	v, ok := hfloop.Wait(ctx, answer)
+	if !ok {
 		return false, "", fmt.Errorf("claim: %w: %w", ErrNotRecorded, ctx.Err())
 	}
+	if v.err != nil {
+		return false, "", fmt.Errorf("claim: %w", v.err)
+	}
+	return v.first, v.holder, nil
 }
 
 func (k *Keeper) do(ctx context.Context, cmd Cmd) {
 	switch c := cmd.(type) {
 	case VerdictCmd:
-		k.mu.Lock()
-		answer, ok := k.waiting[c.token]
-		k.mu.Unlock()
-		if ok {
-			answer <- c
-		}
+		k.replies.Answer(c.token, c)
 	case LoadCmd:
 		k.group.Go(func() error { return k.send(ctx, k.load(ctx, c)) })
 	case CommitCmd:
--- a/hfrequest/admission.go
+++ b/hfrequest/admission.go
@@ -50,7 +50,7 @@
 	if o := a.children[caller]; o != nil {
 		own = nodeCost(o)
 	}
-	behind := min(own*float64(active(a))*activeWeights(c)/float64(max(weight, 1)), total)
+	behind := min(own*float64(active(a))*max(activeWeights(c), 1)/float64(max(weight, 1)), total)
 	return scaled(behind, share, slots)
 }
 
@@ -69,29 +69,27 @@
 }
 
 func activeShares(root *node) float64 {
-	sum := 0.0
-	for _, c := range root.children {
-		if c.queued > 0 {
-			sum += c.weight
-		}
-	}
-	return max(sum, 0.01)
+	return max(activeWeights(root), leastShare)
 }
 
-func activeWeights(class *node) float64 {
+// leastShare keeps a division by the shares of active classes defined.
+const leastShare = 0.01
+
+// activeWeights sums the weights of the children with work queued.
+func activeWeights(n *node) float64 {
 	sum := 0.0
-	for _, a := range class.children {
-		if a.queued > 0 {
-			sum += a.weight
+	for _, c := range n.children {
+		if c.queued > 0 {
+			sum += c.weight
 		}
 	}
-	return max(sum, 1)
+	return sum
 }
 
 func nodeCost(caller *node) float64 {
 	sum := 0.0
 	for _, t := range caller.tickets {
-		sum += t.cost.Seconds()
+		sum += t.cost
 	}
 	return sum
 }
--- a/hfrequest/queue.go
+++ b/hfrequest/queue.go
@@ -29,9 +29,9 @@
 	caller   string
 	work     string
 	deadline time.Time
-	weight   int           // of the account
-	limit    int           // most requests of the account in flight here; 0: no limit
-	cost     time.Duration // expected slot time; corrected when the request ends
+	weight   int     // of the account
+	limit    int     // most requests of the account in flight here; 0: no limit
+	cost     float64 // expected slot time in seconds; corrected when the request ends
 	began    time.Time
 	avoid    map[string]bool     // endpoints tried before
 	endpoint hfendpoint.Endpoint // where it goes, once its turn has come
@@ -134,7 +134,7 @@
 	if q.root.queued >= q.limit && !q.evict(t) {
 		return false
 	}
-	t.cost = q.Expected(t.work)
+	t.cost = q.Expected(t.work).Seconds()
 	path := q.path(t)
 	for i := 1; i < len(path); i++ {
 		path[i-1].wake(path[i])
@@ -247,7 +247,7 @@
 		}
 		if t := q.next(best, onlyNew, now); t != nil {
 			n.floor = max(n.floor, best.virtual)
-			best.virtual += t.cost.Seconds() / best.weight
+			best.virtual += t.cost / best.weight
 			best.flying++
 			best.queued--
 			if n == q.root {
@@ -297,7 +297,7 @@
 	for i, n := range path {
 		n.flying--
 		if i > 0 {
-			n.virtual += (used - t.cost).Seconds() / n.weight
+			n.virtual += (used.Seconds() - t.cost) / n.weight
 		}
 	}
 	q.prune(path)
@@ -387,7 +387,7 @@
 // Check returns ErrQueue when the counts do not agree.
 func (q *Queue) Check() error {
 	if err := checkNode(q.root); err != nil {
-		return err
+		return fmt.Errorf("queue: %w", err)
 	}
 	if q.root.flying != len(q.flying) {
 		return fmt.Errorf("%w: %d in flight, %d counted", ErrQueue, len(q.flying), q.root.flying)
@@ -410,7 +410,7 @@
 		queued += c.queued
 		flying += c.flying
 		if err := checkNode(c); err != nil {
-			return err
+			return fmt.Errorf("%q: %w", n.name, err)
 		}
 	}
 	if queued != n.queued || flying != n.flying {
--- a/hfserve/jobs.go
+++ b/hfserve/jobs.go
@@ -188,8 +188,11 @@
 	var unanswered error
 	for _, domain := range s.Domains() {
 		jobs, err := s.askLeader(ctx, domain, build(domain))
-		if err == nil || errors.Is(err, hfapi.ErrEnded) {
-			return jobs, err
+		if err == nil {
+			return jobs, nil
+		}
+		if errors.Is(err, hfapi.ErrEnded) {
+			return jobs, fmt.Errorf("search job: %w", err)
 		}
 		if !errors.Is(err, hfapi.ErrMissing) {
 			unanswered = err
--- a/hfstore/client.go
+++ b/hfstore/client.go
@@ -157,7 +157,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	if err := statusError(resp.StatusCode); err != nil {
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, MaxValueBytes))
-		return err
+		return fmt.Errorf("%s: %w", method, err)
 	}
 	if into == nil {
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, MaxValueBytes))
