--- /dev/null
+++ b/hfcommand/entry.go
@@ -0,0 +1,52 @@
+package hfcommand
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/heatherfront/heatherfront/hfevent"
+	"github.com/heatherfront/heatherfront/hfsettings"
+	hfplatform "github.com/heatherfront/heatherfront/platform"
+)
+
+// logLines is the number of log lines that wait for a slow reader of standard output.
+const logLines = 4096
+
+func entryCommand(s Streams) *ffcli.Command {
+	fs := newFlags("entry", s)
+	path := fs.String("settings", "", "settings file that the platform writes")
+	level := fs.String("log-level", "info", "debug, info, warn or error")
+	return &ffcli.Command{
+		Name: "entry", ShortUsage: "heatherfront entry [flags]", ShortHelp: "run one entry instance on the operators' platform until SIGTERM",
+		LongHelp: "Takes jobs for the platform's queues and schedules them on its workers. The log is JSON on\nstandard output; its events are listed in docs/EVENTS.md.",
+		FlagSet:  fs,
+		Options:  []ff.Option{ff.WithEnvVarPrefix(hfsettings.EnvPrefix)},
+		Exec: func(ctx context.Context, _ []string) error {
+			if *path == "" {
+				return fmt.Errorf("%w: --settings or %s must name the settings file", ErrUsage, hfplatform.SettingsVariable)
+			}
+			parsed, err := zapcore.ParseLevel(*level)
+			if err != nil {
+				return fmt.Errorf("%w: --log-level: %q is not debug, info, warn or error", ErrUsage, *level)
+			}
+			// A hang-up tells that the settings file changed, which is noticed anyway.
+			signal.Ignore(syscall.SIGHUP)
+			sink := hfevent.NewSink(os.Stdout, logLines)
+			config := zap.NewProductionEncoderConfig()
+			config.EncodeTime = zapcore.ISO8601TimeEncoder
+			logger := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), sink, parsed))
+			if err := hfplatform.Run(ctx, *path, logger, sink); err != nil {
+				return &codedError{exit: ExitFailed, reason: err.Error()}
+			}
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/hfentry/health.go
@@ -0,0 +1,73 @@
+package hfentry
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/heatherfront/heatherfront/hfstore"
+)
+
+const (
+	failuresDown = 2                      // calls that fail in a row before the store counts as away
+	probeEvery   = 250 * time.Millisecond // a call that is let through while it is away
+)
+
+// Health knows whether the store answers this instance. While it does not, callers
+// are refused at once, but for a call now and then that finds out.
+type Health struct {
+	mu     sync.Mutex
+	failed int
+	probe  time.Time // next call let through
+	heard  time.Time // last answer
+}
+
+// NewHealth returns the health of a store that was not called yet.
+func NewHealth() *Health { return &Health{} }
+
+// Note takes the result of a call.
+func (h *Health) Note(err error, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if errors.Is(err, hfstore.ErrUnavailable) || errors.Is(err, hfstore.ErrRefused) {
+		h.failed++
+		h.probe = now.Add(probeEvery)
+		return
+	}
+	h.failed, h.heard = 0, now
+}
+
+// Allow tells whether a call may be sent now.
+func (h *Health) Allow(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.failed < failuresDown {
+		return true
+	}
+	if now.Before(h.probe) {
+		return false
+	}
+	h.probe = now.Add(probeEvery)
+	return true
+}
+
+// Down tells whether the store counts as away.
+func (h *Health) Down() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failed >= failuresDown
+}
+
+// Heard returns the time of the last answer.
+func (h *Health) Heard() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.heard
+}
+
+// retryAfter is what callers are told to wait while the store does not answer: most
+// outages are over or known to the balancer by then.
+const retryAfter = time.Second
+
+// RetryAfter returns how long a caller that was refused should wait.
+func (n *Node) RetryAfter() time.Duration { return retryAfter }
--- /dev/null
+++ b/hfentry/lead.go
@@ -0,0 +1,241 @@
+package hfentry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/heatherfront/heatherfront/hfevent"
+	"github.com/heatherfront/heatherfront/hflease"
+	"github.com/heatherfront/heatherfront/hfloop"
+	"github.com/heatherfront/heatherfront/hforder"
+	"github.com/heatherfront/heatherfront/hfplan"
+	"github.com/heatherfront/heatherfront/hfstore"
+	"github.com/heatherfront/heatherfront/hfwire"
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+const (
+	// leadTTL is the lease of the scheduling instance: urgent work waits no longer
+	// than it and a takeover when that instance dies.
+	leadTTL      = 2500 * time.Millisecond
+	leadSpread   = 120 * time.Millisecond // candidates try at random within it, so that one usually does
+	leadRetry    = 500 * time.Millisecond
+	catchUp      = 2 * time.Second // a new leader whose mirror is not current by then gives up
+	catchUpPause = 5 * time.Millisecond
+	purgeEvery   = 5 * time.Second
+	purgeMargin  = 30 * time.Second // beyond the retention time
+)
+
+// campaign takes the duty of scheduling whenever nobody holds it.
+func (n *Node) campaign(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.leave:
+			return
+		case <-n.freed:
+		case <-time.After(leadRetry):
+		}
+		if !n.eligible() {
+			continue
+		}
+		hfloop.Pause(ctx, rand.N(leadSpread))
+		if !n.eligible() {
+			continue
+		}
+		if err := n.claim(ctx); err != nil && !errors.Is(err, hflease.ErrHeld) {
+			n.log.Event(hfevent.LeaderLost, zap.Error(err))
+		}
+	}
+}
+
+// eligible tells whether this instance may try to take the duty.
+func (n *Node) eligible() bool {
+	return n.synced.Load() && !n.stopping.Load() && !n.health.Down() &&
+		hfloop.With(n.mirror, func(m *Mirror) bool { return m.lead == nil && m.policy != nil })
+}
+
+// claim tries to take the duty, and schedules until it is over.
+func (n *Node) claim(ctx context.Context) error {
+	lead := &hfwork.Lead{Instance: n.name, Nonce: uuid.NewString()}
+	value, err := hfwire.Encode(lead)
+	if err != nil {
+		return fmt.Errorf("claim: %w", err)
+	}
+	ttl := max(leadTTL, n.settings.ShortestLease())
+	tenure, lease, err := hflease.Take(ctx, n.store, leadKey, value, ttl)
+	if err != nil {
+		return fmt.Errorf("claim: %w", err)
+	}
+	err = hflease.Hold(ctx, n.store, tenure, lease, ttl, func(ctx context.Context) error {
+		return n.lead(ctx, tenure)
+	})
+	if err != nil {
+		return fmt.Errorf("scheduling of epoch %d: %w", tenure.Epoch(), err)
+	}
+	return nil
+}
+
+// lead schedules until ctx ends or the instance leaves.
+func (n *Node) lead(ctx context.Context, tenure *hflease.Tenure) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if err := n.catchUp(ctx, tenure.Epoch()); err != nil {
+		return fmt.Errorf("catch up: %w", err)
+	}
+	term, err := n.raiseTerm(ctx, tenure.Epoch())
+	if err != nil {
+		return fmt.Errorf("raise term: %w", err)
+	}
+	lease := n.settings.TaskLease()
+	scheduler := hfplan.New(term, hfplan.NewTiming(lease, n.settings.GangWindow()), time.Now())
+	leader := hforder.NewLeader(scheduler, tenure, n.minions, n, n, hforder.NewTiming(lease))
+	n.leader.Store(leader)
+	defer n.leader.Store(nil)
+	n.log.Event(hfevent.LeaderElected, zap.Int64("epoch", tenure.Epoch()), zap.Int64("term", term))
+	done := make(chan error, 1)
+	group, inner := newGroup(ctx)
+	group.Go(func() error {
+		done <- leader.Run(inner, n.first())
+		cancel()
+		return nil
+	})
+	group.Go(func() error {
+		n.purge(inner, tenure.Epoch())
+		return nil
+	})
+	group.Go(func() error {
+		select {
+		case <-n.leave:
+			cancel()
+		case <-inner.Done():
+		}
+		return nil
+	})
+	_ = group.Wait() // its members return nil
+	n.log.Event(hfevent.LeaderLost, zap.Int64("epoch", tenure.Epoch()))
+	if err := <-done; err != nil {
+		return fmt.Errorf("schedule: %w", err)
+	}
+	return nil
+}
+
+// catchUp waits until the mirror holds all that was written before the epoch began.
+func (n *Node) catchUp(ctx context.Context, epoch int64) error {
+	ctx, cancel := context.WithTimeout(ctx, catchUp)
+	defer cancel()
+	for hfloop.With(n.mirror, func(m *Mirror) bool { return m.revision < epoch }) || !n.synced.Load() {
+		if !hfloop.Pause(ctx, catchUpPause) {
+			return fmt.Errorf("mirror: %w", ctx.Err())
+		}
+	}
+	return nil
+}
+
+// raiseTerm stores and returns the number of this leadership.
+func (n *Node) raiseTerm(ctx context.Context, epoch int64) (int64, error) {
+	term := hfloop.With(n.mirror, func(m *Mirror) int64 { return m.term }) + 1
+	value, err := hfwire.Encode(&hfwork.Lead{Instance: n.name, Term: term})
+	if err != nil {
+		return 0, fmt.Errorf("term: %w", err)
+	}
+	for {
+		_, err = n.commit(ctx, (&hfstore.Batch{}).Require(leadKey, epoch).Put(termKey, value, ""))
+		if err == nil {
+			return term, nil
+		}
+		if errors.Is(err, hfstore.ErrConflict) || !hfloop.Pause(ctx, retryPause) {
+			return 0, fmt.Errorf("term: %w", err)
+		}
+	}
+}
+
+// first returns what a new scheduler has to know.
+func (n *Node) first() []hfplan.Msg {
+	return hfloop.With(n.mirror, func(m *Mirror) []hfplan.Msg {
+		msgs := []hfplan.Msg{hfplan.Policy(m.policy.body), hfplan.Inherit(m.roster.GetWorkers())}
+		workers := make(map[string]*hfwork.Worker, len(m.workers))
+		for id, w := range m.workers {
+			workers[id] = w
+		}
+		msgs = append(msgs, hfplan.Workers(workers))
+		for _, e := range m.jobs {
+			if e.job != nil && !hfwork.Final(e.progress.GetState()) {
+				msgs = append(msgs, hfplan.Job(e.job, e.progress, e.cancelled))
+			}
+		}
+		return msgs
+	})
+}
+
+func (n *Node) commit(ctx context.Context, b *hfstore.Batch) (int64, error) {
+	call, cancel := context.WithTimeout(ctx, writeWindow)
+	defer cancel()
+	rev, err := n.store.Commit(call, b)
+	if err != nil {
+		return 0, fmt.Errorf("commit: %w", err)
+	}
+	return rev, nil
+}
+
+// Save implements hforder.Records. Writing the same records again changes nothing.
+func (n *Node) Save(ctx context.Context, epoch int64, records map[string]*hfwork.Progress, roster []*hfwork.Worker) error {
+	batch := (&hfstore.Batch{}).Require(leadKey, epoch)
+	if roster != nil {
+		value, err := hfwire.Encode(&hfwork.Roster{Workers: roster})
+		if err != nil {
+			return fmt.Errorf("save: %w", err)
+		}
+		batch.Put(rosterKey, value, "")
+	}
+	ids := make([]string, 0, len(records))
+	for id := range records {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for i, id := range ids {
+		value, err := hfwire.Encode(records[id])
+		if err != nil {
+			return fmt.Errorf("save: %w", err)
+		}
+		batch.Put(statePrefix+id, value, "")
+		if batch.Size() < hfstore.MaxBatch && i < len(ids)-1 {
+			continue
+		}
+		if _, err := n.commit(ctx, batch); err != nil {
+			return fmt.Errorf("save: %w", err)
+		}
+		batch = (&hfstore.Batch{}).Require(leadKey, epoch)
+	}
+	if batch.Size() > 1 {
+		if _, err := n.commit(ctx, batch); err != nil {
+			return fmt.Errorf("save: %w", err)
+		}
+	}
+	return nil
+}
+
+// purge removes jobs from the store whose state was kept long enough.
+func (n *Node) purge(ctx context.Context, epoch int64) {
+	for hfloop.Pause(ctx, purgeEvery) {
+		before := time.Now().Add(-n.settings.Retention() - purgeMargin)
+		ids := hfloop.With(n.mirror, func(m *Mirror) []string { return m.ended(before) })
+		for chunk := range slices.Chunk(ids, (hfstore.MaxBatch-1)/3) {
+			batch := (&hfstore.Batch{}).Require(leadKey, epoch)
+			for _, id := range chunk {
+				batch.Remove(workPrefix + id).Remove(statePrefix + id).Remove(cancelPrefix + id)
+			}
+			if _, err := n.commit(ctx, batch); err != nil {
+				break // tried again at the next round
+			}
+		}
+	}
+}
--- /dev/null
+++ b/hfentry/mirror.go
@@ -0,0 +1,242 @@
+// Package hfentry is one entry instance for the queues of a platform: it takes jobs,
+// cancellations and questions from callers, keeps what is stored at hand, and takes
+// part in choosing the instance that schedules.
+package hfentry
+
+import (
+	"strings"
+	"time"
+
+	"github.com/heatherfront/heatherfront/hfstore"
+	"github.com/heatherfront/heatherfront/hfwire"
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+// The keys of the store.
+const (
+	workPrefix   = "hf/work/"   // a job as it was handed in
+	statePrefix  = "hf/state/"  // its progress, written by the scheduler
+	cancelPrefix = "hf/cancel/" // the mark of its cancellation
+	leadKey      = "hf/lead"    // the instance that schedules, under its lease
+	termKey      = "hf/term"    // number of the last leadership
+	rosterKey    = "hf/roster"  // workers on which tasks may have been started
+)
+
+// Formats reads what the platform keeps in its store.
+type Formats interface {
+	// PolicyKey returns the key of the queues' configuration.
+	PolicyKey() string
+	// WorkerPrefix returns the prefix of the workers' entries; the rest is the id.
+	WorkerPrefix() string
+	// Policy decodes the configuration.
+	Policy(raw []byte) (*hfwork.Policy, error)
+	// Worker decodes a worker's entry.
+	Worker(id string, raw []byte) (*hfwork.Worker, error)
+}
+
+// entry is what is known of one job.
+type entry struct {
+	job       *hfwork.Job
+	progress  *hfwork.Progress
+	version   int64 // store revision of the progress
+	cancelled bool
+}
+
+// state returns the state that a caller is told.
+func (e *entry) state() string {
+	if s := e.progress.GetState(); hfwork.Final(s) {
+		return s
+	}
+	if e.cancelled {
+		return hfwork.StateCancelled
+	}
+	if e.progress.GetBegun() {
+		return hfwork.StateRunning
+	}
+	return hfwork.StateQueued
+}
+
+// Mirror is an instance's copy of the store, kept current by a watch.
+type Mirror struct {
+	formats  Formats
+	policy   *policy
+	version  int64 // store revision of the configuration
+	jobs     map[string]*entry
+	workers  map[string]*hfwork.Worker
+	roster   *hfwork.Roster
+	lead     *hfwork.Lead // nil when no instance schedules
+	term     int64
+	revision int64 // everything up to this revision is in
+}
+
+// NewMirror returns an empty copy.
+func NewMirror(f Formats) *Mirror {
+	return &Mirror{formats: f, jobs: map[string]*entry{}, workers: map[string]*hfwork.Worker{}, roster: &hfwork.Roster{}}
+}
+
+// change is what an applied event changed.
+type change struct {
+	job     string // id of a job that is new or cancelled
+	workers bool
+	policy  bool
+	lead    bool
+	err     error // the value cannot be read; the last good one stays
+}
+
+// Reset replaces the copy by a complete list. Jobs that are not in it are forgotten.
+func (m *Mirror) Reset(items []hfstore.Item, revision int64) []change {
+	m.workers, m.lead = map[string]*hfwork.Worker{}, nil
+	found := map[string]bool{}
+	changes := []change{{workers: true, lead: true}}
+	for _, i := range items {
+		if id, ok := strings.CutPrefix(i.Key(), workPrefix); ok {
+			found[id] = true
+		}
+		changes = append(changes, m.Apply(i))
+	}
+	for id := range m.jobs {
+		if !found[id] {
+			delete(m.jobs, id)
+		}
+	}
+	m.revision = revision
+	return changes
+}
+
+// Advance notes that all events up to a revision were applied.
+func (m *Mirror) Advance(revision int64) { m.revision = max(m.revision, revision) }
+
+// Apply takes one item or event.
+func (m *Mirror) Apply(i hfstore.Item) change {
+	key := i.Key()
+	switch {
+	case key == m.formats.PolicyKey():
+		return m.applyPolicy(i)
+	case key == leadKey:
+		return m.applyLead(i)
+	case key == termKey:
+		lead, err := hfwire.Decode(i.Value(), &hfwork.Lead{})
+		m.term = max(m.term, lead.GetTerm())
+		return change{err: err}
+	case key == rosterKey:
+		roster, err := hfwire.Decode(i.Value(), &hfwork.Roster{})
+		if err == nil {
+			m.roster = roster
+		}
+		return change{err: err}
+	case strings.HasPrefix(key, m.formats.WorkerPrefix()):
+		return m.applyWorker(strings.TrimPrefix(key, m.formats.WorkerPrefix()), i)
+	case strings.HasPrefix(key, workPrefix):
+		return m.applyWork(strings.TrimPrefix(key, workPrefix), i)
+	case strings.HasPrefix(key, statePrefix):
+		return m.applyState(strings.TrimPrefix(key, statePrefix), i)
+	case strings.HasPrefix(key, cancelPrefix) && !i.Deleted():
+		id := strings.TrimPrefix(key, cancelPrefix)
+		m.entry(id).cancelled = true
+		return change{job: id}
+	}
+	return change{}
+}
+
+func (m *Mirror) entry(id string) *entry {
+	e := m.jobs[id]
+	if e == nil {
+		e = &entry{}
+		m.jobs[id] = e
+	}
+	return e
+}
+
+func (m *Mirror) applyPolicy(i hfstore.Item) change {
+	if i.Deleted() || i.Version() <= m.version {
+		return change{}
+	}
+	p, err := m.formats.Policy(i.Value())
+	if err != nil {
+		return change{err: err}
+	}
+	m.policy, m.version = newPolicy(p), i.Version()
+	return change{policy: true}
+}
+
+func (m *Mirror) applyLead(i hfstore.Item) change {
+	if i.Deleted() {
+		m.lead = nil
+		return change{lead: true}
+	}
+	lead, err := hfwire.Decode(i.Value(), &hfwork.Lead{})
+	if err != nil {
+		return change{err: err}
+	}
+	m.lead, m.term = lead, max(m.term, lead.GetTerm())
+	return change{lead: true}
+}
+
+func (m *Mirror) applyWorker(id string, i hfstore.Item) change {
+	if i.Deleted() {
+		delete(m.workers, id)
+		return change{workers: true}
+	}
+	w, err := m.formats.Worker(id, i.Value())
+	if err != nil {
+		delete(m.workers, id)
+		return change{workers: true, err: err}
+	}
+	m.workers[id] = w
+	return change{workers: true}
+}
+
+func (m *Mirror) applyWork(id string, i hfstore.Item) change {
+	if i.Deleted() {
+		delete(m.jobs, id)
+		return change{}
+	}
+	job, err := hfwire.Decode(i.Value(), &hfwork.Job{})
+	if err != nil {
+		return change{err: err}
+	}
+	m.entry(id).job = job
+	return change{job: id}
+}
+
+func (m *Mirror) applyState(id string, i hfstore.Item) change {
+	if i.Deleted() {
+		return change{}
+	}
+	p, err := hfwire.Decode(i.Value(), &hfwork.Progress{})
+	if err != nil {
+		return change{err: err}
+	}
+	e := m.entry(id)
+	if i.Version() < e.version {
+		return change{}
+	}
+	e.version = i.Version()
+	if hfwork.Final(p.GetState()) {
+		p.Steps = nil // not needed any more
+	}
+	e.progress = p
+	return change{}
+}
+
+// waiting returns the number of a queue's jobs of which no task was started.
+func (m *Mirror) waiting(queue string) int {
+	n := 0
+	for _, e := range m.jobs {
+		if e.job.GetQueue() == queue && e.state() == hfwork.StateQueued {
+			n++
+		}
+	}
+	return n
+}
+
+// ended lists final jobs that ended before a time, for removal from the store.
+func (m *Mirror) ended(before time.Time) []string {
+	var list []string
+	for id, e := range m.jobs {
+		if at := e.progress.GetEnded(); at != 0 && hfwork.Final(e.progress.GetState()) && at < before.UnixMilli() {
+			list = append(list, id)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/hfentry/observe.go
@@ -0,0 +1,56 @@
+package hfentry
+
+import (
+	"context"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/heatherfront/heatherfront/hfevent"
+	"github.com/heatherfront/heatherfront/hfplan"
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+func newGroup(ctx context.Context) (*errgroup.Group, context.Context) {
+	return errgroup.WithContext(ctx)
+}
+
+// Noted implements hforder.Observer.
+func (n *Node) Noted(c hfplan.NoteCmd) {
+	fields := []zap.Field{zap.String("job", c.Job()), zap.String("reason", c.Reason())}
+	switch c.Note() {
+	case hfplan.NoteState:
+		n.log.Event(hfevent.JobState, fields...)
+	case hfplan.NotePlaced:
+		n.log.Event(hfevent.TasksPlaced, append(fields, zap.Uint32("step", c.Step()), zap.Int("tasks", c.Tasks()))...)
+	case hfplan.NotePreempted:
+		n.log.Event(hfevent.TasksPreempt, append(fields, zap.Uint32("step", c.Step()), zap.Int("tasks", c.Tasks()))...)
+	case hfplan.NoteRetry:
+		n.log.Event(hfevent.TaskRetried, append(fields, zap.Uint32("step", c.Step()), zap.String("worker", c.Worker()))...)
+	case hfplan.NoteAside:
+		n.log.Event(hfevent.WorkerAside, append(fields, zap.String("worker", c.Worker()))...)
+	case hfplan.NoteSilent:
+		n.log.Event(hfevent.WorkerSilent, zap.String("worker", c.Worker()))
+	case hfplan.NoteHeard:
+		n.log.Event(hfevent.WorkerHeard, zap.String("worker", c.Worker()), zap.String("reason", c.Reason()))
+	case hfplan.NoteGone:
+		n.log.Event(hfevent.WorkerDropped, zap.String("worker", c.Worker()))
+	case hfplan.NoteSettled:
+		n.log.Event(hfevent.PlanSettled)
+	}
+}
+
+// Ordered implements hforder.Observer.
+func (n *Node) Ordered(verb string, task hfwork.TaskID, number int64, worker string, err error) {
+	metrics.GetOrRegisterCounter("order."+verb, n.registry).Inc(1)
+	if err == nil {
+		return
+	}
+	metrics.GetOrRegisterCounter("order."+verb+".failed", n.registry).Inc(1)
+	n.log.Event(hfevent.OrderFailed, zap.String("verb", verb), zap.String("job", task.Job()), zap.Uint32("step", task.Step()),
+		zap.Uint32("task", task.Index()), zap.Int64("run", number), zap.String("worker", worker), zap.Error(err))
+}
+
+// Broken implements hforder.Observer.
+func (n *Node) Broken(err error) { n.log.Event(hfevent.InvariantLost, zap.Error(err)) }
--- a/hfevent/catalogue.go
+++ b/hfevent/catalogue.go
@@ -44,6 +44,26 @@
 
 	WorkerLost  = Event{750, "worker-lost", zapcore.WarnLevel, "A worker gave no report for the loss time."}
 	GangPartial = Event{752, "gang-partial", zapcore.WarnLevel, "Members of a gang are missing; the leases of the rest are no longer renewed."}
+
+	JobAccepted   = Event{800, "job-accepted", zapcore.InfoLevel, "A job is stored; its caller was told so."}
+	JobRefused    = Event{801, "job-refused", zapcore.InfoLevel, "A call about a job was not carried out; the reason and its age stand beside it."}
+	JobCancelled  = Event{802, "job-cancelled", zapcore.InfoLevel, "The cancellation of a job is stored."}
+	JobUnknown    = Event{803, "job-unknown", zapcore.WarnLevel, "The effect of a call about a job is not known; its caller was told so."}
+	JobState      = Event{804, "job-state", zapcore.InfoLevel, "A job entered a state."}
+	TasksPlaced   = Event{805, "tasks-placed", zapcore.InfoLevel, "Tasks of a step got their workers."}
+	TasksPreempt  = Event{806, "tasks-preempted", zapcore.InfoLevel, "Runs are stopped for more urgent work."}
+	TaskRetried   = Event{807, "task-retried", zapcore.InfoLevel, "A run ended early and its task waits again."}
+	OrderFailed   = Event{808, "order-failed", zapcore.WarnLevel, "A worker refused an order or gave no answer."}
+	PlanSettled   = Event{809, "plan-settled", zapcore.InfoLevel, "All that earlier schedulers may have started is accounted for."}
+	WorkerSilent  = Event{810, "worker-silent", zapcore.WarnLevel, "A worker gives no reports; its leases are left to run out."}
+	WorkerHeard   = Event{811, "worker-heard", zapcore.InfoLevel, "A worker gives reports again, or lives anew."}
+	WorkerDropped = Event{812, "worker-dropped", zapcore.InfoLevel, "A worker is not registered any more and nothing runs on it."}
+	EntryRejected = Event{813, "entry-rejected", zapcore.WarnLevel, "A stored entry cannot be read; the last good one stays in force."}
+	PolicyApplied = Event{814, "policy-applied", zapcore.InfoLevel, "A newer configuration of the queues is in force here."}
+	MirrorReset   = Event{815, "mirror-reset", zapcore.InfoLevel, "The copy of the store was read anew as a whole."}
+	SettingsRead  = Event{816, "settings-read", zapcore.InfoLevel, "The settings file was read again."}
+	SettingsBad   = Event{817, "settings-bad", zapcore.ErrorLevel, "The settings file cannot be used; the settings in force stay."}
+	LinesDropped  = Event{818, "lines-dropped", zapcore.WarnLevel, "The reader of the log was too slow; lines were left out."}
 )
 
 // Catalogue lists every event.
@@ -57,5 +77,8 @@
 		EndpointLeaving, EndpointOpen, EndpointClosed, EndpointDown,
 		LeaderElected, LeaderLost, TakeoverRetry, JobChanged, WorkerAside, WorkerBack,
 		WorkerLost, GangPartial,
+		JobAccepted, JobRefused, JobCancelled, JobUnknown, JobState, TasksPlaced, TasksPreempt, TaskRetried,
+		OrderFailed, PlanSettled, WorkerSilent, WorkerHeard, WorkerDropped, EntryRejected, PolicyApplied, MirrorReset,
+		SettingsRead, SettingsBad, LinesDropped,
 	}
 }
--- a/hfgang/leader.go
+++ b/hfgang/leader.go
@@ -128,7 +128,7 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			if !l.tenure.Valid(time.Now()) {
+			if !l.tenure.Valid(hflease.Now()) {
 				l.fail(ErrNoLeader)
 				return
 			}
@@ -307,7 +307,7 @@
 	l.mu.Lock()
 	address := l.address[c.grant.GetWorker()]
 	l.mu.Unlock()
-	if !l.tenure.Valid(time.Now()) {
+	if !l.tenure.Valid(hflease.Now()) {
 		l.fail(ErrNoLeader)
 		return
 	}
--- a/hflease/campaign.go
+++ b/hflease/campaign.go
@@ -16,15 +16,15 @@
 // ErrHeld reports that another instance holds the duty.
 var ErrHeld = eris.New("duty held by another instance")
 
-// TTL is the time to live of the lease of a duty. A duty whose holder died is free
-// after at most this time.
+// TTL is the usual time to live of the lease of a duty. A duty whose holder died is
+// free after at most this time.
 const TTL = 4 * time.Second
 
 // Take tries once to become the holder of a duty. value must be unique to the
 // call. It fails with ErrHeld when the key exists.
-func Take(ctx context.Context, s hfstore.Store, key string, value []byte) (*Tenure, string, error) {
-	sent := time.Now()
-	lease, err := s.Grant(ctx, TTL)
+func Take(ctx context.Context, s hfstore.Store, key string, value []byte, ttl time.Duration) (*Tenure, string, error) {
+	sent := Now()
+	lease, err := s.Grant(ctx, ttl)
 	if err != nil {
 		return nil, "", fmt.Errorf("take duty: %w", err)
 	}
@@ -36,7 +36,7 @@
 		_ = s.Revoke(context.WithoutCancel(ctx), lease) // lapses by itself otherwise
 		return nil, "", fmt.Errorf("take duty: %w", err)
 	}
-	return NewTenure(epoch, sent, TTL), lease, nil
+	return NewTenure(epoch, sent, ttl), lease, nil
 }
 
 // settle finds out whether a failed write took effect.
@@ -56,13 +56,13 @@
 
 // Hold renews the lease while work runs, and ends work's context before the lease
 // can lapse. It returns when work has returned.
-func Hold(ctx context.Context, s hfstore.Store, t *Tenure, lease string, work func(context.Context) error) error {
+func Hold(ctx context.Context, s hfstore.Store, t *Tenure, lease string, ttl time.Duration, work func(context.Context) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	g, inner := errgroup.WithContext(ctx)
 	g.Go(func() error {
 		defer cancel()
-		renew(inner, s, t, lease)
+		renew(inner, s, t, lease, ttl)
 		return nil
 	})
 	g.Go(func() error {
@@ -81,17 +81,17 @@
 }
 
 // renew returns when ctx ends, the lease is lost, or the tenure has run out.
-func renew(ctx context.Context, s hfstore.Store, t *Tenure, lease string) {
-	tick := time.NewTicker(TTL / 8)
+func renew(ctx context.Context, s hfstore.Store, t *Tenure, lease string, ttl time.Duration) {
+	tick := time.NewTicker(ttl / 8)
 	defer tick.Stop()
-	next := time.Now().Add(TTL / 3)
+	next := Now().Add(ttl / 3)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 		}
-		now := time.Now()
+		now := Now()
 		if !t.Valid(now) {
 			return
 		}
@@ -103,8 +103,8 @@
 		cancel()
 		switch {
 		case err == nil:
-			t.Extend(now, TTL)
-			next = now.Add(TTL / 3)
+			t.Extend(now, ttl)
+			next = now.Add(ttl / 3)
 		case errors.Is(err, hfstore.ErrLeaseLost):
 			t.End()
 			return
--- a/hflease/tenure.go
+++ b/hflease/tenure.go
@@ -5,17 +5,29 @@
 import (
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
+// Now returns the time on a clock that goes on while the machine is suspended, unlike
+// the monotonic clock of time.Now. Its zero is the start of the machine.
+func Now() time.Time {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return time.Now() // kernels without this clock do not suspend either
+	}
+	return time.Unix(t.Unix())
+}
+
 // Margin is taken off a lease's time to live before its holder stops acting. It
 // covers the time between a check and the arrival of what was sent after it, and
 // clocks that run at slightly different rates.
 const Margin = 500 * time.Millisecond
 
-// Tenure is the right to act for a duty until a deadline on this process's
-// monotonic clock, which goes on while the process is paused. The deadline counts
-// from before the call that opened or renewed the lease, so it passes before the
-// store lets the lease lapse.
+// Tenure is the right to act for a duty until a deadline on the clock of Now, which
+// goes on while the process or the machine is paused. The deadline counts from before
+// the call that opened or renewed the lease, so it passes before the store lets the
+// lease lapse.
 type Tenure struct {
 	mu    sync.Mutex
 	epoch int64
--- /dev/null
+++ b/hforder/leader.go
@@ -0,0 +1,207 @@
+package hforder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/heatherfront/heatherfront/hflease"
+	"github.com/heatherfront/heatherfront/hfplan"
+	"github.com/heatherfront/heatherfront/hfstore"
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+const (
+	tickInterval = 200 * time.Millisecond
+	inboxSize    = 4096 // messages that may wait before their senders do
+	storePause   = 60 * time.Millisecond
+)
+
+// Timing holds the intervals of orders.
+type Timing struct {
+	lease func() time.Duration
+}
+
+// NewTiming returns the lease that tasks get on a worker.
+func NewTiming(lease time.Duration) Timing {
+	return Timing{lease: func() time.Duration { return lease }}
+}
+
+// Observer is told what a leader decides.
+type Observer interface {
+	// Noted tells of a decision or a changed belief.
+	Noted(c hfplan.NoteCmd)
+	// Ordered tells how an order to a worker ended.
+	Ordered(verb string, task hfwork.TaskID, number int64, worker string, err error)
+	// Broken tells of a broken invariant.
+	Broken(err error)
+}
+
+// Records writes the progress of jobs, under the condition that the leadership with
+// an epoch is still the last one.
+type Records interface {
+	Save(ctx context.Context, epoch int64, records map[string]*hfwork.Progress, roster []*hfwork.Worker) error
+}
+
+// Leader runs a Scheduler: it brings reports to it and carries its commands out.
+type Leader struct {
+	scheduler *hfplan.Scheduler
+	tenure    *hflease.Tenure
+	minions   Minions
+	records   Records
+	observer  Observer
+	timing    Timing
+	inbox     chan hfplan.Msg
+	group     *errgroup.Group
+	fail      context.CancelCauseFunc
+
+	mu      sync.Mutex
+	desks   map[string]*desk // by worker id
+	ended   chan struct{}
+	storeIn chan hfplan.StoreCmd
+}
+
+// NewLeader returns a leader that has not started.
+func NewLeader(s *hfplan.Scheduler, t *hflease.Tenure, m Minions, r Records, o Observer, timing Timing) *Leader {
+	return &Leader{
+		scheduler: s, tenure: t, minions: m, records: r, observer: o, timing: timing,
+		inbox: make(chan hfplan.Msg, inboxSize), desks: map[string]*desk{}, ended: make(chan struct{}),
+		storeIn: make(chan hfplan.StoreCmd, 1),
+	}
+}
+
+// Run leads until ctx ends, the tenure is over or a later leader was seen. first are
+// the messages with what is stored and registered.
+func (l *Leader) Run(ctx context.Context, first []hfplan.Msg) error {
+	defer close(l.ended)
+	ctx, fail := context.WithCancelCause(ctx)
+	defer fail(nil)
+	g, ctx := errgroup.WithContext(ctx)
+	l.group, l.fail = g, fail
+	g.Go(func() error {
+		l.decide(ctx, first)
+		return nil
+	})
+	g.Go(func() error {
+		l.store(ctx)
+		return nil
+	})
+	if err := g.Wait(); err != nil {
+		return fmt.Errorf("lead: %w", err)
+	}
+	if cause := context.Cause(ctx); errors.Is(cause, ErrFenced) || errors.Is(cause, ErrNotLeading) {
+		return fmt.Errorf("lead: %w", cause)
+	}
+	return nil
+}
+
+// Send hands a message to the scheduler. It returns false when the leadership has
+// ended.
+func (l *Leader) Send(msg hfplan.Msg) bool {
+	select {
+	case l.inbox <- msg:
+		return true
+	case <-l.ended:
+		return false
+	}
+}
+
+// decide feeds the scheduler. Messages that wait together are decided on together.
+func (l *Leader) decide(ctx context.Context, first []hfplan.Msg) {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for _, msg := range first {
+		l.step(ctx, msg)
+	}
+	l.step(ctx, hfplan.PassMsg{})
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case msg := <-l.inbox:
+			l.step(ctx, msg)
+		case <-tick.C:
+			l.step(ctx, hfplan.TickMsg{})
+		}
+		for more := true; more; {
+			select {
+			case msg := <-l.inbox:
+				l.step(ctx, msg)
+			default:
+				more = false
+			}
+		}
+		l.step(ctx, hfplan.PassMsg{})
+	}
+}
+
+func (l *Leader) step(ctx context.Context, msg hfplan.Msg) {
+	if w, ok := msg.(hfplan.WorkersMsg); ok {
+		l.openDesks(ctx, w.Nodes())
+	}
+	if w, ok := msg.(hfplan.InheritMsg); ok {
+		l.openDesks(ctx, w.Nodes())
+	}
+	cmds := l.scheduler.Update(msg, time.Now())
+	if err := l.scheduler.Check(); err != nil {
+		l.observer.Broken(err)
+	}
+	for _, cmd := range cmds {
+		l.do(cmd)
+	}
+}
+
+func (l *Leader) do(cmd hfplan.Cmd) {
+	switch c := cmd.(type) {
+	case hfplan.StartCmd:
+		l.desk(c.Worker()).put(order{start: &c})
+	case hfplan.StopCmd:
+		l.desk(c.Worker()).put(order{stop: &c})
+	case hfplan.AckCmd:
+		l.desk(c.Worker()).acknowledge(c)
+	case hfplan.StoreCmd:
+		l.storeIn <- c // the scheduler has one under way at most
+	case hfplan.NoteCmd:
+		l.observer.Noted(c)
+		if c.Note() == hfplan.NoteGone {
+			l.closeDesk(c.Worker())
+		}
+	}
+}
+
+// store writes records until ctx ends. While the effect of a write is not known it is
+// repeated, since what waits for it must neither happen nor be given up.
+func (l *Leader) store(ctx context.Context) {
+	for {
+		var c hfplan.StoreCmd
+		select {
+		case <-ctx.Done():
+			return
+		case c = <-l.storeIn:
+		}
+		for ctx.Err() == nil {
+			err := l.records.Save(ctx, l.tenure.Epoch(), c.Records(), c.Roster())
+			if err == nil {
+				l.Send(hfplan.Stored(c))
+				break
+			}
+			if errors.Is(err, hfstore.ErrConflict) {
+				l.fail(ErrFenced)
+				return
+			}
+			t := time.NewTimer(storePause)
+			select {
+			case <-ctx.Done():
+			case <-t.C:
+			}
+			t.Stop()
+		}
+	}
+}
+
+// certain tells whether the leadership holds at this moment.
+func (l *Leader) certain() bool { return l.tenure.Valid(hflease.Now()) }
--- /dev/null
+++ b/hfplan/intake.go
@@ -0,0 +1,127 @@
+package hfplan
+
+import (
+	"time"
+
+	"github.com/heatherfront/heatherfront/hfroom"
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+// addJob takes a stored job in. A job that is known already stays as it is: its
+// progress here is never older than the stored one.
+func (s *Scheduler) addJob(m JobMsg, now time.Time) {
+	if j := s.jobs[m.job.GetId()]; j != nil {
+		if m.cancelled {
+			s.cancel(j, now)
+		}
+		return
+	}
+	p := m.progress
+	j := &job{
+		spec: m.job, queue: s.queues[m.job.GetQueue()], state: hfwork.StateQueued, cancelled: m.cancelled, known: now,
+		begun: p.GetBegun(), stored: p.GetBegun(), inherited: p.GetBegun(),
+	}
+	if p.GetState() != "" {
+		j.state = p.GetState()
+	}
+	s.jobs[j.id()] = j
+	times := max(1, m.job.GetTimes())
+	for k := range times {
+		due := time.Time{}
+		if m.job.GetTimes() > 0 {
+			due = time.UnixMilli(m.job.GetFirst() + int64(k)*m.job.GetInterval())
+		}
+		for n, spec := range m.job.GetSteps() {
+			j.groups = append(j.groups, newGroup(j, k, uint32(n), spec, due))
+		}
+	}
+	j.restore(p)
+	for _, g := range j.groups {
+		if g.open > 0 {
+			j.open++
+		}
+	}
+	if j.final() {
+		return
+	}
+	for _, g := range j.groups {
+		if g.open > 0 {
+			s.groups = append(s.groups, g)
+		}
+	}
+	s.stale = true
+}
+
+func newGroup(j *job, occurrence, step uint32, spec *hfwork.Step, due time.Time) *group {
+	cpu := spec.GetCpu()
+	if spec.GetFiller() {
+		cpu = 0
+	}
+	g := &group{
+		job: j, occurrence: occurrence, step: step, spec: spec, due: due,
+		size:  hfroom.NewSize(cpu, spec.GetMemory(), spec.GetAccelerators()),
+		tasks: make([]task, spec.GetCount()), open: int(spec.GetCount()), avoid: map[string]bool{},
+	}
+	for i := range g.tasks {
+		g.tasks[i].group, g.tasks[i].index = g, uint32(i)
+	}
+	return g
+}
+
+// group returns a step of an occurrence, or nil.
+func (j *job) group(occurrence, step uint32) *group {
+	i := int(occurrence)*len(j.spec.GetSteps()) + int(step)
+	if int(step) >= len(j.spec.GetSteps()) || i >= len(j.groups) {
+		return nil
+	}
+	return j.groups[i]
+}
+
+// task returns a task, or nil when the job is not known.
+func (s *Scheduler) task(id hfwork.TaskID) *task {
+	j := s.jobs[id.Job()]
+	if j == nil {
+		return nil
+	}
+	g := j.group(id.Occurrence(), id.Step())
+	if g == nil || int(id.Index()) >= len(g.tasks) {
+		return nil
+	}
+	return &g.tasks[id.Index()]
+}
+
+// cancel stops all runs of a job.
+func (s *Scheduler) cancel(j *job, now time.Time) {
+	if j.final() {
+		return
+	}
+	j.cancelled = true
+	s.do(NoteCmd{note: NoteState, job: j.id(), reason: hfwork.StateCancelled})
+	s.stopAll(j, now)
+}
+
+// stopAll ends every run of a job.
+func (s *Scheduler) stopAll(j *job, now time.Time) {
+	for _, g := range j.groups {
+		for i := range g.tasks {
+			if r := g.tasks[i].run; r != nil {
+				s.stop(r, now)
+			}
+		}
+	}
+	s.stale = true
+}
+
+// ready tells whether the tasks of a group may start: its job is open, it is due, and
+// all steps before it are done.
+func (g *group) ready(now time.Time) bool {
+	if g.job.final() || now.Before(g.due) || now.Before(g.retryAt) {
+		return false
+	}
+	for _, a := range g.spec.GetAfter() {
+		if b := g.job.group(g.occurrence, a); b != nil && b.open > 0 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/hfplan/job.go
@@ -0,0 +1,125 @@
+package hfplan
+
+import (
+	"time"
+
+	"github.com/heatherfront/heatherfront/hfroom"
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+// job is one accepted job.
+type job struct {
+	spec      *hfwork.Job
+	queue     *hfwork.Queue // as last configured, also after its removal
+	state     string
+	reason    string
+	ended     int64 // Unix milliseconds of the final state
+	cancelled bool
+	begun     bool // a task may have been started
+	stored    bool // begun is stored, so starts may be sent
+	inherited bool // begun under an earlier scheduler
+	groups    []*group
+	open      int       // groups that are not done
+	known     time.Time // when this scheduler learned of it
+}
+
+func (j *job) id() string { return j.spec.GetId() }
+
+func (j *job) final() bool { return j.cancelled || hfwork.Final(j.state) }
+
+// group is one step of one occurrence.
+type group struct {
+	job        *job
+	occurrence uint32
+	step       uint32
+	spec       *hfwork.Step
+	size       hfroom.Size // what one task takes of a worker
+	tasks      []task
+	open       int       // tasks that have not ended well
+	active     int       // tasks that have a run
+	promised   int       // runs that were not sent yet
+	due        time.Time // not started before
+	failed     int64     // number of the last failed run that was counted, of a gang
+	avoid      map[string]bool
+	retryAt    time.Time // not placed before, after a refusal
+}
+
+func (g *group) gang() bool { return g.spec.GetGang() && len(g.tasks) > 1 }
+
+// waiting returns the number of tasks that need a place.
+func (g *group) waiting() int { return g.open - g.active }
+
+// cores returns the weight of one task in cores.
+func (g *group) cores() float64 { return max(g.size.Cores(), 0.1) }
+
+// estimate returns the declared run time of one task.
+func (g *group) estimate() time.Duration {
+	return time.Duration(max(g.spec.GetEstimate(), 1)) * time.Millisecond
+}
+
+// lead returns the task that keeps the failures and the checkpoint: the first one for
+// a gang.
+func (g *group) lead(t *task) *task {
+	if g.gang() {
+		return &g.tasks[0]
+	}
+	return t
+}
+
+// task is one task of a group.
+type task struct {
+	group    *group
+	index    uint32
+	done     bool
+	run      *run  // nil while it waits
+	last     int64 // highest number of its runs
+	failures uint32
+	saved    string // newest checkpoint; of the first task for a gang
+}
+
+func (t *task) id() hfwork.TaskID {
+	return hfwork.NewTaskID(t.group.job.id(), t.group.occurrence, t.group.step, t.index)
+}
+
+// phase is what is known of a run.
+type phase int
+
+const (
+	promised phase = iota // it has a worker; nothing was sent
+	asked                 // a start was sent
+	running               // the worker confirmed it
+	stopping              // it is to end; a stop was sent
+)
+
+// run is one placement of a task.
+type run struct {
+	task      *task
+	worker    *worker
+	number    int64
+	phase     phase
+	order     time.Time // last order that was sent
+	confirmed time.Time // a report asked for later shows the run if it is still there
+	started   time.Time // when it began, as far as known
+	savedAt   time.Time // when its newest checkpoint was first seen
+	returned  bool      // its promise of room was given back before its end
+}
+
+// worker is what is known of one worker.
+type worker struct {
+	node    *hfwork.Worker
+	room    *hfroom.Worker
+	born    int64 // life of the last report
+	heard   bool  // it was heard by this scheduler
+	silent  bool  // its last report did not come
+	listed  bool  // it is registered
+	noted   bool  // it stands in the stored roster
+	lapses  time.Time
+	runs    map[*run]struct{}
+	seen    int64 // last end that was taken note of
+	aside   time.Time
+	suspect map[string]bool // jobs that failed here since a task ended well
+	asides  int             // times set aside since a task ended well
+	refused time.Time       // gets no starts before, after a refusal
+}
+
+func (w *worker) id() string { return w.node.GetId() }
--- /dev/null
+++ b/hfplan/order.go
@@ -0,0 +1,134 @@
+package hfplan
+
+import (
+	"time"
+
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+// stop ends a run. Its room is free for plans at once, and for starts once its end is
+// known.
+func (s *Scheduler) stop(r *run, now time.Time) {
+	if r.phase == promised {
+		s.release(r)
+		return
+	}
+	if r.phase == stopping {
+		return
+	}
+	r.phase, r.order, r.confirmed = stopping, now, now.Add(repeatAfter)
+	if !r.returned {
+		r.returned = true
+		r.worker.room.Return(r.task.group.size)
+	}
+	s.do(StopCmd{worker: r.worker.id(), task: r.task.id(), number: r.number})
+	s.stale = true
+}
+
+// start sends the start of a promised run.
+func (s *Scheduler) start(r *run, now time.Time) {
+	t := r.task
+	r.phase, r.order, r.started, r.savedAt = asked, now, now, now
+	t.group.promised--
+	s.do(StartCmd{
+		worker: r.worker.id(), task: t.id(), number: r.number, command: t.group.job.spec.GetCommand(),
+		saved: t.group.lead(t).saved,
+	})
+}
+
+// started takes the answer to a start.
+func (s *Scheduler) started(m StartedMsg, now time.Time) {
+	t := s.task(m.task)
+	if t == nil || t.run == nil || t.run.number != m.number {
+		return
+	}
+	r := t.run
+	switch m.outcome {
+	case OutcomeDone:
+		if r.phase == asked {
+			r.phase, r.confirmed = running, now
+		}
+	case OutcomeUnknown:
+		s.stop(r, now)
+	case OutcomeRefused, OutcomeOld:
+		g := t.group
+		r.worker.refused = now.Add(refusedPause)
+		s.refresh(r.worker, now)
+		s.finish(r, hfwork.Stopped, "", "worker refused the start", now)
+		if g.gang() {
+			for i := range g.tasks {
+				if o := g.tasks[i].run; o != nil {
+					s.stop(o, now)
+				}
+			}
+		}
+	}
+}
+
+// stopped takes the answer to a stop. From a report that is asked for later it can be
+// seen whether the run is still there.
+func (s *Scheduler) stopped(m StoppedMsg, now time.Time) {
+	t := s.task(m.task)
+	if t == nil || t.run == nil || t.run.number != m.number || t.run.phase != stopping {
+		return
+	}
+	r := t.run
+	switch m.outcome {
+	case OutcomeDone:
+		r.confirmed = now
+	case OutcomeRefused:
+		s.finish(r, hfwork.Lapsed, "", "worker does not know the run", now)
+	}
+}
+
+// tick does what time alone makes due.
+func (s *Scheduler) tick(now time.Time) {
+	for _, id := range sortedKeys(s.workers) {
+		s.tickWorker(s.workers[id], now)
+	}
+	for id, j := range s.jobs {
+		if j.final() && j.ended != 0 && j.idle() && now.Sub(j.known) > forgetAfter && s.dirty[id] == nil && s.storing[id] == nil {
+			delete(s.jobs, id)
+		}
+	}
+	s.settle(now)
+	s.stale = true
+}
+
+// forgetAfter is the time after which a final job is no longer held in memory. Late
+// reports of its runs are then answered with a stop.
+const forgetAfter = 2 * time.Minute
+
+func (j *job) idle() bool {
+	for _, g := range j.groups {
+		if g.active > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Scheduler) tickWorker(w *worker, now time.Time) {
+	s.refresh(w, now)
+	if (w.silent || !w.heard) && !now.Before(w.lapses) {
+		s.dropRuns(w, "lease lapsed")
+		if !w.listed {
+			s.do(NoteCmd{note: NoteGone, worker: w.id()})
+			s.room.Remove(w.id())
+			delete(s.workers, w.id())
+			s.regroup = true
+			delete(s.acks, w)
+			delete(s.acking, w)
+			return
+		}
+	}
+	if w.silent {
+		return
+	}
+	for _, r := range inOrder(w.runs) {
+		if r.phase == stopping && now.Sub(r.order) >= repeatAfter {
+			r.order = now
+			s.do(StopCmd{worker: w.id(), task: r.task.id(), number: r.number})
+		}
+	}
+}
--- /dev/null
+++ b/hfplan/preempt.go
@@ -0,0 +1,105 @@
+package hfplan
+
+import (
+	"time"
+
+	"github.com/heatherfront/heatherfront/hfroom"
+)
+
+// victim is a set of runs that end together: a gang, or one task.
+type victim struct {
+	group *group
+	runs  []*run
+}
+
+// preempt makes room for a group by stopping runs of less urgent queues, those with
+// the least loss first, and promises it the room.
+func (s *Scheduler) preempt(g *group, now time.Time) bool {
+	n, count := s.need(g), g.waiting()
+	victims := s.victims(g.job.queue.GetPool(), g.job.queue.GetPriority(), now)
+	compact := g.gang() && g.spec.GetCompact()
+	chosen, ok := hfroom.Reclaim(s.room, n, count, compact, victims)
+	if !ok && compact {
+		chosen, ok = hfroom.Reclaim(s.room, n, count, false, victims)
+		compact = false
+	}
+	if !ok {
+		return false
+	}
+	stopped := 0
+	for _, v := range chosen {
+		for _, r := range v.Of().runs {
+			s.stop(r, now)
+			stopped++
+		}
+		s.do(NoteCmd{note: NotePreempted, job: v.Of().group.job.id(), step: v.Of().group.step, tasks: len(v.Of().runs), reason: "for job " + g.job.id()})
+	}
+	if compact {
+		if slots, ok := s.room.Compact(n, count); ok {
+			s.promise(g, slots, now)
+			return true
+		}
+		return false
+	}
+	slots, placed := s.room.Spread(n, count)
+	if g.gang() && placed < count {
+		return false
+	}
+	s.promise(g, slots, now)
+	return placed == count
+}
+
+// victims lists what may be stopped for a group of a priority.
+func (s *Scheduler) victims(pool string, priority uint32, now time.Time) []hfroom.Victim[victim] {
+	var list []hfroom.Victim[victim]
+	for _, g := range s.groups {
+		if g.active == 0 || g.spec.GetLasting() || g.job.queue == nil || g.job.queue.GetPriority() <= priority || g.job.queue.GetPool() != pool {
+			continue
+		}
+		if g.gang() {
+			if v, ok := gangVictim(g, now); ok {
+				list = append(list, v)
+			}
+			continue
+		}
+		for i := range g.tasks {
+			if r := g.tasks[i].run; r != nil && r.phase != stopping {
+				list = append(list, hfroom.NewVictim(victim{group: g, runs: []*run{r}}, g.loss(r, now), []hfroom.Part{hfroom.NewPart(r.worker.room, g.size)}))
+			}
+		}
+	}
+	return list
+}
+
+func gangVictim(g *group, now time.Time) (hfroom.Victim[victim], bool) {
+	v, loss := victim{group: g}, 0.0
+	var parts []hfroom.Part
+	for i := range g.tasks {
+		r := g.tasks[i].run
+		if r == nil {
+			continue
+		}
+		if r.phase == stopping {
+			return hfroom.Victim[victim]{}, false
+		}
+		v.runs = append(v.runs, r)
+		parts = append(parts, hfroom.NewPart(r.worker.room, g.size))
+		loss += g.loss(r, now)
+	}
+	return hfroom.NewVictim(v, loss, parts), true
+}
+
+// restartLoss is the time that a task with a checkpoint loses by a stop and a restart.
+const restartLoss = 500 * time.Millisecond
+
+// loss returns the core-seconds of work that stopping a run throws away.
+func (g *group) loss(r *run, now time.Time) float64 {
+	if r.phase == promised {
+		return 0
+	}
+	lost := restartLoss
+	if !g.spec.GetSaves() {
+		lost += now.Sub(r.started)
+	}
+	return lost.Seconds() * g.cores()
+}
--- /dev/null
+++ b/hfplan/record.go
@@ -0,0 +1,123 @@
+package hfplan
+
+import (
+	"time"
+
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+// restore takes stored progress over.
+func (j *job) restore(p *hfwork.Progress) {
+	j.reason, j.ended = p.GetReason(), p.GetEnded()
+	for _, sp := range p.GetSteps() {
+		g := j.group(sp.GetOccurrence(), sp.GetStep())
+		if g == nil {
+			continue
+		}
+		for i := range g.tasks {
+			t := &g.tasks[i]
+			if byte := i / 8; byte < len(sp.GetDone()) && sp.GetDone()[byte]&(1<<(i%8)) != 0 {
+				t.done = true
+				g.open--
+			}
+			t.failures = sp.GetFailures()[uint32(i)]
+			t.saved = sp.GetSaved()[uint32(i)]
+		}
+	}
+}
+
+// record returns the progress to store.
+func (j *job) record() *hfwork.Progress {
+	p := &hfwork.Progress{State: j.state, Begun: j.begun, Ended: j.ended, Reason: j.reason}
+	if j.state == hfwork.StateCompleted {
+		return p
+	}
+	for _, g := range j.groups {
+		sp := &hfwork.StepProgress{Occurrence: g.occurrence, Step: g.step}
+		if g.open < len(g.tasks) {
+			sp.Done = make([]byte, (len(g.tasks)+7)/8)
+		}
+		for i := range g.tasks {
+			t := &g.tasks[i]
+			if t.done {
+				sp.Done[i/8] |= 1 << (i % 8)
+			}
+			if t.failures > 0 {
+				if sp.Failures == nil {
+					sp.Failures = map[uint32]uint32{}
+				}
+				sp.Failures[uint32(i)] = t.failures
+			}
+			if t.saved != "" && !t.done {
+				if sp.Saved == nil {
+					sp.Saved = map[uint32]string{}
+				}
+				sp.Saved[uint32(i)] = t.saved
+			}
+		}
+		if sp.Done != nil || sp.Failures != nil || sp.Saved != nil {
+			p.Steps = append(p.Steps, sp)
+		}
+	}
+	return p
+}
+
+// mark notes that the progress of a job has to be stored.
+func (s *Scheduler) mark(j *job) {
+	s.dirty[j.id()] = j
+}
+
+// flush asks to store what changed, unless a StoreCmd is under way. Ends whose
+// records need no change are acknowledged at once.
+func (s *Scheduler) flush() {
+	if s.storing != nil {
+		return
+	}
+	if len(s.dirty) == 0 && !s.regroup {
+		s.acknowledge(s.acks)
+		s.acks = map[*worker]int64{}
+		return
+	}
+	s.storing, s.acking = map[string]*hfwork.Progress{}, s.acks
+	for id, j := range s.dirty {
+		s.storing[id] = j.record()
+	}
+	s.dirty, s.acks = map[string]*job{}, map[*worker]int64{}
+	s.sequence++
+	c := StoreCmd{sequence: s.sequence, records: s.storing}
+	if s.regroup {
+		s.regroup, s.roster = false, nil
+		for _, id := range sortedKeys(s.workers) {
+			s.roster = append(s.roster, s.workers[id])
+			c.roster = append(c.roster, s.workers[id].node)
+		}
+	}
+	s.do(c)
+}
+
+func (s *Scheduler) acknowledge(acks map[*worker]int64) {
+	for w, sequence := range acks {
+		s.do(AckCmd{worker: w.id(), born: w.born, sequence: sequence})
+	}
+}
+
+// stored lets follow what waited for the records: starts of begun jobs, and the
+// acknowledgement of ends.
+func (s *Scheduler) stored(sequence uint64, now time.Time) {
+	if sequence != s.sequence || s.storing == nil {
+		return
+	}
+	for id, p := range s.storing {
+		if j := s.jobs[id]; j != nil && p.GetBegun() {
+			j.stored = true
+		}
+	}
+	for _, w := range s.roster {
+		w.noted = true
+		s.refresh(w, now)
+	}
+	s.roster = nil
+	s.acknowledge(s.acking)
+	s.storing, s.acking = nil, nil
+	s.stale = true
+}
--- /dev/null
+++ b/hfplan/state.go
@@ -0,0 +1,178 @@
+package hfplan
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/heatherfront/heatherfront/hfroom"
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+var (
+	// ErrDouble reports a broken invariant: a worker holds more than its room.
+	ErrDouble = eris.New("worker holds more than its room")
+	// ErrGang reports a broken invariant: a gang was promised in part.
+	ErrGang = eris.New("gang promised in part")
+)
+
+// runsPerTerm is the room for the run numbers of one leadership. Numbers of a later
+// one are higher, although none is stored.
+const runsPerTerm = 1 << 12
+
+// Timing holds the intervals that a scheduler works with.
+type Timing struct {
+	lease func() time.Duration
+	gang  func() time.Duration
+}
+
+// NewTiming returns the longest lease of a task on a worker, and the time in which
+// all members of a gang must be present.
+func NewTiming(lease, gang time.Duration) Timing {
+	return Timing{
+		lease: func() time.Duration { return lease },
+		gang:  func() time.Duration { return gang },
+	}
+}
+
+// lapse returns the time after which nothing runs on a worker that was last sent an
+// order before: its clock may be 2% slow.
+func (t Timing) lapse() time.Duration {
+	return t.lease()*102/100 + lapseMargin
+}
+
+const (
+	lapseMargin  = 300 * time.Millisecond // transit of the last order
+	repeatAfter  = 500 * time.Millisecond // an order without an answer or effect is sent again
+	refusedPause = 400 * time.Millisecond // a worker that refused a start gets none for this time
+)
+
+// Scheduler decides for all workers. It holds no connection and no clock: Update
+// takes what happened and returns what is to be done.
+type Scheduler struct {
+	timing   Timing
+	base     int64 // run numbers of this leadership are higher
+	policy   *hfwork.Policy
+	queues   map[string]*hfwork.Queue
+	room     *hfroom.Room
+	workers  map[string]*worker
+	jobs     map[string]*job
+	groups   []*group // not done, of jobs that are not final
+	settleBy time.Time
+	settled  bool // all that earlier schedulers started is accounted for
+	sequence uint64
+	storing  map[string]*hfwork.Progress // records in the StoreCmd under way, nil when none is
+	regroup  bool                        // the workers differ from the stored roster
+	roster   []*worker                   // roster in the StoreCmd under way
+	acks     map[*worker]int64
+	acking   map[*worker]int64
+	dirty    map[string]*job
+	cmds     []Cmd
+	stale    bool // something changed that may let a task start
+	broken   error
+}
+
+// New returns a scheduler without jobs. term is the number of its leadership.
+//
+//	s := hfplan.New(1, hfplan.NewTiming(6*time.Second, 3*time.Second), time.Now())
+func New(term int64, timing Timing, now time.Time) *Scheduler {
+	return &Scheduler{
+		timing: timing, base: max(term-1, 0) * runsPerTerm, policy: &hfwork.Policy{}, queues: map[string]*hfwork.Queue{},
+		room: hfroom.New(), workers: map[string]*worker{}, jobs: map[string]*job{},
+		settleBy: now.Add(timing.lapse()), acks: map[*worker]int64{}, dirty: map[string]*job{},
+	}
+}
+
+// Update takes one message and returns what is to be done.
+func (s *Scheduler) Update(msg Msg, now time.Time) []Cmd {
+	switch m := msg.(type) {
+	case PolicyMsg:
+		s.setPolicy(m.policy)
+	case InheritMsg:
+		s.inherit(m.workers)
+	case WorkersMsg:
+		s.setWorkers(m.workers, now)
+	case JobMsg:
+		s.addJob(m, now)
+	case CancelMsg:
+		if j := s.jobs[m.id]; j != nil {
+			s.cancel(j, now)
+		}
+	case ReportMsg:
+		s.report(m, now)
+	case SilentMsg:
+		s.silence(m.worker, now)
+	case StartedMsg:
+		s.started(m, now)
+	case StoppedMsg:
+		s.stopped(m, now)
+	case StoredMsg:
+		s.stored(m.sequence, now)
+	case TickMsg:
+		s.tick(now)
+	case PassMsg:
+		s.pass(now)
+	}
+	cmds := s.cmds
+	s.cmds = nil
+	return cmds
+}
+
+func (s *Scheduler) do(c Cmd) { s.cmds = append(s.cmds, c) }
+
+func (s *Scheduler) setPolicy(p *hfwork.Policy) {
+	s.policy = p
+	for _, q := range p.GetQueues() {
+		s.queues[q.GetName()] = q
+	}
+	for _, j := range s.jobs {
+		if q := s.queues[j.spec.GetQueue()]; q != nil {
+			j.queue = q
+		}
+	}
+	s.stale = true
+}
+
+// guaranteed returns the accelerators that an account can always have.
+func (s *Scheduler) guaranteed(account string) int64 {
+	for _, a := range s.policy.GetAccounts() {
+		if a.GetName() == account {
+			return a.GetGuaranteed()
+		}
+	}
+	return 0
+}
+
+// Check returns the first broken invariant, or nil.
+func (s *Scheduler) Check() error { return s.broken }
+
+func (s *Scheduler) breaks(cause error, where string) {
+	if s.broken == nil {
+		s.broken = fmt.Errorf("%w: %s", cause, where)
+	}
+}
+
+// Depth returns the numbers of jobs that wait, that run, and of runs.
+func (s *Scheduler) Depth() (queued, active, runs int) {
+	for _, j := range s.jobs {
+		if j.final() {
+			continue
+		}
+		if j.begun {
+			active++
+		} else {
+			queued++
+		}
+	}
+	for _, w := range s.workers {
+		runs += len(w.runs)
+	}
+	return queued, active, runs
+}
+
+// dropGroups takes the groups out that need no more decisions.
+func (s *Scheduler) dropGroups() {
+	s.groups = slices.DeleteFunc(s.groups, func(g *group) bool { return g.open == 0 || g.job.final() })
+}
--- a/hfserve/lead.go
+++ b/hfserve/lead.go
@@ -158,7 +158,7 @@
 		s.broken(err)
 		return
 	}
-	tenure, lease, err := hflease.Take(ctx, s.store, leadPrefix+domain, value)
+	tenure, lease, err := hflease.Take(ctx, s.store, leadPrefix+domain, value, hflease.TTL)
 	if err != nil {
 		return // held by another, or the store is away; the next round looks again
 	}
@@ -174,7 +174,7 @@
 			s.endOnStop(ctx, cancel)
 			return nil
 		})
-		err := hflease.Hold(ctx, s.store, tenure, lease, func(ctx context.Context) error {
+		err := hflease.Hold(ctx, s.store, tenure, lease, hflease.TTL, func(ctx context.Context) error {
 			return leader.Run(ctx, func() []hfgang.Msg { return s.firstMessages(domain) })
 		})
 		event := hfevent.LeaderLost
--- a/hfstore/store.go
+++ b/hfstore/store.go
@@ -18,6 +18,8 @@
 	// ErrUnavailable reports a call that failed or got no answer. A write that
 	// failed so may have taken effect.
 	ErrUnavailable = eris.New("store unavailable")
+	// ErrRefused reports a call that the store turned away: nothing was done.
+	ErrRefused = eris.New("store refused the call")
 	// ErrBudget reports a call that was not sent because the budget was spent.
 	ErrBudget = eris.New("store call budget spent")
 	// ErrCompacted reports a watch that starts before the oldest kept event.
