Runs of ended jobs keep their room at a new leader

Cause: a new leader stopped runs of cancelled, failed or done jobs that it found, but did not count their room until they had ended, and started others beside them.

Ruled out: a late order of the cut leader (fenced by the first look), a wrong end.

Change: such a run is a stray; it holds its room, all of the worker's if its size is not known, until a report no longer shows it. A world on a simulated clock plays workers against the scheduler; TestNewLeaderCountsRunsOfEndedJobs failed first.

--- a/hforder/desk.go
+++ b/hforder/desk.go
@@ -18,8 +18,8 @@
 	lookWait     = 1500 * time.Millisecond
 	lookShort    = 0 * time.Millisecond
 	silentPause  = 250 * time.Millisecond // between looks at a silent worker
-	ackLongest   = 2 * time.Second // wait for the record of an end before the next look
-	clockMargin  = 50              // milliseconds by which a lease is cut, for rounding
+	ackLongest   = 2 * time.Second        // wait for the record of an end before the next look
+	clockMargin  = 50                     // milliseconds by which a lease is cut, for rounding
 )
 
 // order is a start or a stop that waits to be sent.
--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -115,6 +115,7 @@
 	noted   bool  // it stands in the stored roster
 	lapses  time.Time
 	runs    map[*run]struct{}
+	strays  map[stray]hfroom.Size
 	seen    int64 // last end that was taken note of
 	aside   time.Time
 	suspect map[string]bool // jobs that failed here since a task ended well
--- /dev/null
+++ b/hfplan/plan_test.go
@@ -0,0 +1,167 @@
+package hfplan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+func TestJobRunsToItsEnd(t *testing.T) {
+	w := newWorld(t, 2, 4)
+	w.play(time.Second)
+	w.submit("a", "urgent", gang(4, 8, 2*time.Second))
+	w.submit("b", "spare", single(20, time.Second))
+	w.play(100 * time.Millisecond)
+	require.Equal(t, 4, w.running("a"), "a gang starts at once and whole")
+	w.play(4 * time.Second)
+	require.Equal(t, hfwork.StateCompleted, w.state("a"))
+	require.Equal(t, hfwork.StateCompleted, w.state("b"))
+}
+
+func TestStepsWaitForEarlierOnes(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.play(time.Second)
+	first, second := single(4, time.Second), gang(4, 8, time.Second)
+	second.After = []uint32{0}
+	w.jobs["a"] = &hfwork.Job{Id: "a", Queue: "usual", Steps: []*hfwork.Step{first, second}}
+	w.send(Job(w.jobs["a"], nil, false))
+	w.play(900 * time.Millisecond)
+	require.Equal(t, 4, w.running("a"))
+	w.play(2 * time.Second)
+	require.Equal(t, hfwork.StateCompleted, w.state("a"))
+}
+
+func TestUrgentGangTakesARackFromAFullFleet(t *testing.T) {
+	w := newWorld(t, 3, 8)
+	w.play(time.Second)
+	for i := range 6 {
+		w.submit(fmt.Sprint("bulk", i), "spare", single(32, 20*time.Second))
+	}
+	w.play(time.Second)
+	w.submit("now", "urgent", gang(8, 8, 2*time.Second))
+	w.play(500 * time.Millisecond)
+	require.Equal(t, 8, w.running("now"))
+	racks := map[string]bool{}
+	for _, f := range w.fleet {
+		for _, r := range f.runs {
+			if r.task.Job() == "now" {
+				racks[f.node.GetRack()] = true
+			}
+		}
+	}
+	require.Len(t, racks, 1)
+	require.Zero(t, w.alone)
+}
+
+func TestCancelledJobLeavesItsRoom(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.play(time.Second)
+	w.submit("a", "usual", single(16, 30*time.Second))
+	w.play(time.Second)
+	require.Equal(t, 16, w.running("a"))
+	w.cancel("a")
+	w.submit("b", "usual", single(16, time.Second))
+	w.play(500 * time.Millisecond)
+	require.Zero(t, w.running("a"))
+	require.Equal(t, 16, w.running("b"))
+}
+
+// A leader dies while runs of a job that was cancelled or has ended are still there. The
+// next one must not start anything in their room. Found on scale-2 of abialog: a ninth
+// accelerator was taken on a worker of eight.
+func TestNewLeaderCountsRunsOfEndedJobs(t *testing.T) {
+	for name, end := range map[string]func(w *world){
+		"cancelled": func(w *world) { w.cancels["a"] = true },
+		"failed":    func(w *world) { w.records["a"].State = hfwork.StateFailed },
+		"done": func(w *world) {
+			w.records["a"].Steps = []*hfwork.StepProgress{{Done: []byte{255, 255}}}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1, 2)
+			w.play(time.Second)
+			w.submit("a", "usual", single(16, 30*time.Second))
+			w.play(time.Second)
+			end(w)
+			w.submit("b", "usual", single(16, time.Second))
+			w.elect()
+			w.play(3 * time.Second)
+			require.Zero(t, w.running("a"))
+			require.Equal(t, hfwork.StateCompleted, w.state("b"))
+		})
+	}
+}
+
+func TestNewLeaderAdoptsWhatRuns(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.play(time.Second)
+	w.submit("a", "usual", gang(4, 8, 5*time.Second))
+	w.play(2 * time.Second)
+	w.elect()
+	w.play(3500 * time.Millisecond)
+	require.Equal(t, hfwork.StateCompleted, w.state("a"))
+	require.Zero(t, w.lost)
+}
+
+func TestCutWorkerKeepsItsTasksUntilTheLeaseLapses(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.play(time.Second)
+	w.submit("a", "usual", single(8, 20*time.Second))
+	w.play(time.Second)
+	cut := w.fleet["w0-0"]
+	cut.cut = true
+	lapse := 6 * time.Second
+	runs := len(cut.runs)
+	require.Positive(t, runs)
+	w.at(lapse, func() {
+		for _, r := range cut.runs {
+			w.finish(cut, r, hfwork.Lapsed)
+		}
+	})
+	w.play(5 * time.Second)
+	require.Equal(t, 8, w.running("a"), "nothing starts elsewhere while the lease may hold")
+	w.play(4 * time.Second)
+	require.Equal(t, 8, w.running("a"), "all run elsewhere after it")
+}
+
+func TestRebornWorkerLosesItsTasks(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.play(time.Second)
+	w.submit("a", "usual", single(8, 5*time.Second))
+	w.play(time.Second)
+	f := w.fleet["w0-0"]
+	f.born, f.runs, f.ended, f.next, f.highest = 2, map[string]*fakeRun{}, nil, 0, map[string]int64{}
+	w.play(10 * time.Second)
+	require.Equal(t, hfwork.StateCompleted, w.state("a"))
+}
+
+func TestWorkerThatFailsEverythingIsSetAside(t *testing.T) {
+	w := newWorld(t, 2, 4)
+	w.fleet["w0-0"].bad = true
+	w.play(time.Second)
+	for i := range 12 {
+		w.submit(fmt.Sprint("a", i), "usual", single(3, time.Second))
+		w.play(200 * time.Millisecond)
+	}
+	w.play(10 * time.Second)
+	for i := range 12 {
+		require.Equal(t, hfwork.StateCompleted, w.state(fmt.Sprint("a", i)))
+	}
+	require.Contains(t, w.seen, NoteAside)
+}
+
+func TestHopelessJobFailsAfterItsAttempts(t *testing.T) {
+	w := newWorld(t, 2, 4)
+	w.fails["bad"] = true
+	w.play(time.Second)
+	w.submit("bad", "usual", gang(4, 8, time.Second))
+	w.submit("good", "usual", single(8, time.Second))
+	w.play(5 * time.Second)
+	require.Equal(t, hfwork.StateFailed, w.state("bad"))
+	require.Equal(t, hfwork.StateCompleted, w.state("good"))
+	require.Equal(t, uint32(3), w.records["bad"].GetSteps()[0].GetFailures()[0])
+}
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -22,7 +22,7 @@
 	size := hfroom.NewSize(n.GetCpu(), n.GetMemory(), n.GetAccelerators())
 	w := &worker{
 		node: n, room: s.room.Add(n.GetId(), n.GetPool(), n.GetRack(), n.GetLabels(), size),
-		runs: map[*run]struct{}{}, suspect: map[string]bool{},
+		runs: map[*run]struct{}{}, strays: map[stray]hfroom.Size{}, suspect: map[string]bool{},
 	}
 	s.workers[n.GetId()] = w
 	s.regroup = true
@@ -96,6 +96,7 @@
 		s.acks[w] = w.seen
 		s.end(w, e, now)
 	}
+	s.dropStrays(w, m.report.Running())
 	present := map[*run]bool{}
 	for _, row := range m.report.Running() {
 		if r := s.observe(w, row, now); r != nil {
@@ -136,7 +137,7 @@
 		if t != nil && t.run != nil && t.run.worker == w && t.run.number == row.Number() {
 			return t.run
 		}
-		s.do(StopCmd{worker: w.id(), task: row.Task(), number: row.Number()})
+		s.expel(w, row)
 		return nil
 	}
 	if t.run == nil {
@@ -144,7 +145,7 @@
 	}
 	r := t.run
 	if r.worker != w || r.number != row.Number() {
-		s.do(StopCmd{worker: w.id(), task: row.Task(), number: row.Number()})
+		s.expel(w, row)
 		return nil
 	}
 	if r.phase == asked {
@@ -311,6 +312,9 @@
 	for _, r := range inOrder(w.runs) {
 		s.finish(r, hfwork.Lapsed, "", reason, time.Time{})
 	}
+	for key, size := range w.strays {
+		w.dropStray(key, size)
+	}
 }
 
 // reborn ends the runs of a worker's earlier life. Starts that may have reached the new
@@ -323,6 +327,9 @@
 		}
 		s.finish(r, hfwork.Lapsed, "", "worker lives anew", now)
 	}
+	for key, size := range w.strays {
+		w.dropStray(key, size)
+	}
 }
 
 // settle notes that every worker that may run a task of an earlier scheduler was
--- /dev/null
+++ b/hfplan/world_test.go
@@ -0,0 +1,405 @@
+package hfplan
+
+import (
+	"container/heap"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/heatherfront/heatherfront/hfroom"
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+const (
+	transit   = 2 * time.Millisecond   // of one message
+	storeTime = 8 * time.Millisecond   // of one StoreCmd
+	stopTime  = 120 * time.Millisecond // between a stop and the end that it brings
+	gangTime  = 3 * time.Second        // for which a member waits for its gang
+	lookEvery = 1500 * time.Millisecond
+	tickEvery = 200 * time.Millisecond
+)
+
+// world plays workers on a simulated clock against one scheduler at a time.
+type world struct {
+	t       *testing.T
+	now     time.Time
+	events  eventHeap
+	order   int
+	s       *Scheduler
+	life    int // number of the scheduler; messages to an earlier one are dropped
+	fence   int
+	fleet   map[string]*fake
+	records map[string]*hfwork.Progress
+	jobs    map[string]*hfwork.Job
+	cancels map[string]bool
+	roster  []*hfwork.Worker
+	policy  *hfwork.Policy
+	lasts   map[string]time.Duration // run time by job, the estimate if there is none
+	fails   map[string]bool          // jobs whose tasks fail after a tenth of their time
+	seen    []Note
+	alone   int
+	lost    time.Duration // accelerator time of runs that ended early without a checkpoint
+}
+
+type event struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(a, b int) bool {
+	if h[a].at.Equal(h[b].at) {
+		return h[a].order < h[b].order
+	}
+	return h[a].at.Before(h[b].at)
+}
+func (h eventHeap) Swap(a, b int) { h[a], h[b] = h[b], h[a] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// fake is a worker of the world.
+type fake struct {
+	node    *hfwork.Worker
+	born    int64
+	fence   int
+	runs    map[string]*fakeRun
+	ended   []hfwork.End
+	next    int64
+	highest map[string]int64
+	cut     bool // no message arrives either way
+	bad     bool // every run fails soon
+	slow    int  // runs take so many times as long
+}
+
+type fakeRun struct {
+	task    hfwork.TaskID
+	number  int64
+	size    hfroom.Size
+	started time.Time
+	begun   bool // its gang is whole
+	stopped bool
+	work    time.Duration // left when it began
+	saves   bool
+	gang    int
+}
+
+func newWorld(t *testing.T, racks, perRack int) *world {
+	t.Helper()
+	w := &world{
+		t: t, now: time.Unix(1_000_000, 0), fleet: map[string]*fake{}, records: map[string]*hfwork.Progress{},
+		jobs: map[string]*hfwork.Job{}, cancels: map[string]bool{}, lasts: map[string]time.Duration{}, fails: map[string]bool{},
+	}
+	w.policy = &hfwork.Policy{Version: 1, Pools: []*hfwork.Pool{{Name: "pool"}}, Accounts: []*hfwork.Account{{Name: "plants", Guaranteed: int64(racks * perRack * 4)}}}
+	for p, name := range []string{"urgent", "usual", "spare"} {
+		w.policy.Queues = append(w.policy.Queues, &hfwork.Queue{Name: name, Pool: "pool", Priority: uint32(p), Attempts: 3, Stretch: 3, Objective: 1000})
+	}
+	for r := range racks {
+		for i := range perRack {
+			id := fmt.Sprintf("w%d-%d", r, i)
+			w.fleet[id] = &fake{
+				node: &hfwork.Worker{Id: id, Pool: "pool", Rack: fmt.Sprintf("r%d", r), Cpu: 128_000, Memory: 262_144, Accelerators: 8},
+				born: 1, runs: map[string]*fakeRun{}, highest: map[string]int64{}, slow: 1,
+			}
+		}
+	}
+	w.elect()
+	return w
+}
+
+func (w *world) at(d time.Duration, do func()) {
+	w.order++
+	heap.Push(&w.events, event{at: w.now.Add(d), order: w.order, do: do})
+}
+
+// play lets time pass.
+func (w *world) play(d time.Duration) {
+	end := w.now.Add(d)
+	for w.events.Len() > 0 && !w.events[0].at.After(end) {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = end
+}
+
+// elect starts a new scheduler from what is stored, as after the death of the last.
+func (w *world) elect() {
+	w.life++
+	w.fence++
+	life := w.life
+	w.s = New(int64(w.life), NewTiming(6*time.Second, gangTime), w.now)
+	w.send(Policy(w.policy))
+	w.send(Inherit(w.roster))
+	w.send(Workers(w.listed()))
+	for _, id := range sortedKeys(w.jobs) {
+		if p := w.records[id]; !hfwork.Final(p.GetState()) {
+			w.send(Job(w.jobs[id], p, w.cancels[id]))
+		}
+	}
+	for _, id := range sortedKeys(w.fleet) {
+		w.look(life, w.fleet[id])
+	}
+	var tick func()
+	tick = func() {
+		if w.life == life {
+			w.send(TickMsg{})
+			w.at(tickEvery, tick)
+		}
+	}
+	tick()
+}
+
+func (w *world) listed() map[string]*hfwork.Worker {
+	list := map[string]*hfwork.Worker{}
+	for id, f := range w.fleet {
+		list[id] = f.node
+	}
+	return list
+}
+
+// send hands a message over and carries the commands out.
+func (w *world) send(msg Msg) {
+	life := w.life
+	for _, m := range []Msg{msg, PassMsg{}} {
+		for _, c := range w.s.Update(m, w.now) {
+			w.do(life, c)
+		}
+		require.NoError(w.t, w.s.Check())
+	}
+}
+
+func (w *world) do(life int, cmd Cmd) {
+	fence := w.fence
+	reply := func(m Msg) {
+		w.at(transit, func() {
+			if w.life == life {
+				w.send(m)
+			}
+		})
+	}
+	switch c := cmd.(type) {
+	case StartCmd:
+		w.at(transit, func() {
+			if f := w.fleet[c.Worker()]; f != nil && !f.cut && fence >= f.fence {
+				reply(Started(c, w.start(f, c)))
+				return
+			}
+			reply(Started(c, OutcomeUnknown))
+		})
+	case StopCmd:
+		w.at(transit, func() {
+			if f := w.fleet[c.Worker()]; f != nil && !f.cut && fence >= f.fence {
+				w.stop(f, c.Task(), c.Number())
+				reply(Stopped(c, OutcomeDone))
+				return
+			}
+			reply(Stopped(c, OutcomeUnknown))
+		})
+	case StoreCmd:
+		w.at(storeTime, func() {
+			if w.life != life {
+				return
+			}
+			for id, p := range c.Records() {
+				w.records[id] = p
+			}
+			if c.Roster() != nil {
+				w.roster = c.Roster()
+			}
+			w.send(Stored(c))
+		})
+	case AckCmd:
+		w.at(transit, func() {
+			if f := w.fleet[c.Worker()]; f != nil && !f.cut {
+				f.ended = slices.DeleteFunc(f.ended, func(e hfwork.End) bool { return e.Sequence() <= c.Sequence() })
+			}
+		})
+	case NoteCmd:
+		w.seen = append(w.seen, c.Note())
+	}
+}
+
+// start begins a run. A worker never holds more than its room, and a task never runs
+// twice.
+func (w *world) start(f *fake, c StartCmd) Outcome {
+	name := fmt.Sprint(c.Task())
+	if c.Number() <= f.highest[name] {
+		return OutcomeOld
+	}
+	step := w.jobs[c.Task().Job()].GetSteps()[c.Task().Step()]
+	size := hfroom.NewSize(step.GetCpu(), step.GetMemory(), step.GetAccelerators())
+	free := hfroom.NewSize(f.node.GetCpu(), f.node.GetMemory(), f.node.GetAccelerators())
+	for _, r := range f.runs {
+		free = free.Plus(r.size, -1)
+	}
+	require.Positive(w.t, free.Holds(size), "%s holds more than its room for %s", f.node.GetId(), name)
+	for id, o := range w.fleet {
+		require.NotContains(w.t, o.runs, name, "%s runs on %s already", name, id)
+	}
+	work := w.lasts[c.Task().Job()]
+	if work == 0 {
+		work = time.Duration(step.GetEstimate()) * time.Millisecond
+	}
+	r := &fakeRun{task: c.Task(), number: c.Number(), size: size, started: w.now, work: work * time.Duration(f.slow), saves: step.GetSaves()}
+	if step.GetGang() {
+		r.gang = int(step.GetCount())
+	}
+	f.runs[name] = r
+	if r.gang > 1 {
+		w.at(gangTime, func() {
+			if f.runs[name] == r && !r.begun {
+				w.alone++
+				w.finish(f, r, hfwork.Alone)
+			}
+		})
+		w.joinGang(r)
+		return OutcomeDone
+	}
+	w.begin(f, r)
+	return OutcomeDone
+}
+
+// gangOf returns the runs of a gang with their workers.
+func (w *world) gangOf(r *fakeRun) map[*fakeRun]*fake {
+	list := map[*fakeRun]*fake{}
+	for _, f := range w.fleet {
+		for _, o := range f.runs {
+			if o.task.Job() == r.task.Job() && o.task.Step() == r.task.Step() && o.number == r.number {
+				list[o] = f
+			}
+		}
+	}
+	return list
+}
+
+func (w *world) joinGang(r *fakeRun) {
+	members := w.gangOf(r)
+	if len(members) < r.gang {
+		return
+	}
+	for o, f := range members {
+		w.begin(f, o)
+	}
+}
+
+func (w *world) begin(f *fake, r *fakeRun) {
+	r.begun = true
+	if f.bad || w.fails[r.task.Job()] {
+		w.at(r.work/10, func() { w.finish(f, r, hfwork.Failed) })
+		return
+	}
+	w.at(r.work, func() { w.finish(f, r, hfwork.Done) })
+}
+
+func (w *world) stop(f *fake, task hfwork.TaskID, number int64) {
+	name := fmt.Sprint(task)
+	f.highest[name] = max(f.highest[name], number)
+	if r := f.runs[name]; r != nil && r.number <= number && !r.stopped {
+		r.stopped = true
+		w.at(stopTime, func() { w.finish(f, r, hfwork.Stopped) })
+	}
+}
+
+// finish ends a run and lists its end.
+func (w *world) finish(f *fake, r *fakeRun, how hfwork.How) {
+	name := fmt.Sprint(r.task)
+	if f.runs[name] != r {
+		return
+	}
+	delete(f.runs, name)
+	f.highest[name] = max(f.highest[name], r.number)
+	saved := ""
+	if r.saves && how != hfwork.Done {
+		saved = fmt.Sprint("at ", w.now.UnixMilli())
+	}
+	if how != hfwork.Done && !r.saves {
+		w.lost += w.now.Sub(r.started) * time.Duration(r.size.Accelerators())
+	}
+	f.next++
+	f.ended = append(f.ended, hfwork.NewEnd(f.next, r.task, r.number, how, saved))
+	if r.gang > 1 && how == hfwork.Failed {
+		for o, g := range w.gangOf(r) {
+			w.finish(g, o, hfwork.Broken)
+		}
+	}
+	life := w.life
+	w.at(transit, func() {
+		if w.life == life {
+			w.report(f, w.now.Add(-transit))
+		}
+	})
+}
+
+func (w *world) report(f *fake, sent time.Time) {
+	if f.cut {
+		w.send(Silent(f.node.GetId()))
+		return
+	}
+	f.fence = max(f.fence, w.fence)
+	var running []hfwork.Run
+	for _, name := range sortedKeys(f.runs) {
+		r := f.runs[name]
+		running = append(running, hfwork.NewRun(r.task, r.number, "", 100, 0))
+	}
+	w.send(Report(f.node.GetId(), sent, hfwork.NewReport(0, f.born, running, slices.Clone(f.ended))))
+}
+
+// look reports a worker now and then.
+func (w *world) look(life int, f *fake) {
+	w.at(transit, func() {
+		if w.life != life || w.fleet[f.node.GetId()] != f {
+			return
+		}
+		w.report(f, w.now.Add(-transit))
+		w.at(lookEvery, func() { w.look(life, f) })
+	})
+}
+
+// submit hands a job of one step in.
+func (w *world) submit(id, queue string, s *hfwork.Step) {
+	w.jobs[id] = &hfwork.Job{Id: id, Queue: queue, Account: "plants", Steps: []*hfwork.Step{s}}
+	w.send(Job(w.jobs[id], nil, false))
+}
+
+func (w *world) cancel(id string) {
+	w.cancels[id] = true
+	w.send(Cancel(id))
+}
+
+func (w *world) state(id string) string { return w.records[id].GetState() }
+
+// running returns the number of runs of a job.
+func (w *world) running(id string) int {
+	n := 0
+	for _, f := range w.fleet {
+		for _, r := range f.runs {
+			if r.task.Job() == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// gang returns a step of tasks that only run together in one rack.
+func gang(count uint32, accelerators int64, estimate time.Duration) *hfwork.Step {
+	return &hfwork.Step{
+		Count: count, Cpu: 15_000, Memory: 22_000, Accelerators: accelerators, Estimate: estimate.Milliseconds(), Gang: true, Compact: true,
+	}
+}
+
+// single returns a step of tasks with one accelerator each.
+func single(count uint32, estimate time.Duration) *hfwork.Step {
+	return &hfwork.Step{Count: count, Cpu: 11_000, Memory: 29_000, Accelerators: 1, Estimate: estimate.Milliseconds()}
+}
