The load of the scheduling instance is told once a second

Change: event 819 and gauges for tasks waiting and running by priority, promises, stops under way, free room.

--- a/hfentry/observe.go
+++ b/hfentry/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
@@ -52,5 +53,19 @@
 		zap.Uint32("task", task.Index()), zap.Int64("run", number), zap.String("worker", worker), zap.Error(err))
 }
 
+// Loaded implements hforder.Observer.
+func (n *Node) Loaded(l hfplan.Load) {
+	metrics.GetOrRegisterGauge("plan.free.accelerators", n.registry).Update(l.Free().Accelerators())
+	metrics.GetOrRegisterGauge("plan.accelerators", n.registry).Update(l.Capacity().Accelerators())
+	waiting, running := l.Waiting(), l.Running()
+	for class := range waiting {
+		metrics.GetOrRegisterGauge(fmt.Sprintf("plan.waiting.%d", class), n.registry).Update(int64(waiting[class]))
+		metrics.GetOrRegisterGauge(fmt.Sprintf("plan.running.%d", class), n.registry).Update(int64(running[class]))
+	}
+	n.log.Event(hfevent.PlanLoad, zap.Ints("waiting", waiting[:]), zap.Ints("running", running[:]), zap.Int("promised", l.Promised()),
+		zap.Int("stopping", l.Stopping()), zap.Int64("free", l.Free().Accelerators()), zap.Int64("accelerators", l.Capacity().Accelerators()),
+		zap.Int64("cpu", l.Free().CPU()/1000), zap.Int64("memory", l.Free().Memory()))
+}
+
 // Broken implements hforder.Observer.
 func (n *Node) Broken(err error) { n.log.Event(hfevent.InvariantLost, zap.Error(err)) }
--- a/hfevent/catalogue.go
+++ b/hfevent/catalogue.go
@@ -64,6 +64,7 @@
 	SettingsRead  = Event{816, "settings-read", zapcore.InfoLevel, "The settings file was read again."}
 	SettingsBad   = Event{817, "settings-bad", zapcore.ErrorLevel, "The settings file cannot be used; the settings in force stay."}
 	LinesDropped  = Event{818, "lines-dropped", zapcore.WarnLevel, "The reader of the log was too slow; lines were left out."}
+	PlanLoad      = Event{819, "plan-load", zapcore.InfoLevel, "What waits, what runs and what is free at the scheduling instance, once a second."}
 )
 
 // Catalogue lists every event.
@@ -79,6 +80,6 @@
 		WorkerLost, GangPartial,
 		JobAccepted, JobRefused, JobCancelled, JobUnknown, JobState, TasksPlaced, TasksPreempt, TaskRetried,
 		OrderFailed, PlanSettled, WorkerSilent, WorkerHeard, WorkerDropped, EntryRejected, PolicyApplied, MirrorReset,
-		SettingsRead, SettingsBad, LinesDropped,
+		SettingsRead, SettingsBad, LinesDropped, PlanLoad,
 	}
 }
--- a/hforder/leader.go
+++ b/hforder/leader.go
@@ -18,6 +18,7 @@
 const (
 	tickInterval = 200 * time.Millisecond
 	inboxSize    = 4096 // messages that may wait before their senders do
+	loadEvery    = time.Second // how often the load is told
 	storePause   = 60 * time.Millisecond
 )
 
@@ -37,6 +38,8 @@
 	Noted(c hfplan.NoteCmd)
 	// Ordered tells how an order to a worker ended.
 	Ordered(verb string, task hfwork.TaskID, number int64, worker string, err error)
+	// Loaded tells how much there is to do and to use, about once a second.
+	Loaded(load hfplan.Load)
 	// Broken tells of a broken invariant.
 	Broken(err error)
 }
@@ -115,6 +118,7 @@
 func (l *Leader) decide(ctx context.Context, first []hfplan.Msg) {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
+	told := time.Now()
 	for _, msg := range first {
 		l.step(ctx, msg)
 	}
@@ -127,6 +131,10 @@
 			l.step(ctx, msg)
 		case <-tick.C:
 			l.step(ctx, hfplan.TickMsg{})
+			if now := time.Now(); now.Sub(told) >= loadEvery {
+				told = now
+				l.observer.Loaded(l.scheduler.Load(now))
+			}
 		}
 		for more := true; more; {
 			select {
--- a/hfplan/state.go
+++ b/hfplan/state.go
@@ -154,22 +154,60 @@
 	}
 }
 
-// Depth returns the numbers of jobs that wait, that run, and of runs.
-func (s *Scheduler) Depth() (queued, active, runs int) {
-	for _, j := range s.jobs {
-		if j.final() {
+// Load is how much there is to do and to use.
+type Load struct {
+	waiting  [3]int // tasks without a worker, by priority, the last for all from 2 on
+	running  [3]int // runs, by priority
+	promised int    // runs that wait for room on their worker
+	stopping int    // runs that are to end
+	free     hfroom.Size
+	capacity hfroom.Size
+}
+
+// Waiting returns the tasks without a worker of priorities 0, 1 and from 2 on.
+func (l Load) Waiting() [3]int { return l.waiting }
+
+// Running returns the runs of priorities 0, 1 and from 2 on.
+func (l Load) Running() [3]int { return l.running }
+
+// Promised returns the runs that wait for room on their worker.
+func (l Load) Promised() int { return l.promised }
+
+// Stopping returns the runs that are to end.
+func (l Load) Stopping() int { return l.stopping }
+
+// Free returns the room of the usable workers that is not promised.
+func (l Load) Free() hfroom.Size { return l.free }
+
+// Capacity returns the room of the usable workers.
+func (l Load) Capacity() hfroom.Size { return l.capacity }
+
+// Load returns how much there is to do and to use now.
+func (s *Scheduler) Load(now time.Time) Load {
+	var l Load
+	for _, g := range s.groups {
+		if g.job.queue == nil {
 			continue
 		}
-		if j.begun {
-			active++
-		} else {
-			queued++
+		class := min(int(g.job.queue.GetPriority()), len(l.waiting)-1)
+		if g.ready(now) {
+			l.waiting[class] += g.waiting()
 		}
+		l.running[class] += g.active - g.promised
+		l.promised += g.promised
 	}
 	for _, w := range s.workers {
-		runs += len(w.runs)
+		for r := range w.runs {
+			if r.phase == stopping {
+				l.stopping++
+			}
+		}
+		if w.room.Usable() {
+			l.free = l.free.Plus(w.room.Free(), 1)
+			l.capacity = l.capacity.Plus(w.room.Capacity(), 1)
+		}
 	}
-	return queued, active, runs
+	return l
 }
 
 // dropGroups takes the groups out that need no more decisions.
