--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -143,8 +143,13 @@
 	return total
 }
 
-func (s *Scheduler) need(g *group) hfroom.Need {
+func (s *Scheduler) need(g *group, now time.Time) hfroom.Need {
 	n := hfroom.NewNeed(g.job.queue.GetPool(), g.size).Labelled(g.spec.GetLabel()).Near(g.spec.GetNear())
+	if g.job.queue.GetPriority() == 0 {
+		n = n.For(g, now) // the most urgent work takes any room
+	} else {
+		n = n.For(g, now.Add(g.estimate()))
+	}
 	if most := int(g.spec.GetApart()); most > 0 {
 		on := map[string]int{}
 		for i := range g.tasks {
@@ -180,6 +185,7 @@
 // place finds places for waiting groups, the most urgent first.
 func (s *Scheduler) place(now time.Time) {
 	failed := map[shape]int{} // smallest count that found no place
+	s.keepNone()
 	for _, c := range s.candidates(now) {
 		g := c.group
 		key := shape{pool: g.job.queue.GetPool(), size: g.size, gang: g.gang(), compact: g.spec.GetCompact()}
@@ -196,6 +202,7 @@
 		if c.priority == 0 && s.preempt(g, now) {
 			continue
 		}
+		s.keep(g, now)
 		if least, ok := failed[key]; !ok || count < least {
 			failed[key] = count
 		}
@@ -205,7 +212,7 @@
 // placeGroup promises places to the tasks of a group: all members of a gang, or as many
 // single tasks as there is room for. It returns false when some got none.
 func (s *Scheduler) placeGroup(g *group, now time.Time) bool {
-	n, count := s.need(g), g.waiting()
+	n, count := s.need(g, now), g.waiting()
 	if !g.gang() {
 		slots, placed := s.room.Spread(n, count)
 		s.promise(g, slots, now)
--- a/hfplan/plan_test.go
+++ b/hfplan/plan_test.go
@@ -232,3 +232,17 @@
 	w.play(1500 * time.Millisecond)
 	require.Equal(t, hfwork.StateRunning, w.state("now"))
 }
+
+// Gangs of half a rack wait beside a stream of small tasks that fills every gap. Seen on
+// scale-2 of prisiau-gorllewin: gangs of priority 1 waited for half a minute.
+func TestGangGetsARackThroughAStreamOfSmallTasks(t *testing.T) {
+	w := newWorld(t, 3, 8)
+	w.play(time.Second)
+	for i := range 60 {
+		w.submit(fmt.Sprintf("bulk%02d", i), "spare", single(16, time.Duration(3+i%5)*time.Second))
+	}
+	w.play(time.Second)
+	w.submit("wide", "usual", gang(4, 8, 5*time.Second))
+	w.play(8 * time.Second)
+	require.Equal(t, 4, w.running("wide"))
+}
--- a/hfplan/preempt.go
+++ b/hfplan/preempt.go
@@ -15,7 +15,7 @@
 // preempt makes room for a group by stopping runs of less urgent queues, those with
 // the least loss first, and promises it the room.
 func (s *Scheduler) preempt(g *group, now time.Time) bool {
-	n, count := s.need(g), g.waiting()
+	n, count := s.need(g, now), g.waiting()
 	victims := s.victims(g.job.queue.GetPool(), g.job.queue.GetPriority(), now)
 	compact := g.gang() && g.spec.GetCompact()
 	chosen, ok := hfroom.Reclaim(s.room, n, count, compact, victims)
@@ -26,11 +26,9 @@
 	if !ok {
 		return false
 	}
-	stopped := 0
 	for _, v := range chosen {
 		for _, r := range v.Of().runs {
 			s.stop(r, now)
-			stopped++
 		}
 		s.do(NoteCmd{note: NotePreempted, job: v.Of().group.job.id(), step: v.Of().group.step, tasks: len(v.Of().runs), reason: "for job " + g.job.id()})
 	}
--- a/hfroom/place.go
+++ b/hfroom/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // Need is what a group of like tasks asks of the room.
@@ -14,6 +15,8 @@
 	apart int                  // most tasks on one worker, 0 for any number
 	taken func(id string) int  // tasks of the group that already count against apart, may be nil
 	avoid func(id string) bool // workers that must not be used, may be nil
+	group any                  // what workers may be kept for
+	ends  time.Time            // when the tasks are expected to end; zero when that is not known
 }
 
 // NewNeed returns a need of tasks of one size in a pool.
@@ -36,6 +39,13 @@
 // Avoiding excludes workers.
 func (n Need) Avoiding(avoid func(id string) bool) Need { n.avoid = avoid; return n }
 
+// For names the group that workers may be kept for, and when its tasks are expected to
+// end if they start now.
+func (n Need) For(group any, ends time.Time) Need {
+	n.group, n.ends = group, ends
+	return n
+}
+
 // Size returns the size of one task.
 func (n Need) Size() Size { return n.size }
 
@@ -71,6 +81,9 @@
 	if !w.usable || (n.avoid != nil && n.avoid(w.id)) {
 		return false
 	}
+	if w.keptFor != nil && w.keptFor != n.group && (n.ends.IsZero() || n.ends.After(w.keptUntil)) {
+		return false
+	}
 	return n.label == "" || slices.Contains(w.labels, n.label)
 }
 
--- a/hfroom/room.go
+++ b/hfroom/room.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // Size is an amount of each resource.
@@ -52,9 +53,11 @@
 	id, pool, rack string
 	labels         []string
 	capacity       Size
-	free           Size // capacity without what is placed; negative where victims of a preemption still run
-	used           Size // what may be running, from before a start is sent until its end is known
-	usable         bool // takes new tasks
+	free           Size      // capacity without what is placed; negative where victims of a preemption still run
+	used           Size      // what may be running, from before a start is sent until its end is known
+	usable         bool      // takes new tasks
+	keptFor        any       // group that waits for all of this worker's rack, or nil
+	keptUntil      time.Time // when that group is expected to start
 }
 
 // ID returns the worker's id.
@@ -90,6 +93,13 @@
 // Starts tells whether a task may be started now beside all that may be running.
 func (w *Worker) Starts(s Size) bool { return w.capacity.Plus(w.used, -1).Holds(s) > 0 }
 
+// Keep keeps the worker for a group that is expected to start at a time: others only
+// get it for what ends before.
+func (w *Worker) Keep(group any, until time.Time) { w.keptFor, w.keptUntil = group, until }
+
+// Kept tells whether the worker is kept for a group.
+func (w *Worker) Kept() bool { return w.keptFor != nil }
+
 // Reset forgets all tasks, as after a restart of the worker.
 func (w *Worker) Reset() { w.free, w.used = w.capacity, Size{} }
 
@@ -161,3 +171,24 @@
 		}
 	}
 }
+
+// Racks returns the names of a pool's racks in order.
+func (r *Room) Racks(pool string) []string {
+	names := make([]string, 0, len(r.pools[pool]))
+	for _, k := range r.pools[pool] {
+		names = append(names, k.name)
+	}
+	return names
+}
+
+// InRack calls f for every worker of a rack in a pool.
+func (r *Room) InRack(pool, name string, f func(w *Worker)) {
+	for _, k := range r.pools[pool] {
+		if k.name != name {
+			continue
+		}
+		for _, w := range k.workers {
+			f(w)
+		}
+	}
+}
