Urgent gangs wait a while for a rack; an unanswered member stops its gang

Change: the fallback to several racks comes 1.8 s after the job is known, in time for guaranteed work; all members are stopped when one start is unanswered.

--- a/hfplan/order.go
+++ b/hfplan/order.go
@@ -54,17 +54,25 @@
 		}
 	case OutcomeUnknown:
 		s.stop(r, now)
+		if t.group.gang() {
+			s.stopGang(t.group, r.number, now) // the others would wait in vain
+		}
 	case OutcomeRefused, OutcomeOld:
 		g := t.group
 		r.worker.refused = now.Add(refusedPause)
 		s.refresh(r.worker, now)
 		s.finish(r, hfwork.Stopped, "", "worker refused the start", now)
 		if g.gang() {
-			for i := range g.tasks {
-				if o := g.tasks[i].run; o != nil {
-					s.stop(o, now)
-				}
-			}
+			s.stopGang(g, m.number, now)
+		}
+	}
+}
+
+// stopGang ends all members of one run of a gang.
+func (s *Scheduler) stopGang(g *group, number int64, now time.Time) {
+	for i := range g.tasks {
+		if r := g.tasks[i].run; r != nil && r.number == number {
+			s.stop(r, now)
 		}
 	}
 }
--- a/hfplan/preempt.go
+++ b/hfplan/preempt.go
@@ -19,7 +19,7 @@
 	victims := s.victims(g.job.queue.GetPool(), g.job.queue.GetPriority(), now)
 	compact := g.gang() && g.spec.GetCompact()
 	chosen, ok := hfroom.Reclaim(s.room, n, count, compact, victims)
-	if !ok && compact {
+	if !ok && compact && !g.patient(now) {
 		chosen, ok = hfroom.Reclaim(s.room, n, count, false, victims)
 		compact = false
 	}
@@ -47,6 +47,16 @@
 	return placed == count
 }
 
+// compactPatience is how long urgent gangs wait for a rack. Over several racks they run
+// some times as long; waiting longer would miss the time in which guaranteed work has
+// to start.
+const compactPatience = 1800 * time.Millisecond
+
+// patient tells whether a gang still waits for a rack.
+func (g *group) patient(now time.Time) bool {
+	return now.Sub(g.job.known) < compactPatience
+}
+
 // victims lists what may be stopped for a group of a priority.
 func (s *Scheduler) victims(pool string, priority uint32, now time.Time) []hfroom.Victim[victim] {
 	var list []hfroom.Victim[victim]
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -244,11 +244,7 @@
 		s.exhaust(g, lead, now)
 	}
 	if g.gang() {
-		for i := range g.tasks {
-			if r := g.tasks[i].run; r != nil && r.number == number {
-				s.stop(r, now)
-			}
-		}
+		s.stopGang(g, number, now)
 	}
 }
 
