Tasks that last make way, within what their step allows

Ruled out: ends that were not noted; the fleet was full.

Change: lasting tasks of less urgent queues may be stopped for any other work, as long as no more of their step are away than it allows; a rack they fill is not kept.

--- a/hfplan/keep.go
+++ b/hfplan/keep.go
@@ -75,7 +75,7 @@
 		free[room] = room.Free()
 		fits += room.Free().Holds(g.size)
 		for r := range s.workers[room.ID()].runs {
-			if !r.returned {
+			if !r.returned && !r.task.group.spec.GetLasting() {
 				releases = append(releases, release{at: r.ends(now), worker: room, size: r.task.group.size})
 			}
 		}
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -199,7 +199,7 @@
 		if s.placeGroup(g, now) {
 			continue
 		}
-		if c.priority == 0 && s.preempt(g, now) {
+		if s.preempt(g, now) {
 			continue
 		}
 		s.keep(g, now)
--- a/hfplan/plan_test.go
+++ b/hfplan/plan_test.go
@@ -246,3 +246,40 @@
 	w.play(8 * time.Second)
 	require.Equal(t, 4, w.running("wide"))
 }
+
+// Tasks that last fill the fleet. Seen on trouble-1 of abialog with lasting jobs: urgent
+// work waited behind them for ever, and racks were kept that could never open (LOST).
+func TestLastingTasksMakeWay(t *testing.T) {
+	w := newWorld(t, 3, 8)
+	w.play(time.Second)
+	for i := range 6 {
+		s := single(32, 200*time.Second)
+		s.Lasting, s.Absent = true, 20
+		w.submit(fmt.Sprint("last", i), "spare", s)
+	}
+	w.play(5 * time.Second)
+	w.submit("now", "urgent", gang(4, 8, time.Second))
+	w.submit("wide", "usual", gang(4, 8, time.Second))
+	w.play(6 * time.Second)
+	require.Equal(t, hfwork.StateCompleted, w.state("now"))
+	require.Equal(t, hfwork.StateCompleted, w.state("wide"))
+	total := 0
+	for i := range 6 {
+		total += w.running(fmt.Sprint("last", i))
+	}
+	require.Equal(t, 192, total, "they come back when there is room")
+}
+
+func TestLastingTasksStayAsManyAsTheirStepDemands(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.play(time.Second)
+	s := single(16, 200*time.Second)
+	s.Lasting, s.Absent = true, 4
+	w.submit("last", "spare", s)
+	w.play(5 * time.Second)
+	w.submit("now", "urgent", single(8, time.Second))
+	for range 40 {
+		w.play(100 * time.Millisecond)
+		require.GreaterOrEqual(t, w.running("last"), 12)
+	}
+}
--- a/hfplan/preempt.go
+++ b/hfplan/preempt.go
@@ -16,7 +16,10 @@
 // the least loss first, and promises it the room.
 func (s *Scheduler) preempt(g *group, now time.Time) bool {
 	n, count := s.need(g, now), g.waiting()
-	victims := s.victims(g.job.queue.GetPool(), g.job.queue.GetPriority(), now)
+	victims := s.victims(g, now)
+	if len(victims) == 0 {
+		return false
+	}
 	compact := g.gang() && g.spec.GetCompact()
 	chosen, ok := hfroom.Reclaim(s.room, n, count, compact, victims)
 	if !ok && compact && !g.patient(now) {
@@ -57,21 +60,28 @@
 	return now.Sub(g.job.known) < compactPatience
 }
 
-// victims lists what may be stopped for a group of a priority.
-func (s *Scheduler) victims(pool string, priority uint32, now time.Time) []hfroom.Victim[victim] {
+// victims lists what may be stopped for a group: any less urgent work for the most
+// urgent, and tasks that never end by themselves for all.
+func (s *Scheduler) victims(claimant *group, now time.Time) []hfroom.Victim[victim] {
 	var list []hfroom.Victim[victim]
+	queue := claimant.job.queue
 	for _, g := range s.groups {
-		if g.active == 0 || g.spec.GetLasting() || g.job.queue == nil || g.job.queue.GetPriority() <= priority || g.job.queue.GetPool() != pool {
+		if g.active == 0 || g.job.queue == nil || g.job.queue.GetPriority() <= queue.GetPriority() || g.job.queue.GetPool() != queue.GetPool() {
+			continue
+		}
+		if queue.GetPriority() > 0 && !g.spec.GetLasting() {
 			continue
 		}
 		if g.gang() {
-			if v, ok := gangVictim(g, now); ok {
+			if v, ok := gangVictim(g, now); ok && !g.spec.GetLasting() {
 				list = append(list, v)
 			}
 			continue
 		}
+		spare := g.spare(now)
 		for i := range g.tasks {
-			if r := g.tasks[i].run; r != nil && r.phase != stopping {
+			if r := g.tasks[i].run; r != nil && r.phase != stopping && (spare > 0 || !r.atWork(now)) {
+				spare--
 				list = append(list, hfroom.NewVictim(victim{group: g, runs: []*run{r}}, g.loss(r, now), []hfroom.Part{hfroom.NewPart(r.worker.room, g.size)}))
 			}
 		}
@@ -79,6 +89,28 @@
 	return list
 }
 
+// warmUp is the time after which a lasting task that was started is at work.
+const warmUp = 3 * time.Second
+
+func (r *run) atWork(now time.Time) bool {
+	return r.phase == running && now.Sub(r.started) >= warmUp
+}
+
+// spare returns how many tasks of a group that are at work may be stopped: of lasting
+// ones only as many may be away as their step allows.
+func (g *group) spare(now time.Time) int {
+	if !g.spec.GetLasting() || g.spec.GetAbsent() == 0 {
+		return len(g.tasks)
+	}
+	away := 0
+	for i := range g.tasks {
+		if r := g.tasks[i].run; r == nil || !r.atWork(now) {
+			away++
+		}
+	}
+	return max(0, int(g.spec.GetAbsent())-away)
+}
+
 func gangVictim(g *group, now time.Time) (hfroom.Victim[victim], bool) {
 	v, loss := victim{group: g}, 0.0
 	var parts []hfroom.Part
@@ -106,7 +138,7 @@
 		return 0
 	}
 	lost := restartLoss
-	if !g.spec.GetSaves() {
+	if !g.spec.GetSaves() && !g.spec.GetLasting() {
 		lost += now.Sub(r.started)
 	}
 	return lost.Seconds() * g.cores()
