Waves of upkeep: few machines at once, little work lost

Cause: the operators ask for upkeep in waves; nothing answered them.

What was done of a wave is stored with the records, so that a new leader goes on.

--- a/hfentry/chain.go
+++ b/hfentry/chain.go
@@ -20,6 +20,7 @@
 // an earlier leadership.
 type chain struct {
 	store   hfstore.Committer
+	formats Formats
 	lead    *hfwork.Lead // value of the chain's key; its nonce differs for every batch
 	batches int64
 	version int64 // store revision of the last batch that took effect
@@ -30,7 +31,7 @@
 	lead := hfloop.With(n.mirror, func(m *Mirror) *hfwork.Lead {
 		return &hfwork.Lead{Instance: fmt.Sprintf("%s/%d", n.name, epoch), Term: m.term + 1}
 	})
-	c := &chain{store: n.store, lead: lead}
+	c := &chain{store: n.store, formats: n.formats, lead: lead}
 	for {
 		item, err := n.store.Get(ctx, termKey)
 		if err == nil || errors.Is(err, hfstore.ErrNotFound) {
@@ -60,6 +61,11 @@
 		}
 		batch.Put(rosterKey, value, "")
 	}
+	for _, w := range s.Waves() {
+		if err := c.putWave(batch, w); err != nil {
+			return fmt.Errorf("save: %w", err)
+		}
+	}
 	ids := make([]string, 0, len(s.Records()))
 	for id := range s.Records() {
 		ids = append(ids, id)
@@ -88,6 +94,21 @@
 	return nil
 }
 
+// putWave adds what was done of a wave of upkeep, for the next scheduler and for the
+// operator.
+func (c *chain) putWave(b *hfstore.Batch, w *hfwork.Wave) error {
+	value, err := hfwire.Encode(w)
+	if err != nil {
+		return fmt.Errorf("wave: %w", err)
+	}
+	key, status, err := c.formats.WaveStatus(w)
+	if err != nil {
+		return fmt.Errorf("wave: %w", err)
+	}
+	b.Put(fmt.Sprintf("%s%d", wavePrefix, w.GetNumber()), value, "").Put(key, status, "")
+	return nil
+}
+
 // chainEntries is the number of entries that the chain adds to a batch.
 const chainEntries = 2
 
--- a/hfentry/lead.go
+++ b/hfentry/lead.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -98,7 +99,7 @@
 	term := chain.Term()
 	lease := n.settings.TaskLease()
 	scheduler := hfplan.New(term, hfplan.NewTiming(lease, n.settings.GangWindow()), time.Now())
-	leader := hforder.NewLeader(scheduler, tenure, n.minions, n.adviser, chain, n, hforder.NewTiming(lease))
+	leader := hforder.NewLeader(scheduler, tenure, n.minions, n.adviser, n.machines, n.name, chain, n, hforder.NewTiming(lease))
 	n.leader.Store(leader)
 	defer n.leader.Store(nil)
 	n.log.Event(hfevent.LeaderElected, zap.Int64("epoch", tenure.Epoch()), zap.Int64("term", term))
@@ -150,6 +151,9 @@
 			workers[id] = w
 		}
 		msgs = append(msgs, hfplan.Workers(workers))
+		for _, number := range slices.Sorted(maps.Keys(m.waves)) {
+			msgs = append(msgs, hfplan.Wave(m.wave(number)))
+		}
 		for _, e := range m.jobs {
 			if e.job != nil && !hfwork.Final(e.progress.GetState()) {
 				msgs = append(msgs, hfplan.Job(e.job, e.progress, e.cancelled))
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -19,6 +19,7 @@
 	cancelPrefix = "hf/cancel/" // the mark of its cancellation
 	leadKey      = "hf/lead"    // the instance that schedules, under its lease
 	termKey      = "hf/term"    // number of the last leadership
+	wavePrefix   = "hf/wave/"   // what was done of a wave of upkeep
 	rosterKey    = "hf/roster"  // workers on which tasks may have been started
 )
 
@@ -28,6 +29,12 @@
 	PolicyKey() string
 	// WorkerPrefix returns the prefix of the workers' entries; the rest is the id.
 	WorkerPrefix() string
+	// WavePrefix returns the prefix of the waves of upkeep.
+	WavePrefix() string
+	// Wave decodes a wave. Its deadline counts from the given time.
+	Wave(raw []byte, from time.Time) (*hfwork.Wave, error)
+	// WaveStatus returns the key and value that tell the operator of a wave.
+	WaveStatus(w *hfwork.Wave) (key string, value []byte, err error)
 	// Policy decodes the configuration.
 	Policy(raw []byte) (*hfwork.Policy, error)
 	// Worker decodes a worker's entry.
@@ -64,19 +71,23 @@
 	jobs     map[string]*entry
 	workers  map[string]*hfwork.Worker
 	roster   *hfwork.Roster
-	lead     *hfwork.Lead // nil when no instance schedules
+	waves    map[int64]*hfwork.Wave // as asked for, by number
+	turns    map[int64]*hfwork.Wave // as stored by the scheduler, by number
+	lead     *hfwork.Lead           // nil when no instance schedules
 	term     int64
 	revision int64 // everything up to this revision is in
 }
 
 // NewMirror returns an empty copy.
 func NewMirror(f Formats) *Mirror {
-	return &Mirror{formats: f, jobs: map[string]*entry{}, workers: map[string]*hfwork.Worker{}, roster: &hfwork.Roster{}}
+	return &Mirror{formats: f, jobs: map[string]*entry{}, workers: map[string]*hfwork.Worker{}, roster: &hfwork.Roster{},
+		waves: map[int64]*hfwork.Wave{}, turns: map[int64]*hfwork.Wave{}}
 }
 
 // change is what an applied event changed.
 type change struct {
-	job     string // id of a job that is new or cancelled
+	job     string       // id of a job that is new or cancelled
+	wave    *hfwork.Wave // asked for, with what was done of it
 	workers bool
 	policy  bool
 	lead    bool
@@ -126,6 +137,21 @@
 		return change{err: err}
 	case strings.HasPrefix(key, m.formats.WorkerPrefix()):
 		return m.applyWorker(strings.TrimPrefix(key, m.formats.WorkerPrefix()), i)
+	case strings.HasPrefix(key, m.formats.WavePrefix()) && !i.Deleted():
+		w, err := m.formats.Wave(i.Value(), time.Now())
+		if err != nil {
+			return change{err: err}
+		}
+		if m.waves[w.GetNumber()] == nil {
+			m.waves[w.GetNumber()] = w
+		}
+		return change{wave: m.wave(w.GetNumber())}
+	case strings.HasPrefix(key, wavePrefix) && !i.Deleted():
+		w, err := hfwire.Decode(i.Value(), &hfwork.Wave{})
+		if err == nil {
+			m.turns[w.GetNumber()] = w
+		}
+		return change{err: err}
 	case strings.HasPrefix(key, workPrefix):
 		return m.applyWork(strings.TrimPrefix(key, workPrefix), i)
 	case strings.HasPrefix(key, statePrefix):
@@ -138,6 +164,14 @@
 	return change{}
 }
 
+// wave returns a wave as its scheduler left it.
+func (m *Mirror) wave(number int64) *hfwork.Wave {
+	if w := m.turns[number]; w != nil {
+		return hfwire.Copy(w)
+	}
+	return hfwire.Copy(m.waves[number])
+}
+
 func (m *Mirror) entry(id string) *entry {
 	e := m.jobs[id]
 	if e == nil {
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -41,6 +41,7 @@
 	formats  Formats
 	minions  hforder.Minions
 	adviser  hforder.Adviser
+	machines hforder.Machines
 	log      *hfevent.Log
 	registry metrics.Registry
 	mirror   *hfloop.Cell[*Mirror]
@@ -53,9 +54,9 @@
 }
 
 // New returns an instance that has not started.
-func New(s Settings, store hfstore.Committer, f Formats, m hforder.Minions, a hforder.Adviser, log *hfevent.Log, registry metrics.Registry) *Node {
+func New(s Settings, store hfstore.Committer, f Formats, m hforder.Minions, a hforder.Adviser, p hforder.Machines, log *hfevent.Log, registry metrics.Registry) *Node {
 	return &Node{
-		name: s.Name(), settings: s, store: store, formats: f, minions: m, adviser: a, log: log, registry: registry,
+		name: s.Name(), settings: s, store: store, formats: f, minions: m, adviser: a, machines: p, log: log, registry: registry,
 		mirror: hfloop.NewCell(NewMirror(f)), health: NewHealth(),
 		freed: make(chan struct{}, 1), leave: make(chan struct{}),
 	}
@@ -194,6 +195,9 @@
 			default:
 			}
 		}
+		if l := n.leader.Load(); l != nil && c.wave != nil {
+			l.Send(hfplan.Wave(c.wave))
+		}
 		if l := n.leader.Load(); l != nil && c.job != "" {
 			if e := n.known(c.job); e != nil && e.job != nil {
 				l.Send(hfplan.Job(e.job, e.progress, e.cancelled))
--- a/hforder/leader.go
+++ b/hforder/leader.go
@@ -5,20 +5,24 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/heatherfront/heatherfront/hflease"
+	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hfplan"
 	"github.com/heatherfront/heatherfront/hfstore"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
 
 const (
-	tickInterval = 200 * time.Millisecond
-	inboxSize    = 4096        // messages that may wait before their senders do
-	loadEvery    = time.Second // how often the load is told
+	tickInterval    = 200 * time.Millisecond
+	inboxSize       = 4096                   // messages that may wait before their senders do
+	machinesEvery   = 700 * time.Millisecond // looks at the machines during a wave of upkeep
+	machinesTimeout = 2 * time.Second
+	loadEvery       = time.Second // how often the load is told
 	// adviceTimeout bounds one question; an answer takes a while for each worker named.
 	adviceTimeout = 5 * time.Second
 	storePause    = 60 * time.Millisecond
@@ -59,6 +63,8 @@
 	tenure    *hflease.Tenure
 	minions   Minions
 	adviser   Adviser
+	machines  Machines
+	name      string
 	records   Records
 	observer  Observer
 	timing    Timing
@@ -71,12 +77,13 @@
 	ended   chan struct{}
 	storeIn chan hfplan.StoreCmd
 	askIn   chan hfplan.AskCmd
+	upkeep  atomic.Bool // a wave is under way
 }
 
 // NewLeader returns a leader that has not started.
-func NewLeader(s *hfplan.Scheduler, t *hflease.Tenure, m Minions, a Adviser, r Records, o Observer, timing Timing) *Leader {
+func NewLeader(s *hfplan.Scheduler, t *hflease.Tenure, m Minions, a Adviser, p Machines, name string, r Records, o Observer, timing Timing) *Leader {
 	return &Leader{
-		scheduler: s, tenure: t, minions: m, adviser: a, records: r, observer: o, timing: timing,
+		scheduler: s, tenure: t, minions: m, adviser: a, machines: p, name: name, records: r, observer: o, timing: timing,
 		inbox: make(chan hfplan.Msg, inboxSize), desks: map[string]*desk{}, ended: make(chan struct{}),
 		storeIn: make(chan hfplan.StoreCmd, 1), askIn: make(chan hfplan.AskCmd, 1),
 	}
@@ -102,6 +109,10 @@
 		l.ask(ctx)
 		return nil
 	})
+	g.Go(func() error {
+		l.listMachines(ctx)
+		return nil
+	})
 	if err := g.Wait(); err != nil {
 		return fmt.Errorf("lead: %w", err)
 	}
@@ -164,15 +175,16 @@
 		l.openDesks(ctx, w.Nodes())
 	}
 	cmds := l.scheduler.Update(msg, time.Now())
+	l.upkeep.Store(l.scheduler.Upkeep())
 	if err := l.scheduler.Check(); err != nil {
 		l.observer.Broken(err)
 	}
 	for _, cmd := range cmds {
-		l.do(cmd)
+		l.do(ctx, cmd)
 	}
 }
 
-func (l *Leader) do(cmd hfplan.Cmd) {
+func (l *Leader) do(ctx context.Context, cmd hfplan.Cmd) {
 	switch c := cmd.(type) {
 	case hfplan.StartCmd:
 		l.desk(c.Worker()).put(order{start: &c})
@@ -186,6 +198,11 @@
 		l.desk(c.Worker()).acknowledge(c)
 	case hfplan.StoreCmd:
 		l.storeIn <- c // the scheduler has one under way at most
+	case hfplan.UpkeepCmd:
+		l.group.Go(func() error {
+			l.takeDown(ctx, c)
+			return nil
+		})
 	case hfplan.AskCmd:
 		l.askIn <- c // the scheduler has one under way at most
 	case hfplan.NoteCmd:
@@ -246,5 +263,43 @@
 	}
 }
 
+// listMachines brings the machines to the scheduler while a wave of upkeep is under way.
+func (l *Leader) listMachines(ctx context.Context) {
+	for hfloop.Pause(ctx, machinesEvery) {
+		if !l.upkeep.Load() {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, machinesTimeout)
+		list, err := l.machines.List(call)
+		cancel()
+		l.observer.Ordered("machines", hfwork.TaskID{}, 0, "", err)
+		if err == nil {
+			l.Send(hfplan.Machines(list))
+		}
+	}
+}
+
+// takeDown asks for the upkeep of a machine.
+func (l *Leader) takeDown(ctx context.Context, c hfplan.UpkeepCmd) {
+	if !l.certain() {
+		l.fail(ErrNotLeading)
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, machinesTimeout)
+	defer cancel()
+	err := l.machines.Upkeep(call, c.Machine(), c.Wave(), l.name, l.tenure.Epoch())
+	l.observer.Ordered("upkeep", hfwork.TaskID{}, c.Wave(), c.Machine(), err)
+	switch {
+	case err == nil:
+		l.Send(hfplan.Upkept(c, hfplan.OutcomeDone))
+	case errors.Is(err, ErrFenced):
+		l.fail(ErrFenced)
+	case errors.Is(err, ErrRefused):
+		l.Send(hfplan.Upkept(c, hfplan.OutcomeRefused))
+	default:
+		l.Send(hfplan.Upkept(c, hfplan.OutcomeUnknown))
+	}
+}
+
 // certain tells whether the leadership holds at this moment.
 func (l *Leader) certain() bool { return l.tenure.Valid(hflease.Now()) }
--- a/hforder/minion.go
+++ b/hforder/minion.go
@@ -91,6 +91,16 @@
 	Look(ctx context.Context, w *hfwork.Worker, l Look) (hfwork.Report, error)
 }
 
+// Machines is the platform's list of machines.
+type Machines interface {
+	// List returns all machines by name.
+	List(ctx context.Context) (map[string]*hfwork.Machine, error)
+	// Upkeep takes a machine down for the upkeep of a wave, under a leadership. It
+	// succeeds also when that is done already, and fails with ErrRefused, ErrFenced or
+	// ErrUnanswered.
+	Upkeep(ctx context.Context, machine string, wave int64, holder string, epoch int64) error
+}
+
 // Adviser knows which workers may run the steps of advised queues.
 type Adviser interface {
 	// Advise returns tickets by worker for those that may run a step, and until when
--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -123,6 +123,7 @@
 	strays  map[stray]hfroom.Size
 	seen    int64 // last end that was taken note of
 	aside   time.Time
+	upkeep  bool            // its machine is about to go down
 	suspect map[string]bool // jobs that failed here since a task ended well
 	asides  int             // times set aside since a task ended well
 	refused time.Time       // gets no starts before, after a refusal
--- a/hfplan/message.go
+++ b/hfplan/message.go
@@ -179,8 +179,12 @@
 	sequence uint64
 	records  map[string]*hfwork.Progress // by job id
 	roster   []*hfwork.Worker            // all workers that may get tasks, nil when unchanged
+	waves    []*hfwork.Wave              // waves of upkeep that changed
 }
 
+// Waves returns the waves of upkeep that changed.
+func (c StoreCmd) Waves() []*hfwork.Wave { return c.waves }
+
 // Roster returns the workers on which tasks may be started from now on, or nil when
 // the stored ones still hold.
 func (c StoreCmd) Roster() []*hfwork.Worker { return c.roster }
--- a/hfplan/order.go
+++ b/hfplan/order.go
@@ -121,6 +121,7 @@
 		}
 	}
 	s.settle(now)
+	s.upkeep(now)
 	s.stale = true
 }
 
--- a/hfplan/record.go
+++ b/hfplan/record.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/heatherfront/heatherfront/hfwork"
 )
 
@@ -74,7 +76,7 @@
 	if s.storing != nil {
 		return
 	}
-	if len(s.dirty) == 0 && !s.regroup {
+	if len(s.dirty) == 0 && len(s.dirtyWaves) == 0 && !s.regroup {
 		s.acknowledge(s.acks)
 		s.acks = map[*worker]int64{}
 		return
@@ -86,6 +88,10 @@
 	s.dirty, s.acks = map[string]*job{}, map[*worker]int64{}
 	s.sequence++
 	c := StoreCmd{sequence: s.sequence, records: s.storing}
+	for _, spec := range s.dirtyWaves {
+		c.waves = append(c.waves, proto.Clone(spec).(*hfwork.Wave))
+	}
+	clear(s.dirtyWaves)
 	if s.regroup {
 		s.regroup, s.roster = false, nil
 		for _, id := range sortedKeys(s.workers) {
--- a/hfplan/state.go
+++ b/hfplan/state.go
@@ -52,28 +52,31 @@
 // Scheduler decides for all workers. It holds no connection and no clock: Update
 // takes what happened and returns what is to be done.
 type Scheduler struct {
-	timing   Timing
-	base     int64 // run numbers of this leadership are higher
-	policy   *hfwork.Policy
-	queues   map[string]*hfwork.Queue
-	room     *hfroom.Room
-	workers  map[string]*worker
-	jobs     map[string]*job
-	groups   []*group // not done, of jobs that are not final
-	settleBy time.Time
-	settled  bool // all that earlier schedulers started is accounted for
-	sequence uint64
-	storing  map[string]*hfwork.Progress // records in the StoreCmd under way, nil when none is
-	regroup  bool                        // the workers differ from the stored roster
-	roster   []*worker                   // roster in the StoreCmd under way
-	acks     map[*worker]int64
-	acking   map[*worker]int64
-	dirty    map[string]*job
-	asking   bool      // an AskCmd is under way
-	askAfter time.Time // no AskCmd before
-	cmds     []Cmd
-	stale    bool // something changed that may let a task start
-	broken   error
+	timing     Timing
+	base       int64 // run numbers of this leadership are higher
+	policy     *hfwork.Policy
+	queues     map[string]*hfwork.Queue
+	room       *hfroom.Room
+	workers    map[string]*worker
+	jobs       map[string]*job
+	groups     []*group // not done, of jobs that are not final
+	settleBy   time.Time
+	settled    bool // all that earlier schedulers started is accounted for
+	sequence   uint64
+	storing    map[string]*hfwork.Progress // records in the StoreCmd under way, nil when none is
+	regroup    bool                        // the workers differ from the stored roster
+	roster     []*worker                   // roster in the StoreCmd under way
+	acks       map[*worker]int64
+	acking     map[*worker]int64
+	dirty      map[string]*job
+	waves      map[int64]*wave            // not completed, by number
+	machines   map[string]*hfwork.Machine // by name, nil before the first list
+	dirtyWaves map[int64]*hfwork.Wave
+	asking     bool      // an AskCmd is under way
+	askAfter   time.Time // no AskCmd before
+	cmds       []Cmd
+	stale      bool // something changed that may let a task start
+	broken     error
 }
 
 // New returns a scheduler without jobs. term is the number of its leadership.
@@ -84,6 +87,7 @@
 		timing: timing, base: max(term-1, 0) * runsPerTerm, policy: &hfwork.Policy{}, queues: map[string]*hfwork.Queue{},
 		room: hfroom.New(), workers: map[string]*worker{}, jobs: map[string]*job{},
 		settleBy: now.Add(timing.lapse()), acks: map[*worker]int64{}, dirty: map[string]*job{},
+		waves: map[int64]*wave{}, dirtyWaves: map[int64]*hfwork.Wave{},
 	}
 }
 
@@ -112,6 +116,12 @@
 		s.stopped(m, now)
 	case StoredMsg:
 		s.stored(m.sequence, now)
+	case WaveMsg:
+		s.addWave(m.wave, now)
+	case MachinesMsg:
+		s.machines = m.machines
+	case UpkeptMsg:
+		s.upkept(m, now)
 	case AdvisedMsg:
 		s.advised(m, now)
 	case TickMsg:
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -64,7 +64,7 @@
 
 // refresh decides whether a worker takes new tasks.
 func (s *Scheduler) refresh(w *worker, now time.Time) {
-	usable := w.listed && w.noted && w.heard && !w.silent && !w.node.GetDraining() && !now.Before(w.aside) && !now.Before(w.refused)
+	usable := w.listed && w.noted && w.heard && !w.silent && !w.node.GetDraining() && !w.upkeep && !now.Before(w.aside) && !now.Before(w.refused)
 	if usable != w.room.Usable() {
 		w.room.SetUsable(usable)
 		s.stale = true
--- a/hfplan/world_test.go
+++ b/hfplan/world_test.go
@@ -43,8 +43,11 @@
 	fails   map[string]bool          // jobs whose tasks fail after a tenth of their time
 	seen    []Note
 	alone   int
+	down    map[string]time.Time // machines in upkeep, and when they are back
+	upkept  map[string]bool
 	good    map[string]bool // workers that may run the steps of advised queues
 	asked   int
+	torn    int           // runs that an upkeep ended
 	lost    time.Duration // accelerator time of runs that ended early without a checkpoint
 }
 
@@ -106,7 +109,7 @@
 	t.Helper()
 	w := &world{
 		t: t, now: time.Unix(1_000_000, 0), fleet: map[string]*fake{}, records: map[string]*hfwork.Progress{},
-		jobs: map[string]*hfwork.Job{}, cancels: map[string]bool{}, lasts: map[string]time.Duration{}, fails: map[string]bool{},
+		down: map[string]time.Time{}, upkept: map[string]bool{}, jobs: map[string]*hfwork.Job{}, cancels: map[string]bool{}, lasts: map[string]time.Duration{}, fails: map[string]bool{},
 	}
 	w.policy = &hfwork.Policy{Version: 1, Pools: []*hfwork.Pool{{Name: "pool"}}, Accounts: []*hfwork.Account{{Name: "plants", Guaranteed: int64(racks * perRack * 4)}}}
 	for p, name := range []string{"urgent", "usual", "spare"} {
@@ -253,11 +256,44 @@
 				w.send(Advised(c, good, w.now.Add(ticketLife)))
 			}
 		})
+	case UpkeepCmd:
+		w.at(transit, func() {
+			w.takeDown(c.Machine())
+			reply(Upkept(c, OutcomeDone))
+		})
 	case NoteCmd:
 		w.seen = append(w.seen, c.Note())
 	}
 }
 
+// upkeepTakes is how long a machine is down.
+const upkeepTakes = 2 * time.Second
+
+// takeDown begins the upkeep of the machine that carries the worker of the same name.
+func (w *world) takeDown(name string) {
+	if w.upkept[name] {
+		return
+	}
+	w.upkept[name], w.down[name] = true, w.now.Add(upkeepTakes)
+	f := w.fleet[name]
+	w.torn += len(f.runs)
+	f.born, f.runs, f.ended, f.next, f.highest, f.cut = f.born+1, map[string]*fakeRun{}, nil, 0, map[string]int64{}, true
+	w.at(upkeepTakes, func() {
+		delete(w.down, name)
+		f.cut = false
+	})
+}
+
+// listMachines tells the scheduler of the machines, one for each worker.
+func (w *world) listMachines() {
+	list := map[string]*hfwork.Machine{}
+	for id := range w.fleet {
+		_, down := w.down[id]
+		list[id] = &hfwork.Machine{Name: id, Pool: "pool", Up: !down, Worker: id}
+	}
+	w.send(Machines(list))
+}
+
 // start begins a run. A worker never holds more than its room, and a task never runs
 // twice.
 func (w *world) start(f *fake, c StartCmd) Outcome {
