--- a/hfstand/store.go
+++ b/hfstand/store.go
@@ -28,6 +28,7 @@
 	Slow int64 `json:"slow"` // milliseconds added to each call
 	Lost int   `json:"lost"` // the answers of this many writes are dropped after their effect
 	Rate int   `json:"rate"` // calls per second that are answered; 0: all
+	Late int64 `json:"late"` // milliseconds after which lost writes to the platform interface take effect; 0: at once
 }
 
 // StoreCounts is what GET /v1/counts returns.
