--- a/hfentry/desk.go
+++ b/hfentry/desk.go
@@ -45,6 +45,11 @@
 	rest    string // path below the queue's prefix
 }
 
+// NewAccess returns what a caller of an account may do below a queue's prefix.
+func NewAccess(queue *hfwork.Queue, account, rest string) Access {
+	return Access{queue: queue, account: account, rest: rest}
+}
+
 // Queue returns the queue.
 func (a Access) Queue() *hfwork.Queue { return a.queue }
 
@@ -69,7 +74,7 @@
 	if !queue.GetOpen() && !known {
 		return Access{}, ErrKey
 	}
-	return Access{queue: queue, account: account, rest: rest}, nil
+	return NewAccess(queue, account, rest), nil
 }
 
 // MaxBody returns the largest body of a request in bytes.
--- a/hfentry/health.go
+++ b/hfentry/health.go
@@ -20,21 +20,30 @@
 	failed int
 	probe  time.Time // next call let through
 	heard  time.Time // last answer
+	change func(down bool, silent time.Duration)
 }
 
-// NewHealth returns the health of a store that was not called yet.
-func NewHealth() *Health { return &Health{} }
+// NewHealth returns the health of a store that was not called yet. change is called when
+// the store goes away or is back, with the time since its last answer.
+func NewHealth(change func(down bool, silent time.Duration)) *Health {
+	return &Health{change: change}
+}
 
 // Note takes the result of a call.
 func (h *Health) Note(err error, now time.Time) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
+	was, silent := h.failed >= failuresDown, now.Sub(h.heard)
 	if errors.Is(err, hfstore.ErrUnavailable) || errors.Is(err, hfstore.ErrRefused) {
 		h.failed++
 		h.probe = now.Add(probeEvery)
-		return
+	} else {
+		h.failed, h.heard = 0, now
+	}
+	is := h.failed >= failuresDown
+	h.mu.Unlock()
+	if was != is {
+		h.change(is, silent)
 	}
-	h.failed, h.heard = 0, now
 }
 
 // Allow tells whether a call may be sent now.
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -57,7 +57,13 @@
 func New(s Settings, store hfstore.Committer, f Formats, m hforder.Minions, a hforder.Adviser, p hforder.Machines, log *hfevent.Log, registry metrics.Registry) *Node {
 	return &Node{
 		name: s.Name(), settings: s, store: store, formats: f, minions: m, adviser: a, machines: p, log: log, registry: registry,
-		mirror: hfloop.NewCell(NewMirror(f)), health: NewHealth(),
+		mirror: hfloop.NewCell(NewMirror(f)), health: NewHealth(func(down bool, silent time.Duration) {
+			event := hfevent.StoreUp
+			if down {
+				event = hfevent.StoreDown
+			}
+			log.Event(event, zap.Duration("silent", silent))
+		}),
 		freed: make(chan struct{}, 1), leave: make(chan struct{}),
 	}
 }
--- a/hfentry/observe.go
+++ b/hfentry/observe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
@@ -43,14 +44,14 @@
 }
 
 // Ordered implements hforder.Observer.
-func (n *Node) Ordered(verb string, task hfwork.TaskID, number int64, worker string, err error) {
-	metrics.GetOrRegisterCounter("order."+verb, n.registry).Inc(1)
+func (n *Node) Ordered(verb string, task hfwork.TaskID, number int64, worker string, sent time.Time, err error) {
+	metrics.GetOrRegisterTimer("order."+verb, n.registry).UpdateSince(sent)
 	if err == nil {
 		return
 	}
 	metrics.GetOrRegisterCounter("order."+verb+".failed", n.registry).Inc(1)
 	n.log.Event(hfevent.OrderFailed, zap.String("verb", verb), zap.String("job", task.Job()), zap.Uint32("step", task.Step()),
-		zap.Uint32("task", task.Index()), zap.Int64("run", number), zap.String("worker", worker), zap.Error(err))
+		zap.Uint32("task", task.Index()), zap.Int64("run", number), zap.String("worker", worker), zap.Duration("took", time.Since(sent)), zap.Error(err))
 }
 
 // Loaded implements hforder.Observer.
--- a/hfevent/event_test.go
+++ b/hfevent/event_test.go
@@ -30,8 +30,13 @@
 func TestEveryEventIsWritten(t *testing.T) {
 	catalogue, err := os.ReadFile("catalogue.go")
 	require.NoError(t, err)
-	files, err := filepath.Glob("../hfserve/*.go")
-	require.NoError(t, err)
+	var files []string
+	for _, folder := range []string{"hfserve", "hfentry", "platform"} {
+		found, err := filepath.Glob("../" + folder + "/*.go")
+		require.NoError(t, err)
+		require.NotEmpty(t, found)
+		files = append(files, found...)
+	}
 	var written strings.Builder
 	for _, file := range files {
 		raw, err := os.ReadFile(file)
--- a/hforder/desk.go
+++ b/hforder/desk.go
@@ -198,32 +198,35 @@
 		d.leader.Send(hfplan.Started(c, hfplan.OutcomeRefused))
 		return
 	}
+	sent := time.Now()
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	err := d.leader.minions.Start(call, node, Start{
 		task: c.Task(), number: c.Number(), command: c.Command(), saved: c.Saved(), ticket: c.Ticket(),
 		until: d.until(time.Now()), epoch: d.leader.tenure.Epoch(),
 	})
-	d.leader.observer.Ordered("start", c.Task(), c.Number(), node.GetId(), err)
+	d.leader.observer.Ordered("start", c.Task(), c.Number(), node.GetId(), sent, err)
 	d.leader.Send(hfplan.Started(c, d.outcome(err)))
 }
 
 func (d *desk) stop(ctx context.Context, c hfplan.StopCmd) {
+	sent := time.Now()
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	node := d.worker()
 	err := d.leader.minions.Stop(call, node, c.Task(), c.Number(), d.leader.tenure.Epoch())
-	d.leader.observer.Ordered("stop", c.Task(), c.Number(), node.GetId(), err)
+	d.leader.observer.Ordered("stop", c.Task(), c.Number(), node.GetId(), sent, err)
 	d.leader.Send(hfplan.Stopped(c, d.outcome(err)))
 }
 
 // pace is sent again after the next report that shows another pace.
 func (d *desk) pace(ctx context.Context, c hfplan.PaceCmd) {
+	sent := time.Now()
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	node := d.worker()
 	err := d.leader.minions.Pace(call, node, c.Task(), c.Number(), c.Share(), d.leader.tenure.Epoch())
-	d.leader.observer.Ordered("pace", c.Task(), c.Number(), node.GetId(), err)
+	d.leader.observer.Ordered("pace", c.Task(), c.Number(), node.GetId(), sent, err)
 }
 
 func (d *desk) watchClosely(c hfplan.WatchCmd) {
@@ -300,9 +303,7 @@
 	d.mu.Lock()
 	node, seen := d.node, d.stored
 	d.mu.Unlock()
-	return d.leader.minions.Look(ctx, node, Look{
-		until: until, seen: seen, epoch: d.leader.tenure.Epoch(), wait: func() time.Duration { return wait },
-	})
+	return d.leader.minions.Look(ctx, node, NewLook(until, seen, d.leader.tenure.Epoch(), wait))
 }
 
 func (d *desk) keep(r hfwork.Report, sent time.Time) {
--- a/hforder/leader.go
+++ b/hforder/leader.go
@@ -42,8 +42,8 @@
 type Observer interface {
 	// Noted tells of a decision or a changed belief.
 	Noted(c hfplan.NoteCmd)
-	// Ordered tells how an order to a worker ended.
-	Ordered(verb string, task hfwork.TaskID, number int64, worker string, err error)
+	// Ordered tells how an order that was sent at a time ended.
+	Ordered(verb string, task hfwork.TaskID, number int64, worker string, sent time.Time, err error)
 	// Loaded tells how much there is to do and to use, about once a second.
 	Loaded(load hfplan.Load)
 	// Broken tells of a broken invariant.
@@ -250,10 +250,11 @@
 		case <-ctx.Done():
 			return
 		case c := <-l.askIn:
+			sent := time.Now()
 			call, cancel := context.WithTimeout(ctx, adviceTimeout)
 			good, until, err := l.adviser.Advise(call, c.Step(), c.Workers())
 			cancel()
-			l.observer.Ordered("advise", c.Step(), 0, "", err)
+			l.observer.Ordered("advise", c.Step(), 0, "", sent, err)
 			if err != nil {
 				l.Send(hfplan.Unadvised(c))
 				continue
@@ -269,10 +270,11 @@
 		if !l.upkeep.Load() {
 			continue
 		}
+		sent := time.Now()
 		call, cancel := context.WithTimeout(ctx, machinesTimeout)
 		list, err := l.machines.List(call)
 		cancel()
-		l.observer.Ordered("machines", hfwork.TaskID{}, 0, "", err)
+		l.observer.Ordered("machines", hfwork.TaskID{}, 0, "", sent, err)
 		if err == nil {
 			l.Send(hfplan.Machines(list))
 		}
@@ -285,10 +287,11 @@
 		l.fail(ErrNotLeading)
 		return
 	}
+	sent := time.Now()
 	call, cancel := context.WithTimeout(ctx, machinesTimeout)
 	defer cancel()
 	err := l.machines.Upkeep(call, c.Machine(), c.Wave(), l.name, l.tenure.Epoch())
-	l.observer.Ordered("upkeep", hfwork.TaskID{}, c.Wave(), c.Machine(), err)
+	l.observer.Ordered("upkeep", hfwork.TaskID{}, c.Wave(), c.Machine(), sent, err)
 	switch {
 	case err == nil:
 		l.Send(hfplan.Upkept(c, hfplan.OutcomeDone))
--- a/hforder/minion.go
+++ b/hforder/minion.go
@@ -67,6 +67,11 @@
 	wait  func() time.Duration // the answer may wait so long for an end
 }
 
+// NewLook returns a look that renews nothing where until is 0.
+func NewLook(until, seen, epoch int64, wait time.Duration) Look {
+	return Look{until: until, seen: seen, epoch: epoch, wait: func() time.Duration { return wait }}
+}
+
 // Until returns the new end of the leases in milliseconds on the worker's clock, or 0.
 func (l Look) Until() int64 { return l.until }
 
--- a/hfsoak/yard_test.go
+++ b/hfsoak/yard_test.go
@@ -237,7 +237,7 @@
 func (y *yard) writeSettings(n *node) {
 	n.settings = filepath.Join(y.dir, n.name+".json")
 	raw, err := json.Marshal(map[string]any{
-		"node_name": n.name, "zone": "z", "region": "r", "listen": map[string]string{"front": n.front, "readiness": n.ready},
+		"node_name": n.name, "ip": "127.0.0.1", "zone": "z", "region": "r", "listen": map[string]string{"front": n.front, "readiness": n.ready},
 		"limits": map[string]any{"memory_mb": 284}, "heartbeat_ms": 1500,
 		"bounds":   map[string]int{"hold_max_ms": leaseMS, "gang_timeout_ms": 3000, "stop_ms": 200, "status_s": 120, "grace_s": 6},
 		"platform": map[string]any{"address": n.way.address(), "ttl_min_ms": 1000},
