--- a/hfentry/lead.go
+++ b/hfentry/lead.go
@@ -60,7 +60,7 @@
 
 // eligible tells whether this instance may try to take the duty.
 func (n *Node) eligible() bool {
-	return n.synced.Load() && !n.stopping.Load() && !n.health.Down() &&
+	return n.records.synced.Load() && n.policies.synced.Load() && !n.stopping.Load() && !n.health.Down() &&
 		hfloop.With(n.mirror, func(m *Mirror) bool { return m.lead == nil && m.policy != nil })
 }
 
@@ -92,6 +92,10 @@
 	if err := n.catchUp(ctx, tenure.Epoch()); err != nil {
 		return fmt.Errorf("catch up: %w", err)
 	}
+	n.workers.synced.Store(false)
+	if !n.load(ctx, &n.workers) {
+		return fmt.Errorf("read the workers: %w", hfstore.ErrUnavailable)
+	}
 	chain, err := n.openChain(ctx, tenure.Epoch())
 	if err != nil {
 		return fmt.Errorf("open records: %w", err)
@@ -110,6 +114,10 @@
 		cancel()
 		return nil
 	})
+	group.Go(func() error {
+		n.follow(inner, &n.workers)
+		return nil
+	})
 	group.Go(func() error {
 		n.purge(inner, tenure.Epoch())
 		return nil
@@ -134,7 +142,7 @@
 func (n *Node) catchUp(ctx context.Context, epoch int64) error {
 	ctx, cancel := context.WithTimeout(ctx, catchUp)
 	defer cancel()
-	for hfloop.With(n.mirror, func(m *Mirror) bool { return m.revision < epoch }) || !n.synced.Load() {
+	for hfloop.With(n.mirror, func(m *Mirror) bool { return m.revision < epoch }) || !n.records.synced.Load() {
 		if !hfloop.Pause(ctx, catchUpPause) {
 			return fmt.Errorf("mirror: %w", ctx.Err())
 		}
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -14,6 +14,7 @@
 
 // The keys of the store.
 const (
+	ownPrefix    = "hf/"        // of all keys that this program writes for itself
 	workPrefix   = "hf/work/"   // a job as it was handed in
 	statePrefix  = "hf/state/"  // its progress, written by the scheduler
 	cancelPrefix = "hf/cancel/" // the mark of its cancellation
@@ -25,6 +26,8 @@
 
 // Formats reads what the platform keeps in its store.
 type Formats interface {
+	// PolicyPrefix returns the prefix of all that operators write.
+	PolicyPrefix() string
 	// PolicyKey returns the key of the queues' configuration.
 	PolicyKey() string
 	// WorkerPrefix returns the prefix of the workers' entries; the rest is the id.
@@ -75,7 +78,7 @@
 	turns    map[int64]*hfwork.Wave // as stored by the scheduler, by number
 	lead     *hfwork.Lead           // nil when no instance schedules
 	term     int64
-	revision int64 // everything up to this revision is in
+	revision int64 // every record of ours up to this revision is in
 }
 
 // NewMirror returns an empty copy.
@@ -94,27 +97,37 @@
 	err     error // the value cannot be read; the last good one stays
 }
 
-// Reset replaces the copy by a complete list. Jobs that are not in it are forgotten.
-func (m *Mirror) Reset(items []hfstore.Item, revision int64) []change {
-	m.workers, m.lead = map[string]*hfwork.Worker{}, nil
+// Reset replaces the part of the copy below a prefix by a complete list.
+func (m *Mirror) Reset(prefix string, items []hfstore.Item, revision int64) []change {
+	var changes []change
+	switch prefix {
+	case m.formats.WorkerPrefix():
+		m.workers = map[string]*hfwork.Worker{}
+		changes = append(changes, change{workers: true})
+	case ownPrefix:
+		m.lead = nil
+		changes = append(changes, change{lead: true})
+	}
 	found := map[string]bool{}
-	changes := []change{{workers: true, lead: true}}
 	for _, i := range items {
 		if id, ok := strings.CutPrefix(i.Key(), workPrefix); ok {
 			found[id] = true
 		}
 		changes = append(changes, m.Apply(i))
 	}
+	if prefix != ownPrefix {
+		return changes
+	}
 	for id := range m.jobs {
 		if !found[id] {
 			delete(m.jobs, id)
 		}
 	}
-	m.revision = revision
+	m.Advance(revision)
 	return changes
 }
 
-// Advance notes that all events up to a revision were applied.
+// Advance notes that all events of our records up to a revision were applied.
 func (m *Mirror) Advance(revision int64) { m.revision = max(m.revision, revision) }
 
 // Apply takes one item or event.
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync/atomic"
 	"time"
@@ -46,7 +45,9 @@
 	registry metrics.Registry
 	mirror   *hfloop.Cell[*Mirror]
 	health   *Health
-	synced   atomic.Bool // the mirror holds a complete list
+	records  feed // our own records
+	policies feed // what operators write
+	workers  feed // the workers' entries, while this instance schedules
 	stopping atomic.Bool
 	leader   atomic.Pointer[hforder.Leader] // while this instance schedules
 	freed    chan struct{}                  // signalled when no instance schedules
@@ -55,7 +56,7 @@
 
 // New returns an instance that has not started.
 func New(s Settings, store hfstore.Committer, f Formats, m hforder.Minions, a hforder.Adviser, p hforder.Machines, log *hfevent.Log, registry metrics.Registry) *Node {
-	return &Node{
+	n := &Node{
 		name: s.Name(), settings: s, store: store, formats: f, minions: m, adviser: a, machines: p, log: log, registry: registry,
 		mirror: hfloop.NewCell(NewMirror(f)), health: NewHealth(func(down bool, silent time.Duration) {
 			event := hfevent.StoreUp
@@ -66,12 +67,20 @@
 		}),
 		freed: make(chan struct{}, 1), leave: make(chan struct{}),
 	}
+	n.records = feed{prefix: ownPrefix, pause: n.recordPause}
+	n.policies = feed{prefix: f.PolicyPrefix(), pause: func() time.Duration { return policyPause }}
+	n.workers = feed{prefix: f.WorkerPrefix(), pause: func() time.Duration { return workerPause }}
+	return n
 }
 
 // Run keeps the mirror current and takes part in scheduling until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	for _, loop := range []func(context.Context){n.follow, n.campaign} {
+	for _, loop := range []func(context.Context){
+		func(ctx context.Context) { n.follow(ctx, &n.records) },
+		func(ctx context.Context) { n.follow(ctx, &n.policies) },
+		n.campaign,
+	} {
 		g.Go(func() error {
 			loop(ctx)
 			return nil
@@ -102,7 +111,7 @@
 	switch {
 	case n.stopping.Load():
 		return false, "stopping"
-	case !n.synced.Load():
+	case !n.records.synced.Load() || !n.policies.synced.Load():
 		return false, "the store was not read yet"
 	case hfloop.With(n.mirror, func(m *Mirror) bool { return m.policy == nil }):
 		return false, ErrNotReady.Error()
@@ -112,73 +121,6 @@
 	return true, ""
 }
 
-const (
-	retryPause  = 150 * time.Millisecond // after a failed call of the watch
-	followPause = 150 * time.Millisecond // an instance that does not schedule lets events gather
-	leadPause   = 5 * time.Millisecond   // the one that schedules too, for bursts
-)
-
-// follow keeps the mirror current.
-func (n *Node) follow(ctx context.Context) {
-	for ctx.Err() == nil {
-		if !n.synced.Load() {
-			if !n.load(ctx) {
-				hfloop.Pause(ctx, retryPause)
-			}
-			continue
-		}
-		after := hfloop.With(n.mirror, func(m *Mirror) int64 { return m.revision })
-		items, revision, err := n.store.Watch(ctx, "", after)
-		if ctx.Err() != nil {
-			return
-		}
-		n.health.Note(err, time.Now())
-		if errors.Is(err, hfstore.ErrCompacted) {
-			n.synced.Store(false)
-			continue
-		}
-		if err != nil {
-			hfloop.Pause(ctx, retryPause)
-			continue
-		}
-		n.apply(items, revision)
-		if len(items) == 0 {
-			continue
-		}
-		if n.leader.Load() != nil {
-			hfloop.Pause(ctx, leadPause)
-		} else {
-			hfloop.Pause(ctx, followPause)
-		}
-	}
-}
-
-// load reads the whole store.
-func (n *Node) load(ctx context.Context) bool {
-	items, revision, err := n.store.List(ctx, "")
-	n.health.Note(err, time.Now())
-	if err != nil {
-		return false
-	}
-	changes := hfloop.With(n.mirror, func(m *Mirror) []change { return m.Reset(items, revision) })
-	n.log.Event(hfevent.MirrorReset, zap.Int("items", len(items)), zap.Int64("revision", revision))
-	n.synced.Store(true)
-	n.tell(changes)
-	return true
-}
-
-func (n *Node) apply(items []hfstore.Item, revision int64) {
-	changes := hfloop.With(n.mirror, func(m *Mirror) []change {
-		list := make([]change, 0, len(items))
-		for _, i := range items {
-			list = append(list, m.Apply(i))
-		}
-		m.Advance(revision)
-		return list
-	})
-	n.tell(changes)
-}
-
 // learn takes one item that this instance read or wrote itself.
 func (n *Node) learn(i hfstore.Item) {
 	n.tell([]change{hfloop.With(n.mirror, func(m *Mirror) change { return m.Apply(i) })})
@@ -211,7 +153,7 @@
 		}
 	}
 	if l := n.leader.Load(); l != nil && workers {
-		l.Send(hfplan.Workers(n.workers()))
+		l.Send(hfplan.Workers(n.listed()))
 	}
 }
 
@@ -223,8 +165,8 @@
 	}
 }
 
-// workers returns a copy of the registered workers.
-func (n *Node) workers() map[string]*hfwork.Worker {
+// listed returns a copy of the registered workers.
+func (n *Node) listed() map[string]*hfwork.Worker {
 	return hfloop.With(n.mirror, func(m *Mirror) map[string]*hfwork.Worker {
 		list := make(map[string]*hfwork.Worker, len(m.workers))
 		for id, w := range m.workers {
