Guarantees hold in floods of urgent work of other accounts

Cause: urgent work never made way for urgent work, so an account that floods could take what is guaranteed to another.

Change: the urgent jobs of an account that fit into its guarantee, in the order in which they came, go first and may stop urgent work beyond the guarantee of its own account.

--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -83,8 +83,10 @@
 
 // NewMirror returns an empty copy.
 func NewMirror(f Formats) *Mirror {
-	return &Mirror{formats: f, jobs: map[string]*entry{}, workers: map[string]*hfwork.Worker{}, roster: &hfwork.Roster{},
-		waves: map[int64]*hfwork.Wave{}, turns: map[int64]*hfwork.Wave{}}
+	return &Mirror{
+		formats: f, jobs: map[string]*entry{}, workers: map[string]*hfwork.Worker{}, roster: &hfwork.Roster{},
+		waves: map[int64]*hfwork.Wave{}, turns: map[int64]*hfwork.Wave{},
+	}
 }
 
 // change is what an applied event changed.
--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -17,6 +17,7 @@
 	cancelled bool
 	begun     bool // a task may have been started
 	stored    bool // begun is stored, so starts may be sent
+	claims    bool // it stands under the guarantee of its account
 	seen      bool // a worker has confirmed a start
 	inherited bool // begun under an earlier scheduler
 	groups    []*group
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -107,6 +107,7 @@
 type candidate struct {
 	group    *group
 	priority uint32
+	later    int     // 1 for urgent jobs beyond the guarantee of their account
 	rank     float64 // smaller first
 }
 
@@ -123,11 +124,15 @@
 		if !s.settled && g.job.inherited {
 			continue
 		}
-		list = append(list, candidate{group: g, priority: g.job.queue.GetPriority(), rank: s.rank(g)})
+		c := candidate{group: g, priority: g.job.queue.GetPriority(), rank: s.rank(g)}
+		if c.priority == 0 && !g.job.claims {
+			c.later = 1
+		}
+		list = append(list, c)
 	}
 	slices.SortStableFunc(list, func(a, b candidate) int {
 		return cmp.Or(
-			cmp.Compare(a.priority, b.priority), cmp.Compare(a.rank, b.rank),
+			cmp.Compare(a.priority, b.priority), cmp.Compare(a.later, b.later), cmp.Compare(a.rank, b.rank),
 			cmp.Compare(a.group.job.id(), b.group.job.id()), cmp.Compare(a.group.step, b.group.step),
 		)
 	})
@@ -193,6 +198,7 @@
 func (s *Scheduler) place(now time.Time) {
 	failed := map[shape]int{} // smallest count that found no place
 	s.keepNone()
+	s.claim()
 	for _, c := range s.candidates(now) {
 		g := c.group
 		key := shape{pool: g.job.queue.GetPool(), size: g.size, gang: g.gang(), compact: g.spec.GetCompact()}
--- a/hfplan/plan_test.go
+++ b/hfplan/plan_test.go
@@ -337,3 +337,19 @@
 	w.play(8 * time.Second)
 	require.Equal(t, hfwork.StateCompleted, w.state("a"))
 }
+
+// One account floods the fleet with urgent gangs; another one claims its guarantee.
+func TestGuaranteeHoldsInAFloodOfUrgentWorkOfAnotherAccount(t *testing.T) {
+	w := newWorld(t, 3, 8)
+	w.policy.Accounts = []*hfwork.Account{{Name: "plants", Guaranteed: 64}, {Name: "flood", Guaranteed: 32}}
+	w.send(Policy(w.policy))
+	w.play(time.Second)
+	for i := range 12 {
+		w.submitAs("flood", fmt.Sprintf("f%02d", i), "urgent", gang(4, 8, 30*time.Second))
+	}
+	w.play(3 * time.Second)
+	w.submitAs("plants", "a", "urgent", gang(8, 8, 2*time.Second))
+	w.play(1500 * time.Millisecond)
+	require.Equal(t, 8, w.running("a"), "guaranteed work starts within 2.7 s")
+	require.Equal(t, 4, w.running("f00"), "what stands under the other guarantee goes on")
+}
--- a/hfplan/preempt.go
+++ b/hfplan/preempt.go
@@ -60,16 +60,15 @@
 	return now.Sub(g.job.known) < compactPatience
 }
 
-// victims lists what may be stopped for a group: any less urgent work for the most
-// urgent, and tasks that never end by themselves for all.
+// urgentLoss weighs the loss of urgent work against that of other work.
+const urgentLoss = 10
+
+// victims lists what may be stopped for a group.
 func (s *Scheduler) victims(claimant *group, now time.Time) []hfroom.Victim[victim] {
 	var list []hfroom.Victim[victim]
 	queue := claimant.job.queue
 	for _, g := range s.groups {
-		if g.active == 0 || g.job.queue == nil || g.job.queue.GetPriority() <= queue.GetPriority() || g.job.queue.GetPool() != queue.GetPool() {
-			continue
-		}
-		if queue.GetPriority() > 0 && !g.spec.GetLasting() {
+		if g.active == 0 || g.job.queue == nil || g.job.queue.GetPool() != queue.GetPool() || !claimant.mayStop(g) {
 			continue
 		}
 		if g.gang() {
@@ -141,5 +140,8 @@
 	if !g.spec.GetSaves() && !g.spec.GetLasting() {
 		lost += now.Sub(r.started)
 	}
+	if g.job.queue.GetPriority() == 0 {
+		lost *= urgentLoss
+	}
 	return lost.Seconds() * g.cores()
 }
--- a/hfplan/world_test.go
+++ b/hfplan/world_test.go
@@ -452,8 +452,10 @@
 }
 
 // submit hands a job of one step in.
-func (w *world) submit(id, queue string, s *hfwork.Step) {
-	w.jobs[id] = &hfwork.Job{Id: id, Queue: queue, Account: "plants", Steps: []*hfwork.Step{s}}
+func (w *world) submit(id, queue string, s *hfwork.Step) { w.submitAs("plants", id, queue, s) }
+
+func (w *world) submitAs(account, id, queue string, s *hfwork.Step) {
+	w.jobs[id] = &hfwork.Job{Id: id, Queue: queue, Account: account, Steps: []*hfwork.Step{s}, Received: w.now.UnixMilli()}
 	w.send(Job(w.jobs[id], nil, false))
 }
 
