Strong instances schedule, and a silent renewal no longer costs the leadership

The scheduling instance was one of the small ones, and one renewal without an answer was waited for until the lease had run out.

Change: instances with less processor time and bandwidth let stronger ones take the duty first, by half a second at most; a renewal gets a fifth of the lease before it is tried again on another connection. Advice is only looked for where a queue is advised.

--- a/hfentry/lead.go
+++ b/hfentry/lead.go
@@ -27,6 +27,7 @@
 	// than it and a takeover when that instance dies.
 	leadTTL      = 2500 * time.Millisecond
 	leadSpread   = 120 * time.Millisecond // candidates try at random within it, so that one usually does
+	leadYield    = 500 * time.Millisecond // by which the weakest instance lets the strongest go first
 	leadRetry    = 500 * time.Millisecond
 	catchUp      = 2 * time.Second // a new leader whose mirror is not current by then gives up
 	catchUpPause = 5 * time.Millisecond
@@ -48,7 +49,7 @@
 		if !n.eligible() {
 			continue
 		}
-		hfloop.Pause(ctx, rand.N(leadSpread))
+		hfloop.Pause(ctx, n.yield()+rand.N(leadSpread))
 		if !n.eligible() {
 			continue
 		}
@@ -58,6 +59,12 @@
 	}
 }
 
+// yield returns how long this instance lets stronger ones go first: scheduling takes
+// processor time and bandwidth that small instances do not have.
+func (n *Node) yield() time.Duration {
+	return time.Duration((1 - min(max(n.settings.Strength(), 0), 1)) * float64(leadYield))
+}
+
 // eligible tells whether this instance may try to take the duty.
 func (n *Node) eligible() bool {
 	return n.records.synced.Load() && n.policies.synced.Load() && !n.stopping.Load() && !n.health.Down() &&
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -22,6 +22,8 @@
 type Settings interface {
 	// Name returns the name of the instance.
 	Name() string
+	// Strength returns how well the instance can carry the duty of scheduling, from 0 to 1.
+	Strength() float64
 	// ShortestLease returns the shortest lease that the store grants.
 	ShortestLease() time.Duration
 	// TaskLease returns the longest lease of a task on a worker.
--- a/hflease/campaign.go
+++ b/hflease/campaign.go
@@ -13,6 +13,9 @@
 	"github.com/heatherfront/heatherfront/hfstore"
 )
 
+// renewTries is the number of renewals that fit into one lease, if none is answered.
+const renewTries = 5
+
 // ErrHeld reports that another instance holds the duty.
 var ErrHeld = eris.New("duty held by another instance")
 
@@ -98,7 +101,8 @@
 		if now.Before(next) {
 			continue
 		}
-		call, cancel := context.WithTimeout(ctx, max(t.Left(now), time.Millisecond))
+		// A connection that has gone silent must not use up the whole lease.
+		call, cancel := context.WithTimeout(ctx, max(min(t.Left(now), ttl/renewTries), time.Millisecond))
 		err := s.Renew(call, lease)
 		cancel()
 		switch {
--- a/hfplan/advice.go
+++ b/hfplan/advice.go
@@ -65,7 +65,7 @@
 // ask asks ahead for the most urgent group that lacks tickets: for the workers with the
 // most room that it has no answer for.
 func (s *Scheduler) ask(now time.Time) {
-	if s.asking || now.Before(s.askAfter) {
+	if s.asking || now.Before(s.askAfter) || !s.advises {
 		return
 	}
 	for _, c := range s.candidates(now) {
--- a/hfplan/plan_test.go
+++ b/hfplan/plan_test.go
@@ -289,6 +289,7 @@
 func TestAdvisedGangStartsOnAllowedWorkersOnly(t *testing.T) {
 	w := newWorld(t, 3, 8)
 	w.policy.Queues[1].Advised = true
+	w.send(Policy(w.policy))
 	w.good = map[string]bool{}
 	for i := range 8 {
 		w.good[fmt.Sprint("w2-", i)] = true
--- a/hfplan/state.go
+++ b/hfplan/state.go
@@ -72,6 +72,7 @@
 	waves      map[int64]*wave            // not completed, by number
 	machines   map[string]*hfwork.Machine // by name, nil before the first list
 	dirtyWaves map[int64]*hfwork.Wave
+	advises    bool      // a queue is advised
 	asking     bool      // an AskCmd is under way
 	askAfter   time.Time // no AskCmd before
 	cmds       []Cmd
@@ -137,9 +138,10 @@
 func (s *Scheduler) do(c Cmd) { s.cmds = append(s.cmds, c) }
 
 func (s *Scheduler) setPolicy(p *hfwork.Policy) {
-	s.policy = p
+	s.policy, s.advises = p, false
 	for _, q := range p.GetQueues() {
 		s.queues[q.GetName()] = q
+		s.advises = s.advises || q.GetAdvised()
 	}
 	for _, j := range s.jobs {
 		if q := s.queues[j.spec.GetQueue()]; q != nil {
