Machines due for upkeep are emptied ahead

Change: twice as many machines are on their way as may be down; the number of racks kept for gangs has a floor of two in small pools.

--- a/hfplan/keep.go
+++ b/hfplan/keep.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	keepShare   = 0.34 // part of a pool's racks that may be kept for waiting gangs
+	keepShare   = 0.34  // part of a pool's racks that may be kept for waiting gangs
+	keepLeast   = 2    // racks that may be kept in any pool
 	overdueLeft = 0.25 // part of its estimate that a run past it is expected to need still
 )
 
@@ -38,7 +39,7 @@
 			free = append(free, name)
 		}
 	}
-	if float64(kept+1) > keepShare*float64(len(racks)) {
+	if kept >= max(keepLeast, int(keepShare*float64(len(racks)))) {
 		return
 	}
 	best, soonest := "", time.Time{}
--- a/hfplan/upkeep.go
+++ b/hfplan/upkeep.go
@@ -12,6 +12,8 @@
 	evacuateBy = 3 * time.Second
 	// upkeepTime is what one turn takes at most, with emptying and the return.
 	upkeepTime = 3500 * time.Millisecond
+	// ahead is how many machines are on their way for each that may be down.
+	ahead      = 2
 	repeatTurn = time.Second // an upkeep without an answer is asked for again
 )
 
@@ -115,32 +117,43 @@
 }
 
 func (s *Scheduler) moveWave(w *wave, now time.Time) {
-	busy, finished := 0, 0
+	most := max(int(w.spec.GetMost()), 1)
+	down := w.count(turnAsked, turnDown)
 	for _, m := range w.spec.GetMachines() {
 		t := w.turns[m]
-		s.moveTurn(w, m, t, now)
-		switch t.phase {
-		case turnEmpties, turnAsked, turnDown:
-			busy++
-		case turnFinished:
-			finished++
+		before := t.phase
+		s.moveTurn(w, m, t, down < most, now)
+		if before == turnEmpties && t.phase == turnAsked {
+			down++
 		}
 	}
+	finished := w.count(turnFinished)
 	if finished == len(w.turns) {
 		w.spec.Completed = true
 		s.markWave(w)
 		return
 	}
-	for busy < max(int(w.spec.GetMost()), 1) {
+	// The next machines are emptied while the ones before are down.
+	for busy := w.count(turnEmpties, turnAsked, turnDown); busy < ahead*most; busy++ {
 		m := s.nextTurn(w)
 		if m == "" {
 			return
 		}
 		w.turns[m].phase, w.turns[m].since = turnEmpties, now
-		busy++
 	}
 }
 
+// count returns the turns in some phases.
+func (w *wave) count(phases ...turnPhase) int {
+	n := 0
+	for _, t := range w.turns {
+		if slices.Contains(phases, t.phase) {
+			n++
+		}
+	}
+	return n
+}
+
 // nextTurn returns the waiting machine whose worker runs least.
 func (s *Scheduler) nextTurn(w *wave) string {
 	best, least := "", 0
@@ -159,7 +172,7 @@
 	return best
 }
 
-func (s *Scheduler) moveTurn(w *wave, name string, t *turn, now time.Time) {
+func (s *Scheduler) moveTurn(w *wave, name string, t *turn, free bool, now time.Time) {
 	m := s.machines[name]
 	if m == nil {
 		if s.machines != nil && t.phase != turnFinished {
@@ -174,7 +187,7 @@
 			worker.upkeep = true
 			s.refresh(worker, now)
 		}
-		if worker == nil || s.evacuate(worker, w.pressing(t, now), now) {
+		if empty := worker == nil || s.evacuate(worker, w.pressing(t, now), now); empty && free {
 			t.phase, t.asked, t.was = turnAsked, now, m.GetWorker()
 			s.do(UpkeepCmd{machine: name, wave: w.spec.GetNumber()})
 		}
