A new scheduler does not wait for workers that have left as planned

Ruled out: a port without a listener as the sign (a worker that has left does not answer at all; tried and taken back), and the old scheduler's knowledge (it was cut from the store when they left).

Change: every instance looks at the workers' entries, the standby ones every 1.2 s. An entry of a draining worker that goes sooner than it could have lapsed, seen without a gap in the watch, was removed by the worker itself: nothing runs there any more.

--- a/hfentry/chain_test.go
+++ b/hfentry/chain_test.go
@@ -110,7 +110,7 @@
 
 func open(t *testing.T, m *memory) *chain {
 	t.Helper()
-	n := &Node{name: "one", store: m, mirror: hfloop.NewCell(NewMirror(nil))}
+	n := &Node{name: "one", store: m, mirror: hfloop.NewCell(NewMirror(nil, time.Second))}
 	epoch, err := m.Put(t.Context(), leadKey, []byte("one"), m.items[leadKey].Version(), "")
 	require.NoError(t, err)
 	c, err := n.openChain(t.Context(), epoch)
--- a/hfentry/feed.go
+++ b/hfentry/feed.go
@@ -20,15 +20,23 @@
 	followPause = 200 * time.Millisecond // our records, at an instance that does not schedule
 	leadPause   = 10 * time.Millisecond  // our records, at the one that does
 	policyPause = 20 * time.Millisecond
-	workerPause = 600 * time.Millisecond // workers write their entries all the time
+	// Workers write their entries all the time. An instance that does not schedule looks
+	// at them so that it knows, when it has to, which have left as planned.
+	workerPause  = 600 * time.Millisecond  // at the scheduling instance
+	standbyPause = 1200 * time.Millisecond // at the others
 )
 
+// watchGap is the time between two answers of a watch after which its events are no
+// longer of the moment: a watch without events is answered sooner.
+const watchGap = 3 * time.Second
+
 // feed keeps one part of the mirror current by a watch.
 type feed struct {
 	prefix   string
 	pause    func() time.Duration
 	synced   atomic.Bool // a complete list was read
 	revision int64       // the watch goes on from here; only its own loop uses it
+	answered time.Time   // last answer of the store; only its own loop uses it
 }
 
 func (n *Node) recordPause() time.Duration {
@@ -38,6 +46,13 @@
 	return followPause
 }
 
+func (n *Node) workersPause() time.Duration {
+	if n.leader.Load() != nil {
+		return workerPause
+	}
+	return standbyPause
+}
+
 // follow keeps a part of the mirror current until ctx ends.
 func (n *Node) follow(ctx context.Context, f *feed) {
 	for ctx.Err() == nil {
@@ -83,7 +98,10 @@
 }
 
 func (n *Node) apply(f *feed, items []hfstore.Item, revision int64) {
+	gap := !f.answered.IsZero() && time.Since(f.answered) > watchGap
+	f.answered = time.Now()
 	changes := hfloop.With(n.mirror, func(m *Mirror) []change {
+		m.stalled = gap
 		list := make([]change, 0, len(items))
 		for _, i := range items {
 			list = append(list, m.Apply(i))
--- a/hfentry/lead.go
+++ b/hfentry/lead.go
@@ -67,7 +67,7 @@
 
 // eligible tells whether this instance may try to take the duty.
 func (n *Node) eligible() bool {
-	return n.records.synced.Load() && n.policies.synced.Load() && !n.stopping.Load() && !n.health.Down() &&
+	return n.records.synced.Load() && n.policies.synced.Load() && n.workers.synced.Load() && !n.stopping.Load() && !n.health.Down() &&
 		hfloop.With(n.mirror, func(m *Mirror) bool { return m.lead == nil && m.policy != nil })
 }
 
@@ -99,10 +99,6 @@
 	if err := n.catchUp(ctx, tenure.Epoch()); err != nil {
 		return fmt.Errorf("catch up: %w", err)
 	}
-	n.workers.synced.Store(false)
-	if !n.load(ctx, &n.workers) {
-		return fmt.Errorf("read the workers: %w", hfstore.ErrUnavailable)
-	}
 	chain, err := n.openChain(ctx, tenure.Epoch())
 	if err != nil {
 		return fmt.Errorf("open records: %w", err)
@@ -121,10 +117,6 @@
 		cancel()
 		return nil
 	})
-	group.Go(func() error {
-		n.follow(inner, &n.workers)
-		return nil
-	})
 	group.Go(func() error {
 		n.purge(inner, tenure.Epoch())
 		return nil
@@ -166,6 +158,9 @@
 			workers[id] = w
 		}
 		msgs = append(msgs, hfplan.Workers(workers))
+		for _, id := range slices.Sorted(maps.Keys(m.left)) {
+			msgs = append(msgs, hfplan.Left(id))
+		}
 		for _, number := range slices.Sorted(maps.Keys(m.waves)) {
 			msgs = append(msgs, hfplan.Wave(m.wave(number)))
 		}
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -73,6 +73,10 @@
 	version  int64 // store revision of the configuration
 	jobs     map[string]*entry
 	workers  map[string]*hfwork.Worker
+	beats    map[string]time.Time // last time at which a worker's entry was written, as seen here
+	left     map[string]bool      // workers that have left as planned, while they are in the roster
+	stalled  bool                 // events come late, after a gap
+	beat     func() time.Duration // interval at which workers write their entries
 	roster   *hfwork.Roster
 	waves    map[int64]*hfwork.Wave // as asked for, by number
 	turns    map[int64]*hfwork.Wave // as stored by the scheduler, by number
@@ -82,9 +86,9 @@
 }
 
 // NewMirror returns an empty copy.
-func NewMirror(f Formats) *Mirror {
+func NewMirror(f Formats, beat time.Duration) *Mirror {
 	return &Mirror{
-		formats: f, jobs: map[string]*entry{}, workers: map[string]*hfwork.Worker{}, roster: &hfwork.Roster{},
+		formats: f, beats: map[string]time.Time{}, left: map[string]bool{}, beat: func() time.Duration { return beat }, jobs: map[string]*entry{}, workers: map[string]*hfwork.Worker{}, roster: &hfwork.Roster{},
 		waves: map[int64]*hfwork.Wave{}, turns: map[int64]*hfwork.Wave{},
 	}
 }
@@ -93,6 +97,7 @@
 type change struct {
 	job     string       // id of a job that is new or cancelled
 	wave    *hfwork.Wave // asked for, with what was done of it
+	left    string       // worker that has left as planned
 	workers bool
 	policy  bool
 	lead    bool
@@ -104,7 +109,7 @@
 	var changes []change
 	switch prefix {
 	case m.formats.WorkerPrefix():
-		m.workers = map[string]*hfwork.Worker{}
+		m.workers, m.beats = map[string]*hfwork.Worker{}, map[string]time.Time{}
 		changes = append(changes, change{workers: true})
 	case ownPrefix:
 		m.lead = nil
@@ -148,6 +153,7 @@
 		roster, err := hfwire.Decode(i.Value(), &hfwork.Roster{})
 		if err == nil {
 			m.roster = roster
+			m.forgetLeft()
 		}
 		return change{err: err}
 	case strings.HasPrefix(key, m.formats.WorkerPrefix()):
@@ -179,6 +185,19 @@
 	return change{}
 }
 
+// forgetLeft drops what is known of workers that no longer stand in the roster.
+func (m *Mirror) forgetLeft() {
+	listed := map[string]bool{}
+	for _, w := range m.roster.GetWorkers() {
+		listed[w.GetId()] = true
+	}
+	for id := range m.left {
+		if !listed[id] {
+			delete(m.left, id)
+		}
+	}
+}
+
 // wave returns a wave as its scheduler left it.
 func (m *Mirror) wave(number int64) *hfwork.Wave {
 	if w := m.turns[number]; w != nil {
@@ -223,9 +242,21 @@
 
 func (m *Mirror) applyWorker(id string, i hfstore.Item) change {
 	if i.Deleted() {
+		c := change{workers: true}
+		// An entry that lapses was silent for three intervals; one that goes sooner was
+		// removed by its worker.
+		if m.workers[id].GetDraining() && time.Since(m.beats[id]) < m.beat()*3/2 {
+			c.left, m.left[id] = id, true
+		}
 		delete(m.workers, id)
-		return change{workers: true}
+		delete(m.beats, id)
+		return c
+	}
+	m.beats[id] = time.Now()
+	if m.stalled {
+		m.beats[id] = time.Time{} // it may have been written long ago
 	}
+	delete(m.left, id)
 	w, err := m.formats.Worker(id, i.Value())
 	if err != nil {
 		delete(m.workers, id)
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -26,6 +26,8 @@
 	Strength() float64
 	// ShortestLease returns the shortest lease that the store grants.
 	ShortestLease() time.Duration
+	// Beat returns the interval at which workers write their entries.
+	Beat() time.Duration
 	// TaskLease returns the longest lease of a task on a worker.
 	TaskLease() time.Duration
 	// GangWindow returns the time in which all members of a gang must be present.
@@ -49,7 +51,7 @@
 	health   *Health
 	records  feed // our own records
 	policies feed // what operators write
-	workers  feed // the workers' entries, while this instance schedules
+	workers  feed // the workers' entries
 	stopping atomic.Bool
 	leader   atomic.Pointer[hforder.Leader] // while this instance schedules
 	freed    chan struct{}                  // signalled when no instance schedules
@@ -60,7 +62,7 @@
 func New(s Settings, store hfstore.Committer, f Formats, m hforder.Minions, a hforder.Adviser, p hforder.Machines, log *hfevent.Log, registry metrics.Registry) *Node {
 	n := &Node{
 		name: s.Name(), settings: s, store: store, formats: f, minions: m, adviser: a, machines: p, log: log, registry: registry,
-		mirror: hfloop.NewCell(NewMirror(f)), health: NewHealth(func(down bool, silent time.Duration) {
+		mirror: hfloop.NewCell(NewMirror(f, s.Beat())), health: NewHealth(func(down bool, silent time.Duration) {
 			event := hfevent.StoreUp
 			if down {
 				event = hfevent.StoreDown
@@ -71,7 +73,7 @@
 	}
 	n.records = feed{prefix: ownPrefix, pause: n.recordPause}
 	n.policies = feed{prefix: f.PolicyPrefix(), pause: func() time.Duration { return policyPause }}
-	n.workers = feed{prefix: f.WorkerPrefix(), pause: func() time.Duration { return workerPause }}
+	n.workers = feed{prefix: f.WorkerPrefix(), pause: n.workersPause}
 	return n
 }
 
@@ -81,6 +83,7 @@
 	for _, loop := range []func(context.Context){
 		func(ctx context.Context) { n.follow(ctx, &n.records) },
 		func(ctx context.Context) { n.follow(ctx, &n.policies) },
+		func(ctx context.Context) { n.follow(ctx, &n.workers) },
 		n.campaign,
 	} {
 		g.Go(func() error {
@@ -132,6 +135,9 @@
 func (n *Node) tell(changes []change) {
 	workers := false
 	for _, c := range changes {
+		if l := n.leader.Load(); l != nil && c.left != "" {
+			l.Send(hfplan.Left(c.left))
+		}
 		if c.err != nil {
 			n.log.Event(hfevent.EntryRejected, zap.Error(c.err))
 		}
--- a/hfentry/observe.go
+++ b/hfentry/observe.go
@@ -37,7 +37,7 @@
 	case hfplan.NoteHeard:
 		n.log.Event(hfevent.WorkerHeard, zap.String("worker", c.Worker()), zap.String("reason", c.Reason()))
 	case hfplan.NoteGone:
-		n.log.Event(hfevent.WorkerDropped, zap.String("worker", c.Worker()))
+		n.log.Event(hfevent.WorkerDropped, zap.String("worker", c.Worker()), zap.String("reason", c.Reason()))
 	case hfplan.NoteSettled:
 		n.log.Event(hfevent.PlanSettled)
 	}
--- a/hforder/desk.go
+++ b/hforder/desk.go
@@ -264,7 +264,7 @@
 // watch looks at the worker until ctx ends. A silent worker's leases are not renewed,
 // so that they run out at a known time.
 func (d *desk) watch(ctx context.Context) {
-	answered := false
+	answered, told := false, false // told: of the silence that is under way
 	for ctx.Err() == nil {
 		wait := lookShort
 		until := int64(0)
@@ -282,6 +282,10 @@
 				return
 			}
 			d.setSilent(true)
+			if ctx.Err() == nil && !told {
+				told = true
+				d.leader.observer.Ordered("look", hfwork.TaskID{}, 0, d.worker().GetId(), sent, err)
+			}
 			if ctx.Err() == nil {
 				d.leader.Send(hfplan.Silent(d.worker().GetId()))
 			}
@@ -289,7 +293,7 @@
 			hfloop.Pause(ctx, silentPause)
 			continue
 		}
-		answered = true
+		answered, told = true, false
 		d.setSilent(false)
 		d.keep(report, sent)
 		d.leader.Send(hfplan.Report(d.worker().GetId(), sent, report))
--- a/hfplan/keep.go
+++ b/hfplan/keep.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	keepShare   = 0.34  // part of a pool's racks that may be kept for waiting gangs
+	keepShare   = 0.34 // part of a pool's racks that may be kept for waiting gangs
 	keepLeast   = 2    // racks that may be kept in any pool
 	overdueLeft = 0.25 // part of its estimate that a run past it is expected to need still
 )
--- a/hfplan/message.go
+++ b/hfplan/message.go
@@ -23,6 +23,12 @@
 // Workers returns a WorkersMsg.
 func Workers(workers map[string]*hfwork.Worker) WorkersMsg { return WorkersMsg{workers: workers} }
 
+// LeftMsg tells that a worker has left as planned. Nothing runs on it.
+type LeftMsg struct{ worker string }
+
+// Left returns a LeftMsg.
+func Left(worker string) LeftMsg { return LeftMsg{worker: worker} }
+
 // InheritMsg brings the workers on which an earlier scheduler may have started tasks.
 type InheritMsg struct{ workers []*hfwork.Worker }
 
@@ -115,6 +121,7 @@
 
 func (PolicyMsg) planMsg()  {}
 func (WorkersMsg) planMsg() {}
+func (LeftMsg) planMsg()    {}
 func (InheritMsg) planMsg() {}
 func (JobMsg) planMsg()     {}
 func (CancelMsg) planMsg()  {}
--- a/hfplan/order.go
+++ b/hfplan/order.go
@@ -144,16 +144,11 @@
 func (s *Scheduler) tickWorker(w *worker, now time.Time) {
 	s.refresh(w, now)
 	if (w.silent || !w.heard) && !now.Before(w.lapses) {
-		s.dropRuns(w, "lease lapsed")
 		if !w.listed {
-			s.do(NoteCmd{note: NoteGone, worker: w.id()})
-			s.room.Remove(w.id())
-			delete(s.workers, w.id())
-			s.regroup = true
-			delete(s.acks, w)
-			delete(s.acking, w)
+			s.drop(w, "lease lapsed")
 			return
 		}
+		s.dropRuns(w, "lease lapsed")
 	}
 	if w.silent {
 		return
--- a/hfplan/plan_test.go
+++ b/hfplan/plan_test.go
@@ -354,3 +354,32 @@
 	require.Equal(t, 8, w.running("a"), "guaranteed work starts within 2.7 s")
 	require.Equal(t, 4, w.running("f00"), "what stands under the other guarantee goes on")
 }
+
+// Workers leave as planned shortly before the scheduler changes. Found with the recorded
+// incident of abialog (inc-7a28): the new scheduler waited for their leases to run out,
+// and jobs that had begun waited with it for six seconds, twice.
+func TestNewLeaderDoesNotWaitForWorkersThatHaveLeft(t *testing.T) {
+	for name, c := range map[string]struct {
+		left bool
+		want string
+	}{
+		"as planned":     {true, hfwork.StateCompleted},
+		"without a word": {false, hfwork.StateRunning},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1, 3)
+			w.play(time.Second)
+			w.submit("a", "usual", single(40, time.Second))
+			w.play(500 * time.Millisecond)
+			delete(w.fleet, "w0-2")
+			w.send(Workers(w.listed()))
+			if c.left {
+				w.send(Left("w0-2"))
+			}
+			w.play(100 * time.Millisecond)
+			w.elect()
+			w.play(2500 * time.Millisecond)
+			require.Equal(t, c.want, w.state("a"))
+		})
+	}
+}
--- a/hfplan/state.go
+++ b/hfplan/state.go
@@ -97,6 +97,10 @@
 	switch m := msg.(type) {
 	case PolicyMsg:
 		s.setPolicy(m.policy)
+	case LeftMsg:
+		if w := s.workers[m.worker]; w != nil {
+			s.drop(w, "worker has left")
+		}
 	case InheritMsg:
 		s.inherit(m.workers)
 	case WorkersMsg:
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -306,6 +306,17 @@
 	s.refresh(w, now)
 }
 
+// drop forgets a worker on which nothing runs any more.
+func (s *Scheduler) drop(w *worker, reason string) {
+	s.dropRuns(w, reason)
+	s.do(NoteCmd{note: NoteGone, worker: w.id(), reason: reason})
+	s.room.Remove(w.id())
+	delete(s.workers, w.id())
+	delete(s.acks, w)
+	delete(s.acking, w)
+	s.regroup = true
+}
+
 // dropRuns ends all runs of a worker that are certainly over.
 func (s *Scheduler) dropRuns(w *worker, reason string) {
 	for _, r := range inOrder(w.runs) {
