The scheduling instance hears of a job from the instance that took it

Change: an instance that has stored a job or a cancellation tells the scheduling one over a link of its own (yamux, protobuf); the watch brings it anyway. Hints wait in a bounded queue and never block a caller.

--- a/hfentry/desk.go
+++ b/hfentry/desk.go
@@ -111,7 +111,9 @@
 	if err != nil {
 		return fmt.Errorf("submit: %w", err)
 	}
-	n.learn(hfstore.NewItem(workPrefix+job.GetId(), value, version, false))
+	stored := hfstore.NewItem(workPrefix+job.GetId(), value, version, false)
+	n.learn(stored)
+	n.hint(stored)
 	return nil
 }
 
@@ -224,7 +226,9 @@
 		return fmt.Errorf("cancel: %w", err)
 	}
 	n.log.Event(hfevent.JobCancelled, zap.String("job", id), zap.String("queue", a.queue.GetName()))
-	n.learn(hfstore.NewItem(cancelPrefix+id, nil, version, false))
+	stored := hfstore.NewItem(cancelPrefix+id, nil, version, false)
+	n.learn(stored)
+	n.hint(stored)
 	return nil
 }
 
--- /dev/null
+++ b/hfentry/hint.go
@@ -0,0 +1,79 @@
+package hfentry
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/heatherfront/heatherfront/hfevent"
+	"github.com/heatherfront/heatherfront/hfloop"
+	"github.com/heatherfront/heatherfront/hfpeer"
+	"github.com/heatherfront/heatherfront/hfstore"
+	"github.com/heatherfront/heatherfront/hfwire"
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+const (
+	hintsWaiting = 256                    // hints that wait for a slow link; more are left to the watch
+	hintTimeout  = 400 * time.Millisecond // of one hint
+)
+
+// hint tells the scheduling instance of an item that was just stored. Its watch brings
+// the item anyway, but is silent for seconds when the store drops its history.
+func (n *Node) hint(i hfstore.Item) {
+	if n.leader.Load() != nil {
+		return
+	}
+	select {
+	case n.hints <- i:
+	default:
+		metrics.GetOrRegisterCounter("hint.dropped", n.registry).Inc(1)
+	}
+}
+
+// sendHints passes hints on until ctx ends. One that fails is left to the watch.
+func (n *Node) sendHints(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case i := <-n.hints:
+			lead := hfloop.With(n.mirror, func(m *Mirror) *hfwork.Lead { return m.lead })
+			if lead.GetAddress() == "" || lead.GetInstance() == n.name {
+				continue
+			}
+			out := n.links.Envelope()
+			out.Body = &hfwire.Envelope_Hint{Hint: &hfwire.Hint{Key: i.Key(), Value: i.Value(), Version: i.Version()}}
+			call, cancel := context.WithTimeout(ctx, hintTimeout)
+			_, err := n.links.Call(call, hfpeer.NewPeer(lead.GetInstance(), lead.GetAddress()), out)
+			cancel()
+			if err != nil {
+				metrics.GetOrRegisterCounter("hint.failed", n.registry).Inc(1)
+			}
+		}
+	}
+}
+
+// answer serves the calls of other instances.
+func (n *Node) answer(_ context.Context, in *hfwire.Envelope) *hfwire.Envelope {
+	out := n.links.Envelope()
+	h := in.GetHint()
+	if h == nil {
+		n.log.Event(hfevent.MessageUnknown, zap.String("peer", in.GetSender()))
+		out.Body = &hfwire.Envelope_Refusal{Refusal: &hfwire.Refusal{Reason: "unknown message"}}
+		return out
+	}
+	n.learn(hfstore.NewItem(h.GetKey(), h.GetValue(), h.GetVersion(), false))
+	out.Body = &hfwire.Envelope_Ack{Ack: &hfwire.Ack{}}
+	return out
+}
+
+// serveHints answers other instances on ln until ctx ends.
+func (n *Node) serveHints(ctx context.Context, ln net.Listener) {
+	if err := hfpeer.Serve(ctx, ln, n.answer); err != nil {
+		n.log.Event(hfevent.ListFailed, zap.Error(err))
+	}
+}
--- a/hfentry/lead.go
+++ b/hfentry/lead.go
@@ -73,7 +73,7 @@
 
 // claim tries to take the duty, and schedules until it is over.
 func (n *Node) claim(ctx context.Context) error {
-	lead := &hfwork.Lead{Instance: n.name, Nonce: uuid.NewString()}
+	lead := &hfwork.Lead{Instance: n.name, Nonce: uuid.NewString(), Address: n.reach}
 	value, err := hfwire.Encode(lead)
 	if err != nil {
 		return fmt.Errorf("claim: %w", err)
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -13,6 +15,7 @@
 	"github.com/heatherfront/heatherfront/hfevent"
 	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hforder"
+	"github.com/heatherfront/heatherfront/hfpeer"
 	"github.com/heatherfront/heatherfront/hfplan"
 	"github.com/heatherfront/heatherfront/hfstore"
 	"github.com/heatherfront/heatherfront/hfwork"
@@ -56,10 +59,13 @@
 	leader   atomic.Pointer[hforder.Leader] // while this instance schedules
 	freed    chan struct{}                  // signalled when no instance schedules
 	leave    chan struct{}                  // closed when a planned stop begins
+	links    *hfpeer.Links
+	hints    chan hfstore.Item
+	reach    string // at which the other instances reach this one; set before the loops start
 }
 
 // New returns an instance that has not started.
-func New(s Settings, store hfstore.Committer, f Formats, m hforder.Minions, a hforder.Adviser, p hforder.Machines, log *hfevent.Log, registry metrics.Registry) *Node {
+func New(s Settings, store hfstore.Committer, f Formats, m hforder.Minions, a hforder.Adviser, p hforder.Machines, d hfpeer.Dialer, log *hfevent.Log, registry metrics.Registry) *Node {
 	n := &Node{
 		name: s.Name(), settings: s, store: store, formats: f, minions: m, adviser: a, machines: p, log: log, registry: registry,
 		mirror: hfloop.NewCell(NewMirror(f, s.Beat())), health: NewHealth(func(down bool, silent time.Duration) {
@@ -70,6 +76,7 @@
 			log.Event(event, zap.Duration("silent", silent))
 		}),
 		freed: make(chan struct{}, 1), leave: make(chan struct{}),
+		links: hfpeer.NewLinks(s.Name(), uuid.NewString(), d, registry), hints: make(chan hfstore.Item, hintsWaiting),
 	}
 	n.records = feed{prefix: ownPrefix, pause: n.recordPause}
 	n.policies = feed{prefix: f.PolicyPrefix(), pause: func() time.Duration { return policyPause }}
@@ -77,13 +84,18 @@
 	return n
 }
 
-// Run keeps the mirror current and takes part in scheduling until ctx ends.
-func (n *Node) Run(ctx context.Context) error {
+// Run keeps the mirror current, takes part in scheduling, and hears the other instances
+// on ln, until ctx ends.
+func (n *Node) Run(ctx context.Context, ln net.Listener) error {
+	defer n.links.Close()
+	n.reach = ln.Addr().String()
 	g, ctx := errgroup.WithContext(ctx)
 	for _, loop := range []func(context.Context){
 		func(ctx context.Context) { n.follow(ctx, &n.records) },
 		func(ctx context.Context) { n.follow(ctx, &n.policies) },
 		func(ctx context.Context) { n.follow(ctx, &n.workers) },
+		func(ctx context.Context) { n.serveHints(ctx, ln) },
+		n.sendHints,
 		n.campaign,
 	} {
 		g.Go(func() error {
--- a/hfpeer/state.go
+++ b/hfpeer/state.go
@@ -26,6 +26,9 @@
 	revision    int64  // up to which its configuration is complete
 }
 
+// NewPeer returns a peer that is known by its name and address alone.
+func NewPeer(name, address string) Peer { return Peer{name: name, address: address} }
+
 // Name returns the instance's name.
 func (p Peer) Name() string { return p.name }
 
