After a change of leader only the tasks of an unheard worker wait for it

Change: the record of a job names the worker of each task, and is stored before the task is started there. A new scheduler holds back only the tasks whose worker it has not heard and whose leases have not lapsed.

--- /dev/null
+++ b/hfplan/faults_test.go
@@ -0,0 +1,105 @@
+package hfplan
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+// taskLease is the lease that the workers of the world keep.
+const taskLease = 6 * time.Second
+
+// cutFor cuts a worker off. Its leases run out if that lasts longer than they do.
+func (w *world) cutFor(f *fake, d time.Duration) {
+	if f.cut {
+		return
+	}
+	f.cut = true
+	w.at(taskLease, func() {
+		if !f.cut {
+			return
+		}
+		for _, name := range sortedKeys(f.runs) {
+			w.finish(f, f.runs[name], hfwork.Lapsed)
+		}
+	})
+	w.at(d, func() { f.cut = false })
+}
+
+// reborn begins a new life of a worker.
+func (w *world) reborn(f *fake) {
+	f.born++
+	f.runs, f.ended, f.next, f.highest, f.fence = map[string]*fakeRun{}, nil, 0, map[string]int64{}, 0
+}
+
+// TestPromisesUnderRandomFaults lets leaders change, workers be cut off, answer late and
+// live anew while jobs come and are cancelled. The world fails when a task runs twice or a
+// worker holds more than its room; at the end every job has ended.
+func TestPromisesUnderRandomFaults(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 20261204))
+			w := newWorld(t, 2, 4)
+			w.play(time.Second)
+			jobs := 0
+			for range 60 {
+				w.play(time.Duration(50+random.IntN(500)) * time.Millisecond)
+				f := w.fleet[fmt.Sprintf("w%d-%d", random.IntN(2), random.IntN(4))]
+				switch random.IntN(12) {
+				case 0:
+					w.elect()
+				case 1:
+					w.cutFor(f, time.Duration(500+random.IntN(9000))*time.Millisecond)
+				case 2:
+					f.mute = true
+					w.at(time.Duration(300+random.IntN(2500))*time.Millisecond, func() { f.mute = false })
+				case 3:
+					if !f.cut && !f.mute {
+						w.reborn(f)
+					}
+				case 4:
+					if jobs > 0 {
+						w.cancel(fmt.Sprintf("j%03d", random.IntN(jobs)))
+					}
+				default:
+					step := single(uint32(1+random.IntN(12)), time.Duration(300+random.IntN(4000))*time.Millisecond)
+					if random.IntN(2) == 0 {
+						step = gang(uint32(1+random.IntN(6)), int64(1+random.IntN(8)), time.Duration(300+random.IntN(4000))*time.Millisecond)
+						step.Compact = random.IntN(2) == 0
+					}
+					step.Saves = random.IntN(2) == 0
+					w.submit(fmt.Sprintf("j%03d", jobs), []string{"urgent", "usual", "spare"}[random.IntN(3)], step)
+					jobs++
+				}
+			}
+			w.play(90 * time.Second)
+			for i := range jobs {
+				id := fmt.Sprintf("j%03d", i)
+				require.True(t, w.cancels[id] || hfwork.Final(w.state(id)), "%s is %q", id, w.state(id))
+				require.Zero(t, w.running(id), id)
+			}
+		})
+	}
+}
+
+// A leader dies while one worker is cut off. Only what may run there waits for its lease.
+// Seen with the recorded incident of prisiau-gorllewin-grown (inc-b504): all jobs that had
+// begun waited ten seconds for one worker of 350.
+func TestOnlyTasksOfAnUnheardWorkerWaitForIt(t *testing.T) {
+	w := newWorld(t, 2, 4)
+	w.play(time.Second)
+	w.submit("full", "usual", single(56, 2*time.Second))
+	w.submit("wait", "usual", single(30, 2*time.Second))
+	w.play(time.Second)
+	w.cutFor(w.fleet["w1-3"], 20*time.Second)
+	w.elect()
+	w.play(4 * time.Second)
+	require.Equal(t, hfwork.StateCompleted, w.state("full"), "it has nothing on the worker that is cut off")
+	w.play(10 * time.Second)
+	require.Equal(t, hfwork.StateCompleted, w.state("wait"))
+}
--- a/hfplan/intake.go
+++ b/hfplan/intake.go
@@ -19,7 +19,7 @@
 	p := m.progress
 	j := &job{
 		spec: m.job, queue: s.queues[m.job.GetQueue()], state: hfwork.StateQueued, cancelled: m.cancelled, known: now,
-		begun: p.GetBegun(), stored: p.GetBegun(), inherited: p.GetBegun(),
+		begun: p.GetBegun(),
 	}
 	if p.GetState() != "" {
 		j.state = p.GetState()
@@ -45,8 +45,12 @@
 		return
 	}
 	for _, g := range j.groups {
-		if g.open > 0 {
-			s.groups = append(s.groups, g)
+		if g.open == 0 {
+			continue
+		}
+		s.groups = append(s.groups, g)
+		for i := range g.tasks {
+			s.hold(&g.tasks[i])
 		}
 	}
 	s.stale = true
--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -16,10 +16,8 @@
 	ended     int64 // Unix milliseconds of the final state
 	cancelled bool
 	begun     bool // a task may have been started
-	stored    bool // begun is stored, so starts may be sent
 	claims    bool // it stands under the guarantee of its account
 	seen      bool // a worker has confirmed a start
-	inherited bool // begun under an earlier scheduler
 	groups    []*group
 	open      int       // groups that are not done
 	known     time.Time // when this scheduler learned of it
@@ -39,12 +37,14 @@
 	tasks      []task
 	open       int       // tasks that have not ended well
 	active     int       // tasks that have a run
+	held       int       // tasks without a run that may still be running where an earlier scheduler started them
 	promised   int       // runs that were not sent yet
 	due        time.Time // not started before
 	avoid      map[string]bool
 	preemptAt  time.Time         // looks for victims again then, after it found too few
 	retryAt    time.Time         // not placed before, after a refusal
 	promisedAt time.Time         // when its runs were promised
+	storedBy   uint64            // StoreCmd that tells where they are; they start once it is stored
 	tickets    map[string]ticket // by worker, of an advised queue
 	refusedBy  map[string]bool   // workers that may not run the step
 	rack       string            // kept free for it, "" for none
@@ -53,7 +53,7 @@
 func (g *group) gang() bool { return g.spec.GetGang() && len(g.tasks) > 1 }
 
 // waiting returns the number of tasks that need a place.
-func (g *group) waiting() int { return g.open - g.active }
+func (g *group) waiting() int { return g.open - g.active - g.held }
 
 // cores returns the weight of one task in cores.
 func (g *group) cores() float64 { return max(g.size.Cores(), 0.1) }
@@ -82,6 +82,15 @@
 	failures uint32
 	counted  int64  // number of the last failed run in failures
 	saved    string // newest checkpoint; of the first task for a gang
+	place    string // worker on which an earlier scheduler may have started it, "" if none
+}
+
+// where returns the worker on which the task may be running.
+func (t *task) where() string {
+	if t.run != nil {
+		return t.run.worker.id()
+	}
+	return t.place
 }
 
 func (t *task) id() hfwork.TaskID {
@@ -122,6 +131,7 @@
 	noted   bool  // it stands in the stored roster
 	lapses  time.Time
 	runs    map[*run]struct{}
+	held    map[*task]struct{} // tasks that may run here, until it is heard
 	strays  map[stray]hfroom.Size
 	seen    int64 // last end that was taken note of
 	aside   time.Time
--- a/hfplan/order.go
+++ b/hfplan/order.go
@@ -124,6 +124,7 @@
 		}
 	}
 	s.settle(now)
+	s.mend(now)
 	s.upkeep(now)
 	s.stale = true
 }
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -31,12 +31,8 @@
 		if g.promised == 0 {
 			continue
 		}
-		if !g.job.begun {
-			g.job.begun = true
-			s.mark(g.job)
-		}
 		s.dropUnusable(g, now)
-		if !g.job.stored {
+		if s.kept < g.storedBy {
 			continue
 		}
 		if g.gang() {
@@ -59,7 +55,7 @@
 // dropUnusable takes promises back from workers that take no tasks any more, and those
 // that were not kept in time. The members of a gang lose them together.
 func (s *Scheduler) dropUnusable(g *group, now time.Time) {
-	late := now.Sub(g.promisedAt) > promiseLife && g.job.stored
+	late := now.Sub(g.promisedAt) > promiseLife && s.kept >= g.storedBy
 	bad := late
 	for i := range g.tasks {
 		r := g.tasks[i].run
@@ -121,7 +117,7 @@
 		if g.gang() && g.active > 0 {
 			continue
 		}
-		if !s.settled && g.job.inherited {
+		if g.gang() && g.held > 0 {
 			continue
 		}
 		c := candidate{group: g, priority: g.job.queue.GetPriority(), rank: s.rank(g)}
@@ -254,6 +250,9 @@
 		return
 	}
 	g.promisedAt, g.rack = now, ""
+	g.job.begun = true
+	s.mark(g.job)
+	g.storedBy = s.sequence + 1
 	number := s.base + 1
 	if g.gang() {
 		for i := range g.tasks {
@@ -264,7 +263,7 @@
 	for _, slot := range slots {
 		w := s.workers[slot.Worker().ID()]
 		for range slot.Tasks() {
-			for g.tasks[next].done || g.tasks[next].run != nil {
+			for g.tasks[next].done || g.tasks[next].run != nil || g.tasks[next].place != "" {
 				next++
 			}
 			t := &g.tasks[next]
--- a/hfplan/record.go
+++ b/hfplan/record.go
@@ -25,6 +25,7 @@
 			t.counted = sp.GetCounted()[uint32(i)]
 			t.failures = sp.GetFailures()[uint32(i)]
 			t.saved = sp.GetSaved()[uint32(i)]
+			t.place = sp.GetPlaces()[uint32(i)]
 		}
 	}
 }
@@ -51,6 +52,12 @@
 				}
 				sp.Failures[uint32(i)], sp.Counted[uint32(i)] = t.failures, t.counted
 			}
+			if place := t.where(); place != "" && !t.done {
+				if sp.Places == nil {
+					sp.Places = map[uint32]string{}
+				}
+				sp.Places[uint32(i)] = place
+			}
 			if t.saved != "" && !t.done {
 				if sp.Saved == nil {
 					sp.Saved = map[uint32]string{}
@@ -58,7 +65,7 @@
 				sp.Saved[uint32(i)] = t.saved
 			}
 		}
-		if sp.Done != nil || sp.Failures != nil || sp.Saved != nil {
+		if sp.Done != nil || sp.Failures != nil || sp.Saved != nil || sp.Places != nil {
 			p.Steps = append(p.Steps, sp)
 		}
 	}
@@ -114,11 +121,7 @@
 	if sequence != s.sequence || s.storing == nil {
 		return
 	}
-	for id, p := range s.storing {
-		if j := s.jobs[id]; j != nil && p.GetBegun() {
-			j.stored = true
-		}
-	}
+	s.kept = sequence
 	for _, w := range s.roster {
 		w.noted = true
 		s.refresh(w, now)
--- a/hfplan/state.go
+++ b/hfplan/state.go
@@ -61,8 +61,9 @@
 	jobs       map[string]*job
 	groups     []*group // not done, of jobs that are not final
 	settleBy   time.Time
-	settled    bool // all that earlier schedulers started is accounted for
-	sequence   uint64
+	settled    bool                        // all that earlier schedulers started is accounted for
+	sequence   uint64                      // of the last StoreCmd
+	kept       uint64                      // of the last one that is stored
 	storing    map[string]*hfwork.Progress // records in the StoreCmd under way, nil when none is
 	regroup    bool                        // the workers differ from the stored roster
 	roster     []*worker                   // roster in the StoreCmd under way
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -108,6 +108,7 @@
 			s.finish(r, hfwork.Lapsed, "", "not reported any more", now)
 		}
 	}
+	s.unholdAll(w)
 	s.pace(w, m.report.Running(), now)
 	s.refresh(w, now)
 	s.settle(now)
@@ -169,8 +170,8 @@
 	if row.Saved() != "" {
 		t.group.lead(t).saved = row.Saved()
 	}
-	j := t.group.job
-	j.begun, j.stored = true, true
+	s.unhold(t)
+	t.group.job.begun = true
 	s.confirm(r, now)
 	return r
 }
@@ -182,6 +183,9 @@
 		return
 	}
 	t.last = max(t.last, e.Number())
+	if t.run == nil && t.place == w.id() {
+		s.unhold(t)
+	}
 	if t.run != nil && t.run.worker == w && t.run.number == e.Number() {
 		s.finish(t.run, e.How(), e.Saved(), string(e.How()), now)
 		return
@@ -267,10 +271,12 @@
 	}
 	if g.gang() {
 		for i := range g.tasks {
+			s.unhold(&g.tasks[i])
 			g.tasks[i].done = true
 		}
 		g.open = 0
 	} else {
+		s.unhold(t)
 		t.done = true
 		g.open--
 	}
@@ -325,6 +331,7 @@
 	for key, size := range w.strays {
 		w.dropStray(key, size)
 	}
+	s.unholdAll(w)
 }
 
 // reborn ends the runs of a worker's earlier life. Starts that may have reached the new
@@ -357,14 +364,4 @@
 	}
 	s.settled, s.stale = true, true
 	s.do(NoteCmd{note: NoteSettled})
-	for _, g := range s.groups {
-		if !g.gang() || g.active == 0 || g.active == len(g.tasks) {
-			continue
-		}
-		for i := range g.tasks {
-			if r := g.tasks[i].run; r != nil {
-				s.stop(r, now)
-			}
-		}
-	}
 }
