--- a/hfcommand/run.go
+++ b/hfcommand/run.go
@@ -65,7 +65,7 @@
 		Name: "heatherfront", ShortUsage: "heatherfront <command> [flags]", LongHelp: longHelp,
 		FlagSet: newFlags("heatherfront", s),
 		Subcommands: []*ffcli.Command{
-			serveCommand(s), entryCommand(s), hashCommand(s), newIDCommand(s),
+			serveCommand(s), entryCommand(s), traceCommand(s), hashCommand(s), newIDCommand(s),
 			applyCommand(s), getCommand(s), listCommand(s), deleteCommand(s), watchCommand(s), waitCommand(s), planCommand(s),
 			submitCommand(s), statusCommand(s), explainCommand(s), cancelCommand(s), historyCommand(s), callCommand(s),
 			systemCommand(s), burnCommand(s),
--- a/hfentry/lead.go
+++ b/hfentry/lead.go
@@ -54,7 +54,7 @@
 			continue
 		}
 		if err := n.claim(ctx); err != nil && !errors.Is(err, hflease.ErrHeld) {
-			n.log.Event(hfevent.LeaderLost, zap.Error(err))
+			n.log.Event(hfevent.LeaderLost, zap.String("error", err.Error()))
 		}
 	}
 }
@@ -105,7 +105,7 @@
 	}
 	term := chain.Term()
 	lease := n.settings.TaskLease()
-	scheduler := hfplan.New(term, hfplan.NewTiming(lease, n.settings.GangWindow()), time.Now())
+	scheduler := hfplan.New(term, hfplan.NewTiming(lease), time.Now())
 	leader := hforder.NewLeader(scheduler, tenure, n.minions, n.adviser, n.machines, n.name, chain, n, hforder.NewTiming(lease))
 	n.leader.Store(leader)
 	defer n.leader.Store(nil)
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -33,8 +33,6 @@
 	Beat() time.Duration
 	// TaskLease returns the longest lease of a task on a worker.
 	TaskLease() time.Duration
-	// GangWindow returns the time in which all members of a gang must be present.
-	GangWindow() time.Duration
 	// Retention returns how long the state of an ended job is kept.
 	Retention() time.Duration
 }
@@ -151,7 +149,7 @@
 			l.Send(hfplan.Left(c.left))
 		}
 		if c.err != nil {
-			n.log.Event(hfevent.EntryRejected, zap.Error(c.err))
+			n.log.Event(hfevent.EntryRejected, zap.String("error", c.err.Error()))
 		}
 		workers = workers || c.workers
 		if c.policy {
--- a/hfentry/observe.go
+++ b/hfentry/observe.go
@@ -51,7 +51,7 @@
 	}
 	metrics.GetOrRegisterCounter("order."+verb+".failed", n.registry).Inc(1)
 	n.log.Event(hfevent.OrderFailed, zap.String("verb", verb), zap.String("job", task.Job()), zap.Uint32("step", task.Step()),
-		zap.Uint32("task", task.Index()), zap.Int64("run", number), zap.String("worker", worker), zap.Duration("took", time.Since(sent)), zap.Error(err))
+		zap.Uint32("task", task.Index()), zap.Int64("run", number), zap.String("worker", worker), zap.Duration("took", time.Since(sent)), zap.String("error", err.Error()))
 }
 
 // Loaded implements hforder.Observer.
@@ -69,4 +69,6 @@
 }
 
 // Broken implements hforder.Observer.
-func (n *Node) Broken(err error) { n.log.Event(hfevent.InvariantLost, zap.Error(err)) }
+func (n *Node) Broken(err error) {
+	n.log.Event(hfevent.InvariantLost, zap.String("error", err.Error()))
+}
--- a/hfplan/pace_test.go
+++ b/hfplan/pace_test.go
@@ -13,7 +13,7 @@
 // by amounts that change.
 func TestFillingTaskSlowsDownBeforeTheTargetIsMissed(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
-	s := New(1, NewTiming(6*time.Second, gangTime), now)
+	s := New(1, NewTiming(6*time.Second), now)
 	node := &hfwork.Worker{Id: "w", Pool: "pool", Rack: "r", Cpu: 64_000, Memory: 64_000}
 	s.Update(Policy(&hfwork.Policy{Queues: []*hfwork.Queue{{Name: "q", Pool: "pool", Priority: 2, Attempts: 3}}}), now)
 	s.Update(Workers(map[string]*hfwork.Worker{"w": node}), now)
--- a/hfplan/state.go
+++ b/hfplan/state.go
@@ -25,16 +25,11 @@
 // Timing holds the intervals that a scheduler works with.
 type Timing struct {
 	lease func() time.Duration
-	gang  func() time.Duration
 }
 
-// NewTiming returns the longest lease of a task on a worker, and the time in which
-// all members of a gang must be present.
-func NewTiming(lease, gang time.Duration) Timing {
-	return Timing{
-		lease: func() time.Duration { return lease },
-		gang:  func() time.Duration { return gang },
-	}
+// NewTiming returns the longest lease of a task on a worker.
+func NewTiming(lease time.Duration) Timing {
+	return Timing{lease: func() time.Duration { return lease }}
 }
 
 // lapse returns the time after which nothing runs on a worker that was last sent an
@@ -83,7 +78,7 @@
 
 // New returns a scheduler without jobs. term is the number of its leadership.
 //
-//	s := hfplan.New(1, hfplan.NewTiming(6*time.Second, 3*time.Second), time.Now())
+//	s := hfplan.New(1, hfplan.NewTiming(6*time.Second), time.Now())
 func New(term int64, timing Timing, now time.Time) *Scheduler {
 	return &Scheduler{
 		timing: timing, base: max(term-1, 0) * runsPerTerm, policy: &hfwork.Policy{}, queues: map[string]*hfwork.Queue{},
--- a/hfplan/world_test.go
+++ b/hfplan/world_test.go
@@ -151,7 +151,7 @@
 	w.life++
 	w.fence++
 	life := w.life
-	w.s = New(int64(w.life), NewTiming(6*time.Second, gangTime), w.now)
+	w.s = New(int64(w.life), NewTiming(6*time.Second), w.now)
 	w.send(Policy(w.policy))
 	w.send(Inherit(w.roster))
 	w.send(Workers(w.listed()))
