--- a/hfplan/order.go
+++ b/hfplan/order.go
@@ -119,6 +119,9 @@
 		s.tickWorker(s.workers[id], now)
 	}
 	for id, j := range s.jobs {
+		if j.cancelled && j.ended == 0 && j.idle() {
+			s.conclude(j, hfwork.StateCancelled, "", now) // so that it can be purged one day
+		}
 		if j.final() && j.ended != 0 && j.idle() && now.Sub(j.known) > forgetAfter && s.dirty[id] == nil && s.storing[id] == nil {
 			delete(s.jobs, id)
 		}
--- a/hfplan/plan_test.go
+++ b/hfplan/plan_test.go
@@ -383,3 +383,15 @@
 		})
 	}
 }
+
+// A cancelled job has an end on record, or it would stay in the store for ever.
+func TestCancelledJobEndsOnRecord(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.play(time.Second)
+	w.submit("a", "usual", single(4, 30*time.Second))
+	w.play(time.Second)
+	w.cancel("a")
+	w.play(2 * time.Second)
+	require.Equal(t, hfwork.StateCancelled, w.state("a"))
+	require.Positive(t, w.records["a"].GetEnded())
+}
