Groups with demands of their own no longer hide places from plain ones

Cause: read at the landing: a group that finds no place because of its label, its anti-affinity, its tickets or the workers that it avoids was taken as a sign that no group of its size finds one; and runs of occurrences were ordered by a subtraction that wraps.

Change: only plain groups leave that sign and heed it; runs are ordered by comparison.

--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -190,6 +190,11 @@
 	gang, compact bool
 }
 
+// plain tells whether any worker of the pool will do for a group.
+func (g *group) plain() bool {
+	return g.spec.GetLabel() == "" && g.spec.GetApart() == 0 && !g.job.queue.GetAdvised() && len(g.avoid) == 0
+}
+
 // place finds places for waiting groups, the most urgent first.
 func (s *Scheduler) place(now time.Time) {
 	failed := map[shape]int{} // smallest count that found no place
@@ -202,7 +207,7 @@
 		if !g.gang() {
 			count = 1
 		}
-		if least, ok := failed[key]; ok && count >= least && c.priority > 0 && g.spec.GetLabel() == "" {
+		if least, ok := failed[key]; ok && count >= least && c.priority > 0 && g.plain() {
 			continue
 		}
 		if s.placeGroup(g, now) {
@@ -212,7 +217,7 @@
 			continue
 		}
 		s.keep(g, now)
-		if least, ok := failed[key]; !ok || count < least {
+		if least, ok := failed[key]; g.plain() && (!ok || count < least) {
 			failed[key] = count
 		}
 	}
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -1,8 +1,8 @@
 package hfplan
 
 import (
+	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/heatherfront/heatherfront/hfroom"
@@ -122,11 +122,11 @@
 		list = append(list, r)
 	}
 	slices.SortFunc(list, func(a, b *run) int {
-		if c := strings.Compare(a.task.group.job.id(), b.task.group.job.id()); c != 0 {
-			return c
-		}
 		x, y := a.task, b.task
-		return int(x.group.occurrence-y.group.occurrence)<<40 + int(x.group.step)<<32 - int(y.group.step)<<32 + int(x.index) - int(y.index)
+		return cmp.Or(
+			cmp.Compare(x.group.job.id(), y.group.job.id()), cmp.Compare(x.group.occurrence, y.group.occurrence),
+			cmp.Compare(x.group.step, y.group.step), cmp.Compare(x.index, y.index),
+		)
 	})
 	return list
 }
