--- a/hfentry/hint.go
+++ b/hfentry/hint.go
@@ -74,6 +74,6 @@
 // serveHints answers other instances on ln until ctx ends.
 func (n *Node) serveHints(ctx context.Context, ln net.Listener) {
 	if err := hfpeer.Serve(ctx, ln, n.answer); err != nil {
-		n.log.Event(hfevent.ListFailed, zap.String("error", err.Error()))
+		n.log.Event(hfevent.HintsDeaf, zap.String("error", err.Error()))
 	}
 }
--- a/hfevent/catalogue.go
+++ b/hfevent/catalogue.go
@@ -65,6 +65,7 @@
 	SettingsBad   = Event{817, "settings-bad", zapcore.ErrorLevel, "The settings file cannot be used; the settings in force stay."}
 	LinesDropped  = Event{818, "lines-dropped", zapcore.WarnLevel, "The reader of the log was too slow; lines were left out."}
 	PlanLoad      = Event{819, "plan-load", zapcore.InfoLevel, "What waits, what runs and what is free at the scheduling instance, once a second."}
+	HintsDeaf     = Event{820, "hints-deaf", zapcore.ErrorLevel, "Other instances can no longer tell this one of stored items; its watch brings them."}
 )
 
 // Catalogue lists every event.
@@ -80,6 +81,6 @@
 		WorkerLost, GangPartial,
 		JobAccepted, JobRefused, JobCancelled, JobUnknown, JobState, TasksPlaced, TasksPreempt, TaskRetried,
 		OrderFailed, PlanSettled, WorkerSilent, WorkerHeard, WorkerDropped, EntryRejected, PolicyApplied, MirrorReset,
-		SettingsRead, SettingsBad, LinesDropped, PlanLoad,
+		SettingsRead, SettingsBad, LinesDropped, PlanLoad, HintsDeaf,
 	}
 }
