The soak's caller is a stand-in like the others

Cause: a header name of the platform stood in the soak, while only platform/ and hfstand may know the platform's words. Change: hfstand.Caller hands requests in; the soak uses it. No check changed.

--- a/hfsoak/yard_test.go
+++ b/hfsoak/yard_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -286,6 +285,9 @@
 	n.cmd = nil
 }
 
+// caller is the one caller of all seeds.
+var caller = hfstand.NewCaller("jobs.example", key, 3*time.Second)
+
 // call sends a request to an instance and returns its status and body, 0 without an
 // answer.
 func call(n *node, method, path string, body any) (int, string) {
@@ -297,21 +299,9 @@
 		}
 		content = strings.NewReader(string(raw))
 	}
-	req, err := http.NewRequest(method, "http://"+n.front+path, content)
-	if err != nil {
-		return 0, ""
-	}
-	req.Host = "jobs.example"
-	req.Header.Set("Heatherfront-Key", key)
-	client := http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Do(req)
-	if err != nil {
-		return 0, ""
-	}
-	defer func() { _ = resp.Body.Close() }()
-	raw, err := io.ReadAll(resp.Body)
+	status, answer, err := caller.Call(method, n.front, path, content)
 	if err != nil {
 		return 0, ""
 	}
-	return resp.StatusCode, string(raw)
+	return status, answer
 }
