Three faults found by reading the change again

Entries read in a list counted as written at that moment. A draining worker that was cut off and whose entry lapsed soon after a list could pass for one that had left, and its tasks could have started elsewhere while they ran on. 2. Whoever sent the leader a message waited until the leader had ended, and the leader until they had: with a full inbox neither did, while its lease was renewed. 3. Runs that a departed worker ended were handled at time zero, so that the stops of the other gang members counted as late at the next tick.

Ruled out: special cases at the callers; the mirror's rule for gaps, the end of decide and the time that dropRuns gets are the right places.

Change: a list counts as a gap; the leader's end is marked where messages stop being taken; the time is handed through. Three tests, each failed first.

Before and after: TestListVouchesForNoHeartbeat, TestLeadershipEndsWithAFullInbox and TestGangIsToldOnceToStop... red, then green.

--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -75,7 +75,7 @@
 	workers  map[string]*hfwork.Worker
 	beats    map[string]time.Time // last time at which a worker's entry was written, as seen here
 	left     map[string]bool      // workers that have left as planned, while they are in the roster
-	stalled  bool                 // events come late, after a gap
+	stalled  bool                 // what is applied may have been written long ago: a list, or events after a gap
 	beat     func() time.Duration // interval at which workers write their entries
 	roster   *hfwork.Roster
 	waves    map[int64]*hfwork.Wave // as asked for, by number
@@ -115,6 +115,7 @@
 		m.lead = nil
 		changes = append(changes, change{lead: true})
 	}
+	m.stalled = true // a list does not tell how old its entries are
 	found := map[string]bool{}
 	for _, i := range items {
 		if id, ok := strings.CutPrefix(i.Key(), workPrefix); ok {
@@ -254,7 +255,7 @@
 	}
 	m.beats[id] = time.Now()
 	if m.stalled {
-		m.beats[id] = time.Time{} // it may have been written long ago
+		m.beats[id] = time.Time{}
 	}
 	delete(m.left, id)
 	w, err := m.formats.Worker(id, i.Value())
--- a/hfentry/mirror_test.go
+++ b/hfentry/mirror_test.go
@@ -139,3 +139,15 @@
 	require.True(t, h.Allow(now), "any answer of the store is an answer")
 	require.Equal(t, []bool{true, false}, changes)
 }
+
+// A list does not tell how old an entry is: one that lapses soon after must not be taken
+// for one that its worker removed.
+func TestListVouchesForNoHeartbeat(t *testing.T) {
+	m := NewMirror(plain{}, time.Hour)
+	m.Reset("workers/", []hfstore.Item{item(t, "workers/w", 1, &hfwork.Worker{Id: "w", Draining: true})}, 1)
+	require.Empty(t, m.Apply(gone("workers/w", 2)).left)
+	m.Reset("workers/", []hfstore.Item{item(t, "workers/w", 3, &hfwork.Worker{Id: "w", Draining: true})}, 3)
+	m.stalled = false
+	m.Apply(item(t, "workers/w", 4, &hfwork.Worker{Id: "w", Draining: true}))
+	require.Equal(t, "w", m.Apply(gone("workers/w", 5)).left, "it was heard since")
+}
--- a/hforder/leader.go
+++ b/hforder/leader.go
@@ -75,7 +75,7 @@
 
 	mu      sync.Mutex
 	desks   map[string]*desk // by worker id
-	ended   chan struct{}
+	ended   chan struct{}    // closed when nobody takes messages any more
 	storeIn chan hfplan.StoreCmd
 	askIn   chan hfplan.AskCmd
 	upkeep  atomic.Bool // a wave is under way
@@ -93,7 +93,6 @@
 // Run leads until ctx ends, the tenure is over or a later leader was seen. first are
 // the messages with what is stored and registered.
 func (l *Leader) Run(ctx context.Context, first []hfplan.Msg) error {
-	defer close(l.ended)
 	ctx, fail := context.WithCancelCause(ctx)
 	defer fail(nil)
 	g, ctx := errgroup.WithContext(ctx)
@@ -123,8 +122,8 @@
 	return nil
 }
 
-// Send hands a message to the scheduler. It returns false when the leadership has
-// ended.
+// Send hands a message to the scheduler. It returns false when nobody takes messages any
+// more, as the leadership has ended.
 func (l *Leader) Send(msg hfplan.Msg) bool {
 	select {
 	case l.inbox <- msg:
@@ -136,6 +135,7 @@
 
 // decide feeds the scheduler. Messages that wait together are decided on together.
 func (l *Leader) decide(ctx context.Context, first []hfplan.Msg) {
+	defer close(l.ended)
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	told, passed := time.Now(), time.Now()
--- a/hforder/leader_test.go
+++ b/hforder/leader_test.go
@@ -197,3 +197,47 @@
 		require.Zero(t, l.Until())
 	}
 }
+
+// A leadership ends while messages wait: what still sends one must not hold its end up.
+func TestLeadershipEndsWithAFullInbox(t *testing.T) {
+	s := hfplan.New(1, hfplan.NewTiming(6*time.Second), time.Now())
+	m := &stuckMinions{entered: make(chan struct{}), release: make(chan struct{})}
+	l := NewLeader(s, hflease.NewTenure(5, hflease.Now(), time.Minute), m, observer{}, observer{}, "one", &records{}, observer{}, NewTiming(6*time.Second))
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		ended <- l.Run(ctx, []hfplan.Msg{hfplan.Workers(map[string]*hfwork.Worker{"w": {Id: "w", Pool: "p"}})})
+	}()
+	<-m.entered
+	cancel()
+	require.Eventually(t, func() bool {
+		for {
+			select {
+			case l.inbox <- hfplan.TickMsg{}:
+			default:
+				time.Sleep(20 * time.Millisecond)
+				return len(l.inbox) == inboxSize // nobody takes messages any more
+			}
+		}
+	}, 10*time.Second, time.Millisecond)
+	close(m.release)
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the leadership does not end")
+	}
+}
+
+// stuckMinions answers looks only when it is let go.
+type stuckMinions struct {
+	minions
+	once    sync.Once
+	entered chan struct{}
+	release chan struct{}
+}
+
+func (m *stuckMinions) Look(context.Context, *hfwork.Worker, Look) (hfwork.Report, error) {
+	m.once.Do(func() { close(m.entered) })
+	<-m.release
+	return hfwork.NewReport(1000, 7, nil, nil), nil
+}
--- a/hfplan/order.go
+++ b/hfplan/order.go
@@ -152,10 +152,10 @@
 	s.refresh(w, now)
 	if (w.silent || !w.heard) && !now.Before(w.lapses) {
 		if !w.listed {
-			s.drop(w, "lease lapsed")
+			s.drop(w, "lease lapsed", now)
 			return
 		}
-		s.dropRuns(w, "lease lapsed")
+		s.dropRuns(w, "lease lapsed", now)
 	}
 	if w.silent {
 		return
--- a/hfplan/plan_test.go
+++ b/hfplan/plan_test.go
@@ -412,3 +412,23 @@
 	w.play(5 * time.Second)
 	require.Equal(t, hfwork.StateCompleted, w.state("a"))
 }
+
+// A worker leaves with one member of a gang. The other members are told once to stop, and
+// their room counts as free until the stop is late.
+func TestGangIsToldOnceToStopWhenAWorkerLeaves(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	w.play(time.Second)
+	w.submit("a", "usual", gang(3, 8, 20*time.Second))
+	w.play(time.Second)
+	require.Equal(t, 3, w.running("a"))
+	delete(w.fleet, "w0-0")
+	stops := 0
+	for _, m := range []Msg{Left("w0-0"), TickMsg{}} {
+		for _, c := range w.s.Update(m, w.now) {
+			if _, ok := c.(StopCmd); ok {
+				stops++
+			}
+		}
+	}
+	require.Equal(t, 2, stops)
+}
--- a/hfplan/state.go
+++ b/hfplan/state.go
@@ -95,7 +95,7 @@
 		s.setPolicy(m.policy)
 	case LeftMsg:
 		if w := s.workers[m.worker]; w != nil {
-			s.drop(w, "worker has left")
+			s.drop(w, "worker has left", now)
 		}
 	case InheritMsg:
 		s.inherit(m.workers)
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -39,7 +39,7 @@
 		}
 		if w.node.GetPool() != n.GetPool() || w.node.GetRack() != n.GetRack() || w.node.GetAccelerators() != n.GetAccelerators() ||
 			w.node.GetCpu() != n.GetCpu() || w.node.GetMemory() != n.GetMemory() {
-			s.replaceRoom(w, n)
+			s.replaceRoom(w, n, now)
 		}
 		w.node, w.listed = n, true
 		s.refresh(w, now)
@@ -55,8 +55,8 @@
 
 // replaceRoom gives a worker that came back as another kind its new room. What ran
 // there before has ended.
-func (s *Scheduler) replaceRoom(w *worker, n *hfwork.Worker) {
-	s.dropRuns(w, "worker lives anew")
+func (s *Scheduler) replaceRoom(w *worker, n *hfwork.Worker, now time.Time) {
+	s.dropRuns(w, "worker lives anew", now)
 	s.room.Remove(w.id())
 	size := hfroom.NewSize(n.GetCpu(), n.GetMemory(), n.GetAccelerators())
 	w.room = s.room.Add(n.GetId(), n.GetPool(), n.GetRack(), n.GetLabels(), size)
@@ -316,8 +316,8 @@
 }
 
 // drop forgets a worker on which nothing runs any more.
-func (s *Scheduler) drop(w *worker, reason string) {
-	s.dropRuns(w, reason)
+func (s *Scheduler) drop(w *worker, reason string, now time.Time) {
+	s.dropRuns(w, reason, now)
 	s.do(NoteCmd{note: NoteGone, worker: w.id(), reason: reason})
 	s.room.Remove(w.id())
 	delete(s.workers, w.id())
@@ -327,9 +327,9 @@
 }
 
 // dropRuns ends all runs of a worker that are certainly over.
-func (s *Scheduler) dropRuns(w *worker, reason string) {
+func (s *Scheduler) dropRuns(w *worker, reason string, now time.Time) {
 	for _, r := range inOrder(w.runs) {
-		s.finish(r, hfwork.Lapsed, "", reason, time.Time{})
+		s.finish(r, hfwork.Lapsed, "", reason, now)
 	}
 	for key, size := range w.strays {
 		w.dropStray(key, size)
