What the change wrote twice, and what nothing reads, leaves

TestLargeChangeIsStoredInBatchesThatFit failed first; its store now refuses what is too large, as the platform's does.

Conclusion: decisions as before.

--- a/hfentry/chain.go
+++ b/hfentry/chain.go
@@ -5,8 +5,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hfplan"
 	"github.com/heatherfront/heatherfront/hfstore"
@@ -53,59 +56,53 @@
 // Save implements hforder.Records. It may be called again with the same records after
 // a failure.
 func (c *chain) Save(ctx context.Context, s hfplan.StoreCmd) error {
-	batch := &hfstore.Batch{}
-	if s.Roster() != nil {
-		value, err := hfwire.Encode(&hfwork.Roster{Workers: s.Roster()})
-		if err != nil {
-			return fmt.Errorf("save: %w", err)
-		}
-		batch.Put(rosterKey, value, "")
-	}
-	for _, w := range s.Waves() {
-		if err := c.putWave(batch, w); err != nil {
-			return fmt.Errorf("save: %w", err)
-		}
-	}
-	ids := make([]string, 0, len(s.Records()))
-	for id := range s.Records() {
-		ids = append(ids, id)
+	all := &hfstore.Batch{}
+	if err := c.collect(s, all); err != nil {
+		return fmt.Errorf("save: %w", err)
 	}
-	slices.Sort(ids)
-	for i, id := range ids {
-		value, err := hfwire.Encode(s.Records()[id])
-		if err != nil {
-			return fmt.Errorf("save: %w", err)
-		}
-		batch.Put(statePrefix+id, value, "")
-		if batch.Size() < hfstore.MaxBatch-chainEntries && i < len(ids)-1 {
-			continue
+	for chunk := range slices.Chunk(all.Writes(), hfstore.MaxBatch-chainEntries) {
+		batch := &hfstore.Batch{}
+		for _, w := range chunk {
+			batch.Put(w.Key(), w.Value(), w.Lease())
 		}
 		if err := c.write(ctx, batch); err != nil {
 			return fmt.Errorf("save: %w", err)
 		}
-		batch = &hfstore.Batch{}
-	}
-	if batch.Size() == 0 {
-		return nil
-	}
-	if err := c.write(ctx, batch); err != nil {
-		return fmt.Errorf("save: %w", err)
 	}
 	return nil
 }
 
-// putWave adds what was done of a wave of upkeep, for the next scheduler and for the
-// operator.
-func (c *chain) putWave(b *hfstore.Batch, w *hfwork.Wave) error {
-	value, err := hfwire.Encode(w)
-	if err != nil {
-		return fmt.Errorf("wave: %w", err)
+// collect adds what a StoreCmd changes: the roster first, then what was done of waves of
+// upkeep, for the next scheduler and for the operator, and the records of jobs.
+func (c *chain) collect(s hfplan.StoreCmd, into *hfstore.Batch) error {
+	add := func(key string, m proto.Message) error {
+		value, err := hfwire.Encode(m)
+		if err != nil {
+			return fmt.Errorf("%s: %w", key, err)
+		}
+		into.Put(key, value, "")
+		return nil
 	}
-	key, status, err := c.formats.WaveStatus(w)
-	if err != nil {
-		return fmt.Errorf("wave: %w", err)
+	if s.Roster() != nil {
+		if err := add(rosterKey, &hfwork.Roster{Workers: s.Roster()}); err != nil {
+			return fmt.Errorf("roster: %w", err)
+		}
+	}
+	for _, w := range s.Waves() {
+		if err := add(fmt.Sprintf("%s%d", wavePrefix, w.GetNumber()), w); err != nil {
+			return fmt.Errorf("wave: %w", err)
+		}
+		key, status, err := c.formats.WaveStatus(w)
+		if err != nil {
+			return fmt.Errorf("status of wave: %w", err)
+		}
+		into.Put(key, status, "")
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.Records())) {
+		if err := add(statePrefix+id, s.Records()[id]); err != nil {
+			return fmt.Errorf("record: %w", err)
+		}
 	}
-	b.Put(fmt.Sprintf("%s%d", wavePrefix, w.GetNumber()), value, "").Put(key, status, "")
 	return nil
 }
 
--- a/hfentry/chain_test.go
+++ b/hfentry/chain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -75,6 +76,9 @@
 }
 
 func (m *memory) apply(b *hfstore.Batch) (int64, error) {
+	if b.Size() > hfstore.MaxBatch {
+		return 0, hfstore.ErrRefused
+	}
 	for _, c := range b.Conditions() {
 		if m.items[c.Key()].Version() != c.Version() {
 			return 0, hfstore.ErrConflict
@@ -110,7 +114,7 @@
 
 func open(t *testing.T, m *memory) *chain {
 	t.Helper()
-	n := &Node{name: "one", store: m, mirror: hfloop.NewCell(NewMirror(nil, time.Second))}
+	n := &Node{name: "one", store: m, formats: plain{}, mirror: hfloop.NewCell(NewMirror(nil, time.Second))}
 	epoch, err := m.Put(t.Context(), leadKey, []byte("one"), m.items[leadKey].Version(), "")
 	require.NoError(t, err)
 	c, err := n.openChain(t.Context(), epoch)
@@ -120,7 +124,7 @@
 
 // cmd returns a StoreCmd that a scheduler gives for a job in a state.
 func cmd(state string) hfplan.StoreCmd {
-	return hfplan.Store(map[string]*hfwork.Progress{"a": {State: state}}, nil)
+	return hfplan.Store(map[string]*hfwork.Progress{"a": {State: state}}, nil, nil)
 }
 
 func stored(t *testing.T, m *memory) string {
@@ -182,3 +186,25 @@
 	save(t, second, hfwork.StateCompleted)
 	require.Equal(t, hfwork.StateCompleted, stored(t, m))
 }
+
+// Many things change at once: no batch is larger than the store takes, and all is stored.
+func TestLargeChangeIsStoredInBatchesThatFit(t *testing.T) {
+	m := newMemory()
+	c := open(t, m)
+	records := map[string]*hfwork.Progress{}
+	for i := range 70 {
+		records[fmt.Sprint("j", i)] = &hfwork.Progress{State: hfwork.StateRunning}
+	}
+	var waves []*hfwork.Wave
+	for i := range 20 {
+		waves = append(waves, &hfwork.Wave{Number: int64(i)})
+	}
+	require.NoError(t, c.Save(t.Context(), hfplan.Store(records, []*hfwork.Worker{{Id: "w"}}, waves)))
+	for i := range 70 {
+		require.Contains(t, m.items, statePrefix+fmt.Sprint("j", i))
+	}
+	for i := range 20 {
+		require.Contains(t, m.items, fmt.Sprint(wavePrefix, i))
+	}
+	require.Contains(t, m.items, rosterKey)
+}
--- a/hfentry/hint_test.go
+++ b/hfentry/hint_test.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/heatherfront/heatherfront/hfevent"
 	"github.com/heatherfront/heatherfront/hfloop"
@@ -32,7 +33,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	leads, takes := hintNode("leads"), hintNode("takes")
-	group, ctx := newGroup(t.Context())
+	group, ctx := errgroup.WithContext(t.Context())
 	group.Go(func() error { leads.serveHints(ctx, ln); return nil })
 	group.Go(func() error { takes.sendHints(ctx); return nil })
 	hfloop.With(takes.mirror, func(m *Mirror) bool {
--- a/hfentry/lead.go
+++ b/hfentry/lead.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/heatherfront/heatherfront/hfevent"
 	"github.com/heatherfront/heatherfront/hflease"
@@ -103,18 +104,18 @@
 	if err != nil {
 		return fmt.Errorf("open records: %w", err)
 	}
-	term := chain.Term()
-	lease := n.settings.TaskLease()
-	scheduler := hfplan.New(term, hfplan.NewTiming(lease), time.Now())
-	leader := hforder.NewLeader(scheduler, tenure, n.minions, n.adviser, n.machines, n.name, chain, n, hforder.NewTiming(lease))
+	timing := hfplan.NewTiming(n.settings.TaskLease())
+	scheduler := hfplan.New(chain.Term(), timing, time.Now())
+	leader := hforder.NewLeader(scheduler, tenure, n.minions, n.adviser, n.machines, n.name, chain, n, timing)
 	n.leader.Store(leader)
 	defer n.leader.Store(nil)
-	n.log.Event(hfevent.LeaderElected, zap.Int64("epoch", tenure.Epoch()), zap.Int64("term", term))
-	done := make(chan error, 1)
-	group, inner := newGroup(ctx)
+	n.log.Event(hfevent.LeaderElected, zap.Int64("epoch", tenure.Epoch()), zap.Int64("term", chain.Term()))
+	group, inner := errgroup.WithContext(ctx)
 	group.Go(func() error {
-		done <- leader.Run(inner, n.first())
-		cancel()
+		defer cancel()
+		if err := leader.Run(inner, n.first()); err != nil {
+			return fmt.Errorf("schedule: %w", err)
+		}
 		return nil
 	})
 	group.Go(func() error {
@@ -129,10 +130,10 @@
 		}
 		return nil
 	})
-	_ = group.Wait() // its members return nil
+	err = group.Wait()
 	n.log.Event(hfevent.LeaderLost, zap.Int64("epoch", tenure.Epoch()))
-	if err := <-done; err != nil {
-		return fmt.Errorf("schedule: %w", err)
+	if err != nil {
+		return fmt.Errorf("lead: %w", err)
 	}
 	return nil
 }
@@ -153,11 +154,7 @@
 func (n *Node) first() []hfplan.Msg {
 	return hfloop.With(n.mirror, func(m *Mirror) []hfplan.Msg {
 		msgs := []hfplan.Msg{hfplan.Policy(m.policy.body), hfplan.Inherit(m.roster.GetWorkers())}
-		workers := make(map[string]*hfwork.Worker, len(m.workers))
-		for id, w := range m.workers {
-			workers[id] = w
-		}
-		msgs = append(msgs, hfplan.Workers(workers))
+		msgs = append(msgs, hfplan.Workers(maps.Clone(m.workers)))
 		for _, id := range slices.Sorted(maps.Keys(m.left)) {
 			msgs = append(msgs, hfplan.Left(id))
 		}
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -88,7 +88,8 @@
 // NewMirror returns an empty copy.
 func NewMirror(f Formats, beat time.Duration) *Mirror {
 	return &Mirror{
-		formats: f, beats: map[string]time.Time{}, left: map[string]bool{}, beat: func() time.Duration { return beat }, jobs: map[string]*entry{}, workers: map[string]*hfwork.Worker{}, roster: &hfwork.Roster{},
+		formats: f, jobs: map[string]*entry{}, workers: map[string]*hfwork.Worker{}, roster: &hfwork.Roster{},
+		beats: map[string]time.Time{}, left: map[string]bool{}, beat: func() time.Duration { return beat },
 		waves: map[int64]*hfwork.Wave{}, turns: map[int64]*hfwork.Wave{},
 	}
 }
@@ -237,7 +238,7 @@
 	if err != nil {
 		return change{err: err}
 	}
-	m.lead, m.term = lead, max(m.term, lead.GetTerm())
+	m.lead = lead
 	return change{lead: true}
 }
 
--- a/hfentry/mirror_test.go
+++ b/hfentry/mirror_test.go
@@ -56,10 +56,10 @@
 	m.Apply(item(t, workPrefix+"a", 1, &hfwork.Job{Id: "a", Queue: "q"}))
 	require.Equal(t, hfwork.StateQueued, m.jobs["a"].state())
 	require.Equal(t, 1, m.waiting("q"))
-	m.Apply(item(t, statePrefix+"a", 5, &hfwork.Progress{State: hfwork.StateRunning, Begun: true}))
+	m.Apply(item(t, statePrefix+"a", 5, &hfwork.Progress{State: hfwork.StateRunning}))
 	require.Zero(t, m.waiting("q"))
 	m.Apply(item(t, statePrefix+"a", 9, &hfwork.Progress{State: hfwork.StateCompleted}))
-	m.Apply(item(t, statePrefix+"a", 5, &hfwork.Progress{State: hfwork.StateRunning, Begun: true}))
+	m.Apply(item(t, statePrefix+"a", 5, &hfwork.Progress{State: hfwork.StateRunning}))
 	m.Apply(hfstore.NewItem(cancelPrefix+"a", nil, 10, false))
 	require.Equal(t, hfwork.StateCompleted, m.jobs["a"].state(), "a cancellation after the end changes nothing")
 }
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"sync/atomic"
 	"time"
@@ -186,10 +187,6 @@
 // listed returns a copy of the registered workers.
 func (n *Node) listed() map[string]*hfwork.Worker {
 	return hfloop.With(n.mirror, func(m *Mirror) map[string]*hfwork.Worker {
-		list := make(map[string]*hfwork.Worker, len(m.workers))
-		for id, w := range m.workers {
-			list[id] = w
-		}
-		return list
+		return maps.Clone(m.workers)
 	})
 }
--- a/hfentry/observe.go
+++ b/hfentry/observe.go
@@ -1,23 +1,17 @@
 package hfentry
 
 import (
-	"context"
 	"fmt"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/heatherfront/heatherfront/hfevent"
 	"github.com/heatherfront/heatherfront/hfplan"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
 
-func newGroup(ctx context.Context) (*errgroup.Group, context.Context) {
-	return errgroup.WithContext(ctx)
-}
-
 // Noted implements hforder.Observer.
 func (n *Node) Noted(c hfplan.NoteCmd) {
 	fields := []zap.Field{zap.String("job", c.Job()), zap.String("reason", c.Reason())}
--- a/hforder/desk.go
+++ b/hforder/desk.go
@@ -16,7 +16,6 @@
 	orderTimeout = 700 * time.Millisecond // an order without an answer by then is settled by a stop
 	lookTimeout  = 900 * time.Millisecond // beyond the time for which the worker may wait
 	lookWait     = 1500 * time.Millisecond
-	lookShort    = 0 * time.Millisecond
 	silentPause  = 250 * time.Millisecond // between looks at a silent worker
 	ackLongest   = 2 * time.Second        // wait for the record of an end before the next look
 	clockMargin  = 50                     // milliseconds by which a lease is cut, for rounding
@@ -143,7 +142,7 @@
 	if d.clocks.IsZero() {
 		return 0
 	}
-	return d.clock + now.Sub(d.clocks).Milliseconds()*98/100 + d.leader.timing.lease().Milliseconds() - clockMargin
+	return d.clock + now.Sub(d.clocks).Milliseconds()*98/100 + d.leader.timing.Lease().Milliseconds() - clockMargin
 }
 
 func (d *desk) worker() *hfwork.Worker {
@@ -266,8 +265,7 @@
 func (d *desk) watch(ctx context.Context) {
 	answered, told := false, false // told: of the silence that is under way
 	for ctx.Err() == nil {
-		wait := lookShort
-		until := int64(0)
+		wait, until := time.Duration(0), int64(0)
 		if answered {
 			wait, until = lookWait, d.until(time.Now())
 			if d.closely() {
--- a/hforder/leader.go
+++ b/hforder/leader.go
@@ -29,16 +29,6 @@
 	storePause    = 60 * time.Millisecond
 )
 
-// Timing holds the intervals of orders.
-type Timing struct {
-	lease func() time.Duration
-}
-
-// NewTiming returns the lease that tasks get on a worker.
-func NewTiming(lease time.Duration) Timing {
-	return Timing{lease: func() time.Duration { return lease }}
-}
-
 // Observer is told what a leader decides.
 type Observer interface {
 	// Noted tells of a decision or a changed belief.
@@ -68,7 +58,7 @@
 	name      string
 	records   Records
 	observer  Observer
-	timing    Timing
+	timing    hfplan.Timing
 	inbox     chan hfplan.Msg
 	group     *errgroup.Group
 	fail      context.CancelCauseFunc
@@ -82,7 +72,7 @@
 }
 
 // NewLeader returns a leader that has not started.
-func NewLeader(s *hfplan.Scheduler, t *hflease.Tenure, m Minions, a Adviser, p Machines, name string, r Records, o Observer, timing Timing) *Leader {
+func NewLeader(s *hfplan.Scheduler, t *hflease.Tenure, m Minions, a Adviser, p Machines, name string, r Records, o Observer, timing hfplan.Timing) *Leader {
 	return &Leader{
 		scheduler: s, tenure: t, minions: m, adviser: a, machines: p, name: name, records: r, observer: o, timing: timing,
 		inbox: make(chan hfplan.Msg, inboxSize), desks: map[string]*desk{}, ended: make(chan struct{}),
@@ -177,10 +167,9 @@
 }
 
 func (l *Leader) step(ctx context.Context, msg hfplan.Msg) {
-	if w, ok := msg.(hfplan.WorkersMsg); ok {
-		l.openDesks(ctx, w.Nodes())
-	}
-	if w, ok := msg.(hfplan.InheritMsg); ok {
+	if w, ok := msg.(interface {
+		Nodes() map[string]*hfwork.Worker
+	}); ok {
 		l.openDesks(ctx, w.Nodes())
 	}
 	cmds := l.scheduler.Update(msg, time.Now())
@@ -242,12 +231,7 @@
 				l.fail(ErrFenced)
 				return
 			}
-			t := time.NewTimer(storePause)
-			select {
-			case <-ctx.Done():
-			case <-t.C:
-			}
-			t.Stop()
+			hfloop.Pause(ctx, storePause)
 		}
 	}
 }
--- a/hforder/leader_test.go
+++ b/hforder/leader_test.go
@@ -110,7 +110,7 @@
 func lead(t *testing.T, m *minions, r *records, tenure *hflease.Tenure) (*Leader, <-chan error) {
 	t.Helper()
 	s := hfplan.New(1, hfplan.NewTiming(6*time.Second), time.Now())
-	l := NewLeader(s, tenure, m, observer{}, observer{}, "one", r, observer{}, NewTiming(6*time.Second))
+	l := NewLeader(s, tenure, m, observer{}, observer{}, "one", r, observer{}, hfplan.NewTiming(6*time.Second))
 	worker := &hfwork.Worker{Id: "w", Pool: "p", Rack: "r", Cpu: 1000, Memory: 1000, Accelerators: 8}
 	first := []hfplan.Msg{
 		hfplan.Policy(&hfwork.Policy{Queues: []*hfwork.Queue{{Name: "q", Pool: "p", Attempts: 1}}}),
@@ -202,7 +202,7 @@
 func TestLeadershipEndsWithAFullInbox(t *testing.T) {
 	s := hfplan.New(1, hfplan.NewTiming(6*time.Second), time.Now())
 	m := &stuckMinions{entered: make(chan struct{}), release: make(chan struct{})}
-	l := NewLeader(s, hflease.NewTenure(5, hflease.Now(), time.Minute), m, observer{}, observer{}, "one", &records{}, observer{}, NewTiming(6*time.Second))
+	l := NewLeader(s, hflease.NewTenure(5, hflease.Now(), time.Minute), m, observer{}, observer{}, "one", &records{}, observer{}, hfplan.NewTiming(6*time.Second))
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() {
--- a/hfplan/intake.go
+++ b/hfplan/intake.go
@@ -19,7 +19,6 @@
 	p := m.progress
 	j := &job{
 		spec: m.job, queue: s.queues[m.job.GetQueue()], state: hfwork.StateQueued, cancelled: m.cancelled, known: now,
-		begun: p.GetBegun(),
 	}
 	if p.GetState() != "" {
 		j.state = p.GetState()
@@ -119,7 +118,7 @@
 // ready tells whether the tasks of a group may start: its job is open, it is due, and
 // all steps before it are done.
 func (g *group) ready(now time.Time) bool {
-	if g.job.final() || now.Before(g.due) || now.Before(g.retryAt) {
+	if g.job.final() || now.Before(g.due) {
 		return false
 	}
 	for _, a := range g.spec.GetAfter() {
--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -15,7 +15,6 @@
 	reason    string
 	ended     int64 // Unix milliseconds of the final state
 	cancelled bool
-	begun     bool // a task may have been started
 	claims    bool // it stands under the guarantee of its account
 	seen      bool // a worker has confirmed a start
 	groups    []*group
@@ -42,7 +41,6 @@
 	due        time.Time // not started before
 	avoid      map[string]bool
 	preemptAt  time.Time         // looks for victims again then, after it found too few
-	retryAt    time.Time         // not placed before, after a refusal
 	promisedAt time.Time         // when its runs were promised
 	storedBy   uint64            // StoreCmd that tells where they are; they start once it is stored
 	tickets    map[string]ticket // by worker, of an advised queue
@@ -116,7 +114,6 @@
 	order     time.Time // last order that was sent
 	confirmed time.Time // a report asked for later shows the run if it is still there; zero while that is open
 	started   time.Time // when it began, as far as known
-	savedAt   time.Time // when its newest checkpoint was first seen
 	returned  bool      // its promise of room was given back before its end
 }
 
--- a/hfplan/message.go
+++ b/hfplan/message.go
@@ -35,7 +35,8 @@
 // Inherit returns an InheritMsg. It comes before the first JobMsg.
 func Inherit(workers []*hfwork.Worker) InheritMsg { return InheritMsg{workers: workers} }
 
-// JobMsg brings a stored job that this scheduler may not know yet.
+// JobMsg brings a stored job that this scheduler may not know yet, or the cancellation of
+// one.
 type JobMsg struct {
 	job       *hfwork.Job
 	progress  *hfwork.Progress // nil when nothing is stored
@@ -47,12 +48,6 @@
 	return JobMsg{job: job, progress: progress, cancelled: cancelled}
 }
 
-// CancelMsg tells that the cancellation of a job is stored.
-type CancelMsg struct{ id string }
-
-// Cancel returns a CancelMsg.
-func Cancel(id string) CancelMsg { return CancelMsg{id: id} }
-
 // ReportMsg brings a worker's report.
 type ReportMsg struct {
 	worker string
@@ -124,7 +119,6 @@
 func (LeftMsg) planMsg()    {}
 func (InheritMsg) planMsg() {}
 func (JobMsg) planMsg()     {}
-func (CancelMsg) planMsg()  {}
 func (ReportMsg) planMsg()  {}
 func (SilentMsg) planMsg()  {}
 func (StartedMsg) planMsg() {}
@@ -278,6 +272,6 @@
 }
 
 // Store returns a StoreCmd, for tests of those who carry it out.
-func Store(records map[string]*hfwork.Progress, roster []*hfwork.Worker) StoreCmd {
-	return StoreCmd{records: records, roster: roster}
+func Store(records map[string]*hfwork.Progress, roster []*hfwork.Worker, waves []*hfwork.Wave) StoreCmd {
+	return StoreCmd{records: records, roster: roster, waves: waves}
 }
--- a/hfplan/order.go
+++ b/hfplan/order.go
@@ -35,7 +35,7 @@
 // start sends the start of a promised run.
 func (s *Scheduler) start(r *run, now time.Time) {
 	t := r.task
-	r.phase, r.order, r.started, r.savedAt = asked, now, now, now
+	r.phase, r.order, r.started = asked, now, now
 	t.group.promised--
 	allowed, _ := t.group.ticketFor(r.worker, now)
 	s.do(StartCmd{
@@ -67,9 +67,6 @@
 		r.worker.refused = now.Add(refusedPause)
 		s.refresh(r.worker, now)
 		s.finish(r, hfwork.Stopped, "", "worker refused the start", now)
-		if g.gang() {
-			s.stopGang(g, m.number, now)
-		}
 	}
 }
 
--- a/hfplan/pace_test.go
+++ b/hfplan/pace_test.go
@@ -20,7 +20,7 @@
 	s.Update(Job(&hfwork.Job{Id: "a", Queue: "q", Steps: []*hfwork.Step{
 		{Count: 1, Cpu: 4000, Lasting: true, Target: 100},
 		{Count: 1, Cpu: 60_000, Lasting: true, Filler: true},
-	}}, &hfwork.Progress{Begun: true, State: hfwork.StateRunning}, false), now)
+	}}, &hfwork.Progress{State: hfwork.StateRunning}, false), now)
 	serves, fills := hfwork.NewTaskID("a", 0, 0, 0), hfwork.NewTaskID("a", 0, 1, 0)
 	share, over := int64(100), time.Duration(0)
 	lowest, highest := share, int64(0)
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -255,7 +255,6 @@
 		return
 	}
 	g.promisedAt, g.rack = now, ""
-	g.job.begun = true
 	s.mark(g.job)
 	g.storedBy = s.sequence + 1
 	number := s.base + 1
--- a/hfplan/record.go
+++ b/hfplan/record.go
@@ -32,7 +32,7 @@
 
 // record returns the progress to store.
 func (j *job) record() *hfwork.Progress {
-	p := &hfwork.Progress{State: j.state, Begun: j.begun, Ended: j.ended, Reason: j.reason}
+	p := &hfwork.Progress{State: j.state, Ended: j.ended, Reason: j.reason}
 	if j.state == hfwork.StateCompleted {
 		return p
 	}
--- a/hfplan/state.go
+++ b/hfplan/state.go
@@ -11,12 +11,8 @@
 	"github.com/heatherfront/heatherfront/hfwork"
 )
 
-var (
-	// ErrDouble reports a broken invariant: a worker holds more than its room.
-	ErrDouble = eris.New("worker holds more than its room")
-	// ErrGang reports a broken invariant: a gang was promised in part.
-	ErrGang = eris.New("gang promised in part")
-)
+// ErrGang reports a broken invariant: a gang was promised in part.
+var ErrGang = eris.New("gang promised in part")
 
 // runsPerTerm is the room for the run numbers of one leadership. Numbers of a later
 // one are higher, although none is stored.
@@ -32,6 +28,9 @@
 	return Timing{lease: func() time.Duration { return lease }}
 }
 
+// Lease returns the longest lease of a task on a worker.
+func (t Timing) Lease() time.Duration { return t.lease() }
+
 // lapse returns the time after which nothing runs on a worker that was last sent an
 // order before: its clock may be 2% slow.
 func (t Timing) lapse() time.Duration {
@@ -103,10 +102,6 @@
 		s.setWorkers(m.workers, now)
 	case JobMsg:
 		s.addJob(m, now)
-	case CancelMsg:
-		if j := s.jobs[m.id]; j != nil {
-			s.cancel(j, now)
-		}
 	case ReportMsg:
 		s.report(m, now)
 	case SilentMsg:
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -13,15 +13,14 @@
 func (s *Scheduler) inherit(nodes []*hfwork.Worker) {
 	for _, n := range nodes {
 		if s.workers[n.GetId()] == nil {
-			s.addWorker(n).lapses = s.settleBy
+			s.addWorker(n)
 		}
 	}
 }
 
 func (s *Scheduler) addWorker(n *hfwork.Worker) *worker {
-	size := hfroom.NewSize(n.GetCpu(), n.GetMemory(), n.GetAccelerators())
 	w := &worker{
-		node: n, room: s.room.Add(n.GetId(), n.GetPool(), n.GetRack(), n.GetLabels(), size),
+		node: n, room: s.addRoom(n), lapses: s.settleBy,
 		runs: map[*run]struct{}{}, strays: map[stray]hfroom.Size{}, suspect: map[string]bool{},
 	}
 	s.workers[n.GetId()] = w
@@ -29,13 +28,17 @@
 	return w
 }
 
+func (s *Scheduler) addRoom(n *hfwork.Worker) *hfroom.Worker {
+	size := hfroom.NewSize(n.GetCpu(), n.GetMemory(), n.GetAccelerators())
+	return s.room.Add(n.GetId(), n.GetPool(), n.GetRack(), n.GetLabels(), size)
+}
+
 // setWorkers takes the registered workers.
 func (s *Scheduler) setWorkers(nodes map[string]*hfwork.Worker, now time.Time) {
 	for id, n := range nodes {
 		w := s.workers[id]
 		if w == nil {
 			w = s.addWorker(n)
-			w.lapses = s.settleBy
 		}
 		if w.node.GetPool() != n.GetPool() || w.node.GetRack() != n.GetRack() || w.node.GetAccelerators() != n.GetAccelerators() ||
 			w.node.GetCpu() != n.GetCpu() || w.node.GetMemory() != n.GetMemory() {
@@ -58,8 +61,7 @@
 func (s *Scheduler) replaceRoom(w *worker, n *hfwork.Worker, now time.Time) {
 	s.dropRuns(w, "worker lives anew", now)
 	s.room.Remove(w.id())
-	size := hfroom.NewSize(n.GetCpu(), n.GetMemory(), n.GetAccelerators())
-	w.room = s.room.Add(n.GetId(), n.GetPool(), n.GetRack(), n.GetLabels(), size)
+	w.room = s.addRoom(n)
 }
 
 // refresh decides whether a worker takes new tasks.
@@ -154,7 +156,7 @@
 		s.confirm(r, now)
 	}
 	if lead := t.group.lead(t); row.Saved() != "" && lead.saved != row.Saved() {
-		lead.saved, r.savedAt = row.Saved(), now
+		lead.saved = row.Saved()
 	}
 	return r
 }
@@ -171,7 +173,6 @@
 		t.group.lead(t).saved = row.Saved()
 	}
 	s.unhold(t)
-	t.group.job.begun = true
 	s.confirm(r, now)
 	return r
 }
--- a/hfplan/world_test.go
+++ b/hfplan/world_test.go
@@ -461,7 +461,7 @@
 
 func (w *world) cancel(id string) {
 	w.cancels[id] = true
-	w.send(Cancel(id))
+	w.send(Job(w.jobs[id], w.records[id], true))
 }
 
 func (w *world) state(id string) string { return w.records[id].GetState() }
--- a/hfstand/kv.go
+++ b/hfstand/kv.go
@@ -97,33 +97,15 @@
 		return c.NoContent(http.StatusBadRequest)
 	}
 	wait, _ := strconv.ParseInt(c.QueryParam("wait_ms"), 10, 64)
-	deadline := time.Now().Add(time.Duration(wait) * time.Millisecond)
-	for {
-		s.mu.Lock()
-		s.expire(time.Now())
-		s.counts.Watches++
-		events := s.since(c.QueryParam("prefix"), after)
-		revision, wake, gone, down := s.revision, s.wake, after < s.oldest || after > s.revision, s.fault.Down
-		s.mu.Unlock()
-		switch {
-		case down:
-			return c.NoContent(http.StatusServiceUnavailable)
-		case gone:
-			return c.NoContent(http.StatusGone)
-		case len(events) > 0 || time.Now().After(deadline):
-			list := make([]kvItem, 0, len(events))
-			for _, e := range events {
-				list = append(list, e.kv())
-			}
-			return c.JSON(http.StatusOK, map[string]any{"events": list, "store_revision": revision})
-		}
-		select {
-		case <-wake:
-		case <-time.After(100 * time.Millisecond): // leases lapse without an event
-		case <-c.Request().Context().Done():
-			return c.Request().Context().Err()
-		}
+	status, events, revision := s.await(c.Request().Context(), c.QueryParam("prefix"), after, time.Duration(wait)*time.Millisecond)
+	if status != http.StatusOK {
+		return c.NoContent(status)
+	}
+	list := make([]kvItem, 0, len(events))
+	for _, e := range events {
+		list = append(list, e.kv())
 	}
+	return c.JSON(http.StatusOK, map[string]any{"events": list, "store_revision": revision})
 }
 
 func (s *Store) kvTransaction(c echo.Context) error {
@@ -194,16 +176,11 @@
 }
 
 func (s *Store) kvKeep(c echo.Context) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.expire(time.Now())
-	s.counts.Renews++
-	l, ok := s.leases[c.Param("id")]
+	ttl, ok := s.extend(c.Param("id"))
 	if !ok {
 		return c.NoContent(http.StatusNotFound)
 	}
-	l.until = time.Now().Add(l.ttl)
-	return c.JSON(http.StatusOK, map[string]int64{"ttl_ms": l.ttl.Milliseconds()})
+	return c.JSON(http.StatusOK, map[string]int64{"ttl_ms": ttl.Milliseconds()})
 }
 
 // Set writes a value as the platform or an operator does, without a condition.
--- a/hfstand/runner.go
+++ b/hfstand/runner.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -196,19 +197,23 @@
 	Wait  int64  `json:"wait_ms"`
 }
 
-// read takes an order, or drops its connection while the runner is deaf.
-func (r *Runner) read(c echo.Context) (orderBody, error) {
+// order takes an order and carries it out, holding mu, unless its fence is overtaken. It
+// drops the connection while the runner is deaf.
+func (r *Runner) order(c echo.Context, carryOut func(b orderBody) error) error {
 	var b orderBody
 	if err := json.NewDecoder(c.Request().Body).Decode(&b); err != nil {
-		return b, fmt.Errorf("read order: %w", err)
+		return c.NoContent(http.StatusBadRequest)
 	}
 	r.mu.Lock()
-	deaf := r.deaf
-	r.mu.Unlock()
-	if deaf {
+	defer r.mu.Unlock()
+	if r.deaf {
 		panic(http.ErrAbortHandler)
 	}
-	return b, nil
+	if b.Fence < r.fence {
+		return r.refuse(c, "fence")
+	}
+	r.fence = b.Fence
+	return carryOut(b)
 }
 
 // clocked adds what every answer has.
@@ -232,28 +237,20 @@
 }
 
 func (r *Runner) startRoute(c echo.Context) error {
-	b, err := r.read(c)
-	if err != nil {
-		return c.NoContent(http.StatusBadRequest)
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if b.Fence < r.fence {
-		return r.refuse(c, "fence")
-	}
-	r.fence = b.Fence
-	if o := r.runs[b.Task]; o != nil && o.start.Run == b.Run {
+	return r.order(c, func(b orderBody) error {
+		if o := r.runs[b.Task]; o != nil && o.start.Run == b.Run {
+			return c.JSON(http.StatusOK, r.clocked(nil))
+		}
+		if b.Run <= r.highest[b.Task] {
+			return r.refuse(c, "old")
+		}
+		if time.Since(r.born).Milliseconds() > b.Until {
+			return r.refuse(c, "late")
+		}
+		r.extend(b.Until)
+		r.begin(b)
 		return c.JSON(http.StatusOK, r.clocked(nil))
-	}
-	if b.Run <= r.highest[b.Task] {
-		return r.refuse(c, "old")
-	}
-	if time.Since(r.born).Milliseconds() > b.Until {
-		return r.refuse(c, "late")
-	}
-	r.extend(b.Until)
-	r.begin(b)
-	return c.JSON(http.StatusOK, r.clocked(nil))
+	})
 }
 
 // begin starts a run; the caller holds mu.
@@ -323,60 +320,37 @@
 }
 
 func (r *Runner) stopRoute(c echo.Context) error {
-	b, err := r.read(c)
-	if err != nil {
-		return c.NoContent(http.StatusBadRequest)
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if b.Fence < r.fence {
-		return r.refuse(c, "fence")
-	}
-	r.fence = b.Fence
-	r.highest[b.Task] = max(r.highest[b.Task], b.Run)
-	if o := r.runs[b.Task]; o != nil && o.start.Run == b.Run && !o.stopped {
-		o.stopped = true
-		time.AfterFunc(runnerStop, func() {
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			r.end(o, "stopped")
-		})
-	}
-	return c.JSON(http.StatusOK, r.clocked(nil))
+	return r.order(c, func(b orderBody) error {
+		r.highest[b.Task] = max(r.highest[b.Task], b.Run)
+		if o := r.runs[b.Task]; o != nil && o.start.Run == b.Run && !o.stopped {
+			o.stopped = true
+			time.AfterFunc(runnerStop, func() {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				r.end(o, "stopped")
+			})
+		}
+		return c.JSON(http.StatusOK, r.clocked(nil))
+	})
 }
 
 func (r *Runner) holdRoute(c echo.Context) error {
-	b, err := r.read(c)
-	if err != nil {
-		return c.NoContent(http.StatusBadRequest)
-	}
-	r.mu.Lock()
-	if b.Fence < r.fence {
-		defer r.mu.Unlock()
-		return r.refuse(c, "fence")
-	}
-	r.fence = b.Fence
-	r.extend(b.Until)
-	kept := r.ended[:0:0]
-	for _, e := range r.ended {
-		if e.number > b.Seen {
-			kept = append(kept, e)
-		}
-	}
-	r.ended = kept
-	wake, none := r.wake, len(r.ended) == 0
-	r.mu.Unlock()
-	if none && b.Wait > 0 {
-		select {
-		case <-wake:
-		case <-time.After(time.Duration(b.Wait) * time.Millisecond):
-		case <-c.Request().Context().Done():
+	return r.order(c, func(b orderBody) error {
+		r.extend(b.Until)
+		r.ended = slices.DeleteFunc(r.ended, func(e endedRun) bool { return e.number <= b.Seen })
+		if len(r.ended) == 0 && b.Wait > 0 {
+			wake := r.wake
+			r.mu.Unlock()
+			select {
+			case <-wake:
+			case <-time.After(time.Duration(b.Wait) * time.Millisecond):
+			case <-c.Request().Context().Done():
+			}
+			r.mu.Lock()
 		}
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.lapse()
-	return c.JSON(http.StatusOK, r.clocked(r.lists()))
+		r.lapse()
+		return c.JSON(http.StatusOK, r.clocked(r.lists()))
+	})
 }
 
 // lapse ends all runs whose lease has run out; the caller holds mu.
--- a/hfstand/store.go
+++ b/hfstand/store.go
@@ -4,6 +4,7 @@
 package hfstand
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -253,7 +254,17 @@
 		return c.NoContent(http.StatusBadRequest)
 	}
 	wait, _ := strconv.ParseInt(c.QueryParam("wait"), 10, 64)
-	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	status, events, revision := s.await(c.Request().Context(), c.QueryParam("prefix"), after, time.Duration(wait)*time.Millisecond)
+	if status != http.StatusOK {
+		return c.NoContent(status)
+	}
+	return c.JSON(http.StatusOK, map[string]any{"items": events, "revision": revision})
+}
+
+// await waits for events under a prefix. It returns none with the status 200 when the
+// time is over or the caller has gone.
+func (s *Store) await(ctx context.Context, prefix string, after int64, wait time.Duration) (status int, events []storeItem, revision int64) {
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	s.mu.Lock()
 	s.counts.Watches++
@@ -261,25 +272,25 @@
 	for {
 		s.mu.Lock()
 		s.expire(time.Now())
-		events := s.since(c.QueryParam("prefix"), after)
-		revision, wake, gone, down := s.revision, s.wake, after < s.oldest || after > s.revision, s.fault.Down
+		events = s.since(prefix, after)
+		revision = s.revision
+		wake, gone, down := s.wake, after < s.oldest || after > s.revision, s.fault.Down
 		s.mu.Unlock()
-		if down {
-			return c.NoContent(http.StatusServiceUnavailable)
-		}
-		if gone {
-			return c.NoContent(http.StatusGone)
-		}
-		if len(events) > 0 {
-			return c.JSON(http.StatusOK, map[string]any{"items": events, "revision": revision})
+		switch {
+		case down:
+			return http.StatusServiceUnavailable, nil, 0
+		case gone:
+			return http.StatusGone, nil, 0
+		case len(events) > 0:
+			return http.StatusOK, events, revision
 		}
 		select {
 		case <-wake:
 		case <-time.After(100 * time.Millisecond): // leases lapse without an event
 		case <-timer.C:
-			return c.JSON(http.StatusOK, map[string]any{"items": events, "revision": revision})
-		case <-c.Request().Context().Done():
-			return c.Request().Context().Err()
+			return http.StatusOK, events, revision
+		case <-ctx.Done():
+			return http.StatusOK, events, revision
 		}
 	}
 }
@@ -300,16 +311,24 @@
 }
 
 func (s *Store) renew(c echo.Context) error {
+	if _, ok := s.extend(c.Param("id")); !ok {
+		return c.NoContent(http.StatusNotFound)
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+// extend renews a lease and returns its time to live.
+func (s *Store) extend(id string) (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(time.Now())
 	s.counts.Renews++
-	l, ok := s.leases[c.Param("id")]
+	l, ok := s.leases[id]
 	if !ok {
-		return c.NoContent(http.StatusNotFound)
+		return 0, false
 	}
 	l.until = time.Now().Add(l.ttl)
-	return c.NoContent(http.StatusNoContent)
+	return l.ttl, true
 }
 
 func (s *Store) revoke(c echo.Context) error {
