--- a/hfentry/observe.go
+++ b/hfentry/observe.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/heatherfront/heatherfront/hfevent"
+	"github.com/heatherfront/heatherfront/hforder"
 	"github.com/heatherfront/heatherfront/hfplan"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
@@ -26,11 +27,14 @@
 	case hfplan.NotePreempted:
 		n.log.Event(hfevent.TasksPreempted, append(fields, zap.Uint32("step", c.Step()), zap.Int("tasks", c.Tasks()))...)
 	case hfplan.NoteRetry:
-		n.log.Event(hfevent.TaskRetried, append(fields, zap.Uint32("step", c.Step()), zap.String("worker", c.Worker()))...)
+		n.log.Event(hfevent.TaskRetried, append(fields, zap.Uint32("step", c.Step()), zap.Uint32("task", c.Task()), zap.Int64("run", c.Number()), zap.String("worker", c.Worker()))...)
+	case hfplan.NoteLateEnd:
+		n.log.Event(hfevent.EndLate, append(fields, zap.Uint32("step", c.Step()), zap.Uint32("task", c.Task()), zap.Int64("run", c.Number()),
+			zap.String("worker", c.Worker()), zap.Int64("current", c.Current()), zap.String("phase", c.Phase()))...)
 	case hfplan.NoteQuarantined:
 		n.log.Event(hfevent.WorkerQuarantined, append(fields, zap.String("worker", c.Worker()))...)
 	case hfplan.NoteSilent:
-		n.log.Event(hfevent.WorkerSilent, zap.String("worker", c.Worker()))
+		n.log.Event(hfevent.WorkerSilent, zap.String("worker", c.Worker()), zap.Time("expires", c.Expires()))
 	case hfplan.NoteReporting:
 		n.log.Event(hfevent.WorkerReporting, zap.String("worker", c.Worker()), zap.String("reason", c.Reason()))
 	case hfplan.NoteRemoved:
@@ -51,6 +55,13 @@
 		zap.Uint32("task", task.Index()), zap.Int64("run", run), zap.String("worker", worker), zap.Duration("took", time.Since(sent)), zap.String("error", err.Error()))
 }
 
+// LeaseObserved implements hforder.Observer.
+func (n *Node) LeaseObserved(worker string, g hforder.Grant, silent bool) {
+	now := time.Now()
+	n.log.Event(hfevent.LeaseState, zap.String("worker", worker), zap.Bool("silent", silent), zap.Int64("end", g.LeaseEnd()), zap.String("verb", g.Verb()),
+		zap.Duration("sent", now.Sub(g.SentAt())), zap.Int64("clock", g.Clock()), zap.Duration("age", now.Sub(g.ClockReadAt())), zap.Int64("now", g.CalculatedClock()))
+}
+
 // LoadSampled implements hforder.Observer.
 func (n *Node) LoadSampled(l hfplan.Load) {
 	metrics.GetOrRegisterGauge("plan.free.accelerators", n.registry).Update(l.Free().Accelerators())
--- a/hfevent/catalogue.go
+++ b/hfevent/catalogue.go
@@ -71,6 +71,8 @@
 	HintsUnavailable = Event{820, "hints-deaf", zapcore.ErrorLevel, "Other instances can no longer send hints about stored items to this one; it learns of them from its watch."}
 	AnnounceFailed   = Event{821, "announce-failed", zapcore.WarnLevel, "The entry with this instance's address could not be written; the write is retried."}
 	LeaseRevoked     = Event{822, "lease-ended", zapcore.InfoLevel, "The scheduling lease of an earlier process of this instance was revoked, or the attempt failed."}
+	LeaseState       = Event{823, "lease-state", zapcore.InfoLevel, "A worker stopped answering, or answers again; the fields hold the latest lease that was granted to it and the clock from which that lease was calculated."}
+	EndLate          = Event{824, "end-late", zapcore.WarnLevel, "A worker reported the end of a run after the run was given up; the fields tell which run the task has now."}
 )
 
 // Catalogue returns every event.
@@ -87,5 +89,6 @@
 		JobAccepted, JobRefused, JobCancelled, JobUnknown, JobState, TasksPlaced, TasksPreempted, TaskRetried,
 		OrderFailed, PlanRecovered, WorkerSilent, WorkerReporting, WorkerRemoved, EntryRejected, PolicyApplied, MirrorReset,
 		SettingsRead, SettingsInvalid, LinesDropped, PlanLoad, HintsUnavailable, AnnounceFailed, LeaseRevoked,
+		LeaseState, EndLate,
 	}
 }
--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -53,6 +53,7 @@
 	incarnation   int64     // start time of the worker that sent the last report, which identifies it
 	lastReported  int64     // sequence number of the last end that the worker reported
 	lastStored    int64     // sequence number of the last end whose record is stored
+	granted       Grant     // latest lease granted to this incarnation; its clock is not set
 	silent        bool      // the last poll got no answer
 	frequentPolls bool      // poll with the shorter wait of hfplan.PollCmd
 }
@@ -238,9 +239,11 @@
 	}
 	sent := time.Now()
 	err := d.sendWithRetry(ctx, func(ctx context.Context) error {
+		leaseEnd := d.leaseEnd(time.Now())
+		d.recordGrant("start", leaseEnd)
 		return d.leader.minions.Start(ctx, worker, Start{
 			task: c.Task(), run: c.Number(), command: c.Command(), checkpoint: c.Checkpoint(), ticket: c.Ticket(),
-			leaseEnd: d.leaseEnd(time.Now()), epoch: d.leader.tenure.Epoch(),
+			leaseEnd: leaseEnd, epoch: d.leader.tenure.Epoch(),
 		})
 	})
 	d.leader.observer.OrderFinished("start", c.Task(), c.Number(), worker.GetId(), sent, err)
@@ -309,6 +312,9 @@
 				wait = hfplan.PollCmd{}.Interval()
 			}
 		}
+		if leaseEnd != 0 {
+			d.recordGrant("poll", leaseEnd)
+		}
 		sent := time.Now()
 		report, err := d.poll(ctx, wait, leaseEnd)
 		if err != nil {
@@ -320,6 +326,7 @@
 			if ctx.Err() == nil && !silenceReported {
 				silenceReported = true
 				d.leader.observer.OrderFinished("look", hfwork.TaskID{}, 0, d.currentWorker().GetId(), sent, err)
+				d.leader.observer.LeaseObserved(d.currentWorker().GetId(), d.latestGrant(time.Now()), true)
 			}
 			if ctx.Err() == nil {
 				d.leader.Send(hfplan.WorkerSilent(d.currentWorker().GetId()))
@@ -328,9 +335,12 @@
 			hfloop.Sleep(ctx, silentPollPause)
 			continue
 		}
-		answered, silenceReported = true, false
 		d.setSilent(false)
 		d.recordReport(report, sent)
+		if silenceReported {
+			d.leader.observer.LeaseObserved(d.currentWorker().GetId(), d.latestGrant(time.Now()), false)
+		}
+		answered, silenceReported = true, false
 		d.leader.Send(hfplan.Report(d.currentWorker().GetId(), sent, report))
 		d.awaitEndsStored(ctx)
 	}
@@ -350,6 +360,7 @@
 	defer d.mu.Unlock()
 	if r.Incarnation() != d.incarnation {
 		d.incarnation, d.lastReported, d.lastStored = r.Incarnation(), 0, 0
+		d.granted = Grant{}
 	}
 	d.workerClock, d.polledAt = r.Clock(), sent
 	for _, e := range r.Ended() {
--- a/hforder/leader.go
+++ b/hforder/leader.go
@@ -38,6 +38,9 @@
 	// consecutive failed polls of a worker only the first is reported, with the verb "look";
 	// successful polls are not. run is the number of the run, or of the wave for upkeep. err is nil if it succeeded.
 	OrderFinished(verb string, task hfwork.TaskID, run int64, worker string, sent time.Time, err error)
+	// LeaseObserved is called when a worker stops answering polls (silent) and when it answers
+	// again, with the latest lease granted to it.
+	LeaseObserved(worker string, g Grant, silent bool)
 	// LoadSampled is called about once a second with the queued and running work and the
 	// free and total resources.
 	LoadSampled(load hfplan.Load)
--- a/hforder/leader_test.go
+++ b/hforder/leader_test.go
@@ -108,6 +108,7 @@
 
 func (fakeServices) Decided(hfplan.NoteCmd)                                               {}
 func (fakeServices) OrderFinished(string, hfwork.TaskID, int64, string, time.Time, error) {}
+func (fakeServices) LeaseObserved(string, Grant, bool)                                    {}
 func (fakeServices) LoadSampled(hfplan.Load)                                              {}
 func (fakeServices) InvariantViolated(error)                                              {}
 func (fakeServices) Advise(context.Context, hfwork.TaskID, []string) (map[string]string, time.Time, error) {
--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -107,6 +107,10 @@
 	stopping              // stop sent, end not confirmed
 )
 
+func (p phase) String() string {
+	return [...]string{assigned: "assigned", starting: "starting", running: "running", stopping: "stopping"}[p]
+}
+
 // run is one attempt to run a task on a worker.
 type run struct {
 	task      *task
--- a/hfplan/message.go
+++ b/hfplan/message.go
@@ -226,6 +226,7 @@
 	NoteReporting   Note = "heard"     // a worker reports for the first time or again, or has restarted
 	NoteRemoved     Note = "gone"      // a worker was removed
 	NoteRecovered   Note = "settled"   // all runs of earlier schedulers are accounted for
+	NoteLateEnd     Note = "late-end"  // a worker reported the end of a run after the run was given up
 )
 
 // NoteCmd asks to log a decision or state change.
@@ -236,6 +237,12 @@
 	step   uint32
 	tasks  int
 	reason string
+
+	task    uint32    // index of the task, for NoteRetry and NoteLateEnd
+	number  int64     // of the run, for NoteRetry and NoteLateEnd
+	current int64     // number of the task's current run, or 0, for NoteLateEnd
+	phase   string    // of the current run, for NoteLateEnd
+	expires time.Time // when the leases expire, for NoteSilent
 }
 
 // Note returns the kind of note.
@@ -256,6 +263,22 @@
 // Reason returns the cause, or the new state for a NoteState.
 func (c NoteCmd) Reason() string { return c.reason }
 
+// Task returns the index of the task of a NoteRetry or NoteLateEnd.
+func (c NoteCmd) Task() uint32 { return c.task }
+
+// Number returns the number of the run of a NoteRetry or NoteLateEnd.
+func (c NoteCmd) Number() int64 { return c.number }
+
+// Current returns the number of the run that the task of a NoteLateEnd has now, or 0.
+func (c NoteCmd) Current() int64 { return c.current }
+
+// Phase returns the phase of the current run of a NoteLateEnd, or "".
+func (c NoteCmd) Phase() string { return c.phase }
+
+// Expires returns when the leases of the worker of a NoteSilent expire, or zero if it has
+// not reported to this scheduler.
+func (c NoteCmd) Expires() time.Time { return c.expires }
+
 func (StartCmd) planCmd() {}
 func (StopCmd) planCmd()  {}
 func (StoreCmd) planCmd() {}
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -201,7 +201,17 @@
 		s.finishRun(t.run, end.Reason(), end.Checkpoint(), string(end.Reason()), now)
 		return
 	}
-	// The run belongs to an earlier scheduler and was not adopted.
+	// The run was given up, or belongs to an earlier scheduler and was not adopted.
+	late := NoteCmd{
+		note: NoteLateEnd, job: end.Task().Job(), worker: w.id(), step: end.Task().Step(), reason: string(end.Reason()),
+		task: end.Task().Index(), number: end.Number(),
+	}
+	if t.run != nil {
+		late.current, late.phase = t.run.number, t.run.phase.String()
+	}
+	if !t.done && (late.current != 0 || end.Reason() == hfwork.Done) {
+		s.emit(late)
+	}
 	s.applyEnd(w, t, end.Number(), end.Reason(), end.Checkpoint(), now)
 }
 
@@ -214,7 +224,7 @@
 	s.releaseRun(r)
 	s.applyEnd(r.worker, t, r.number, endReason, checkpoint, now)
 	if endReason != hfwork.Done && !t.done && !t.group.job.final() {
-		s.emit(NoteCmd{note: NoteRetry, job: t.group.job.id(), worker: r.worker.id(), step: t.group.step, tasks: 1, reason: reason})
+		s.emit(NoteCmd{note: NoteRetry, job: t.group.job.id(), worker: r.worker.id(), step: t.group.step, tasks: 1, reason: reason, task: t.index, number: r.number})
 	}
 }
 
@@ -324,7 +334,7 @@
 	}
 	if w.reported {
 		w.leaseExpiry = now.Add(s.timing.leaseExpiryDelay())
-		s.emit(NoteCmd{note: NoteSilent, worker: id})
+		s.emit(NoteCmd{note: NoteSilent, worker: id, expires: w.leaseExpiry})
 	}
 	w.silent = true
 	s.updateUsable(w, now)
