Count leases from when the worker's report was received

Cause: the end of a lease was extrapolated from the clock in the worker's last report as if it had been read when the poll was sent. The worker reads it when it answers, up to 1.5 s later, so that lease ends were too late by the duration of the poll. A worker that carries an order out at once limits the lease to the longest one from then, which hid the error; one that carries it out late does not. The scheduler's calculation of the expiry (2% of clock error, 0.3 s of transit after silence was noticed) does not cover it. Change: the reading counts from when the answer was received. The worker's clock cannot have been behind the reading by then, however late the answer was read, so the extrapolated time is a lower bound of its clock.

--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -49,7 +49,7 @@
 	worker        *hfwork.Worker
 	queue         []order
 	workerClock   int64     // worker's time in milliseconds in its last report
-	polledAt      time.Time // when the poll that returned workerClock was sent
+	reportedAt    time.Time // when the last report was received; the worker's clock was read before
 	incarnation   int64     // start time of the worker that sent the last report, which identifies it
 	lastReported  int64     // sequence number of the last end that the worker reported
 	lastStored    int64     // sequence number of the last end whose record is stored
@@ -148,15 +148,21 @@
 
 // leaseEnd returns the end of a full lease that begins now, in milliseconds on the worker's
 // clock, or 0 while that clock is not known. The worker's time is taken as if it had been
-// read when the poll was sent and had run at minClockRate since, so that the lease is never
-// longer than a full one.
+// read when the report was received and had run at minClockRate since, so that the lease is
+// never longer than a full one.
 func (d *dispatcher) leaseEnd(now time.Time) int64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.polledAt.IsZero() {
+	if d.reportedAt.IsZero() {
 		return 0
 	}
-	return d.workerClock + now.Sub(d.polledAt).Milliseconds()*minClockRate/100 + d.leader.timing.Lease().Milliseconds() - leaseMarginMS
+	return d.clockAt(now) + d.leader.timing.Lease().Milliseconds() - leaseMarginMS
+}
+
+// clockAt returns a lower bound of the worker's time in milliseconds. d.mu is held, and
+// reportedAt is set.
+func (d *dispatcher) clockAt(now time.Time) int64 {
+	return d.workerClock + now.Sub(d.reportedAt).Milliseconds()*minClockRate/100
 }
 
 func (d *dispatcher) currentWorker() *hfwork.Worker {
@@ -336,7 +342,7 @@
 			continue
 		}
 		d.setSilent(false)
-		d.recordReport(report, sent)
+		d.recordReport(report, time.Now())
 		if silenceReported {
 			d.leader.observer.LeaseObserved(d.currentWorker().GetId(), d.latestGrant(time.Now()), false)
 		}
@@ -355,14 +361,14 @@
 	return d.leader.minions.Poll(ctx, worker, NewPollRequest(leaseEnd, lastStored, d.leader.tenure.Epoch(), wait))
 }
 
-func (d *dispatcher) recordReport(r hfwork.Report, sent time.Time) {
+func (d *dispatcher) recordReport(r hfwork.Report, received time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if r.Incarnation() != d.incarnation {
 		d.incarnation, d.lastReported, d.lastStored = r.Incarnation(), 0, 0
 		d.granted = Grant{}
 	}
-	d.workerClock, d.polledAt = r.Clock(), sent
+	d.workerClock, d.reportedAt = r.Clock(), received
 	for _, e := range r.Ended() {
 		d.lastReported = max(d.lastReported, e.Sequence())
 	}
--- a/hforder/grant.go
+++ b/hforder/grant.go
@@ -9,8 +9,8 @@
 	leaseEnd        int64     // in milliseconds on the worker's clock
 	sentAt          time.Time // when the order was sent
 	clock           int64     // worker's time in milliseconds in its last report
-	clockReadAt     time.Time // local time that is assumed for that reading
-	calculatedClock int64     // worker's time now in milliseconds, extrapolated from that reading
+	reportedAt      time.Time // when that report was received
+	calculatedClock int64     // lower bound of the worker's time now in milliseconds, extrapolated from that report
 }
 
 // Verb returns the kind of the order: "start" or "poll".
@@ -26,10 +26,11 @@
 // Clock returns the worker's time in milliseconds in its last report.
 func (g Grant) Clock() int64 { return g.clock }
 
-// ClockReadAt returns the local time that is assumed for the reading of Clock.
-func (g Grant) ClockReadAt() time.Time { return g.clockReadAt }
+// ReportedAt returns when the report with Clock was received.
+func (g Grant) ReportedAt() time.Time { return g.reportedAt }
 
-// CalculatedClock returns the worker's present time in milliseconds, extrapolated from Clock.
+// CalculatedClock returns a lower bound of the worker's present time in milliseconds,
+// extrapolated from Clock.
 func (g Grant) CalculatedClock() int64 { return g.calculatedClock }
 
 // recordGrant remembers the order with the latest lease end.
@@ -46,9 +47,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	g := d.granted
-	g.clock, g.clockReadAt = d.workerClock, d.polledAt
-	if !d.polledAt.IsZero() {
-		g.calculatedClock = d.workerClock + now.Sub(d.polledAt).Milliseconds()*minClockRate/100
+	g.clock, g.reportedAt = d.workerClock, d.reportedAt
+	if !d.reportedAt.IsZero() {
+		g.calculatedClock = d.clockAt(now)
 	}
 	return g
 }
