Check the tenure for every lease, after its end is calculated

Cause: polls renewed leases without a look at the tenure, and starts calculated the end of their lease after the check. A leader that is paused after it, or whose tenure ends between two polls, extends leases beyond the time from which its successor takes them to have expired (a full lease from the start of its own leadership). On a worker that the successor cannot reach, a run could so go on beside its next run. Change: orders, retries and polls pass through dispatcher.send, which calculates the lease end, then checks the tenure, then makes the call. However long the process is paused, a lease that it sends counts from a time at which no later leadership had begun. Without a valid tenure nothing is sent, and the leadership ends.

--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -183,9 +183,9 @@
 	d.silent = silent
 }
 
-// sendOrders sends queued orders one at a time until ctx ends or the leadership is lost.
+// sendOrders sends queued orders one at a time until ctx ends.
 func (d *dispatcher) sendOrders(ctx context.Context) {
-	for {
+	for ctx.Err() == nil {
 		o, ok := d.dequeue()
 		if !ok {
 			select {
@@ -195,10 +195,6 @@
 			}
 			continue
 		}
-		if !d.leader.isLeading() {
-			d.leader.fail(ErrNotLeading)
-			return
-		}
 		switch {
 		case o.stop != nil:
 			d.sendStop(ctx, *o.stop)
@@ -210,26 +206,39 @@
 	}
 }
 
+// send makes a call to the worker while the leadership certainly holds; otherwise it ends the
+// leadership. All orders and polls pass through it. The end of a lease is calculated before the
+// tenure is checked: whenever the process is paused, a lease that it sends counts from a time at
+// which no later leadership had begun, and has expired when a later leader takes it to have.
+func (d *dispatcher) send(ctx context.Context, timeout time.Duration, call func(ctx context.Context, leaseEnd int64) error) error {
+	leaseEnd := d.leaseEnd(time.Now())
+	if !d.leader.isLeading() {
+		d.leader.fail(ErrNotLeading)
+		return ErrNotLeading
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return call(ctx, leaseEnd)
+}
+
 // sendWithRetry sends an order until it is answered or orderTimeout has passed. It does not
 // retry once the worker is silent or the leadership is lost. Orders are idempotent, so
 // sending one again does no harm. But the run of an unanswered start may have begun and
 // ended before the retry: a refusal of a retry therefore leaves the effect unknown, and is
 // returned as ErrUnanswered.
-func (d *dispatcher) sendWithRetry(ctx context.Context, send func(context.Context) error) error {
+func (d *dispatcher) sendWithRetry(ctx context.Context, call func(ctx context.Context, leaseEnd int64) error) error {
 	lastRetry := time.Now().Add(orderTimeout - responseTimeout)
 	for tries := 1; ; tries++ {
 		sent := time.Now()
-		call, cancel := context.WithTimeout(ctx, responseTimeout)
-		err := send(call)
-		cancel()
+		err := d.send(ctx, responseTimeout, call)
 		switch {
 		case err == nil:
 			return nil
-		case !errors.Is(err, ErrUnanswered) && (tries == 1 || errors.Is(err, ErrFenced)):
+		case !errors.Is(err, ErrUnanswered) && (tries == 1 || errors.Is(err, ErrFenced) || errors.Is(err, ErrNotLeading)):
 			return fmt.Errorf("order: %w", err)
 		case !errors.Is(err, ErrUnanswered):
 			return fmt.Errorf("order, sent %d times: %w: %s", tries, ErrUnanswered, err)
-		case time.Now().After(lastRetry), !hfloop.Sleep(ctx, responseTimeout-time.Since(sent)), d.isSilent(), !d.leader.isLeading():
+		case time.Now().After(lastRetry), !hfloop.Sleep(ctx, responseTimeout-time.Since(sent)), d.isSilent():
 			return fmt.Errorf("order, sent %d times: %w", tries, err)
 		}
 	}
@@ -244,8 +253,7 @@
 		return
 	}
 	sent := time.Now()
-	err := d.sendWithRetry(ctx, func(ctx context.Context) error {
-		leaseEnd := d.leaseEnd(time.Now())
+	err := d.sendWithRetry(ctx, func(ctx context.Context, leaseEnd int64) error {
 		d.recordGrant("start", leaseEnd)
 		return d.leader.minions.Start(ctx, worker, Start{
 			task: c.Task(), run: c.Number(), command: c.Command(), checkpoint: c.Checkpoint(), ticket: c.Ticket(),
@@ -258,7 +266,7 @@
 
 func (d *dispatcher) sendStop(ctx context.Context, c hfplan.StopCmd) {
 	sent, worker := time.Now(), d.currentWorker()
-	err := d.sendWithRetry(ctx, func(ctx context.Context) error {
+	err := d.sendWithRetry(ctx, func(ctx context.Context, _ int64) error {
 		return d.leader.minions.Stop(ctx, worker, c.Task(), c.Number(), d.leader.tenure.Epoch())
 	})
 	d.leader.observer.OrderFinished("stop", c.Task(), c.Number(), worker.GetId(), sent, err)
@@ -267,7 +275,7 @@
 
 func (d *dispatcher) sendPace(ctx context.Context, c hfplan.PaceCmd) {
 	sent, worker := time.Now(), d.currentWorker()
-	err := d.sendWithRetry(ctx, func(ctx context.Context) error {
+	err := d.sendWithRetry(ctx, func(ctx context.Context, _ int64) error {
 		return d.leader.minions.Pace(ctx, worker, c.Task(), c.Number(), c.Percent(), d.leader.tenure.Epoch())
 	})
 	d.leader.observer.OrderFinished("pace", c.Task(), c.Number(), worker.GetId(), sent, err)
@@ -311,23 +319,23 @@
 func (d *dispatcher) pollLoop(ctx context.Context) {
 	answered, silenceReported := false, false
 	for ctx.Err() == nil {
-		wait, leaseEnd := time.Duration(0), int64(0)
+		wait := time.Duration(0)
 		if answered {
-			wait, leaseEnd = pollWait, d.leaseEnd(time.Now())
+			wait = pollWait
 			if d.pollsFrequently() {
 				wait = hfplan.PollCmd{}.Interval()
 			}
 		}
-		if leaseEnd != 0 {
-			d.recordGrant("poll", leaseEnd)
-		}
 		sent := time.Now()
-		report, err := d.poll(ctx, wait, leaseEnd)
+		report, err := d.poll(ctx, wait, answered)
 		if err != nil {
 			if errors.Is(err, ErrFenced) {
 				d.leader.fail(ErrFenced)
 				return
 			}
+			if errors.Is(err, ErrNotLeading) {
+				return
+			}
 			d.setSilent(true)
 			if ctx.Err() == nil && !silenceReported {
 				silenceReported = true
@@ -352,13 +360,27 @@
 	}
 }
 
-func (d *dispatcher) poll(ctx context.Context, wait time.Duration, leaseEnd int64) (hfwork.Report, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+pollTimeout)
-	defer cancel()
-	d.mu.Lock()
-	worker, lastStored := d.worker, d.lastStored
-	d.mu.Unlock()
-	return d.leader.minions.Poll(ctx, worker, NewPollRequest(leaseEnd, lastStored, d.leader.tenure.Epoch(), wait))
+// poll returns the report of the worker, which may delay its answer for wait. It renews the
+// leases if renew is set.
+func (d *dispatcher) poll(ctx context.Context, wait time.Duration, renew bool) (hfwork.Report, error) {
+	var report hfwork.Report
+	err := d.send(ctx, wait+pollTimeout, func(ctx context.Context, leaseEnd int64) error {
+		if renew {
+			d.recordGrant("poll", leaseEnd)
+		} else {
+			leaseEnd = 0
+		}
+		d.mu.Lock()
+		worker, lastStored := d.worker, d.lastStored
+		d.mu.Unlock()
+		var err error
+		report, err = d.leader.minions.Poll(ctx, worker, NewPollRequest(leaseEnd, lastStored, d.leader.tenure.Epoch(), wait))
+		return err
+	})
+	if err != nil {
+		return report, fmt.Errorf("poll: %w", err)
+	}
+	return report, nil
 }
 
 func (d *dispatcher) recordReport(r hfwork.Report, received time.Time) {
--- a/hforder/leader.go
+++ b/hforder/leader.go
@@ -55,10 +55,19 @@
 	Save(ctx context.Context, c hfplan.StoreCmd) error
 }
 
+// Tenure is the time during which an instance certainly holds the leadership. Its times are of
+// the clock of hflease.Now.
+type Tenure interface {
+	// Epoch returns the epoch of the leadership.
+	Epoch() int64
+	// Valid reports whether the leadership certainly holds at now.
+	Valid(now time.Time) bool
+}
+
 // Leader runs a Scheduler: it passes messages to it and executes the commands that it returns.
 type Leader struct {
 	scheduler *hfplan.Scheduler
-	tenure    *hflease.Tenure
+	tenure    Tenure
 	minions   Minions
 	adviser   Adviser
 	machines  Machines
@@ -79,7 +88,7 @@
 }
 
 // NewLeader returns a leader that has not started.
-func NewLeader(s *hfplan.Scheduler, t *hflease.Tenure, m Minions, a Adviser, machines Machines, name string, r RecordStore, o Observer, timing hfplan.Timing) *Leader {
+func NewLeader(s *hfplan.Scheduler, t Tenure, m Minions, a Adviser, machines Machines, name string, r RecordStore, o Observer, timing hfplan.Timing) *Leader {
 	return &Leader{
 		scheduler: s, tenure: t, minions: m, adviser: a, machines: machines, name: name, records: r, observer: o, timing: timing,
 		inbox: make(chan hfplan.Msg, inboxSize), dispatchers: map[string]*dispatcher{}, done: make(chan struct{}),
--- a/hforder/lease_test.go
+++ b/hforder/lease_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/heatherfront/heatherfront/hflease"
@@ -23,15 +24,17 @@
 // grantedLease is a lease end that a clockWorker was sent.
 type grantedLease struct {
 	verb   string
-	excess int64 // milliseconds by which it is later than a full lease from when it was sent
+	excess int64     // milliseconds by which it is later than a full lease from when it was sent
+	end    time.Time // when the worker's clock shows the lease end
 }
 
 // clockWorker is a worker whose runs last, and that delays the answers to polls as long as
 // they allow. It reads its clock when it answers.
 type clockWorker struct {
 	fakeMinions
-	started time.Time // of the worker's clock
-	rate    int64     // of the worker's clock, in percent
+	started    time.Time // of the worker's clock
+	rate       int64     // of the worker's clock, in percent
+	muteStarts bool      // starts get no answer
 
 	mu      sync.Mutex
 	leases  []grantedLease
@@ -45,15 +48,24 @@
 // record notes the lease end of an order that is being sent.
 func (w *clockWorker) record(verb string, leaseEnd int64) {
 	if leaseEnd != 0 {
-		w.leases = append(w.leases, grantedLease{verb: verb, excess: leaseEnd - w.clock() - testLease.Milliseconds()})
+		w.leases = append(w.leases, grantedLease{
+			verb: verb, excess: leaseEnd - w.clock() - testLease.Milliseconds(),
+			end: w.started.Add(time.Duration(leaseEnd) * time.Millisecond * 100 / time.Duration(w.rate)),
+		})
 	}
 }
 
-func (w *clockWorker) Start(_ context.Context, _ *hfwork.Worker, s Start) error {
+func (w *clockWorker) Start(ctx context.Context, _ *hfwork.Worker, s Start) error {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.record("start", s.LeaseEnd())
-	w.running = append(w.running, hfwork.NewRun(s.Task(), s.Run(), "", 0, 0))
+	if !w.muteStarts {
+		w.running = append(w.running, hfwork.NewRun(s.Task(), s.Run(), "", 0, 0))
+	}
+	w.mu.Unlock()
+	if w.muteStarts {
+		<-ctx.Done()
+		return ErrUnanswered
+	}
 	return nil
 }
 
@@ -73,6 +85,30 @@
 	return report, nil
 }
 
+// lead runs a leader while jobs of one long task are submitted at intervals, and for a while
+// more, and returns the result of Run.
+func lead(t *testing.T, m *clockWorker, tenure Tenure, jobs int, more time.Duration) error {
+	t.Helper()
+	timing := hfplan.NewTiming(testLease)
+	l := NewLeader(hfplan.New(1, timing, time.Now()), tenure, m, fakeServices{}, fakeServices{}, "one", &fakeRecords{}, fakeServices{}, timing)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() {
+		ended <- l.Run(ctx, []hfplan.Msg{
+			hfplan.Policy(&hfwork.Policy{Queues: []*hfwork.Queue{{Name: "q", Pool: "p", Attempts: 1}}}),
+			hfplan.Workers(map[string]*hfwork.Worker{"w": {Id: "w", Pool: "p", Rack: "r", Cpu: 1000, Memory: 1000, Accelerators: 64}}),
+		})
+	}()
+	for i := range jobs {
+		time.Sleep(170 * time.Millisecond)
+		l.Send(hfplan.Job(&hfwork.Job{Id: fmt.Sprint("job", i), Queue: "q", Steps: []*hfwork.Step{{Count: 1, Accelerators: 1, Estimate: 60_000}}}, nil, false))
+	}
+	time.Sleep(more)
+	cancel()
+	return <-ended
+}
+
 // Guards against leases that outlive the time after which the scheduler takes those of a
 // silent worker to have expired: an order that is carried out late extends them up to the
 // lease end that it carries.
@@ -81,24 +117,7 @@
 		t.Run(fmt.Sprintf("clock at %d%%", rate), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				m := &clockWorker{started: time.Now().Add(-time.Hour), rate: rate}
-				timing := hfplan.NewTiming(testLease)
-				l := NewLeader(hfplan.New(1, timing, time.Now()), hflease.NewTenure(5, hflease.Now(), time.Hour), m,
-					fakeServices{}, fakeServices{}, "one", &fakeRecords{}, fakeServices{}, timing)
-				ctx, cancel := context.WithCancel(t.Context())
-				ended := make(chan error, 1)
-				go func() {
-					ended <- l.Run(ctx, []hfplan.Msg{
-						hfplan.Policy(&hfwork.Policy{Queues: []*hfwork.Queue{{Name: "q", Pool: "p", Attempts: 1}}}),
-						hfplan.Workers(map[string]*hfwork.Worker{"w": {Id: "w", Pool: "p", Rack: "r", Cpu: 1000, Memory: 1000, Accelerators: 64}}),
-					})
-				}()
-				for i := range 20 {
-					time.Sleep(170 * time.Millisecond)
-					l.Send(hfplan.Job(&hfwork.Job{Id: fmt.Sprint("job", i), Queue: "q", Steps: []*hfwork.Step{{Count: 1, Accelerators: 1, Estimate: 60_000}}}, nil, false))
-				}
-				time.Sleep(2 * pollWait)
-				cancel()
-				require.NoError(t, <-ended)
+				require.NoError(t, lead(t, m, hflease.NewTenure(5, hflease.Now(), time.Hour), 20, 3*time.Second))
 
 				count := map[string]int{}
 				for _, g := range m.leases {
@@ -111,3 +130,59 @@
 		})
 	}
 }
+
+const testPause = 10 * time.Second
+
+// pausingTenure is valid until a time. From pausedFrom on, the process is paused for testPause
+// after each check.
+type pausingTenure struct {
+	validUntil time.Time
+	pausedFrom time.Time
+}
+
+func (p pausingTenure) Epoch() int64 { return 5 }
+
+func (p pausingTenure) Valid(time.Time) bool {
+	now := time.Now()
+	if valid := now.Before(p.validUntil); !valid || now.Before(p.pausedFrom) {
+		return valid
+	}
+	time.Sleep(testPause)
+	return true
+}
+
+// Guards against leases that outlive the time after which a later leader takes them to have
+// expired, which counts from the start of its leadership.
+func TestLeaseEndsWithinAFullLeaseOfTheTenure(t *testing.T) {
+	const valid = 4 * time.Second
+	for name, test := range map[string]struct {
+		paused time.Duration // before the end of the tenure; 0 for no pause
+		jobs   int
+		mute   bool
+	}{
+		"polls":                                 {jobs: 1},
+		"polls and starts":                      {jobs: 50},
+		"polls, paused after the check":         {paused: 2 * time.Second, jobs: 1},
+		"starts, paused after the check":        {paused: 2 * time.Second, jobs: 50},
+		"start retries, paused after the check": {paused: 2 * time.Second, jobs: 50, mute: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				validUntil := time.Now().Add(valid)
+				m := &clockWorker{started: time.Now().Add(-time.Hour), rate: 100, muteStarts: test.mute}
+				err := lead(t, m, pausingTenure{validUntil: validUntil, pausedFrom: validUntil.Add(-test.paused)}, test.jobs, 3*testPause)
+				latest := map[string]time.Time{}
+				for _, g := range m.leases {
+					if g.end.After(latest[g.verb]) {
+						latest[g.verb] = g.end
+					}
+				}
+				require.Len(t, latest, 2)
+				for verb, end := range latest {
+					assert.LessOrEqual(t, end.Sub(validUntil), testLease, "latest lease end of a %s, after the end of the tenure", verb)
+				}
+				require.ErrorIs(t, err, ErrNotLeading)
+			})
+		})
+	}
+}
