Never send a start after a stop of its run was queued

Cause: a start waits in the queue of its worker until one of two senders is free, and an unanswered order holds a sender for up to 1 s. A stop of the same run went ahead of the queued start, which was sent afterwards; the retries of a start that was being sent went on beside its stop. A worker that has carried the stop out refuses the start, but one that was restarted meanwhile does not know of the stop, and a start whose run the scheduler gave up without a stop, as when leases lapse, was sent however old it was. A stop withdraws the queued start of its run; the run was never sent, so the stop is told as refused (the worker cannot know the run), and so is the start. If the start is being sent, its retries end, its outcome stays unknown unless it is answered, and the stop waits for the try that is under way (300 ms at most), so that it cannot overtake it. A start that was queued for 2 s is refused: with 1 s of retries that is the 3 s for which the members of a gang wait for each other. Whether the worker is silent is checked before each try, after the lease end was calculated, so that no lease counts from a time after the silence was noticed. Ruled out: cancelling the try that is under way; it closes a connection, and an order without an answer may be carried out anyway.

--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -22,7 +22,7 @@
 	leaseMarginMS    = 50                     // milliseconds subtracted from a lease to allow for rounding
 
 	// orderTimeout bounds the retries of one order. The scheduler settles an order that is
-	// unanswered by then with a stop. A gang waits only 3 s for its members.
+	// unanswered by then with a stop.
 	orderTimeout = time.Second
 
 	// minClockRate is the rate in percent, relative to the local clock, at which a worker's
@@ -31,13 +31,6 @@
 	minClockRate = 98
 )
 
-// order is a queued order. Exactly one field is set.
-type order struct {
-	start *hfplan.StartCmd
-	stop  *hfplan.StopCmd
-	pace  *hfplan.PaceCmd
-}
-
 // dispatcher sends orders to one worker and polls its reports.
 type dispatcher struct {
 	leader *Leader
@@ -47,7 +40,7 @@
 
 	mu            sync.Mutex
 	worker        *hfwork.Worker
-	queue         []order
+	queue         orderQueue
 	workerClock   int64     // worker's time in milliseconds in its last report
 	reportedAt    time.Time // when the last report was received; the worker's clock was read before
 	incarnation   int64     // start time of the worker that sent the last report, which identifies it
@@ -101,18 +94,13 @@
 	}
 }
 
-// enqueue adds an order to the queue. Stops and paces go before starts because they free
-// resources.
+// enqueue adds an order to the queue.
 func (d *dispatcher) enqueue(o order) {
 	if d == nil {
 		return // the worker was dropped, and nothing runs on it
 	}
 	d.mu.Lock()
-	if o.start == nil {
-		d.queue = append([]order{o}, d.queue...)
-	} else {
-		d.queue = append(d.queue, o)
-	}
+	d.queue.add(o, time.Now())
 	d.mu.Unlock()
 	select {
 	case d.wake <- struct{}{}:
@@ -123,12 +111,29 @@
 func (d *dispatcher) dequeue() (order, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.queue) == 0 {
-		return order{}, false
+	return d.queue.next()
+}
+
+// finishStart allows stops of a run whose start will not be sent again.
+func (d *dispatcher) finishStart(c hfplan.StartCmd) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.queue.finish(c)
+}
+
+// checkStart returns ErrNotSent if a start must not be sent. Starts are not sent to a silent
+// worker: they would postpone the time from which nothing can run there, as that time counts
+// from when the silence was noticed.
+func (d *dispatcher) checkStart(c hfplan.StartCmd) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case d.silent:
+		return fmt.Errorf("%w: the worker is silent", ErrNotSent)
+	case !d.queue.maySend(c):
+		return fmt.Errorf("%w: the run was stopped", ErrNotSent)
 	}
-	o := d.queue[0]
-	d.queue = d.queue[1:]
-	return o, true
+	return nil
 }
 
 func (d *dispatcher) acknowledge(c hfplan.AckCmd) {
@@ -196,12 +201,15 @@
 			continue
 		}
 		switch {
+		case o.withdrawn != nil:
+			d.withdraw(o)
 		case o.stop != nil:
 			d.sendStop(ctx, *o.stop)
 		case o.pace != nil:
 			d.sendPace(ctx, *o.pace)
 		default:
-			d.sendStart(ctx, *o.start)
+			d.sendStart(ctx, *o.start, o.sendBefore)
+			d.finishStart(*o.start)
 		}
 	}
 }
@@ -237,23 +245,29 @@
 		case !errors.Is(err, ErrUnanswered) && (tries == 1 || errors.Is(err, ErrFenced) || errors.Is(err, ErrNotLeading)):
 			return fmt.Errorf("order: %w", err)
 		case !errors.Is(err, ErrUnanswered):
-			return fmt.Errorf("order, sent %d times: %w: %s", tries, ErrUnanswered, err)
+			return fmt.Errorf("order, try %d: %w: %s", tries, ErrUnanswered, err)
 		case time.Now().After(lastRetry), !hfloop.Sleep(ctx, responseTimeout-time.Since(sent)), d.isSilent():
-			return fmt.Errorf("order, sent %d times: %w", tries, err)
+			return fmt.Errorf("order, try %d: %w", tries, err)
 		}
 	}
 }
 
-func (d *dispatcher) sendStart(ctx context.Context, c hfplan.StartCmd) {
-	worker := d.currentWorker()
-	if d.isSilent() {
-		// A start sent to a silent worker would postpone the time from which nothing can run
-		// there, as that time counts from the last order sent.
-		d.leader.Send(hfplan.Started(c, hfplan.OutcomeRefused))
-		return
-	}
-	sent := time.Now()
+// withdraw answers a stop whose run was never started, and its start.
+func (d *dispatcher) withdraw(o order) {
+	d.leader.observer.OrderFinished("start", o.withdrawn.Task(), o.withdrawn.Number(), d.currentWorker().GetId(), time.Now(), fmt.Errorf("%w: the run was stopped", ErrNotSent))
+	d.leader.Send(hfplan.Stopped(*o.stop, hfplan.OutcomeRefused))
+	d.leader.Send(hfplan.Started(*o.withdrawn, hfplan.OutcomeRefused))
+}
+
+func (d *dispatcher) sendStart(ctx context.Context, c hfplan.StartCmd, sendBefore time.Time) {
+	worker, sent := d.currentWorker(), time.Now()
 	err := d.sendWithRetry(ctx, func(ctx context.Context, leaseEnd int64) error {
+		if !sent.Before(sendBefore) {
+			return fmt.Errorf("%w: it was queued for too long", ErrNotSent)
+		}
+		if err := d.checkStart(c); err != nil {
+			return err
+		}
 		d.recordGrant("start", leaseEnd)
 		return d.leader.minions.Start(ctx, worker, Start{
 			task: c.Task(), run: c.Number(), command: c.Command(), checkpoint: c.Checkpoint(), ticket: c.Ticket(),
@@ -308,7 +322,7 @@
 		return hfplan.OutcomeUnknown
 	case errors.Is(err, ErrStaleRun):
 		return hfplan.OutcomeStale
-	case errors.Is(err, ErrRefused), errors.Is(err, ErrWorkerRestarted):
+	case errors.Is(err, ErrRefused), errors.Is(err, ErrWorkerRestarted), errors.Is(err, ErrNotSent):
 		return hfplan.OutcomeRefused
 	}
 	return hfplan.OutcomeUnknown
