Do not take a refused stop as the end of its run

Cause: a stop that the worker refused (429, 503, 400, 404, or 409 other than the fence) was told to the scheduler as refused, which ends the run and frees its task: "worker does not know the run". An unhealthy worker refuses every order and has then done nothing, so that the run may go on beside the next one. Evidence: the new test, on the code before, for ErrRefused: expected outcome 3 (unknown), actual 1 (refused). A refused start is a refusal as before: it had no effect. Ruled out: a change of the mapping in platform/, where a refusal is one for every order. After: the test passes for all five answers, also under -race.

--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -284,7 +284,7 @@
 		return d.leader.minions.Stop(ctx, worker, c.Task(), c.Number(), d.leader.tenure.Epoch())
 	})
 	d.leader.observer.OrderFinished("stop", c.Task(), c.Number(), worker.GetId(), sent, err)
-	d.leader.Send(hfplan.Stopped(c, d.outcome(err)))
+	d.leader.Send(hfplan.Stopped(c, d.stopOutcome(err)))
 }
 
 func (d *dispatcher) sendPace(ctx context.Context, c hfplan.PaceCmd) {
@@ -328,6 +328,17 @@
 	return hfplan.OutcomeUnknown
 }
 
+// stopOutcome returns the outcome of a stop that ended with err. A refused stop does not show
+// that the run is not there: an unhealthy worker refuses every order and may go on with its
+// runs. Only the answer of another incarnation does.
+func (d *dispatcher) stopOutcome(err error) hfplan.Outcome {
+	o := d.outcome(err)
+	if o == hfplan.OutcomeDone || errors.Is(err, ErrWorkerRestarted) {
+		return o
+	}
+	return hfplan.OutcomeUnknown
+}
+
 // pollLoop polls the worker until ctx ends. Polls of a silent worker do not renew its
 // leases, so that they expire at a known time.
 func (d *dispatcher) pollLoop(ctx context.Context) {
--- a/hforder/queue_test.go
+++ b/hforder/queue_test.go
@@ -256,3 +256,28 @@
 		})
 	}
 }
+
+// Guards against a run that is taken to have ended because its worker refused the stop: an
+// unhealthy worker refuses everything, and may go on with the run.
+func TestRefusedStopDoesNotEndRun(t *testing.T) {
+	for answer, outcomes := range map[error]struct{ start, stop hfplan.Outcome }{
+		nil:                {hfplan.OutcomeDone, hfplan.OutcomeDone},
+		ErrRefused:         {hfplan.OutcomeRefused, hfplan.OutcomeUnknown},
+		ErrStaleRun:        {hfplan.OutcomeStale, hfplan.OutcomeUnknown},
+		ErrUnanswered:      {hfplan.OutcomeUnknown, hfplan.OutcomeUnknown},
+		ErrWorkerRestarted: {hfplan.OutcomeRefused, hfplan.OutcomeRefused},
+	} {
+		t.Run(fmt.Sprint(answer), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				starts, stops := startsAndStops(t, 1)
+				m := &orderedWorker{answer: func(context.Context, bool, string) error { return answer }}
+				messages := runDispatcher(t, m, func(d *dispatcher) {
+					d.enqueue(order{start: &starts[0]})
+					time.Sleep(time.Minute)
+					d.enqueue(order{stop: &stops[0]})
+				})
+				require.Equal(t, []hfplan.Msg{hfplan.Started(starts[0], outcomes.start), hfplan.Stopped(stops[0], outcomes.stop)}, messages)
+			})
+		})
+	}
+}
--- a/hfplan/message.go
+++ b/hfplan/message.go
@@ -74,7 +74,7 @@
 // The outcomes of an order.
 const (
 	OutcomeDone    Outcome = iota
-	OutcomeRefused         // the order had no effect
+	OutcomeRefused         // the order had no effect; for a stop: the run is certainly not on the worker
 	OutcomeStale           // the worker already knows this or a later run of the task
 	OutcomeUnknown         // no answer; the order may take effect now or later
 )
