Acknowledge no ends to a worker that may have been restarted

Cause: a worker that is restarted under its id numbers its ends from 1 again. Until its first report, polls carried the sequence number that the earlier incarnation had reached, and the worker forgot its own ends up to it. The end of a run that a start reached in between could so be lost before it was stored, and its task be run again after `done`. A worker that was silent but not restarted reports its ends again, which the scheduler knows by their numbers, and gets the acknowledgement with the next poll. Not covered: a restart between two answered polls, without a poll that failed.

--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -340,7 +340,7 @@
 }
 
 // pollLoop polls the worker until ctx ends. Polls of a silent worker do not renew its
-// leases, so that they expire at a known time.
+// leases, so that they expire at a known time, and acknowledge no ends.
 func (d *dispatcher) pollLoop(ctx context.Context) {
 	answered, silenceReported := false, false
 	for ctx.Err() == nil {
@@ -386,18 +386,19 @@
 }
 
 // poll returns the report of the worker, which may delay its answer for wait. It renews the
-// leases if renew is set.
-func (d *dispatcher) poll(ctx context.Context, wait time.Duration, renew bool) (hfwork.Report, error) {
+// leases and acknowledges ends if the worker answered the last poll. Otherwise the worker may
+// have been restarted, with another clock and other ends.
+func (d *dispatcher) poll(ctx context.Context, wait time.Duration, answered bool) (hfwork.Report, error) {
 	var report hfwork.Report
 	err := d.send(ctx, wait+pollTimeout, func(ctx context.Context, leaseEnd int64) error {
-		if renew {
-			d.recordGrant("poll", leaseEnd)
-		} else {
-			leaseEnd = 0
-		}
 		d.mu.Lock()
 		worker, lastStored := d.worker, d.lastStored
 		d.mu.Unlock()
+		if answered {
+			d.recordGrant("poll", leaseEnd)
+		} else {
+			leaseEnd, lastStored = 0, 0
+		}
 		var err error
 		report, err = d.leader.minions.Poll(ctx, worker, NewPollRequest(leaseEnd, lastStored, d.leader.tenure.Epoch(), wait))
 		return err
--- a/hforder/lease_test.go
+++ b/hforder/lease_test.go
@@ -186,3 +186,53 @@
 		})
 	}
 }
+
+// restartingWorker is a worker that is restarted under its id when an end of its first
+// incarnation is acknowledged. That poll gets no answer.
+type restartingWorker struct {
+	fakeMinions
+	mu        sync.Mutex
+	restarted bool
+	polls     []PollRequest // that the second incarnation got
+}
+
+func (w *restartingWorker) Poll(_ context.Context, _ *hfwork.Worker, r PollRequest) (hfwork.Report, error) {
+	time.Sleep(testTransit)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.restarted:
+		w.polls = append(w.polls, r)
+		return hfwork.NewReport(10, 8, nil, nil), nil
+	case r.LastStored() > 0:
+		w.restarted = true
+		return hfwork.Report{}, ErrUnanswered
+	}
+	end := hfwork.NewEnd(57, hfwork.NewTaskID("a", 0, 0, 0), 1, hfwork.Stopped, "")
+	return hfwork.NewReport(1000, 7, nil, []hfwork.End{end}), nil
+}
+
+// Guards against ends that a restarted worker forgets before they are stored: it numbers them
+// from 1 again, and takes an acknowledgement of earlier ends for one of its own.
+func TestEndsAreNotAcknowledgedToRestartedWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &restartingWorker{}
+		timing := hfplan.NewTiming(testLease)
+		l := NewLeader(hfplan.New(1, timing, time.Now()), hflease.NewTenure(5, hflease.Now(), time.Hour), m, fakeServices{}, fakeServices{}, "one", &fakeRecords{}, fakeServices{}, timing)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() {
+			ended <- l.Run(ctx, []hfplan.Msg{hfplan.Workers(map[string]*hfwork.Worker{"w": {Id: "w", Pool: "p"}})})
+		}()
+		time.Sleep(10 * time.Second)
+		cancel()
+		require.NoError(t, <-ended)
+		require.NotEmpty(t, m.polls)
+		for i, r := range m.polls {
+			require.Zero(t, r.LastStored(), "poll %d after the restart acknowledges ends of the earlier incarnation", i)
+			if i == 0 {
+				require.Zero(t, r.LeaseEnd(), "a lease that counts on the clock of the earlier incarnation")
+			}
+		}
+	})
+}
