--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -22,7 +22,7 @@
 	leaseMarginMS    = 50                     // milliseconds subtracted from a lease to allow for rounding
 
 	// orderTimeout bounds the retries of one order. The scheduler settles an order that is
-	// unanswered by then with a stop. A gang waits only 3 s for its members.
+	// unanswered by then with a stop.
 	orderTimeout = time.Second
 
 	// minClockRate is the rate in percent, relative to the local clock, at which a worker's
@@ -31,13 +31,6 @@
 	minClockRate = 98
 )
 
-// order is a queued order. Exactly one field is set.
-type order struct {
-	start *hfplan.StartCmd
-	stop  *hfplan.StopCmd
-	pace  *hfplan.PaceCmd
-}
-
 // dispatcher sends orders to one worker and polls its reports.
 type dispatcher struct {
 	leader *Leader
@@ -47,9 +40,9 @@
 
 	mu            sync.Mutex
 	worker        *hfwork.Worker
-	queue         []order
+	queue         orderQueue
 	workerClock   int64     // worker's time in milliseconds in its last report
-	polledAt      time.Time // when the poll that returned workerClock was sent
+	reportedAt    time.Time // when the last report was received; the worker's clock was read before
 	incarnation   int64     // start time of the worker that sent the last report, which identifies it
 	lastReported  int64     // sequence number of the last end that the worker reported
 	lastStored    int64     // sequence number of the last end whose record is stored
@@ -101,18 +94,13 @@
 	}
 }
 
-// enqueue adds an order to the queue. Stops and paces go before starts because they free
-// resources.
+// enqueue adds an order to the queue.
 func (d *dispatcher) enqueue(o order) {
 	if d == nil {
 		return // the worker was dropped, and nothing runs on it
 	}
 	d.mu.Lock()
-	if o.start == nil {
-		d.queue = append([]order{o}, d.queue...)
-	} else {
-		d.queue = append(d.queue, o)
-	}
+	d.queue.add(o, time.Now())
 	d.mu.Unlock()
 	select {
 	case d.wake <- struct{}{}:
@@ -123,12 +111,29 @@
 func (d *dispatcher) dequeue() (order, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.queue) == 0 {
-		return order{}, false
+	return d.queue.next()
+}
+
+// finishStart allows stops of a run whose start will not be sent again.
+func (d *dispatcher) finishStart(c hfplan.StartCmd) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.queue.finish(c)
+}
+
+// checkStart returns ErrNotSent if a start must not be sent. Starts are not sent to a silent
+// worker: they would postpone the time from which nothing can run there, as that time counts
+// from when the silence was noticed.
+func (d *dispatcher) checkStart(c hfplan.StartCmd) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case d.silent:
+		return fmt.Errorf("%w: the worker is silent", ErrNotSent)
+	case !d.queue.maySend(c):
+		return fmt.Errorf("%w: the run was stopped", ErrNotSent)
 	}
-	o := d.queue[0]
-	d.queue = d.queue[1:]
-	return o, true
+	return nil
 }
 
 func (d *dispatcher) acknowledge(c hfplan.AckCmd) {
@@ -148,15 +153,21 @@
 
 // leaseEnd returns the end of a full lease that begins now, in milliseconds on the worker's
 // clock, or 0 while that clock is not known. The worker's time is taken as if it had been
-// read when the poll was sent and had run at minClockRate since, so that the lease is never
-// longer than a full one.
+// read when the report was received and had run at minClockRate since, so that the lease is
+// never longer than a full one.
 func (d *dispatcher) leaseEnd(now time.Time) int64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.polledAt.IsZero() {
+	if d.reportedAt.IsZero() {
 		return 0
 	}
-	return d.workerClock + now.Sub(d.polledAt).Milliseconds()*minClockRate/100 + d.leader.timing.Lease().Milliseconds() - leaseMarginMS
+	return d.clockAt(now) + d.leader.timing.Lease().Milliseconds() - leaseMarginMS
+}
+
+// clockAt returns a lower bound of the worker's time in milliseconds. d.mu is held, and
+// reportedAt is set.
+func (d *dispatcher) clockAt(now time.Time) int64 {
+	return d.workerClock + now.Sub(d.reportedAt).Milliseconds()*minClockRate/100
 }
 
 func (d *dispatcher) currentWorker() *hfwork.Worker {
@@ -177,9 +188,9 @@
 	d.silent = silent
 }
 
-// sendOrders sends queued orders one at a time until ctx ends or the leadership is lost.
+// sendOrders sends queued orders one at a time until ctx ends.
 func (d *dispatcher) sendOrders(ctx context.Context) {
-	for {
+	for ctx.Err() == nil {
 		o, ok := d.dequeue()
 		if !ok {
 			select {
@@ -189,57 +200,74 @@
 			}
 			continue
 		}
-		if !d.leader.isLeading() {
-			d.leader.fail(ErrNotLeading)
-			return
-		}
 		switch {
+		case o.withdrawn != nil:
+			d.withdraw(o)
 		case o.stop != nil:
 			d.sendStop(ctx, *o.stop)
 		case o.pace != nil:
 			d.sendPace(ctx, *o.pace)
 		default:
-			d.sendStart(ctx, *o.start)
+			d.sendStart(ctx, *o.start, o.sendBefore)
+			d.finishStart(*o.start)
 		}
 	}
 }
 
+// send makes a call to the worker while the leadership certainly holds; otherwise it ends the
+// leadership. All orders and polls pass through it. The end of a lease is calculated before the
+// tenure is checked: whenever the process is paused, a lease that it sends counts from a time at
+// which no later leadership had begun, and has expired when a later leader takes it to have.
+func (d *dispatcher) send(ctx context.Context, timeout time.Duration, call func(ctx context.Context, leaseEnd int64) error) error {
+	leaseEnd := d.leaseEnd(time.Now())
+	if !d.leader.isLeading() {
+		d.leader.fail(ErrNotLeading)
+		return ErrNotLeading
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return call(ctx, leaseEnd)
+}
+
 // sendWithRetry sends an order until it is answered or orderTimeout has passed. It does not
 // retry once the worker is silent or the leadership is lost. Orders are idempotent, so
 // sending one again does no harm. But the run of an unanswered start may have begun and
 // ended before the retry: a refusal of a retry therefore leaves the effect unknown, and is
 // returned as ErrUnanswered.
-func (d *dispatcher) sendWithRetry(ctx context.Context, send func(context.Context) error) error {
+func (d *dispatcher) sendWithRetry(ctx context.Context, call func(ctx context.Context, leaseEnd int64) error) error {
 	lastRetry := time.Now().Add(orderTimeout - responseTimeout)
 	for tries := 1; ; tries++ {
 		sent := time.Now()
-		call, cancel := context.WithTimeout(ctx, responseTimeout)
-		err := send(call)
-		cancel()
+		err := d.send(ctx, responseTimeout, call)
 		switch {
 		case err == nil:
 			return nil
-		case !errors.Is(err, ErrUnanswered) && (tries == 1 || errors.Is(err, ErrFenced)):
+		case !errors.Is(err, ErrUnanswered) && (tries == 1 || errors.Is(err, ErrFenced) || errors.Is(err, ErrNotLeading)):
 			return fmt.Errorf("order: %w", err)
 		case !errors.Is(err, ErrUnanswered):
-			return fmt.Errorf("order, sent %d times: %w: %s", tries, ErrUnanswered, err)
-		case time.Now().After(lastRetry), !hfloop.Sleep(ctx, responseTimeout-time.Since(sent)), d.isSilent(), !d.leader.isLeading():
-			return fmt.Errorf("order, sent %d times: %w", tries, err)
+			return fmt.Errorf("order, try %d: %w: %s", tries, ErrUnanswered, err)
+		case time.Now().After(lastRetry), !hfloop.Sleep(ctx, responseTimeout-time.Since(sent)), d.isSilent():
+			return fmt.Errorf("order, try %d: %w", tries, err)
 		}
 	}
 }
 
-func (d *dispatcher) sendStart(ctx context.Context, c hfplan.StartCmd) {
-	worker := d.currentWorker()
-	if d.isSilent() {
-		// A start sent to a silent worker would postpone the time from which nothing can run
-		// there, as that time counts from the last order sent.
-		d.leader.Send(hfplan.Started(c, hfplan.OutcomeRefused))
-		return
-	}
-	sent := time.Now()
-	err := d.sendWithRetry(ctx, func(ctx context.Context) error {
-		leaseEnd := d.leaseEnd(time.Now())
+// withdraw answers a stop whose run was never started, and its start.
+func (d *dispatcher) withdraw(o order) {
+	d.leader.observer.OrderFinished("start", o.withdrawn.Task(), o.withdrawn.Number(), d.currentWorker().GetId(), time.Now(), fmt.Errorf("%w: the run was stopped", ErrNotSent))
+	d.leader.Send(hfplan.Stopped(*o.stop, hfplan.OutcomeRefused))
+	d.leader.Send(hfplan.Started(*o.withdrawn, hfplan.OutcomeRefused))
+}
+
+func (d *dispatcher) sendStart(ctx context.Context, c hfplan.StartCmd, sendBefore time.Time) {
+	worker, sent := d.currentWorker(), time.Now()
+	err := d.sendWithRetry(ctx, func(ctx context.Context, leaseEnd int64) error {
+		if !sent.Before(sendBefore) {
+			return fmt.Errorf("%w: it was queued for too long", ErrNotSent)
+		}
+		if err := d.checkStart(c); err != nil {
+			return err
+		}
 		d.recordGrant("start", leaseEnd)
 		return d.leader.minions.Start(ctx, worker, Start{
 			task: c.Task(), run: c.Number(), command: c.Command(), checkpoint: c.Checkpoint(), ticket: c.Ticket(),
@@ -252,16 +280,16 @@
 
 func (d *dispatcher) sendStop(ctx context.Context, c hfplan.StopCmd) {
 	sent, worker := time.Now(), d.currentWorker()
-	err := d.sendWithRetry(ctx, func(ctx context.Context) error {
+	err := d.sendWithRetry(ctx, func(ctx context.Context, _ int64) error {
 		return d.leader.minions.Stop(ctx, worker, c.Task(), c.Number(), d.leader.tenure.Epoch())
 	})
 	d.leader.observer.OrderFinished("stop", c.Task(), c.Number(), worker.GetId(), sent, err)
-	d.leader.Send(hfplan.Stopped(c, d.outcome(err)))
+	d.leader.Send(hfplan.Stopped(c, d.stopOutcome(err)))
 }
 
 func (d *dispatcher) sendPace(ctx context.Context, c hfplan.PaceCmd) {
 	sent, worker := time.Now(), d.currentWorker()
-	err := d.sendWithRetry(ctx, func(ctx context.Context) error {
+	err := d.sendWithRetry(ctx, func(ctx context.Context, _ int64) error {
 		return d.leader.minions.Pace(ctx, worker, c.Task(), c.Number(), c.Percent(), d.leader.tenure.Epoch())
 	})
 	d.leader.observer.OrderFinished("pace", c.Task(), c.Number(), worker.GetId(), sent, err)
@@ -294,34 +322,45 @@
 		return hfplan.OutcomeUnknown
 	case errors.Is(err, ErrStaleRun):
 		return hfplan.OutcomeStale
-	case errors.Is(err, ErrRefused), errors.Is(err, ErrWorkerRestarted):
+	case errors.Is(err, ErrRefused), errors.Is(err, ErrWorkerRestarted), errors.Is(err, ErrNotSent):
 		return hfplan.OutcomeRefused
 	}
 	return hfplan.OutcomeUnknown
 }
 
+// stopOutcome returns the outcome of a stop that ended with err. A refused stop does not show
+// that the run is not there: an unhealthy worker refuses every order and may go on with its
+// runs. Only the answer of another incarnation does.
+func (d *dispatcher) stopOutcome(err error) hfplan.Outcome {
+	o := d.outcome(err)
+	if o == hfplan.OutcomeDone || errors.Is(err, ErrWorkerRestarted) {
+		return o
+	}
+	return hfplan.OutcomeUnknown
+}
+
 // pollLoop polls the worker until ctx ends. Polls of a silent worker do not renew its
-// leases, so that they expire at a known time.
+// leases, so that they expire at a known time, and acknowledge no ends.
 func (d *dispatcher) pollLoop(ctx context.Context) {
 	answered, silenceReported := false, false
 	for ctx.Err() == nil {
-		wait, leaseEnd := time.Duration(0), int64(0)
+		wait := time.Duration(0)
 		if answered {
-			wait, leaseEnd = pollWait, d.leaseEnd(time.Now())
+			wait = pollWait
 			if d.pollsFrequently() {
 				wait = hfplan.PollCmd{}.Interval()
 			}
 		}
-		if leaseEnd != 0 {
-			d.recordGrant("poll", leaseEnd)
-		}
 		sent := time.Now()
-		report, err := d.poll(ctx, wait, leaseEnd)
+		report, err := d.poll(ctx, wait, answered)
 		if err != nil {
 			if errors.Is(err, ErrFenced) {
 				d.leader.fail(ErrFenced)
 				return
 			}
+			if errors.Is(err, ErrNotLeading) {
+				return
+			}
 			d.setSilent(true)
 			if ctx.Err() == nil && !silenceReported {
 				silenceReported = true
@@ -336,7 +375,7 @@
 			continue
 		}
 		d.setSilent(false)
-		d.recordReport(report, sent)
+		d.recordReport(report, time.Now())
 		if silenceReported {
 			d.leader.observer.LeaseObserved(d.currentWorker().GetId(), d.latestGrant(time.Now()), false)
 		}
@@ -346,23 +385,38 @@
 	}
 }
 
-func (d *dispatcher) poll(ctx context.Context, wait time.Duration, leaseEnd int64) (hfwork.Report, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+pollTimeout)
-	defer cancel()
-	d.mu.Lock()
-	worker, lastStored := d.worker, d.lastStored
-	d.mu.Unlock()
-	return d.leader.minions.Poll(ctx, worker, NewPollRequest(leaseEnd, lastStored, d.leader.tenure.Epoch(), wait))
+// poll returns the report of the worker, which may delay its answer for wait. It renews the
+// leases and acknowledges ends if the worker answered the last poll. Otherwise the worker may
+// have been restarted, with another clock and other ends.
+func (d *dispatcher) poll(ctx context.Context, wait time.Duration, answered bool) (hfwork.Report, error) {
+	var report hfwork.Report
+	err := d.send(ctx, wait+pollTimeout, func(ctx context.Context, leaseEnd int64) error {
+		d.mu.Lock()
+		worker, lastStored := d.worker, d.lastStored
+		d.mu.Unlock()
+		if answered {
+			d.recordGrant("poll", leaseEnd)
+		} else {
+			leaseEnd, lastStored = 0, 0
+		}
+		var err error
+		report, err = d.leader.minions.Poll(ctx, worker, NewPollRequest(leaseEnd, lastStored, d.leader.tenure.Epoch(), wait))
+		return err
+	})
+	if err != nil {
+		return report, fmt.Errorf("poll: %w", err)
+	}
+	return report, nil
 }
 
-func (d *dispatcher) recordReport(r hfwork.Report, sent time.Time) {
+func (d *dispatcher) recordReport(r hfwork.Report, received time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if r.Incarnation() != d.incarnation {
 		d.incarnation, d.lastReported, d.lastStored = r.Incarnation(), 0, 0
 		d.granted = Grant{}
 	}
-	d.workerClock, d.polledAt = r.Clock(), sent
+	d.workerClock, d.reportedAt = r.Clock(), received
 	for _, e := range r.Ended() {
 		d.lastReported = max(d.lastReported, e.Sequence())
 	}
--- /dev/null
+++ b/hforder/lease_test.go
@@ -0,0 +1,238 @@
+package hforder
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/heatherfront/heatherfront/hflease"
+	"github.com/heatherfront/heatherfront/hfplan"
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+const (
+	testLease   = 6 * time.Second
+	testTransit = 100 * time.Millisecond // of a response of clockWorker
+)
+
+// grantedLease is a lease end that a clockWorker was sent.
+type grantedLease struct {
+	verb   string
+	excess int64     // milliseconds by which it is later than a full lease from when it was sent
+	end    time.Time // when the worker's clock shows the lease end
+}
+
+// clockWorker is a worker whose runs last, and that delays the answers to polls as long as
+// they allow. It reads its clock when it answers.
+type clockWorker struct {
+	fakeMinions
+	started    time.Time // of the worker's clock
+	rate       int64     // of the worker's clock, in percent
+	muteStarts bool      // starts get no answer
+
+	mu      sync.Mutex
+	leases  []grantedLease
+	running []hfwork.Run
+}
+
+func (w *clockWorker) clock() int64 {
+	return time.Since(w.started).Milliseconds() * w.rate / 100
+}
+
+// record notes the lease end of an order that is being sent.
+func (w *clockWorker) record(verb string, leaseEnd int64) {
+	if leaseEnd != 0 {
+		w.leases = append(w.leases, grantedLease{
+			verb: verb, excess: leaseEnd - w.clock() - testLease.Milliseconds(),
+			end: w.started.Add(time.Duration(leaseEnd) * time.Millisecond * 100 / time.Duration(w.rate)),
+		})
+	}
+}
+
+func (w *clockWorker) Start(ctx context.Context, _ *hfwork.Worker, s Start) error {
+	w.mu.Lock()
+	w.record("start", s.LeaseEnd())
+	if !w.muteStarts {
+		w.running = append(w.running, hfwork.NewRun(s.Task(), s.Run(), "", 0, 0))
+	}
+	w.mu.Unlock()
+	if w.muteStarts {
+		<-ctx.Done()
+		return ErrUnanswered
+	}
+	return nil
+}
+
+func (w *clockWorker) Poll(ctx context.Context, _ *hfwork.Worker, r PollRequest) (hfwork.Report, error) {
+	w.mu.Lock()
+	w.record("poll", r.LeaseEnd())
+	w.mu.Unlock()
+	select {
+	case <-time.After(r.Wait()):
+	case <-ctx.Done():
+		return hfwork.Report{}, ErrUnanswered
+	}
+	w.mu.Lock()
+	report := hfwork.NewReport(w.clock(), 7, append([]hfwork.Run(nil), w.running...), nil)
+	w.mu.Unlock()
+	time.Sleep(testTransit)
+	return report, nil
+}
+
+// lead runs a leader while jobs of one long task are submitted at intervals, and for a while
+// more, and returns the result of Run.
+func lead(t *testing.T, m *clockWorker, tenure Tenure, jobs int, more time.Duration) error {
+	t.Helper()
+	timing := hfplan.NewTiming(testLease)
+	l := NewLeader(hfplan.New(1, timing, time.Now()), tenure, m, fakeServices{}, fakeServices{}, "one", &fakeRecords{}, fakeServices{}, timing)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() {
+		ended <- l.Run(ctx, []hfplan.Msg{
+			hfplan.Policy(&hfwork.Policy{Queues: []*hfwork.Queue{{Name: "q", Pool: "p", Attempts: 1}}}),
+			hfplan.Workers(map[string]*hfwork.Worker{"w": {Id: "w", Pool: "p", Rack: "r", Cpu: 1000, Memory: 1000, Accelerators: 64}}),
+		})
+	}()
+	for i := range jobs {
+		time.Sleep(170 * time.Millisecond)
+		l.Send(hfplan.Job(&hfwork.Job{Id: fmt.Sprint("job", i), Queue: "q", Steps: []*hfwork.Step{{Count: 1, Accelerators: 1, Estimate: 60_000}}}, nil, false))
+	}
+	time.Sleep(more)
+	cancel()
+	return <-ended
+}
+
+// Guards against leases that outlive the time after which the scheduler takes those of a
+// silent worker to have expired: an order that is carried out late extends them up to the
+// lease end that it carries.
+func TestLeaseEndsWithinAFullLeaseOfTheWorkersClock(t *testing.T) {
+	for _, rate := range []int64{98, 100, 102} {
+		t.Run(fmt.Sprintf("clock at %d%%", rate), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := &clockWorker{started: time.Now().Add(-time.Hour), rate: rate}
+				require.NoError(t, lead(t, m, hflease.NewTenure(5, hflease.Now(), time.Hour), 20, 3*time.Second))
+
+				count := map[string]int{}
+				for _, g := range m.leases {
+					count[g.verb]++
+					require.LessOrEqual(t, g.excess, int64(0), "%s: the lease ends %d ms after a full one on the worker's clock", g.verb, g.excess)
+				}
+				require.Greater(t, count["start"], 10)
+				require.GreaterOrEqual(t, count["poll"], 3)
+			})
+		})
+	}
+}
+
+const testPause = 10 * time.Second
+
+// pausingTenure is valid until a time. From pausedFrom on, the process is paused for testPause
+// after each check.
+type pausingTenure struct {
+	validUntil time.Time
+	pausedFrom time.Time
+}
+
+func (p pausingTenure) Epoch() int64 { return 5 }
+
+func (p pausingTenure) Valid(time.Time) bool {
+	now := time.Now()
+	if valid := now.Before(p.validUntil); !valid || now.Before(p.pausedFrom) {
+		return valid
+	}
+	time.Sleep(testPause)
+	return true
+}
+
+// Guards against leases that outlive the time after which a later leader takes them to have
+// expired, which counts from the start of its leadership.
+func TestLeaseEndsWithinAFullLeaseOfTheTenure(t *testing.T) {
+	const valid = 4 * time.Second
+	for name, test := range map[string]struct {
+		paused time.Duration // before the end of the tenure; 0 for no pause
+		jobs   int
+		mute   bool
+	}{
+		"polls":                                 {jobs: 1},
+		"polls and starts":                      {jobs: 50},
+		"polls, paused after the check":         {paused: 2 * time.Second, jobs: 1},
+		"starts, paused after the check":        {paused: 2 * time.Second, jobs: 50},
+		"start retries, paused after the check": {paused: 2 * time.Second, jobs: 50, mute: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				validUntil := time.Now().Add(valid)
+				m := &clockWorker{started: time.Now().Add(-time.Hour), rate: 100, muteStarts: test.mute}
+				err := lead(t, m, pausingTenure{validUntil: validUntil, pausedFrom: validUntil.Add(-test.paused)}, test.jobs, 3*testPause)
+				latest := map[string]time.Time{}
+				for _, g := range m.leases {
+					if g.end.After(latest[g.verb]) {
+						latest[g.verb] = g.end
+					}
+				}
+				require.Len(t, latest, 2)
+				for verb, end := range latest {
+					assert.LessOrEqual(t, end.Sub(validUntil), testLease, "latest lease end of a %s, after the end of the tenure", verb)
+				}
+				require.ErrorIs(t, err, ErrNotLeading)
+			})
+		})
+	}
+}
+
+// restartingWorker is a worker that is restarted under its id when an end of its first
+// incarnation is acknowledged. That poll gets no answer.
+type restartingWorker struct {
+	fakeMinions
+	mu        sync.Mutex
+	restarted bool
+	polls     []PollRequest // that the second incarnation got
+}
+
+func (w *restartingWorker) Poll(_ context.Context, _ *hfwork.Worker, r PollRequest) (hfwork.Report, error) {
+	time.Sleep(testTransit)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.restarted:
+		w.polls = append(w.polls, r)
+		return hfwork.NewReport(10, 8, nil, nil), nil
+	case r.LastStored() > 0:
+		w.restarted = true
+		return hfwork.Report{}, ErrUnanswered
+	}
+	end := hfwork.NewEnd(57, hfwork.NewTaskID("a", 0, 0, 0), 1, hfwork.Stopped, "")
+	return hfwork.NewReport(1000, 7, nil, []hfwork.End{end}), nil
+}
+
+// Guards against ends that a restarted worker forgets before they are stored: it numbers them
+// from 1 again, and takes an acknowledgement of earlier ends for one of its own.
+func TestEndsAreNotAcknowledgedToRestartedWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &restartingWorker{}
+		timing := hfplan.NewTiming(testLease)
+		l := NewLeader(hfplan.New(1, timing, time.Now()), hflease.NewTenure(5, hflease.Now(), time.Hour), m, fakeServices{}, fakeServices{}, "one", &fakeRecords{}, fakeServices{}, timing)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() {
+			ended <- l.Run(ctx, []hfplan.Msg{hfplan.Workers(map[string]*hfwork.Worker{"w": {Id: "w", Pool: "p"}})})
+		}()
+		time.Sleep(10 * time.Second)
+		cancel()
+		require.NoError(t, <-ended)
+		require.NotEmpty(t, m.polls)
+		for i, r := range m.polls {
+			require.Zero(t, r.LastStored(), "poll %d after the restart acknowledges ends of the earlier incarnation", i)
+			if i == 0 {
+				require.Zero(t, r.LeaseEnd(), "a lease that counts on the clock of the earlier incarnation")
+			}
+		}
+	})
+}
