Start no task while a run of it is reported to be active

Cause: a run that was given up too early can still be active. Once its worker reported it, three paths started the task again regardless: the next run was assigned and its start was sent (only the reported run was told to stop); the next run ended, and the task was placed a third time while the stop of the first had no effect yet; and a job that became known after its run was reported took the report to mean that nothing ran. Evidence, on the code before: TestReportedRunReplacesAnAssignedOne: Should be empty, but was [{b {x 0 0 0} 2 }] TestTaskWaitsForTheEndOfItsOrphan/gone, /silent: [{c {x 0 0 0} 3 }] "the first run has not ended" TestJobLearnedLateWaitsForItsReportedRuns: [{b {x 0 0 0} 4097 }] Change: a task without a run waits for the worker that has an orphan of it, in the way in which it waits for a run of an earlier scheduler: until that worker reports without the run, reports its end, or its leases expire. A run that is only assigned yields to a reported one, which is adopted. Adopting a former orphan frees the resources that were counted for it. Ruled out: a run that is starting or running keeps its task, and the reported one is stopped; both may be active already, and nothing that is sent afterwards undoes that. After: the tests pass.

--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -38,7 +38,7 @@
 	open             int               // tasks that have not completed
 	active           int               // tasks with a run
 	completedActive  int               // completed tasks with a run, which has not ended yet
-	awaitingPrior    int               // tasks that may still have a run started by an earlier scheduler
+	awaitingPrior    int               // tasks that may still have a run started by an earlier scheduler, or an orphan
 	assigned         int               // runs that have a worker but whose start was not sent yet
 	due              time.Time         // earliest start; zero if there is none
 	avoid            map[string]bool   // workers on which a task failed or stalled
@@ -83,7 +83,7 @@
 	failures    uint32
 	countedRun  int64  // number of the last run that is included in failures
 	checkpoint  string // latest checkpoint; gangs keep it in their primary task
-	priorWorker string // worker on which an earlier scheduler may have started the task, or ""
+	priorWorker string // worker on which an earlier scheduler may have started the task, or that has an orphan of it, or ""
 }
 
 // workerID returns the worker on which the task may be running, or "".
@@ -140,7 +140,7 @@
 	inRoster         bool                // is in the stored roster, so that a later scheduler knows of it
 	leaseExpiry      time.Time           // if it does not report, nothing runs on it after this time
 	runs             map[*run]struct{}
-	priorTasks       map[*task]struct{}               // tasks of an earlier scheduler that may run here until it reports
+	priorTasks       map[*task]struct{}               // tasks without a run here that may be active here until it reports
 	orphans          map[orphan]hfplacement.Resources // runs being stopped that no task refers to, with the resources that they hold
 	lastEnd          int64                            // sequence number of the last end that was processed
 	quarantinedUntil time.Time                        // no tasks are assigned before this time
--- a/hfplan/lifecycle.go
+++ b/hfplan/lifecycle.go
@@ -50,6 +50,7 @@
 		s.groups = append(s.groups, g)
 		for i := range g.tasks {
 			s.awaitPriorRun(&g.tasks[i])
+			s.awaitOrphan(&g.tasks[i])
 		}
 	}
 	s.needsPass = true
--- a/hfplan/orphan.go
+++ b/hfplan/orphan.go
@@ -1,9 +1,6 @@
 package hfplan
 
-import (
-	"github.com/heatherfront/heatherfront/hfplacement"
-	"github.com/heatherfront/heatherfront/hfwork"
-)
+import "github.com/heatherfront/heatherfront/hfwork"
 
 // orphan identifies a reported run that no task refers to and that is being stopped:
 // its job has ended, or its task runs elsewhere.
@@ -22,6 +19,7 @@
 			size = t.group.size
 		}
 		w.orphans[key] = size
+		s.orphans[key.task]++
 		w.resources.Assign(size)
 		w.resources.AddRunning(size)
 	}
@@ -37,17 +35,24 @@
 	for _, reported := range runs {
 		stillReported[orphan{task: reported.Task(), number: reported.Number()}] = true
 	}
-	for key, size := range w.orphans {
+	for key := range w.orphans {
 		if !stillReported[key] {
-			w.releaseOrphan(key, size)
+			s.releaseOrphan(w, key)
 			s.needsPass = true
 		}
 	}
 }
 
-// releaseOrphan frees the resources of an orphan.
-func (w *worker) releaseOrphan(key orphan, size hfplacement.Resources) {
+// releaseOrphan frees the resources of an orphan, if it is known.
+func (s *Scheduler) releaseOrphan(w *worker, key orphan) {
+	size, known := w.orphans[key]
+	if !known {
+		return
+	}
 	delete(w.orphans, key)
 	w.resources.Unassign(size)
 	w.resources.RemoveRunning(size)
+	if s.orphans[key.task]--; s.orphans[key.task] == 0 {
+		delete(s.orphans, key.task)
+	}
 }
--- a/hfplan/prior.go
+++ b/hfplan/prior.go
@@ -14,13 +14,35 @@
 		t.priorWorker = "" // the worker is gone, or has reported without listing the run
 		return
 	}
+	s.awaitWorker(t, w)
+}
+
+// awaitWorker blocks the placement of a task until a worker reports.
+func (s *Scheduler) awaitWorker(t *task, w *worker) {
 	if w.priorTasks == nil {
 		w.priorTasks = map[*task]struct{}{}
 	}
 	w.priorTasks[t] = struct{}{}
+	t.priorWorker = w.id()
 	t.group.awaitingPrior++
 }
 
+// awaitOrphan blocks the placement of a task without a run while an orphan of it has not
+// ended.
+func (s *Scheduler) awaitOrphan(t *task) {
+	if s.orphans[t.id()] == 0 || t.run != nil || t.done || t.priorWorker != "" || t.group.job.final() {
+		return
+	}
+	for _, id := range sortedKeys(s.workers) {
+		for key := range s.workers[id].orphans {
+			if key.task == t.id() {
+				s.awaitWorker(t, s.workers[id])
+				return
+			}
+		}
+	}
+}
+
 // resolvePriorRun ends the wait for a prior run, because it was adopted or is known
 // to have ended.
 func (s *Scheduler) resolvePriorRun(t *task) {
@@ -33,6 +55,7 @@
 	t.priorWorker = ""
 	t.group.awaitingPrior--
 	s.needsPass = true
+	s.awaitOrphan(t)
 }
 
 // resolvePriorRuns unblocks all tasks that wait for a prior run on a worker. The
--- a/hfplan/run.go
+++ b/hfplan/run.go
@@ -58,10 +58,7 @@
 			s.confirmRun(r, now)
 		}
 	case OutcomeUnknown:
-		s.stopRun(r, now)
-		if t.group.gang() {
-			s.stopGang(t.group, r.number, now) // the other members would wait for this one
-		}
+		s.stopMembers(r, now) // the other members of a gang would wait for this one
 	case OutcomeRefused, OutcomeStale:
 		g := t.group
 		delete(g.tickets, r.worker.id())
@@ -80,6 +77,15 @@
 	}
 }
 
+// stopMembers stops a run, and the other members if it is that of a gang.
+func (s *Scheduler) stopMembers(r *run, now time.Time) {
+	if g := r.task.group; g.gang() {
+		s.stopGang(g, r.number, now)
+		return
+	}
+	s.stopRun(r, now)
+}
+
 // confirmRun marks a run as running, and its job when this is the first start.
 func (s *Scheduler) confirmRun(r *run, now time.Time) {
 	r.phase, r.confirmedAt = running, now
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -55,6 +55,7 @@
 	resources        *hfplacement.Inventory
 	workers          map[string]*worker
 	jobs             map[string]*job
+	orphans          map[hfwork.TaskID]int       // number of orphans of each task, on all workers
 	groups           []*group                    // groups with open tasks, of jobs that are not final
 	recoveryDeadline time.Time                   // when the leases of an earlier scheduler have expired
 	recovered        bool                        // all runs of earlier schedulers are accounted for
@@ -85,7 +86,7 @@
 func New(term int64, timing Timing, now time.Time) *Scheduler {
 	return &Scheduler{
 		timing: timing, runNumberBase: max(term-1, 0) * runsPerTerm, policy: &hfwork.Policy{}, queues: map[string]*hfwork.Queue{},
-		resources: hfplacement.New(), workers: map[string]*worker{}, jobs: map[string]*job{},
+		resources: hfplacement.New(), workers: map[string]*worker{}, jobs: map[string]*job{}, orphans: map[hfwork.TaskID]int{},
 		recoveryDeadline: now.Add(timing.leaseExpiryDelay()), pendingAcks: map[*worker]int64{}, dirtyJobs: map[string]*job{}, usage: map[string]*poolUsage{},
 		waves: map[int64]*wave{}, dirtyWaves: map[int64]*hfwork.Wave{},
 	}
--- a/hfplan/single_run_test.go
+++ b/hfplan/single_run_test.go
@@ -363,3 +363,75 @@
 		})
 	}
 }
+
+// Two runs of a task are active and one of them is being stopped. When the other one ends, the
+// task used to be started a third time before the stop had taken effect.
+func TestTaskWaitsForTheEndOfItsOrphan(t *testing.T) {
+	for name, settle := range map[string]func(d *desk, worker string){
+		"gone":   func(d *desk, worker string) { d.report(worker) },
+		"silent": func(d *desk, worker string) { d.loseWorker(worker) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t, 1, "a", "b")
+			d.report("a")
+			d.store()
+			d.report("b")
+			first := d.startAll("x", deskStep(1))[0]
+			d.loseWorker(first.Worker())
+			d.store()
+			second := d.takeStarts()[0]
+			d.send(Started(second, OutcomeDone))
+			active := hfwork.NewRun(first.Task(), first.Number(), "", 50, 0)
+			d.report(first.Worker(), active)
+			require.Equal(t, 1, d.stopsOf(first.Task(), first.Number()))
+			d.send(Workers(deskWorkers("a", "b", "c")))
+			d.store()
+			d.report("c")
+			d.reportEnds(second.Worker(), nil, d.end(second.Worker(), second.Task(), second.Number(), hfwork.Failed))
+			d.store()
+			require.Empty(t, d.takeStarts(), "the first run has not ended")
+			settle(d, first.Worker())
+			d.store()
+			require.Len(t, d.takeStarts(), 1)
+		})
+	}
+}
+
+// A job becomes known after a worker has reported a run of it, which is being stopped. Its task
+// used to be started elsewhere at once, since the worker had reported.
+func TestJobLearnedLateWaitsForItsReportedRuns(t *testing.T) {
+	d := newDesk(t, 2, "a", "b")
+	task := hfwork.NewTaskID("x", 0, 0, 0)
+	d.report("a", hfwork.NewRun(task, 1, "", 50, 0))
+	d.store()
+	d.report("b")
+	require.Equal(t, 1, d.stopsOf(task, 1))
+	d.send(Job(&hfwork.Job{Id: "x", Queue: "usual", Account: "plants", Steps: []*hfwork.Step{deskStep(1)}}, &hfwork.Progress{
+		State: hfwork.StateRunning, Steps: []*hfwork.StepProgress{{Places: map[uint32]string{0: "a"}}},
+	}, false))
+	d.store()
+	require.Empty(t, d.takeStarts(), "the run has not ended")
+	d.report("a")
+	d.store()
+	require.Len(t, d.takeStarts(), 1)
+}
+
+// A worker whose leases were taken to have expired reports that the run is still active, while
+// the next run of the task waits for its start. That start used to be sent.
+func TestReportedRunReplacesAnAssignedOne(t *testing.T) {
+	d := newDesk(t, 1, "a", "b")
+	d.report("a")
+	d.store()
+	d.report("b")
+	first := d.startAll("x", deskStep(1))[0]
+	d.loseWorker(first.Worker())
+	second := d.s.task(first.Task()).run
+	require.NotNil(t, second)
+	require.Equal(t, assigned, second.phase)
+	d.report(first.Worker(), hfwork.NewRun(first.Task(), first.Number(), "", 50, 0))
+	d.store()
+	require.Empty(t, d.takeStarts())
+	require.Equal(t, first.Number(), d.s.task(first.Task()).run.number)
+	require.Empty(t, d.stops)
+	require.Empty(t, second.worker.runs)
+}
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -154,6 +154,11 @@
 	}
 	r := t.run
 	if r.worker != w || r.number != reported.Number() {
+		if r.phase == assigned {
+			// The reported run was given up too early. Nothing else runs yet.
+			s.stopMembers(r, now)
+			return s.adoptRun(w, t, reported, now)
+		}
 		s.stopOrphan(w, reported)
 		return nil
 	}
@@ -167,8 +172,9 @@
 	return r
 }
 
-// adoptRun takes over a run that an earlier scheduler started.
+// adoptRun takes over a run that an earlier scheduler started, or that was given up.
 func (s *Scheduler) adoptRun(w *worker, t *task, reported hfwork.Run, now time.Time) *run {
+	s.releaseOrphan(w, orphan{task: reported.Task(), number: reported.Number()})
 	r := &run{
 		task: t, worker: w, number: reported.Number(), phase: running, confirmedAt: now, startedAt: now, orderedAt: now,
 		pace: unknownPace, requestedPace: unknownPace,
@@ -245,6 +251,7 @@
 	if t.done {
 		t.group.completedActive--
 	}
+	s.awaitOrphan(t)
 	s.needsPass = true
 }
 
@@ -303,8 +310,8 @@
 		completed = g.tasks
 	}
 	for i := range completed {
-		s.resolvePriorRun(&completed[i])
 		completed[i].done = true
+		s.resolvePriorRun(&completed[i])
 		g.open--
 		if completed[i].run != nil {
 			g.completedActive++
@@ -367,8 +374,8 @@
 	for _, r := range sortedRuns(w.runs) {
 		s.finishRun(r, hfwork.LeaseExpired, "", reason, now)
 	}
-	for key, size := range w.orphans {
-		w.releaseOrphan(key, size)
+	for key := range w.orphans {
+		s.releaseOrphan(w, key)
 	}
 	s.resolvePriorRuns(w)
 }
@@ -383,8 +390,8 @@
 		}
 		s.finishRun(r, hfwork.LeaseExpired, "", "worker restarted", now)
 	}
-	for key, size := range w.orphans {
-		w.releaseOrphan(key, size)
+	for key := range w.orphans {
+		s.releaseOrphan(w, key)
 	}
 }
 
