--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -37,7 +37,8 @@
 	tasks            []task
 	open             int               // tasks that have not completed
 	active           int               // tasks with a run
-	awaitingPrior    int               // tasks that may still have a run started by an earlier scheduler
+	completedActive  int               // completed tasks with a run, which has not ended yet
+	awaitingPrior    int               // tasks that may still have a run started by an earlier scheduler, or an orphan
 	assigned         int               // runs that have a worker but whose start was not sent yet
 	due              time.Time         // earliest start; zero if there is none
 	avoid            map[string]bool   // workers on which a task failed or stalled
@@ -53,7 +54,7 @@
 func (g *group) gang() bool { return g.spec.GetGang() && len(g.tasks) > 1 }
 
 // waiting returns the number of tasks that need a worker.
-func (g *group) waiting() int { return g.open - g.active - g.awaitingPrior }
+func (g *group) waiting() int { return g.open - (g.active - g.completedActive) - g.awaitingPrior }
 
 // cores returns the cost of one task in core equivalents.
 func (g *group) cores() float64 { return max(g.size.CoreEquivalents(), 0.1) }
@@ -82,7 +83,7 @@
 	failures    uint32
 	countedRun  int64  // number of the last run that is included in failures
 	checkpoint  string // latest checkpoint; gangs keep it in their primary task
-	priorWorker string // worker on which an earlier scheduler may have started the task, or ""
+	priorWorker string // worker on which an earlier scheduler may have started the task, or that has an orphan of it, or ""
 }
 
 // workerID returns the worker on which the task may be running, or "".
@@ -139,7 +140,7 @@
 	inRoster         bool                // is in the stored roster, so that a later scheduler knows of it
 	leaseExpiry      time.Time           // if it does not report, nothing runs on it after this time
 	runs             map[*run]struct{}
-	priorTasks       map[*task]struct{}               // tasks of an earlier scheduler that may run here until it reports
+	priorTasks       map[*task]struct{}               // tasks without a run here that may be active here until it reports
 	orphans          map[orphan]hfplacement.Resources // runs being stopped that no task refers to, with the resources that they hold
 	lastEnd          int64                            // sequence number of the last end that was processed
 	quarantinedUntil time.Time                        // no tasks are assigned before this time
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -154,6 +154,11 @@
 	}
 	r := t.run
 	if r.worker != w || r.number != reported.Number() {
+		if r.phase == assigned {
+			// The reported run was given up too early. Nothing else runs yet.
+			s.stopMembers(r, now)
+			return s.adoptRun(w, t, reported, now)
+		}
 		s.stopOrphan(w, reported)
 		return nil
 	}
@@ -167,8 +172,9 @@
 	return r
 }
 
-// adoptRun takes over a run that an earlier scheduler started.
+// adoptRun takes over a run that an earlier scheduler started, or that was given up.
 func (s *Scheduler) adoptRun(w *worker, t *task, reported hfwork.Run, now time.Time) *run {
+	s.releaseOrphan(w, orphan{task: reported.Task(), number: reported.Number()})
 	r := &run{
 		task: t, worker: w, number: reported.Number(), phase: running, confirmedAt: now, startedAt: now, orderedAt: now,
 		pace: unknownPace, requestedPace: unknownPace,
@@ -242,6 +248,10 @@
 	delete(w.runs, r)
 	t.run = nil
 	t.group.active--
+	if t.done {
+		t.group.completedActive--
+	}
+	s.awaitOrphan(t)
 	s.needsPass = true
 }
 
@@ -259,7 +269,7 @@
 	switch endReason {
 	case hfwork.Done:
 		s.recordSuccess(w)
-		s.completeTask(t, now)
+		s.completeTask(t, number, now)
 		return
 	case hfwork.Failed:
 		s.recordFailure(w, g.job, now)
@@ -288,23 +298,31 @@
 	s.stopJob(j, now)
 }
 
-// completeTask marks a task as done, or all tasks of a gang. Lasting tasks never
-// complete.
-func (s *Scheduler) completeTask(t *task, now time.Time) {
+// completeTask marks a task as done, or all tasks of a gang, after the run with the given
+// number has ended as done. Lasting tasks never complete.
+func (s *Scheduler) completeTask(t *task, number int64, now time.Time) {
 	g := t.group
 	if g.spec.GetLasting() {
 		return
 	}
+	completed := g.tasks[t.index : t.index+1]
 	if g.gang() {
-		for i := range g.tasks {
-			s.resolvePriorRun(&g.tasks[i])
-			g.tasks[i].done = true
-		}
-		g.open = 0
-	} else {
-		s.resolvePriorRun(t)
-		t.done = true
+		completed = g.tasks
+	}
+	for i := range completed {
+		completed[i].done = true
+		s.resolvePriorRun(&completed[i])
 		g.open--
+		if completed[i].run != nil {
+			g.completedActive++
+		}
+	}
+	// The end may be that of a run that was given up. The members of the same run of a gang
+	// end by themselves.
+	for i := range completed {
+		if r := completed[i].run; r != nil && r.number != number {
+			s.stopRun(r, now)
+		}
 	}
 	s.markDirty(g.job)
 	if g.open > 0 {
@@ -356,8 +374,8 @@
 	for _, r := range sortedRuns(w.runs) {
 		s.finishRun(r, hfwork.LeaseExpired, "", reason, now)
 	}
-	for key, size := range w.orphans {
-		w.releaseOrphan(key, size)
+	for key := range w.orphans {
+		s.releaseOrphan(w, key)
 	}
 	s.resolvePriorRuns(w)
 }
@@ -372,8 +390,8 @@
 		}
 		s.finishRun(r, hfwork.LeaseExpired, "", "worker restarted", now)
 	}
-	for key, size := range w.orphans {
-		w.releaseOrphan(key, size)
+	for key := range w.orphans {
+		s.releaseOrphan(w, key)
 	}
 }
 
