Judge departures by when entries were written, not seen

A worker that drains and is cut off from the store could be taken to have left: all its runs end at once for the scheduler and start elsewhere, while the worker still runs them.

Cause: a draining worker's entry that is deleted within 1.5 heartbeat intervals (2.25 s on the operators' platform) of our last sight of a write was taken to be removed by the worker. An entry expires three intervals (4.5 s) after its last write. The sight may be later than the write by up to maxWatchGap (3 s) without counting as delayed: a watch whose answer was lost, a slow or relayed watch, a paused process. The deletion then follows the late sight within 1.5 to 2.25 s. And after a longer gap only the first answer counted as delayed: on large sites the store needs several answers for the backlog, and a write in the second and the deletion by expiry in the third are seen milliseconds apart.

Ruled out: lists (the age of listed entries already counts as unknown); a removal by the worker while it still runs tasks (the platform removes an entry when the worker has left, and all that it runs ends then).

Change: each watch knows a time until which it has all events: when the last call was sent whose answer left none out, an answer of nearly full size being taken to leave some out. The events of the next answers were written after it. An entry is removed by its worker only if the deletion was received within two intervals of that time, on the clock that neither stops nor jumps. The third interval remains as a margin for writes that the store delays.

Why it works: the time compared is an upper bound of the time between the last write and the deletion, however late either was delivered or processed. It replaces maxWatchGap and the flag for delayed events.

The tests of the mirror set that flag and 0 or 1 h as the interval; they set the times, cover the former cases, and in addition late receipt.

--- /dev/null
+++ b/hfentry/departure_test.go
@@ -0,0 +1,94 @@
+package hfentry
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/heatherfront/heatherfront/hfloop"
+	"github.com/heatherfront/heatherfront/hfstore"
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+// watchAnswer is one answer of a scriptedStore.
+type watchAnswer struct {
+	delay time.Duration // before the answer is given
+	items []hfstore.Item
+}
+
+// scriptedStore is a store whose watch returns the given answers, and blocks after the last.
+type scriptedStore struct {
+	*fakeStore
+	mu       sync.Mutex
+	answers  []watchAnswer
+	revision int64
+	finished chan struct{} // closed when a call follows the last answer
+}
+
+func (s *scriptedStore) Watch(ctx context.Context, _ string, _ int64) ([]hfstore.Item, int64, error) {
+	s.mu.Lock()
+	if len(s.answers) == 0 {
+		s.mu.Unlock()
+		close(s.finished)
+		<-ctx.Done()
+		return nil, 0, hfstore.ErrUnavailable
+	}
+	answer := s.answers[0]
+	s.answers = s.answers[1:]
+	s.revision += int64(len(answer.items))
+	revision := s.revision
+	s.mu.Unlock()
+	hfloop.Sleep(ctx, answer.delay)
+	return answer.items, revision, nil
+}
+
+// watchAnswers lets a node process the answers to its watch of the workers' entries, and
+// returns the workers that it takes to have left.
+func watchAnswers(t *testing.T, heartbeatInterval time.Duration, answers ...watchAnswer) []string {
+	t.Helper()
+	store := &scriptedStore{fakeStore: newFakeStore(), answers: answers, finished: make(chan struct{})}
+	n := newTestNode("one")
+	n.mirror = hfloop.NewGuarded(NewMirror(fakeFormats{}, heartbeatInterval))
+	n.store, n.health = store, NewStoreHealth(func(bool, time.Duration) {})
+	w := &prefixWatch{prefix: "workers/", pause: func() time.Duration { return 0 }}
+	ctx, cancel := context.WithCancel(t.Context())
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { n.watch(ctx, w); return nil })
+	<-store.finished
+	cancel()
+	require.NoError(t, group.Wait())
+	return hfloop.With(n.mirror, func(m *Mirror) []string {
+		left := []string{}
+		for id := range m.leftWorkers {
+			left = append(left, id)
+		}
+		return left
+	})
+}
+
+// Guards against taking a worker that was cut off from the store to have left: its entry
+// expired three heartbeat intervals after the last write, which was seen late.
+func TestEntryThatExpiredAfterLateAnswerIsNoDeparture(t *testing.T) {
+	const interval = 50 * time.Millisecond
+	draining := newItem(t, "workers/w", 1001, &hfwork.Worker{Id: "w", Draining: true})
+	var backlog []hfstore.Item
+	for i := range int64(backlogEvents) {
+		backlog = append(backlog, newItem(t, fmt.Sprint("workers/other-", i), i+1, &hfwork.Worker{}))
+	}
+	removal := watchAnswer{items: []hfstore.Item{deletedItem("workers/w", 2001)}}
+	for name, answers := range map[string][]watchAnswer{
+		"late answer":           {{}, {delay: 3 * interval, items: []hfstore.Item{draining}}, removal},
+		"backlog after a pause": {{}, {delay: 3 * interval, items: backlog}, {items: append(slices.Clone(backlog), draining)}, removal},
+	} {
+		t.Run(name, func(t *testing.T) {
+			require.Empty(t, watchAnswers(t, interval, answers...))
+		})
+	}
+	require.Equal(t, []string{"w"}, watchAnswers(t, time.Hour, watchAnswer{}, watchAnswer{items: []hfstore.Item{draining}}, removal))
+}
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -75,9 +75,10 @@
 	policyVersion     int64 // store revision of the configuration
 	jobs              map[string]*jobRecord
 	workers           map[string]*hfwork.Worker
-	lastHeartbeats    map[string]time.Time // when a worker's entry was last seen to be written; zero if unknown
+	lastHeartbeats    map[string]time.Time // time after which a worker's entry was last written; zero if unknown
 	leftWorkers       map[string]bool      // workers in the roster that have left as planned
-	delayed           bool                 // applied items may have been written long ago: a list, or events after a gap
+	writtenAfter      time.Time            // the items that are applied next were written after this time; zero if unknown
+	receivedAt        time.Time            // when the items that are applied next were received
 	heartbeatInterval func() time.Duration // at which workers write their entries
 	roster            *hfwork.Roster
 	requestedWaves    map[int64]*hfwork.Wave // as requested by operators, by number
@@ -119,7 +120,7 @@
 		m.lead, m.instances = nil, map[string]*hfwork.Instance{}
 		changes = append(changes, change{lead: true})
 	}
-	m.delayed = true // the age of the entries in a list is not known
+	m.setWriteTimes(time.Time{}, time.Time{}) // the age of the entries in a list is not known
 	listedJobs := map[string]bool{}
 	for _, i := range items {
 		if id, ok := strings.CutPrefix(i.Key(), jobPrefix); ok {
@@ -142,6 +143,12 @@
 // Advance records that all events of our own records up to a revision are applied.
 func (m *Mirror) Advance(revision int64) { m.appliedRevision = max(m.appliedRevision, revision) }
 
+// setWriteTimes sets between which times the items that are applied next were written, on a
+// clock that never stops or jumps. after is zero if it is not known.
+func (m *Mirror) setWriteTimes(after, receivedAt time.Time) {
+	m.writtenAfter, m.receivedAt = after, receivedAt
+}
+
 // Apply applies one listed item or watched event.
 func (m *Mirror) Apply(i hfstore.Item) change {
 	key := i.Key()
@@ -251,19 +258,14 @@
 func (m *Mirror) applyWorker(id string, i hfstore.Item) change {
 	if i.Deleted() {
 		c := change{workers: true}
-		// An entry expires three intervals after its last write. One that is deleted within
-		// half of that was removed by the worker.
-		if m.workers[id].GetDraining() && time.Since(m.lastHeartbeats[id]) < m.heartbeatInterval()*3/2 {
+		if m.removedByWorker(id) {
 			c.leftWorker, m.leftWorkers[id] = id, true
 		}
 		delete(m.workers, id)
 		delete(m.lastHeartbeats, id)
 		return c
 	}
-	m.lastHeartbeats[id] = time.Now()
-	if m.delayed {
-		m.lastHeartbeats[id] = time.Time{}
-	}
+	m.lastHeartbeats[id] = m.writtenAfter
 	delete(m.leftWorkers, id)
 	w, err := m.formats.Worker(id, i.Value())
 	if err != nil {
@@ -274,6 +276,19 @@
 	return change{workers: true}
 }
 
+// maxRemovalIntervals is the number of heartbeat intervals within which an entry must have
+// been written and deleted to be known as removed by its worker. An entry expires three
+// intervals after its last write; the third is a margin for writes that the store delays.
+const maxRemovalIntervals = 2
+
+// removedByWorker reports whether an entry that is deleted was certainly removed by its worker
+// as it left, instead of having expired, as it does if the worker cannot reach the store.
+func (m *Mirror) removedByWorker(id string) bool {
+	writtenAfter := m.lastHeartbeats[id]
+	return m.workers[id].GetDraining() && !writtenAfter.IsZero() &&
+		m.receivedAt.Sub(writtenAfter) < maxRemovalIntervals*m.heartbeatInterval()
+}
+
 func (m *Mirror) applyJob(id string, i hfstore.Item) change {
 	if i.Deleted() {
 		delete(m.jobs, id)
--- a/hfentry/mirror_test.go
+++ b/hfentry/mirror_test.go
@@ -66,22 +66,31 @@
 	require.Equal(t, hfwork.StateCompleted, m.jobs["a"].state(), "a cancellation after the end changes nothing")
 }
 
+// The time that counts is the one between the earliest possible write and the receipt of the
+// deletion. Entries expire after three intervals.
 func TestWorkerThatRemovesItsEntryHasLeft(t *testing.T) {
+	const interval = time.Second
+	start := time.Unix(1000, 0)
 	for name, c := range map[string]struct {
-		draining bool
-		interval time.Duration
-		delayed  bool
-		want     string
+		draining     bool
+		writtenAfter time.Time
+		received     time.Duration // of the write, after start
+		deleted      time.Duration // receipt of the deletion, after start
+		want         string
 	}{
-		"draining, removed at once": {true, time.Hour, false, "w"},
-		"draining, then silent":     {true, 0, false, ""},
-		"not draining":              {false, time.Hour, false, ""},
-		"after a gap":               {true, time.Hour, true, ""},
+		"draining, removed at once":         {true, start, 0, 0, "w"},
+		"draining, removed before the next": {true, start, 100 * time.Millisecond, 1900 * time.Millisecond, "w"},
+		"draining, then silent":             {true, start, 0, 3 * interval, ""},
+		"write received late":               {true, start, 2900 * time.Millisecond, 3 * interval, ""},
+		"all received late":                 {true, start, time.Hour, time.Hour, ""},
+		"not draining":                      {false, start, 0, 0, ""},
+		"time of the write not known":       {true, time.Time{}, 0, 0, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
-			m := NewMirror(fakeFormats{}, c.interval)
-			m.delayed = c.delayed
+			m := NewMirror(fakeFormats{}, interval)
+			m.setWriteTimes(c.writtenAfter, start.Add(c.received))
 			m.Apply(newItem(t, "workers/w", 1, &hfwork.Worker{Id: "w", Draining: c.draining}))
+			m.setWriteTimes(start.Add(c.received), start.Add(c.deleted))
 			require.Equal(t, c.want, m.Apply(deletedItem("workers/w", 2)).leftWorker)
 		})
 	}
@@ -159,11 +168,12 @@
 // The age of a listed entry is not known. If the entry expires soon after, it must not be taken
 // for one that its worker removed.
 func TestListDoesNotCountAsHeartbeat(t *testing.T) {
-	m := NewMirror(fakeFormats{}, time.Hour)
+	m, now := NewMirror(fakeFormats{}, time.Hour), time.Unix(1000, 0)
 	m.Reset("workers/", []hfstore.Item{newItem(t, "workers/w", 1, &hfwork.Worker{Id: "w", Draining: true})}, 1)
+	m.setWriteTimes(now, now)
 	require.Empty(t, m.Apply(deletedItem("workers/w", 2)).leftWorker)
 	m.Reset("workers/", []hfstore.Item{newItem(t, "workers/w", 3, &hfwork.Worker{Id: "w", Draining: true})}, 3)
-	m.delayed = false
+	m.setWriteTimes(now, now)
 	m.Apply(newItem(t, "workers/w", 4, &hfwork.Worker{Id: "w", Draining: true}))
 	require.Equal(t, "w", m.Apply(deletedItem("workers/w", 5)).leftWorker, "the worker wrote its entry after the list")
 }
--- a/hfentry/watch.go
+++ b/hfentry/watch.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/heatherfront/heatherfront/hfevent"
+	"github.com/heatherfront/heatherfront/hflease"
 	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hfstore"
 )
@@ -28,21 +29,32 @@
 	standbyWorkerPause = 1200 * time.Millisecond
 )
 
-// maxWatchGap is the time between two answers of a watch above which its events count as
-// delayed. A watch without events is answered sooner.
-const maxWatchGap = 3 * time.Second
+// The store returns about 500 events or 1 MB at most. More events are likely to be waiting
+// after an answer of at least this size.
+const (
+	backlogEvents = 400
+	backlogBytes  = 1 << 19
+)
 
-// backlogEvents is the number of events in one answer from which on the watch continues without
-// a pause. The store returns about 500 events at most, so more are likely to be waiting.
-const backlogEvents = 400
+// isBacklog reports whether an answer of a watch may be followed by further events that had
+// been written before the call.
+func isBacklog(items []hfstore.Item) bool {
+	size := 0
+	for _, i := range items {
+		size += len(i.Value())
+	}
+	return len(items) >= backlogEvents || size >= backlogBytes
+}
 
 // prefixWatch is the state of the watch that keeps one key prefix of the mirror current.
 type prefixWatch struct {
-	prefix     string
-	pause      func() time.Duration
-	synced     atomic.Bool // the prefix was listed, and the watch continues from there
-	revision   int64       // the watch continues from here; used only by its own goroutine
-	lastAnswer time.Time   // time of the last answer; used only by its own goroutine
+	prefix   string
+	pause    func() time.Duration
+	synced   atomic.Bool // the prefix was listed, and the watch continues from there
+	revision int64       // the watch continues from here; used only by its own goroutine
+	// completeUntil is a time until which all events are applied, on the clock of hflease.Now:
+	// when the last call was sent whose answer left none out. Used only by its own goroutine.
+	completeUntil time.Time
 }
 
 func (n *Node) recordWatchPause() time.Duration {
@@ -68,6 +80,7 @@
 			}
 			continue
 		}
+		sent := hflease.Now()
 		items, revision, err := n.store.Watch(ctx, w.prefix, w.revision)
 		if ctx.Err() != nil {
 			return
@@ -81,8 +94,8 @@
 			hfloop.Sleep(ctx, retryPause)
 			continue
 		}
-		n.applyEvents(w, items, revision)
-		if len(items) > 0 && len(items) < backlogEvents {
+		n.applyEvents(w, items, revision, sent)
+		if len(items) > 0 && !isBacklog(items) {
 			hfloop.Sleep(ctx, w.pause())
 		}
 	}
@@ -90,6 +103,7 @@
 
 // list reads a whole prefix from the store into the mirror. It reports whether it succeeded.
 func (n *Node) list(ctx context.Context, w *prefixWatch) bool {
+	sent := hflease.Now()
 	items, revision, err := n.store.List(ctx, w.prefix)
 	n.health.Record(err, time.Now())
 	if err != nil {
@@ -97,17 +111,17 @@
 	}
 	changes := hfloop.With(n.mirror, func(m *Mirror) []change { return m.Reset(w.prefix, items, revision) })
 	n.log.Event(hfevent.MirrorReset, zap.String("prefix", w.prefix), zap.Int("items", len(items)), zap.Int64("revision", revision))
-	w.revision = revision
+	w.revision, w.completeUntil = revision, sent
 	w.synced.Store(true)
 	n.notify(changes)
 	return true
 }
 
-func (n *Node) applyEvents(w *prefixWatch, items []hfstore.Item, revision int64) {
-	delayed := !w.lastAnswer.IsZero() && time.Since(w.lastAnswer) > maxWatchGap
-	w.lastAnswer = time.Now()
+// applyEvents applies the answer to the call of a watch that was sent at the given time.
+func (n *Node) applyEvents(w *prefixWatch, items []hfstore.Item, revision int64, sent time.Time) {
+	receivedAt := hflease.Now()
 	changes := hfloop.With(n.mirror, func(m *Mirror) []change {
-		m.delayed = delayed
+		m.setWriteTimes(w.completeUntil, receivedAt)
 		applied := make([]change, 0, len(items))
 		for _, i := range items {
 			applied = append(applied, m.Apply(i))
@@ -118,5 +132,8 @@
 		return applied
 	})
 	w.revision = max(w.revision, revision)
+	if !isBacklog(items) {
+		w.completeUntil = sent
+	}
 	n.notify(changes)
 }
