Ignore worker events older than the listed entry

After a list of the workers' entries, the runs of a worker that had just restarted under its id could be ended for the scheduler while they ran, and their tasks be started elsewhere.

A worker's entry that restarted meanwhile (draining, removed, registered again) went back to the earlier incarnation. Its removal counted as a departure, which ends all runs of the worker, and other resources in the earlier entry make the scheduler do the same. The repeated events come seconds after the list if the watch fails between the two, time enough to start tasks on the new incarnation.

Evidence: the new test fails on the code before at the first event: expected: 2, actual: 1 (the start time of the incarnation)

Ruled out for the other keys: progress and configuration already compare versions; the roster and the lock of the leader return to the listed state before a new scheduler reads them, as it waits for a revision.

Change: the mirror keeps the revision of each worker's entry and ignores events that are older. Events of one watch come in the order of their revisions, so nothing else is affected.

--- a/hfentry/departure_test.go
+++ b/hfentry/departure_test.go
@@ -92,3 +92,23 @@
 	}
 	require.Equal(t, []string{"w"}, watchAnswers(t, time.Hour, watchAnswer{}, watchAnswer{items: []hfstore.Item{draining}}, removal))
 }
+
+// Guards against applying events that are older than a listed entry, as the watch delivers
+// after a list of several pages: the departure of a worker's earlier incarnation, or its other
+// resources, would end the runs of the present one for the scheduler.
+func TestEventOlderThanListedEntryIsIgnored(t *testing.T) {
+	m, now := NewMirror(fakeFormats{}, time.Hour), time.Unix(1000, 0)
+	restarted := &hfwork.Worker{Id: "w", Born: 2, Accelerators: 8}
+	m.Reset("workers/", []hfstore.Item{newItem(t, "workers/w", 8, restarted)}, 5)
+	m.setWriteTimes(now, now)
+	for _, i := range []hfstore.Item{
+		newItem(t, "workers/w", 6, &hfwork.Worker{Id: "w", Born: 1, Accelerators: 4, Draining: true}),
+		deletedItem("workers/w", 7),
+		newItem(t, "workers/w", 8, restarted),
+	} {
+		require.Empty(t, m.Apply(i).leftWorker)
+		require.Equal(t, int64(2), m.workers["w"].GetBorn())
+	}
+	m.Apply(deletedItem("workers/w", 9))
+	require.Empty(t, m.workers)
+}
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -68,6 +68,12 @@
 	return hfwork.StateQueued
 }
 
+// entryWrite describes the last write of a worker's entry.
+type entryWrite struct {
+	version int64     // store revision of the write
+	after   time.Time // the entry was written after this time; zero if unknown
+}
+
 // Mirror is a copy of the store in memory, kept current by watches.
 type Mirror struct {
 	formats           Formats
@@ -75,11 +81,11 @@
 	policyVersion     int64 // store revision of the configuration
 	jobs              map[string]*jobRecord
 	workers           map[string]*hfwork.Worker
-	lastHeartbeats    map[string]time.Time // time after which a worker's entry was last written; zero if unknown
-	leftWorkers       map[string]bool      // workers in the roster that have left as planned
-	writtenAfter      time.Time            // the items that are applied next were written after this time; zero if unknown
-	receivedAt        time.Time            // when the items that are applied next were received
-	heartbeatInterval func() time.Duration // at which workers write their entries
+	lastWrites        map[string]entryWrite // of the workers' entries, including invalid ones
+	leftWorkers       map[string]bool       // workers in the roster that have left as planned
+	writtenAfter      time.Time             // the items that are applied next were written after this time; zero if unknown
+	receivedAt        time.Time             // when the items that are applied next were received
+	heartbeatInterval func() time.Duration  // at which workers write their entries
 	roster            *hfwork.Roster
 	requestedWaves    map[int64]*hfwork.Wave // as requested by operators, by number
 	storedWaves       map[int64]*hfwork.Wave // as stored by the leader, by number
@@ -93,7 +99,7 @@
 func NewMirror(f Formats, heartbeatInterval time.Duration) *Mirror {
 	return &Mirror{
 		formats: f, jobs: map[string]*jobRecord{}, workers: map[string]*hfwork.Worker{}, roster: &hfwork.Roster{},
-		lastHeartbeats: map[string]time.Time{}, leftWorkers: map[string]bool{}, heartbeatInterval: func() time.Duration { return heartbeatInterval },
+		lastWrites: map[string]entryWrite{}, leftWorkers: map[string]bool{}, heartbeatInterval: func() time.Duration { return heartbeatInterval },
 		requestedWaves: map[int64]*hfwork.Wave{}, storedWaves: map[int64]*hfwork.Wave{}, instances: map[string]*hfwork.Instance{},
 	}
 }
@@ -114,7 +120,7 @@
 	var changes []change
 	switch prefix {
 	case m.formats.WorkerPrefix():
-		m.workers, m.lastHeartbeats = map[string]*hfwork.Worker{}, map[string]time.Time{}
+		m.workers, m.lastWrites = map[string]*hfwork.Worker{}, map[string]entryWrite{}
 		changes = append(changes, change{workers: true})
 	case recordPrefix:
 		m.lead, m.instances = nil, map[string]*hfwork.Instance{}
@@ -256,16 +262,19 @@
 }
 
 func (m *Mirror) applyWorker(id string, i hfstore.Item) change {
+	if i.Version() < m.lastWrites[id].version {
+		return change{} // written before a list that has a later write
+	}
 	if i.Deleted() {
 		c := change{workers: true}
 		if m.removedByWorker(id) {
 			c.leftWorker, m.leftWorkers[id] = id, true
 		}
 		delete(m.workers, id)
-		delete(m.lastHeartbeats, id)
+		delete(m.lastWrites, id)
 		return c
 	}
-	m.lastHeartbeats[id] = m.writtenAfter
+	m.lastWrites[id] = entryWrite{version: i.Version(), after: m.writtenAfter}
 	delete(m.leftWorkers, id)
 	w, err := m.formats.Worker(id, i.Value())
 	if err != nil {
@@ -284,9 +293,8 @@
 // removedByWorker reports whether an entry that is deleted was certainly removed by its worker
 // as it left, instead of having expired, as it does if the worker cannot reach the store.
 func (m *Mirror) removedByWorker(id string) bool {
-	writtenAfter := m.lastHeartbeats[id]
-	return m.workers[id].GetDraining() && !writtenAfter.IsZero() &&
-		m.receivedAt.Sub(writtenAfter) < maxRemovalIntervals*m.heartbeatInterval()
+	after := m.lastWrites[id].after
+	return m.workers[id].GetDraining() && !after.IsZero() && m.receivedAt.Sub(after) < maxRemovalIntervals*m.heartbeatInterval()
 }
 
 func (m *Mirror) applyJob(id string, i hfstore.Item) change {
