Start the scheduler from all records before its term

A task whose end was stored and acknowledged could be started again by the next leader.

Cause: the new leader waited until its mirror held everything up to its epoch, the revision of the lock. Batches of the earlier leader depend on hf/term alone, so one that the store delays may take effect after that, until the new leader has written its term. The scheduler started from a mirror without it: a task could be open whose end was in that batch. If the earlier leader got the answer, it acknowledged the end, the worker forgot it, and nothing told the new scheduler, which also overwrote the record. Places and roster were as old; of those the run of a task that no record placed was stopped as an orphan, while its task was placed.

Evidence: the new test has a batch take effect between the lock and the term. On the code before it fails with expected: 0x1, actual: 0x0: task 0 is done as the scheduler starts the task that is done.

Ruled out: the term number, which earlier leaders can't change once the lock is taken; writes after the term, whose condition fails.

Change: fenceRecords waits for the mirror a second time, up to the revision of the term. While it does, the watch of the records pauses as briefly as at a leader, so that the second wait costs a round trip instead of up to 200 ms.

--- a/hfentry/leader.go
+++ b/hfentry/leader.go
@@ -102,6 +102,8 @@
 		return hfwire.Encode(&hfwork.Lead{Instance: n.name, Nonce: uuid.NewString(), Address: n.peerAddress, Lease: lease})
 	}
 	ttl := max(leaderTTL, n.settings.MinLease())
+	n.claiming.Store(true)
+	defer n.claiming.Store(false)
 	tenure, lease, err := hflease.Acquire(ctx, n.store, leadKey, value, ttl)
 	if err != nil {
 		return fmt.Errorf("claim leadership: %w", err)
@@ -119,10 +121,7 @@
 func (n *Node) runLeader(ctx context.Context, tenure *hflease.Tenure) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if err := n.awaitMirror(ctx, tenure.Epoch()); err != nil {
-		return fmt.Errorf("catch up: %w", err)
-	}
-	writer, err := n.openWriter(ctx, tenure.Epoch())
+	writer, err := n.fenceRecords(ctx, tenure.Epoch())
 	if err != nil {
 		return fmt.Errorf("prepare records: %w", err)
 	}
@@ -160,11 +159,28 @@
 	return nil
 }
 
-// awaitMirror waits until the mirror holds everything that was written before the epoch began.
-func (n *Node) awaitMirror(ctx context.Context, epoch int64) error {
+// fenceRecords returns the writer of a new leadership, when no earlier leadership can change a
+// record any more and the mirror holds all that they have written. Until the term is stored, a
+// batch of the earlier leadership may still take effect.
+func (n *Node) fenceRecords(ctx context.Context, epoch int64) (*fencedWriter, error) {
+	if err := n.awaitMirror(ctx, epoch); err != nil {
+		return nil, fmt.Errorf("last term: %w", err)
+	}
+	writer, err := n.openWriter(ctx, epoch)
+	if err != nil {
+		return nil, fmt.Errorf("term: %w", err)
+	}
+	if err := n.awaitMirror(ctx, writer.version); err != nil {
+		return nil, fmt.Errorf("records before term %d: %w", writer.Term(), err)
+	}
+	return writer, nil
+}
+
+// awaitMirror waits until the mirror holds all records up to a store revision.
+func (n *Node) awaitMirror(ctx context.Context, revision int64) error {
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	for hfloop.With(n.mirror, func(m *Mirror) bool { return m.appliedRevision < epoch }) || !n.recordWatch.synced.Load() {
+	for hfloop.With(n.mirror, func(m *Mirror) bool { return m.appliedRevision < revision }) || !n.recordWatch.synced.Load() {
 		if !hfloop.Sleep(ctx, catchUpPause) {
 			return fmt.Errorf("await mirror: %w", ctx.Err())
 		}
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -61,6 +61,7 @@
 	policyWatch prefixWatch // watches what operators write
 	workerWatch prefixWatch // watches the workers' entries
 	stopping    atomic.Bool
+	claiming    atomic.Bool                    // this instance tries to become the leader, or is the leader
 	leader      atomic.Pointer[hforder.Leader] // nil unless this instance is the leader
 	leaderless  chan struct{}                  // receives a value when there is no leader
 	stopStarted chan struct{}                  // closed when a planned stop begins
--- /dev/null
+++ b/hfentry/takeover_test.go
@@ -0,0 +1,164 @@
+package hfentry
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/heatherfront/heatherfront/hflease"
+	"github.com/heatherfront/heatherfront/hforder"
+	"github.com/heatherfront/heatherfront/hfplan"
+	"github.com/heatherfront/heatherfront/hfstore"
+	"github.com/heatherfront/heatherfront/hfwire"
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+// idleMinions is a set of workers on which nothing runs. It passes on the starts that it gets.
+type idleMinions struct {
+	hforder.Minions
+	silent map[string]bool // workers that do not answer
+	starts chan hforder.Start
+}
+
+func newIdleMinions(silent ...string) *idleMinions {
+	m := &idleMinions{silent: map[string]bool{}, starts: make(chan hforder.Start, 16)}
+	for _, id := range silent {
+		m.silent[id] = true
+	}
+	return m
+}
+
+func (m *idleMinions) Start(_ context.Context, _ *hfwork.Worker, s hforder.Start) error {
+	m.starts <- s
+	return nil
+}
+
+func (m *idleMinions) Poll(ctx context.Context, w *hfwork.Worker, _ hforder.PollRequest) (hfwork.Report, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Millisecond):
+	}
+	if m.silent[w.GetId()] {
+		return hfwork.Report{}, hforder.ErrUnanswered
+	}
+	return hfwork.NewReport(1000, 7, nil, nil), nil
+}
+
+// leaderSettings has what a leader needs of the settings.
+type leaderSettings struct{ Settings }
+
+func (leaderSettings) TaskLease() time.Duration { return time.Hour }
+
+// beforeTermStore is a store that calls a function when the key of the term is first read.
+type beforeTermStore struct {
+	*fakeStore
+	beforeTerm func()
+}
+
+func (s *beforeTermStore) Get(ctx context.Context, key string) (hfstore.Item, error) {
+	if f := s.beforeTerm; f != nil && key == termKey {
+		s.beforeTerm = nil
+		f()
+	}
+	return s.fakeStore.Get(ctx, key)
+}
+
+// catchUp applies the present state of the store to the mirror, as the watches do.
+func catchUp(t *testing.T, n *Node, s *fakeStore) {
+	t.Helper()
+	items, revision, err := s.List(t.Context(), "")
+	require.NoError(t, err)
+	for _, w := range []*prefixWatch{&n.recordWatch, &n.policyWatch, &n.workerWatch} {
+		listed := []hfstore.Item{}
+		for _, i := range items {
+			if strings.HasPrefix(i.Key(), w.prefix) {
+				listed = append(listed, i)
+			}
+		}
+		n.applyEvents(w, listed, revision, hflease.Now())
+	}
+}
+
+// newTakeoverNode returns a node whose store holds a queue, the given workers with 8
+// accelerators each, and a job a with two tasks that need 8 each.
+func newTakeoverNode(t *testing.T, s *fakeStore, m *idleMinions, workers ...string) *Node {
+	t.Helper()
+	n := newTestNode("new")
+	n.settings, n.formats, n.minions, n.store = leaderSettings{}, fakeFormats{}, m, s
+	n.stopStarted, n.leaderless = make(chan struct{}), make(chan struct{}, 1)
+	n.recordWatch, n.policyWatch, n.workerWatch = prefixWatch{prefix: recordPrefix}, prefixWatch{prefix: "op/"}, prefixWatch{prefix: "workers/"}
+	n.recordWatch.synced.Store(true)
+	batch := &hfstore.Batch{}
+	put := func(i hfstore.Item) { batch.Put(i.Key(), i.Value(), "") }
+	put(newItem(t, "op/policy", 0, &hfwork.Policy{Version: 1, Queues: []*hfwork.Queue{{Name: "q", Pool: "p", Attempts: 1}}}))
+	put(newItem(t, jobPrefix+"a", 0, &hfwork.Job{Id: "a", Queue: "q", Steps: []*hfwork.Step{{Count: 2, Accelerators: 8, Estimate: 10}}}))
+	for _, id := range workers {
+		put(newItem(t, "workers/"+id, 0, newTakeoverWorker(id)))
+	}
+	_, err := s.Commit(t.Context(), batch)
+	require.NoError(t, err)
+	return n
+}
+
+func newTakeoverWorker(id string) *hfwork.Worker {
+	return &hfwork.Worker{Id: id, Pool: "p", Rack: "r", Cpu: 1000, Memory: 1000, Accelerators: 8}
+}
+
+// newProgressCmd returns a command to store the progress of job a, and the roster.
+func newProgressCmd(step *hfwork.StepProgress, roster ...string) hfplan.StoreCmd {
+	var workers []*hfwork.Worker
+	for _, id := range roster {
+		workers = append(workers, newTakeoverWorker(id))
+	}
+	return hfplan.Store(map[string]*hfwork.Progress{"a": {State: hfwork.StateRunning, Steps: []*hfwork.StepProgress{step}}}, workers, nil)
+}
+
+// takeOver makes the node the leader and calls during while it leads.
+func takeOver(t *testing.T, n *Node, s *fakeStore, during func(ctx context.Context)) {
+	t.Helper()
+	lead, err := hfwire.Encode(&hfwork.Lead{Instance: "new"})
+	require.NoError(t, err)
+	epoch, err := s.Put(t.Context(), leadKey, lead, s.items[leadKey].Version(), "")
+	require.NoError(t, err)
+	catchUp(t, n, s)
+	ctx, cancel := context.WithCancel(t.Context())
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		_ = n.runLeader(ctx, hflease.NewTenure(epoch, hflease.Now(), time.Hour))
+		return nil
+	})
+	during(ctx)
+	cancel()
+	require.NoError(t, group.Wait())
+}
+
+// Guards against a scheduler that starts a task again whose end the earlier leader stored, and
+// acknowledged to the worker, after the new leader had read the records: a batch may take effect
+// until the new leader has written its term.
+func TestSchedulerKnowsBatchThatTookEffectBeforeItsTerm(t *testing.T) {
+	s, m := newFakeStore(), newIdleMinions()
+	n := newTakeoverNode(t, s, m, "w")
+	earlier := openTestWriter(t, s)
+	require.NoError(t, earlier.Save(t.Context(), newProgressCmd(&hfwork.StepProgress{Places: map[uint32]string{0: "w"}}, "w")))
+	s.lostAnswers = 1
+	require.Error(t, earlier.Save(t.Context(), newProgressCmd(&hfwork.StepProgress{Done: []byte{1}}, "w")))
+	n.store = &beforeTermStore{fakeStore: s, beforeTerm: s.applyDelayed}
+	takeOver(t, n, s, func(ctx context.Context) {
+		for {
+			select {
+			case start := <-m.starts:
+				require.Equal(t, uint32(1), start.Task().Index(), "task 0 is done")
+				return
+			case <-ctx.Done():
+				t.Error("nothing was started")
+				return
+			case <-time.After(100 * time.Millisecond): // the records reach the mirror late
+				catchUp(t, n, s)
+			}
+		}
+	})
+}
--- a/hfentry/watch.go
+++ b/hfentry/watch.go
@@ -20,7 +20,7 @@
 	// Every store call counts against a budget, so a watch pauses before its next call to
 	// gather more events.
 	standbyRecordPause = 200 * time.Millisecond // for our records, while this instance is not the leader
-	leaderRecordPause  = 10 * time.Millisecond  // for our records, on the leader
+	leaderRecordPause  = 10 * time.Millisecond  // for our records, on the leader and while it waits for them to take over
 	policyPause        = 20 * time.Millisecond
 
 	// Workers rewrite their entries all the time. Instances that are not the leader watch
@@ -58,7 +58,7 @@
 }
 
 func (n *Node) recordWatchPause() time.Duration {
-	if n.leader.Load() != nil {
+	if n.claiming.Load() {
 		return leaderRecordPause
 	}
 	return standbyRecordPause
