Withhold departures until the workers' entries are current

Tasks that run on a worker which had left and returned under its id could be started a second time by a new leader.

Cause: a new leader waits for its mirror of the records only. A worker that left, returned under the same id and got tasks from the earlier leader is in the roster and in places of tasks, while the mirror still has its departure: the new scheduler ended everything there. The mark of a departure also outlived its meaning: it is removed when a roster without the worker is applied, which may come before the watch delivers the departure; and it survived a list, before which the worker may have returned, been cut off from the store and lost its entry again.

Evidence, on the code before: TestReturnedWorkerIsNotTakenToHaveLeft: expected: 0x1, actual: 0x0: task 0 runs on w TestListForgetsDepartures: Should be empty, but was map[w:true]

Ruled out: the leader in office. It starts tasks on the returned worker only after its watch has delivered the return, in order after the departure.

Change: departures, those kept and those that the watch delivers, are reported once all events of the entries up to the revision of the term are applied; a return up to there removes the mark. A list removes all marks. TestDepartureBeforeTakeoverIsReported shows that a departure before the takeover is still reported, after the next answer of the watch; until then the tasks recorded on that worker wait.

--- a/hfentry/departure_test.go
+++ b/hfentry/departure_test.go
@@ -112,3 +112,15 @@
 	m.Apply(deletedItem("workers/w", 9))
 	require.Empty(t, m.workers)
 }
+
+// Guards against remembering a departure over a list: the worker may have returned, been cut off
+// from the store and lost its entry again before it, while it still runs tasks.
+func TestListForgetsDepartures(t *testing.T) {
+	m, now := NewMirror(fakeFormats{}, time.Hour), time.Unix(1000, 0)
+	m.setWriteTimes(now, now)
+	m.Apply(newItem(t, "workers/w", 1, &hfwork.Worker{Id: "w", Draining: true}))
+	m.Apply(deletedItem("workers/w", 2))
+	require.NotEmpty(t, m.leftWorkers)
+	m.Reset("workers/", nil, 9)
+	require.Empty(t, m.leftWorkers)
+}
--- a/hfentry/leader.go
+++ b/hfentry/leader.go
@@ -128,6 +128,10 @@
 	timing := hfplan.NewTiming(n.settings.TaskLease())
 	scheduler := hfplan.New(writer.Term(), timing, time.Now())
 	leader := hforder.NewLeader(scheduler, tenure, n.minions, n.adviser, n.machines, n.name, writer, n, timing)
+	hfloop.With(n.mirror, func(m *Mirror) struct{} {
+		m.withholdDepartures(writer.version)
+		return struct{}{}
+	})
 	n.leader.Store(leader)
 	defer n.leader.Store(nil)
 	n.log.Event(hfevent.LeaderElected, zap.Int64("epoch", tenure.Epoch()), zap.Int64("term", writer.Term()))
@@ -193,8 +197,8 @@
 	return hfloop.With(n.mirror, func(m *Mirror) []hfplan.Msg {
 		msgs := []hfplan.Msg{hfplan.Policy(m.policy.config), hfplan.Roster(m.roster.GetWorkers())}
 		msgs = append(msgs, hfplan.Workers(maps.Clone(m.workers)))
-		for _, id := range slices.Sorted(maps.Keys(m.leftWorkers)) {
-			msgs = append(msgs, hfplan.WorkerLeft(id))
+		for _, c := range m.departures() {
+			msgs = append(msgs, hfplan.WorkerLeft(c.leftWorker))
 		}
 		for _, number := range slices.Sorted(maps.Keys(m.requestedWaves)) {
 			msgs = append(msgs, hfplan.Wave(m.currentWave(number)))
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -4,6 +4,8 @@
 package hfentry
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -82,7 +84,9 @@
 	jobs              map[string]*jobRecord
 	workers           map[string]*hfwork.Worker
 	lastWrites        map[string]entryWrite // of the workers' entries, including invalid ones
-	leftWorkers       map[string]bool       // workers in the roster that have left as planned
+	leftWorkers       map[string]bool       // workers in the roster that have left as planned; see hasLeft
+	workerRevision    int64                 // all events of the workers' entries up to this store revision are applied
+	departuresFrom    int64                 // departures are reported once workerRevision has reached this store revision
 	writtenAfter      time.Time             // the items that are applied next were written after this time; zero if unknown
 	receivedAt        time.Time             // when the items that are applied next were received
 	heartbeatInterval func() time.Duration  // at which workers write their entries
@@ -121,6 +125,7 @@
 	switch prefix {
 	case m.formats.WorkerPrefix():
 		m.workers, m.lastWrites = map[string]*hfwork.Worker{}, map[string]entryWrite{}
+		clear(m.leftWorkers) // a worker may have returned and lost its entry again since
 		changes = append(changes, change{workers: true})
 	case recordPrefix:
 		m.lead, m.instances = nil, map[string]*hfwork.Instance{}
@@ -134,20 +139,52 @@
 		}
 		changes = append(changes, m.Apply(i))
 	}
-	if prefix != recordPrefix {
-		return changes
+	if prefix == recordPrefix {
+		for id := range m.jobs {
+			if !listedJobs[id] {
+				delete(m.jobs, id)
+			}
+		}
 	}
-	for id := range m.jobs {
-		if !listedJobs[id] {
-			delete(m.jobs, id)
+	return append(changes, m.advance(prefix, revision)...)
+}
+
+// advance records that all events below a prefix up to a revision are applied.
+func (m *Mirror) advance(prefix string, revision int64) []change {
+	switch prefix {
+	case recordPrefix:
+		m.appliedRevision = max(m.appliedRevision, revision)
+	case m.formats.WorkerPrefix():
+		withheld := m.workerRevision < m.departuresFrom
+		m.workerRevision = max(m.workerRevision, revision)
+		if withheld && m.workerRevision >= m.departuresFrom {
+			return m.departures()
+		}
+	}
+	return nil
+}
+
+// departures returns a change for each worker that has left.
+func (m *Mirror) departures() []change {
+	var changes []change
+	for _, id := range slices.Sorted(maps.Keys(m.leftWorkers)) {
+		if m.hasLeft(id) {
+			changes = append(changes, change{leftWorker: id})
 		}
 	}
-	m.Advance(revision)
 	return changes
 }
 
-// Advance records that all events of our own records up to a revision are applied.
-func (m *Mirror) Advance(revision int64) { m.appliedRevision = max(m.appliedRevision, revision) }
+// hasLeft reports whether a worker has left as planned and has not returned under its id by
+// the revision from which the scheduler started. An older departure says nothing about the runs
+// that the scheduler knows.
+func (m *Mirror) hasLeft(id string) bool {
+	return m.leftWorkers[id] && m.workerRevision >= m.departuresFrom
+}
+
+// withholdDepartures withholds departures until all events of the workers' entries up to a
+// store revision are applied.
+func (m *Mirror) withholdDepartures(revision int64) { m.departuresFrom = revision }
 
 // setWriteTimes sets between which times the items that are applied next were written, on a
 // clock that never stops or jumps. after is zero if it is not known.
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -165,7 +165,7 @@
 func (n *Node) notify(changes []change) {
 	workersChanged := false
 	for _, c := range changes {
-		if l := n.leader.Load(); l != nil && c.leftWorker != "" {
+		if l := n.leader.Load(); l != nil && c.leftWorker != "" && hfloop.With(n.mirror, func(m *Mirror) bool { return m.hasLeft(c.leftWorker) }) {
 			l.Send(hfplan.WorkerLeft(c.leftWorker))
 		}
 		if c.err != nil {
--- a/hfentry/takeover_test.go
+++ b/hfentry/takeover_test.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/heatherfront/heatherfront/hflease"
+	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hforder"
 	"github.com/heatherfront/heatherfront/hfplan"
 	"github.com/heatherfront/heatherfront/hfstore"
@@ -32,9 +33,13 @@
 	return m
 }
 
-func (m *idleMinions) Start(_ context.Context, _ *hfwork.Worker, s hforder.Start) error {
-	m.starts <- s
-	return nil
+func (m *idleMinions) Start(ctx context.Context, _ *hfwork.Worker, s hforder.Start) error {
+	select {
+	case m.starts <- s:
+		return nil
+	case <-ctx.Done():
+		return hforder.ErrUnanswered
+	}
 }
 
 func (m *idleMinions) Poll(ctx context.Context, w *hfwork.Worker, _ hforder.PollRequest) (hfwork.Report, error) {
@@ -67,12 +72,12 @@
 	return s.fakeStore.Get(ctx, key)
 }
 
-// catchUp applies the present state of the store to the mirror, as the watches do.
-func catchUp(t *testing.T, n *Node, s *fakeStore) {
+// catchUp applies the present state of the store to the mirror, as the given watches do.
+func catchUp(t *testing.T, n *Node, s *fakeStore, watches ...*prefixWatch) {
 	t.Helper()
 	items, revision, err := s.List(t.Context(), "")
 	require.NoError(t, err)
-	for _, w := range []*prefixWatch{&n.recordWatch, &n.policyWatch, &n.workerWatch} {
+	for _, w := range watches {
 		listed := []hfstore.Item{}
 		for _, i := range items {
 			if strings.HasPrefix(i.Key(), w.prefix) {
@@ -88,6 +93,7 @@
 func newTakeoverNode(t *testing.T, s *fakeStore, m *idleMinions, workers ...string) *Node {
 	t.Helper()
 	n := newTestNode("new")
+	n.mirror = hfloop.NewGuarded(NewMirror(fakeFormats{}, time.Hour))
 	n.settings, n.formats, n.minions, n.store = leaderSettings{}, fakeFormats{}, m, s
 	n.stopStarted, n.leaderless = make(chan struct{}), make(chan struct{}, 1)
 	n.recordWatch, n.policyWatch, n.workerWatch = prefixWatch{prefix: recordPrefix}, prefixWatch{prefix: "op/"}, prefixWatch{prefix: "workers/"}
@@ -101,6 +107,7 @@
 	}
 	_, err := s.Commit(t.Context(), batch)
 	require.NoError(t, err)
+	catchUp(t, n, s, &n.recordWatch, &n.policyWatch, &n.workerWatch)
 	return n
 }
 
@@ -117,14 +124,36 @@
 	return hfplan.Store(map[string]*hfwork.Progress{"a": {State: hfwork.StateRunning, Steps: []*hfwork.StepProgress{step}}}, workers, nil)
 }
 
-// takeOver makes the node the leader and calls during while it leads.
+// putWorker stores the entry of a worker.
+func putWorker(t *testing.T, s *fakeStore, w *hfwork.Worker) {
+	t.Helper()
+	value, err := hfwire.Encode(w)
+	require.NoError(t, err)
+	_, err = s.Commit(t.Context(), (&hfstore.Batch{}).Put("workers/"+w.GetId(), value, ""))
+	require.NoError(t, err)
+}
+
+// letLeave lets a worker drain and remove its entry, which the node's watch delivers.
+func letLeave(t *testing.T, n *Node, s *fakeStore, id string) {
+	t.Helper()
+	w := newTakeoverWorker(id)
+	w.Draining = true
+	putWorker(t, s, w)
+	catchUp(t, n, s, &n.workerWatch)
+	revision, err := s.Commit(t.Context(), (&hfstore.Batch{}).Remove("workers/"+id))
+	require.NoError(t, err)
+	n.applyEvents(&n.workerWatch, []hfstore.Item{deletedItem("workers/"+id, revision)}, revision, hflease.Now())
+}
+
+// takeOver makes the node the leader and calls during while it leads. Only the records are up to
+// date by then.
 func takeOver(t *testing.T, n *Node, s *fakeStore, during func(ctx context.Context)) {
 	t.Helper()
 	lead, err := hfwire.Encode(&hfwork.Lead{Instance: "new"})
 	require.NoError(t, err)
 	epoch, err := s.Put(t.Context(), leadKey, lead, s.items[leadKey].Version(), "")
 	require.NoError(t, err)
-	catchUp(t, n, s)
+	catchUp(t, n, s, &n.recordWatch)
 	ctx, cancel := context.WithCancel(t.Context())
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
@@ -157,7 +186,61 @@
 				t.Error("nothing was started")
 				return
 			case <-time.After(100 * time.Millisecond): // the records reach the mirror late
-				catchUp(t, n, s)
+				catchUp(t, n, s, &n.recordWatch)
+			}
+		}
+	})
+}
+
+// Guards against a scheduler that takes a worker to have left because the mirror holds its
+// departure, but not yet its return under the same id: the tasks that the earlier leader has
+// started there since would run twice.
+func TestReturnedWorkerIsNotTakenToHaveLeft(t *testing.T) {
+	s, m := newFakeStore(), newIdleMinions("w")
+	n := newTakeoverNode(t, s, m, "v", "w")
+	letLeave(t, n, s, "w")
+	putWorker(t, s, newTakeoverWorker("w")) // the watch has not delivered it yet
+	progress := newProgressCmd(&hfwork.StepProgress{Places: map[uint32]string{0: "w"}}, "v", "w")
+	require.NoError(t, openTestWriter(t, s).Save(t.Context(), progress))
+	takeOver(t, n, s, func(ctx context.Context) {
+		for caughtUp := false; ; {
+			select {
+			case start := <-m.starts:
+				require.Equal(t, uint32(1), start.Task().Index(), "task 0 runs on w")
+				if caughtUp {
+					return
+				}
+				catchUp(t, n, s, &n.recordWatch, &n.workerWatch)
+				caughtUp = true
+			case <-ctx.Done():
+				t.Error("nothing was started")
+				return
+			case <-time.After(100 * time.Millisecond):
+				catchUp(t, n, s, &n.recordWatch)
+			}
+		}
+	})
+}
+
+// Guards against waiting for the leases of a worker that has left before the takeover.
+func TestDepartureBeforeTakeoverIsReported(t *testing.T) {
+	s, m := newFakeStore(), newIdleMinions("w")
+	n := newTakeoverNode(t, s, m, "v1", "v2", "w")
+	progress := newProgressCmd(&hfwork.StepProgress{Places: map[uint32]string{0: "w"}}, "v1", "v2", "w")
+	require.NoError(t, openTestWriter(t, s).Save(t.Context(), progress))
+	letLeave(t, n, s, "w")
+	takeOver(t, n, s, func(ctx context.Context) {
+		for {
+			select {
+			case start := <-m.starts:
+				if start.Task().Index() == 0 {
+					return
+				}
+			case <-ctx.Done():
+				t.Error("task 0 was not started")
+				return
+			case <-time.After(20 * time.Millisecond):
+				catchUp(t, n, s, &n.recordWatch, &n.workerWatch)
 			}
 		}
 	})
--- a/hfentry/watch.go
+++ b/hfentry/watch.go
@@ -126,10 +126,7 @@
 		for _, i := range items {
 			applied = append(applied, m.Apply(i))
 		}
-		if w.prefix == recordPrefix {
-			m.Advance(revision)
-		}
-		return applied
+		return append(applied, m.advance(w.prefix, revision)...)
 	})
 	w.revision = max(w.revision, revision)
 	if !isBacklog(items) {
