Purge jobs by the time since their end is known

Cause: the end of a job is stored in the time of day of the leader that ended it, and compared with that of the leader that purges.

Ruled out: a submission that the store carries out late. It is conditional on a missing key, and the key stays for the retention time. A list whose pages were read before and after a batch: the jobs, which the last pages hold, are created before their progress, and the watch repeats what changed since the first page.

Change: the mirror notes when it first held the end of a job, on the clock that never stops or jumps, and the leader purges by that. A job is kept longer if its leader started later, never shorter.

--- a/hfentry/leader.go
+++ b/hfentry/leader.go
@@ -222,11 +222,11 @@
 	return revision, nil
 }
 
-// purge removes expired records from the store until ctx ends: jobs that ended longer ago than
-// the retention time, and instances that no longer write their entries.
+// purge removes expired records from the store until ctx ends: jobs whose end has been known
+// for longer than the retention time, and instances that no longer write their entries.
 func (n *Node) purge(ctx context.Context, epoch int64) {
 	for hfloop.Sleep(ctx, purgeInterval) {
-		before := time.Now().Add(-n.settings.Retention() - purgeMargin)
+		before := hflease.Now().Add(-n.settings.Retention() - purgeMargin)
 		ids := hfloop.With(n.mirror, func(m *Mirror) []string { return m.endedJobs(before) })
 		for chunk := range slices.Chunk(ids, (hfstore.MaxBatch-1)/keysPerJob) {
 			batch := (&hfstore.Batch{}).Require(leadKey, epoch)
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -52,7 +52,8 @@
 type jobRecord struct {
 	job       *hfwork.Job // nil if only its progress or cancellation is known
 	progress  *hfwork.Progress
-	version   int64 // store revision of the progress
+	version   int64     // store revision of the progress
+	endSeen   time.Time // when a final state was first applied, on the clock of Mirror.receivedAt; zero before
 	cancelled bool
 }
 
@@ -88,7 +89,7 @@
 	workerRevision    int64                 // all events of the workers' entries up to this store revision are applied
 	departuresFrom    int64                 // departures are reported once workerRevision has reached this store revision
 	writtenAfter      time.Time             // the items that are applied next were written after this time; zero if unknown
-	receivedAt        time.Time             // when the items that are applied next were received
+	receivedAt        time.Time             // when the items that are applied next were received, on a clock that never stops or jumps
 	heartbeatInterval func() time.Duration  // at which workers write their entries
 	roster            *hfwork.Roster
 	requestedWaves    map[int64]*hfwork.Wave // as requested by operators, by number
@@ -131,7 +132,7 @@
 		m.lead, m.instances = nil, map[string]*hfwork.Instance{}
 		changes = append(changes, change{lead: true})
 	}
-	m.setWriteTimes(time.Time{}, time.Time{}) // the age of the entries in a list is not known
+	m.writtenAfter = time.Time{} // the age of the entries in a list is not known
 	listedJobs := map[string]bool{}
 	for _, i := range items {
 		if id, ok := strings.CutPrefix(i.Key(), jobPrefix); ok {
@@ -186,8 +187,8 @@
 // store revision are applied.
 func (m *Mirror) withholdDepartures(revision int64) { m.departuresFrom = revision }
 
-// setWriteTimes sets between which times the items that are applied next were written, on a
-// clock that never stops or jumps. after is zero if it is not known.
+// setWriteTimes sets between which times the items that are applied next were written. after
+// is zero if it is not known.
 func (m *Mirror) setWriteTimes(after, receivedAt time.Time) {
 	m.writtenAfter, m.receivedAt = after, receivedAt
 }
@@ -362,6 +363,9 @@
 	r.version = i.Version()
 	if hfwork.IsFinal(p.GetState()) {
 		p.Steps = nil // no longer needed
+		if r.endSeen.IsZero() {
+			r.endSeen = m.receivedAt
+		}
 	}
 	r.progress = p
 	return change{}
@@ -378,11 +382,12 @@
 	return n
 }
 
-// endedJobs lists the jobs that ended before the given time.
+// endedJobs lists the jobs whose end was known before the given time. The time of the end
+// itself comes from a clock that may have jumped.
 func (m *Mirror) endedJobs(before time.Time) []string {
 	var list []string
 	for id, r := range m.jobs {
-		if ended := r.progress.GetEnded(); ended != 0 && hfwork.IsFinal(r.progress.GetState()) && ended < before.UnixMilli() {
+		if ended := r.progress.GetEnded(); ended != 0 && hfwork.IsFinal(r.progress.GetState()) && !r.endSeen.IsZero() && r.endSeen.Before(before) {
 			list = append(list, id)
 		}
 	}
--- a/hfentry/mirror_test.go
+++ b/hfentry/mirror_test.go
@@ -177,3 +177,18 @@
 	m.Apply(newItem(t, "workers/w", 4, &hfwork.Worker{Id: "w", Draining: true}))
 	require.Equal(t, "w", m.Apply(deletedItem("workers/w", 5)).leftWorker, "the worker wrote its entry after the list")
 }
+
+// Guards against running a job again that was purged too early: a repeated submission creates
+// its key anew. The clock of the leader that ended the job, or of the one that purges it, may have
+// jumped, so that only the time since the mirror has known of the end counts.
+func TestJobIsKeptForRetentionAfterEndIsKnown(t *testing.T) {
+	m, now := NewMirror(fakeFormats{}, time.Second), time.Unix(1000, 0)
+	ended := &hfwork.Progress{State: hfwork.StateCompleted, Ended: 1}
+	m.setWriteTimes(time.Time{}, now)
+	m.Apply(newItem(t, jobPrefix+"a", 1, &hfwork.Job{Id: "a"}))
+	m.Apply(newItem(t, progressPrefix+"a", 2, ended))
+	require.Empty(t, m.endedJobs(now))
+	m.setWriteTimes(time.Time{}, now.Add(time.Minute))
+	m.Reset(recordPrefix, []hfstore.Item{newItem(t, progressPrefix+"a", 2, ended), newItem(t, jobPrefix+"a", 1, &hfwork.Job{Id: "a"})}, 9)
+	require.Equal(t, []string{"a"}, m.endedJobs(now.Add(time.Second)), "a list does not postpone it")
+}
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/heatherfront/heatherfront/hfevent"
+	"github.com/heatherfront/heatherfront/hflease"
 	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hforder"
 	"github.com/heatherfront/heatherfront/hfpeer"
@@ -157,7 +158,11 @@
 // applyItem applies an item to the mirror that did not come from a watch: one that this
 // instance read or wrote itself, or a hint.
 func (n *Node) applyItem(i hfstore.Item) {
-	n.notify([]change{hfloop.With(n.mirror, func(m *Mirror) change { return m.Apply(i) })})
+	receivedAt := hflease.Now()
+	n.notify([]change{hfloop.With(n.mirror, func(m *Mirror) change {
+		m.setWriteTimes(time.Time{}, receivedAt)
+		return m.Apply(i)
+	})})
 }
 
 // notify logs rejected entries, passes changes to the scheduler if this instance is the leader,
--- a/hfentry/watch.go
+++ b/hfentry/watch.go
@@ -109,7 +109,11 @@
 	if err != nil {
 		return false
 	}
-	changes := hfloop.With(n.mirror, func(m *Mirror) []change { return m.Reset(w.prefix, items, revision) })
+	receivedAt := hflease.Now()
+	changes := hfloop.With(n.mirror, func(m *Mirror) []change {
+		m.setWriteTimes(time.Time{}, receivedAt)
+		return m.Reset(w.prefix, items, revision)
+	})
 	n.log.Event(hfevent.MirrorReset, zap.String("prefix", w.prefix), zap.Int("items", len(items)), zap.Int64("revision", revision))
 	w.revision, w.completeUntil = revision, sent
 	w.synced.Store(true)
