--- a/hfentry/leader.go
+++ b/hfentry/leader.go
@@ -102,6 +102,8 @@
 		return hfwire.Encode(&hfwork.Lead{Instance: n.name, Nonce: uuid.NewString(), Address: n.peerAddress, Lease: lease})
 	}
 	ttl := max(leaderTTL, n.settings.MinLease())
+	n.claiming.Store(true)
+	defer n.claiming.Store(false)
 	tenure, lease, err := hflease.Acquire(ctx, n.store, leadKey, value, ttl)
 	if err != nil {
 		return fmt.Errorf("claim leadership: %w", err)
@@ -119,16 +121,17 @@
 func (n *Node) runLeader(ctx context.Context, tenure *hflease.Tenure) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if err := n.awaitMirror(ctx, tenure.Epoch()); err != nil {
-		return fmt.Errorf("catch up: %w", err)
-	}
-	writer, err := n.openWriter(ctx, tenure.Epoch())
+	writer, err := n.fenceRecords(ctx, tenure.Epoch())
 	if err != nil {
 		return fmt.Errorf("prepare records: %w", err)
 	}
 	timing := hfplan.NewTiming(n.settings.TaskLease())
 	scheduler := hfplan.New(writer.Term(), timing, time.Now())
 	leader := hforder.NewLeader(scheduler, tenure, n.minions, n.adviser, n.machines, n.name, writer, n, timing)
+	hfloop.With(n.mirror, func(m *Mirror) struct{} {
+		m.withholdDepartures(writer.version)
+		return struct{}{}
+	})
 	n.leader.Store(leader)
 	defer n.leader.Store(nil)
 	n.log.Event(hfevent.LeaderElected, zap.Int64("epoch", tenure.Epoch()), zap.Int64("term", writer.Term()))
@@ -160,11 +163,28 @@
 	return nil
 }
 
-// awaitMirror waits until the mirror holds everything that was written before the epoch began.
-func (n *Node) awaitMirror(ctx context.Context, epoch int64) error {
+// fenceRecords returns the writer of a new leadership, when no earlier leadership can change a
+// record any more and the mirror holds all that they have written. Until the term is stored, a
+// batch of the earlier leadership may still take effect.
+func (n *Node) fenceRecords(ctx context.Context, epoch int64) (*fencedWriter, error) {
+	if err := n.awaitMirror(ctx, epoch); err != nil {
+		return nil, fmt.Errorf("last term: %w", err)
+	}
+	writer, err := n.openWriter(ctx, epoch)
+	if err != nil {
+		return nil, fmt.Errorf("term: %w", err)
+	}
+	if err := n.awaitMirror(ctx, writer.version); err != nil {
+		return nil, fmt.Errorf("records before term %d: %w", writer.Term(), err)
+	}
+	return writer, nil
+}
+
+// awaitMirror waits until the mirror holds all records up to a store revision.
+func (n *Node) awaitMirror(ctx context.Context, revision int64) error {
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	for hfloop.With(n.mirror, func(m *Mirror) bool { return m.appliedRevision < epoch }) || !n.recordWatch.synced.Load() {
+	for hfloop.With(n.mirror, func(m *Mirror) bool { return m.appliedRevision < revision }) || !n.recordWatch.synced.Load() {
 		if !hfloop.Sleep(ctx, catchUpPause) {
 			return fmt.Errorf("await mirror: %w", ctx.Err())
 		}
@@ -177,8 +197,8 @@
 	return hfloop.With(n.mirror, func(m *Mirror) []hfplan.Msg {
 		msgs := []hfplan.Msg{hfplan.Policy(m.policy.config), hfplan.Roster(m.roster.GetWorkers())}
 		msgs = append(msgs, hfplan.Workers(maps.Clone(m.workers)))
-		for _, id := range slices.Sorted(maps.Keys(m.leftWorkers)) {
-			msgs = append(msgs, hfplan.WorkerLeft(id))
+		for _, c := range m.departures() {
+			msgs = append(msgs, hfplan.WorkerLeft(c.leftWorker))
 		}
 		for _, number := range slices.Sorted(maps.Keys(m.requestedWaves)) {
 			msgs = append(msgs, hfplan.Wave(m.currentWave(number)))
@@ -202,11 +222,11 @@
 	return revision, nil
 }
 
-// purge removes expired records from the store until ctx ends: jobs that ended longer ago than
-// the retention time, and instances that no longer write their entries.
+// purge removes expired records from the store until ctx ends: jobs whose end has been known
+// for longer than the retention time, and instances that no longer write their entries.
 func (n *Node) purge(ctx context.Context, epoch int64) {
 	for hfloop.Sleep(ctx, purgeInterval) {
-		before := time.Now().Add(-n.settings.Retention() - purgeMargin)
+		before := hflease.Now().Add(-n.settings.Retention() - purgeMargin)
 		ids := hfloop.With(n.mirror, func(m *Mirror) []string { return m.endedJobs(before) })
 		for chunk := range slices.Chunk(ids, (hfstore.MaxBatch-1)/keysPerJob) {
 			batch := (&hfstore.Batch{}).Require(leadKey, epoch)
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -4,6 +4,8 @@
 package hfentry
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -50,7 +52,8 @@
 type jobRecord struct {
 	job       *hfwork.Job // nil if only its progress or cancellation is known
 	progress  *hfwork.Progress
-	version   int64 // store revision of the progress
+	version   int64     // store revision of the progress
+	endSeen   time.Time // when a final state was first applied, on the clock of Mirror.receivedAt; zero before
 	cancelled bool
 }
 
@@ -68,6 +71,12 @@
 	return hfwork.StateQueued
 }
 
+// entryWrite describes the last write of a worker's entry.
+type entryWrite struct {
+	version int64     // store revision of the write
+	after   time.Time // the entry was written after this time; zero if unknown
+}
+
 // Mirror is a copy of the store in memory, kept current by watches.
 type Mirror struct {
 	formats           Formats
@@ -75,10 +84,13 @@
 	policyVersion     int64 // store revision of the configuration
 	jobs              map[string]*jobRecord
 	workers           map[string]*hfwork.Worker
-	lastHeartbeats    map[string]time.Time // when a worker's entry was last seen to be written; zero if unknown
-	leftWorkers       map[string]bool      // workers in the roster that have left as planned
-	delayed           bool                 // applied items may have been written long ago: a list, or events after a gap
-	heartbeatInterval func() time.Duration // at which workers write their entries
+	lastWrites        map[string]entryWrite // of the workers' entries, including invalid ones
+	leftWorkers       map[string]bool       // workers in the roster that have left as planned; see hasLeft
+	workerRevision    int64                 // all events of the workers' entries up to this store revision are applied
+	departuresFrom    int64                 // departures are reported once workerRevision has reached this store revision
+	writtenAfter      time.Time             // the items that are applied next were written after this time; zero if unknown
+	receivedAt        time.Time             // when the items that are applied next were received, on a clock that never stops or jumps
+	heartbeatInterval func() time.Duration  // at which workers write their entries
 	roster            *hfwork.Roster
 	requestedWaves    map[int64]*hfwork.Wave // as requested by operators, by number
 	storedWaves       map[int64]*hfwork.Wave // as stored by the leader, by number
@@ -92,7 +104,7 @@
 func NewMirror(f Formats, heartbeatInterval time.Duration) *Mirror {
 	return &Mirror{
 		formats: f, jobs: map[string]*jobRecord{}, workers: map[string]*hfwork.Worker{}, roster: &hfwork.Roster{},
-		lastHeartbeats: map[string]time.Time{}, leftWorkers: map[string]bool{}, heartbeatInterval: func() time.Duration { return heartbeatInterval },
+		lastWrites: map[string]entryWrite{}, leftWorkers: map[string]bool{}, heartbeatInterval: func() time.Duration { return heartbeatInterval },
 		requestedWaves: map[int64]*hfwork.Wave{}, storedWaves: map[int64]*hfwork.Wave{}, instances: map[string]*hfwork.Instance{},
 	}
 }
@@ -113,13 +125,14 @@
 	var changes []change
 	switch prefix {
 	case m.formats.WorkerPrefix():
-		m.workers, m.lastHeartbeats = map[string]*hfwork.Worker{}, map[string]time.Time{}
+		m.workers, m.lastWrites = map[string]*hfwork.Worker{}, map[string]entryWrite{}
+		clear(m.leftWorkers) // a worker may have returned and lost its entry again since
 		changes = append(changes, change{workers: true})
 	case recordPrefix:
 		m.lead, m.instances = nil, map[string]*hfwork.Instance{}
 		changes = append(changes, change{lead: true})
 	}
-	m.delayed = true // the age of the entries in a list is not known
+	m.writtenAfter = time.Time{} // the age of the entries in a list is not known
 	listedJobs := map[string]bool{}
 	for _, i := range items {
 		if id, ok := strings.CutPrefix(i.Key(), jobPrefix); ok {
@@ -127,20 +140,58 @@
 		}
 		changes = append(changes, m.Apply(i))
 	}
-	if prefix != recordPrefix {
-		return changes
+	if prefix == recordPrefix {
+		for id := range m.jobs {
+			if !listedJobs[id] {
+				delete(m.jobs, id)
+			}
+		}
 	}
-	for id := range m.jobs {
-		if !listedJobs[id] {
-			delete(m.jobs, id)
+	return append(changes, m.advance(prefix, revision)...)
+}
+
+// advance records that all events below a prefix up to a revision are applied.
+func (m *Mirror) advance(prefix string, revision int64) []change {
+	switch prefix {
+	case recordPrefix:
+		m.appliedRevision = max(m.appliedRevision, revision)
+	case m.formats.WorkerPrefix():
+		withheld := m.workerRevision < m.departuresFrom
+		m.workerRevision = max(m.workerRevision, revision)
+		if withheld && m.workerRevision >= m.departuresFrom {
+			return m.departures()
+		}
+	}
+	return nil
+}
+
+// departures returns a change for each worker that has left.
+func (m *Mirror) departures() []change {
+	var changes []change
+	for _, id := range slices.Sorted(maps.Keys(m.leftWorkers)) {
+		if m.hasLeft(id) {
+			changes = append(changes, change{leftWorker: id})
 		}
 	}
-	m.Advance(revision)
 	return changes
 }
 
-// Advance records that all events of our own records up to a revision are applied.
-func (m *Mirror) Advance(revision int64) { m.appliedRevision = max(m.appliedRevision, revision) }
+// hasLeft reports whether a worker has left as planned and has not returned under its id by
+// the revision from which the scheduler started. An older departure says nothing about the runs
+// that the scheduler knows.
+func (m *Mirror) hasLeft(id string) bool {
+	return m.leftWorkers[id] && m.workerRevision >= m.departuresFrom
+}
+
+// withholdDepartures withholds departures until all events of the workers' entries up to a
+// store revision are applied.
+func (m *Mirror) withholdDepartures(revision int64) { m.departuresFrom = revision }
+
+// setWriteTimes sets between which times the items that are applied next were written. after
+// is zero if it is not known.
+func (m *Mirror) setWriteTimes(after, receivedAt time.Time) {
+	m.writtenAfter, m.receivedAt = after, receivedAt
+}
 
 // Apply applies one listed item or watched event.
 func (m *Mirror) Apply(i hfstore.Item) change {
@@ -249,21 +300,19 @@
 }
 
 func (m *Mirror) applyWorker(id string, i hfstore.Item) change {
+	if i.Version() < m.lastWrites[id].version {
+		return change{} // written before a list that has a later write
+	}
 	if i.Deleted() {
 		c := change{workers: true}
-		// An entry expires three intervals after its last write. One that is deleted within
-		// half of that was removed by the worker.
-		if m.workers[id].GetDraining() && time.Since(m.lastHeartbeats[id]) < m.heartbeatInterval()*3/2 {
+		if m.removedByWorker(id) {
 			c.leftWorker, m.leftWorkers[id] = id, true
 		}
 		delete(m.workers, id)
-		delete(m.lastHeartbeats, id)
+		delete(m.lastWrites, id)
 		return c
 	}
-	m.lastHeartbeats[id] = time.Now()
-	if m.delayed {
-		m.lastHeartbeats[id] = time.Time{}
-	}
+	m.lastWrites[id] = entryWrite{version: i.Version(), after: m.writtenAfter}
 	delete(m.leftWorkers, id)
 	w, err := m.formats.Worker(id, i.Value())
 	if err != nil {
@@ -274,6 +323,18 @@
 	return change{workers: true}
 }
 
+// maxRemovalIntervals is the number of heartbeat intervals within which an entry must have
+// been written and deleted to be known as removed by its worker. An entry expires three
+// intervals after its last write; the third is a margin for writes that the store delays.
+const maxRemovalIntervals = 2
+
+// removedByWorker reports whether an entry that is deleted was certainly removed by its worker
+// as it left, instead of having expired, as it does if the worker cannot reach the store.
+func (m *Mirror) removedByWorker(id string) bool {
+	after := m.lastWrites[id].after
+	return m.workers[id].GetDraining() && !after.IsZero() && m.receivedAt.Sub(after) < maxRemovalIntervals*m.heartbeatInterval()
+}
+
 func (m *Mirror) applyJob(id string, i hfstore.Item) change {
 	if i.Deleted() {
 		delete(m.jobs, id)
@@ -302,6 +363,9 @@
 	r.version = i.Version()
 	if hfwork.IsFinal(p.GetState()) {
 		p.Steps = nil // no longer needed
+		if r.endSeen.IsZero() {
+			r.endSeen = m.receivedAt
+		}
 	}
 	r.progress = p
 	return change{}
@@ -318,11 +382,12 @@
 	return n
 }
 
-// endedJobs lists the jobs that ended before the given time.
+// endedJobs lists the jobs whose end was known before the given time. The time of the end
+// itself comes from a clock that may have jumped.
 func (m *Mirror) endedJobs(before time.Time) []string {
 	var list []string
 	for id, r := range m.jobs {
-		if ended := r.progress.GetEnded(); ended != 0 && hfwork.IsFinal(r.progress.GetState()) && ended < before.UnixMilli() {
+		if ended := r.progress.GetEnded(); ended != 0 && hfwork.IsFinal(r.progress.GetState()) && !r.endSeen.IsZero() && r.endSeen.Before(before) {
 			list = append(list, id)
 		}
 	}
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/heatherfront/heatherfront/hfevent"
+	"github.com/heatherfront/heatherfront/hflease"
 	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hforder"
 	"github.com/heatherfront/heatherfront/hfpeer"
@@ -61,6 +62,7 @@
 	policyWatch prefixWatch // watches what operators write
 	workerWatch prefixWatch // watches the workers' entries
 	stopping    atomic.Bool
+	claiming    atomic.Bool                    // this instance tries to become the leader, or is the leader
 	leader      atomic.Pointer[hforder.Leader] // nil unless this instance is the leader
 	leaderless  chan struct{}                  // receives a value when there is no leader
 	stopStarted chan struct{}                  // closed when a planned stop begins
@@ -156,7 +158,11 @@
 // applyItem applies an item to the mirror that did not come from a watch: one that this
 // instance read or wrote itself, or a hint.
 func (n *Node) applyItem(i hfstore.Item) {
-	n.notify([]change{hfloop.With(n.mirror, func(m *Mirror) change { return m.Apply(i) })})
+	receivedAt := hflease.Now()
+	n.notify([]change{hfloop.With(n.mirror, func(m *Mirror) change {
+		m.setWriteTimes(time.Time{}, receivedAt)
+		return m.Apply(i)
+	})})
 }
 
 // notify logs rejected entries, passes changes to the scheduler if this instance is the leader,
@@ -164,7 +170,7 @@
 func (n *Node) notify(changes []change) {
 	workersChanged := false
 	for _, c := range changes {
-		if l := n.leader.Load(); l != nil && c.leftWorker != "" {
+		if l := n.leader.Load(); l != nil && c.leftWorker != "" && hfloop.With(n.mirror, func(m *Mirror) bool { return m.hasLeft(c.leftWorker) }) {
 			l.Send(hfplan.WorkerLeft(c.leftWorker))
 		}
 		if c.err != nil {
