Log sink: write the last lines, and count drops exactly in the test

Cause of the failure: the test did not wait until the writer had stalled. Run empties the channel into its batch before it reaches the writer, so that the count depended on who ran first. Test: it now waits until the writer has stalled with one line, and asks for the exact number, 992 dropped and 8 written in the end; stricter than 900. Run now leaves only after the batch that it collected once ctx had ended.

--- a/hfevent/sink.go
+++ b/hfevent/sink.go
@@ -42,12 +42,13 @@
 // buffered when ctx ends are written as one last batch; any beyond its size are lost.
 func (s *Sink) Run(ctx context.Context) error {
 	var batch []byte
-	for {
+	for ended := false; !ended; {
+		batch = batch[:0]
 		select {
 		case line := <-s.lines:
-			batch = append(batch[:0], line...)
+			batch = append(batch, line...)
 		case <-ctx.Done():
-			batch = batch[:0]
+			ended = true
 		}
 		for more := true; more && len(batch) < maxBatchBytes; {
 			select {
@@ -60,10 +61,8 @@
 		if _, err := s.out.Write(batch); err != nil {
 			return fmt.Errorf("write log: %w", err)
 		}
-		if ctx.Err() != nil {
-			return nil
-		}
 	}
+	return nil
 }
 
 // maxBatchBytes is the size at which a batch takes no further lines.
--- a/hfevent/sink_test.go
+++ b/hfevent/sink_test.go
@@ -1,6 +1,7 @@
 package hfevent
 
 import (
+	"bytes"
 	"context"
 	"testing"
 	"time"
@@ -8,23 +9,38 @@
 	"github.com/stretchr/testify/require"
 )
 
-// stalledWriter is a writer whose Write blocks until release is closed.
-type stalledWriter struct{ release chan struct{} }
+// stalledWriter blocks each Write until release is closed. It sends the number of lines
+// of each batch to batches when its Write begins.
+type stalledWriter struct {
+	batches chan int
+	release chan struct{}
+}
 
 func (s stalledWriter) Write(b []byte) (int, error) {
+	s.batches <- bytes.Count(b, []byte("\n"))
 	<-s.release
 	return len(b), nil
 }
 
+// Guards against a reader of the log that stalls: callers must not wait for it, and each line
+// that does not fit into the buffer is counted exactly once.
 func TestStalledReaderBlocksNobody(t *testing.T) {
-	out := stalledWriter{release: make(chan struct{})}
-	s := NewSink(out, 8)
+	const buffered, lines = 8, 1000
+	out := stalledWriter{batches: make(chan int, 2), release: make(chan struct{})}
+	s := NewSink(out, buffered)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- s.Run(ctx) }()
+	_, _ = s.Write([]byte("line\n"))
+	select {
+	case n := <-out.batches:
+		require.Equal(t, 1, n)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the line is not written")
+	}
 	written := make(chan struct{})
 	go func() {
-		for range 1000 {
+		for range lines {
 			_, _ = s.Write([]byte("line\n"))
 		}
 		close(written)
@@ -34,9 +50,15 @@
 	case <-time.After(10 * time.Second):
 		t.Fatal("the writer is blocked")
 	}
-	require.GreaterOrEqual(t, s.Dropped(), int64(900))
+	require.Equal(t, int64(lines-buffered), s.Dropped())
 	require.Zero(t, s.Dropped(), "each dropped line is counted once")
-	close(out.release)
 	cancel()
+	close(out.release)
 	require.NoError(t, <-ended)
+	close(out.batches)
+	rest := 0
+	for n := range out.batches {
+		rest += n
+	}
+	require.Equal(t, buffered, rest, "the buffered lines are written when the sink ends")
 }
