Read lists and watches of the store item by item

What callers saw: with one item that could not be read, such as a value that is no base64, a rev that is a string, or a row that is no object, List and Watch failed as a whole with "malformed response", at every attempt. The instance followed nothing below that prefix any more; after a compaction it never became ready. A page with more to come and without one key was read again without end.

Cause: a page was decoded in one json.Unmarshal, and List continues from the last key that it read.

Change: the items are decoded one by one. One that cannot be read stays in the result as an unreadable item, with its key if that is known. The mirror rejects it: of a worker's entry that means that it names no worker to use, and that it cannot show that the worker has left as planned; all other records stay as they were (an empty value of hf/lead or hf/roster would be a valid empty record).

Ruled out: nesting within a value. It is base64 there, and encoding/json ends with an error at 10,000 levels; unknown fields are skipped.

--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -146,6 +146,8 @@
 func (m *Mirror) Apply(i hfstore.Item) change {
 	key := i.Key()
 	switch {
+	case i.Err() != nil:
+		return m.applyUnreadable(i)
 	case key == m.formats.PolicyKey():
 		return m.applyPolicy(i)
 	case key == leadKey:
@@ -274,6 +276,18 @@
 	return change{workers: true}
 }
 
+// applyUnreadable applies an item that cannot be read. It names no worker to use, and replaces
+// no record. Whether a worker has left cannot be told from it.
+func (m *Mirror) applyUnreadable(i hfstore.Item) change {
+	c := change{err: i.Err()}
+	if id, ok := strings.CutPrefix(i.Key(), m.formats.WorkerPrefix()); ok {
+		delete(m.workers, id)
+		delete(m.leftWorkers, id)
+		c.workers = true
+	}
+	return c
+}
+
 func (m *Mirror) applyJob(id string, i hfstore.Item) change {
 	if i.Deleted() {
 		delete(m.jobs, id)
--- a/hfrelay/relay_test.go
+++ b/hfrelay/relay_test.go
@@ -337,3 +337,21 @@
 func TestUnknownCallIsRefused(t *testing.T) {
 	require.Equal(t, hfwire.StoreReply_REFUSED, newCluster(1).relays[0].Serve(t.Context(), &hfwire.StoreCall{}).GetFault())
 }
+
+// Guards against an unreadable item becoming an empty record on its way through another
+// instance.
+func TestUnreadableItemStaysUnreadableThroughRelay(t *testing.T) {
+	c := newCluster(2)
+	c.direct[0].setErr(hfstore.ErrRefused)
+	c.direct[1].items["servers/a"] = hfstore.NewUnreadableItem("servers/a", 4, hfstore.ErrNotFound)
+	c.direct[1].revision = 4
+	items, _, err := c.relays[0].List(t.Context(), "servers/")
+	require.NoError(t, err)
+	require.Len(t, items, 1)
+	require.Equal(t, "servers/a", items[0].Key())
+	require.ErrorIs(t, items[0].Err(), hfrelay.ErrUnreadableItem)
+	items, revision, err := c.relays[0].Watch(t.Context(), "servers/", 1)
+	require.NoError(t, err)
+	require.Equal(t, int64(4), revision)
+	require.ErrorIs(t, items[0].Err(), hfrelay.ErrUnreadableItem)
+}
--- a/hfrelay/serve.go
+++ b/hfrelay/serve.go
@@ -16,6 +16,9 @@
 // ErrRelayUnsupported reports an instance that does not relay the calls of others.
 var ErrRelayUnsupported = eris.New("the instance makes no calls for others")
 
+// ErrUnreadableItem reports an item that the relaying instance could not read.
+var ErrUnreadableItem = eris.New("the item cannot be read")
+
 // replyMargin is the number of bytes that are reserved for the envelope of a reply.
 const replyMargin = 4 << 10
 
@@ -108,7 +111,14 @@
 	return hfstore.ErrUnavailable
 }
 
+// unreadableVersion marks an item on the wire that the relaying instance could not read. Its
+// value is the reason.
+const unreadableVersion = -1
+
 func decodeItem(i *hfwire.StoreItem) hfstore.Item {
+	if i.GetVersion() == unreadableVersion {
+		return hfstore.NewUnreadableItem(i.GetKey(), 0, fmt.Errorf("%w: %s", ErrUnreadableItem, i.GetValue()))
+	}
 	return hfstore.NewItem(i.GetKey(), i.GetValue(), i.GetVersion(), i.GetDeleted())
 }
 
@@ -123,6 +133,10 @@
 func encodeItems(items []hfstore.Item) []*hfwire.StoreItem {
 	list := make([]*hfwire.StoreItem, 0, len(items))
 	for _, i := range items {
+		if err := i.Err(); err != nil {
+			list = append(list, &hfwire.StoreItem{Key: i.Key(), Value: []byte(err.Error()), Version: unreadableVersion})
+			continue
+		}
 		list = append(list, &hfwire.StoreItem{Key: i.Key(), Value: i.Value(), Version: i.Version(), Deleted: i.Deleted()})
 	}
 	return list
--- a/hfstore/store.go
+++ b/hfstore/store.go
@@ -37,6 +37,7 @@
 	value   []byte
 	version int64 // store revision of the last write; it increases with every write to any key
 	deleted bool  // set only in watch events
+	err     error // why the item cannot be read; it then has no value, and its key and version may be missing
 }
 
 // NewItem returns an item, for implementations of Store other than Client.
@@ -44,6 +45,16 @@
 	return Item{key: key, value: value, version: version, deleted: deleted}
 }
 
+// NewUnreadableItem returns an item of a list or a watch that cannot be read. key and version
+// are set as far as they are known.
+func NewUnreadableItem(key string, version int64, err error) Item {
+	return Item{key: key, version: version, err: err}
+}
+
+// Err returns why the item cannot be read, or nil. An unreadable item has no value, and its key
+// may be "".
+func (i Item) Err() error { return i.err }
+
 // Key returns the key.
 func (i Item) Key() string { return i.key }
 
@@ -61,7 +72,8 @@
 type Store interface {
 	// Get returns one key, or ErrNotFound.
 	Get(ctx context.Context, key string) (Item, error)
-	// List returns every key with a prefix and the revision of the store.
+	// List returns every key with a prefix and the revision of the store. Items that cannot
+	// be read are in the list too, see Item.Err; so they are in the result of Watch.
 	List(ctx context.Context, prefix string) ([]Item, int64, error)
 	// Put writes a value if the current version of the key is version (0: the key does
 	// not exist) and returns the new version. Otherwise it fails with ErrConflict. If
