--- a/hfwork/check.go
+++ b/hfwork/check.go
@@ -11,6 +11,15 @@
 	idDigits        = 16
 )
 
+// Limits of the resources of a worker and of a task. Sums over a million workers and products
+// with the largest number of tasks of a step stay within an int64.
+const (
+	MaxCPU          = 1 << 32 // millicores
+	MaxMemory       = 1 << 32 // MB
+	MaxAccelerators = 1 << 20
+	MaxMillis       = 1 << 40 // milliseconds of any duration, more than 30 years
+)
+
 // ValidateJob validates a job. The error names the invalid field.
 func ValidateJob(j *Job) error {
 	if !isValidID(j.GetId()) {
