Log a rejected entry once, with its key, and count it

What callers saw: a worker's entry that cannot be read gave a line "entry-rejected" at every heartbeat, without the key or the revision, and with the content quoted in full, up to a megabyte. Nothing counted the entries themselves.

Change: the mirror remembers for each key the reason of the last rejection, at most 1,000 of them; the same reason again is a repetition, which is counted (entry.rejected) and not logged. Reason and key are shortened, to 300 and 200 bytes. A removed entry is forgotten. The reason is compared rather than the content, because the sequence number in a worker's entry changes with every heartbeat.

Evidence: on the first assertion of TestInvalidEntryIsLoggedOnceAndCounted fails (50 lines where 1 is asked).

--- a/hfentry/entries_test.go
+++ b/hfentry/entries_test.go
@@ -1,12 +1,19 @@
 package hfentry
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/heatherfront/heatherfront/hfevent"
+	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hfstore"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
@@ -40,3 +47,63 @@
 	require.True(t, m.Apply(newItem(t, "workers/w", 9, &hfwork.Worker{Id: "w"})).workers)
 	require.NotNil(t, m.workers["w"], "a readable entry names it again")
 }
+
+// newLoggingNode returns a node without connections, the lines that it logs and its metrics.
+func newLoggingNode() (*Node, *observer.ObservedLogs, metrics.Registry) {
+	core, logs := observer.New(zap.InfoLevel)
+	n := newTestNode("one")
+	n.log = hfevent.New(zap.New(core), n.registry)
+	return n, logs, n.registry
+}
+
+func rejections(logs *observer.ObservedLogs) []observer.LoggedEntry {
+	return logs.FilterMessage(hfevent.EntryRejected.Name()).All()
+}
+
+// Guards against a log line for every heartbeat of an entry that stays invalid.
+func TestInvalidEntryIsLoggedOnceAndCounted(t *testing.T) {
+	n, logs, registry := newLoggingNode()
+	bad := []byte{0xff}
+	for revision := range int64(50) {
+		n.applyItem(hfstore.NewItem("workers/w", bad, revision+1, false))
+	}
+	require.Len(t, rejections(logs), 1)
+	fields := rejections(logs)[0].ContextMap()
+	require.Equal(t, "workers/w", fields["key"])
+	require.Equal(t, int64(1), fields["revision"])
+	require.NotEmpty(t, fields["error"])
+	require.Equal(t, int64(50), metrics.GetOrRegisterCounter("entry.rejected", registry).Count())
+	n.applyItem(unreadableItem("workers/w"))
+	require.Len(t, rejections(logs), 2, "another reason")
+	n.applyItem(deletedItem("workers/w", 60))
+	n.applyItem(unreadableItem("workers/w"))
+	require.Len(t, rejections(logs), 3, "another entry of the same key")
+}
+
+// Guards against many or huge invalid entries filling the log or the memory.
+func TestRejectionsAreBounded(t *testing.T) {
+	n, logs, registry := newLoggingNode()
+	long := strings.Repeat("\u00e4", 1<<14)
+	for k := range 2 * maxRejectedEntries {
+		n.applyItem(hfstore.NewUnreadableItem(fmt.Sprint("workers/", k), 1, fmt.Errorf("%w: %s", errUnreadable, long)))
+	}
+	require.Len(t, rejections(logs), maxRejectedEntries)
+	require.Less(t, len(fmt.Sprint(rejections(logs)[0].ContextMap()["error"])), 2*maxReasonBytes)
+	require.Equal(t, int64(2*maxRejectedEntries), metrics.GetOrRegisterCounter("entry.rejected", registry).Count())
+	n.notify(hfloop.With(n.mirror, func(m *Mirror) []change { return m.Reset("workers/", nil, 5) }))
+	n.applyItem(unreadableItem("workers/new"))
+	require.Len(t, rejections(logs), maxRejectedEntries+1, "entries that are gone make room")
+}
+
+// Guards against a watch that stops at an invalid entry.
+func TestWatchMovesOnPastInvalidEntries(t *testing.T) {
+	n, logs, _ := newLoggingNode()
+	w := &prefixWatch{prefix: "workers/"}
+	n.applyEvents(w, []hfstore.Item{
+		newItem(t, "workers/a", 1, &hfwork.Worker{Id: "a"}), hfstore.NewItem("workers/b", []byte{0xff}, 2, false),
+		unreadableItem(""), newItem(t, "workers/c", 4, &hfwork.Worker{Id: "c"}),
+	}, 4)
+	require.Equal(t, int64(4), w.revision)
+	require.Len(t, n.registeredWorkers(), 2)
+	require.Len(t, rejections(logs), 2)
+}
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -86,6 +86,7 @@
 	term              int64
 	appliedRevision   int64                       // all our records up to this store revision are applied
 	instances         map[string]*hfwork.Instance // by name; includes this one and some that have ended
+	rejected          map[string]string           // reason for which an entry was last rejected, by key
 }
 
 // NewMirror returns an empty mirror. Workers write their entries at the heartbeat interval.
@@ -94,6 +95,7 @@
 		formats: f, jobs: map[string]*jobRecord{}, workers: map[string]*hfwork.Worker{}, roster: &hfwork.Roster{},
 		lastHeartbeats: map[string]time.Time{}, leftWorkers: map[string]bool{}, heartbeatInterval: func() time.Duration { return heartbeatInterval },
 		requestedWaves: map[int64]*hfwork.Wave{}, storedWaves: map[int64]*hfwork.Wave{}, instances: map[string]*hfwork.Instance{},
+		rejected: map[string]string{},
 	}
 }
 
@@ -105,7 +107,8 @@
 	workers    bool
 	policy     bool
 	lead       bool
-	err        error // the value is invalid; the previous one stays in use
+	err        error      // the value, or a part of it, is invalid; the previous one stays in use
+	rejection  *rejection // describes err, nil if there is none
 }
 
 // Reset replaces the part of the mirror below a prefix by a complete list of its items.
@@ -119,6 +122,7 @@
 		m.lead, m.instances = nil, map[string]*hfwork.Instance{}
 		changes = append(changes, change{lead: true})
 	}
+	m.forgetRejections(prefix, items)
 	m.delayed = true // the age of the entries in a list is not known
 	listedJobs := map[string]bool{}
 	for _, i := range items {
@@ -144,6 +148,17 @@
 
 // Apply applies one listed item or watched event.
 func (m *Mirror) Apply(i hfstore.Item) change {
+	c := m.apply(i)
+	if c.err != nil {
+		c.rejection = m.reject(i, c.err)
+	}
+	if i.Deleted() {
+		delete(m.rejected, i.Key())
+	}
+	return c
+}
+
+func (m *Mirror) apply(i hfstore.Item) change {
 	key := i.Key()
 	switch {
 	case i.Err() != nil:
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -167,8 +167,8 @@
 		if l := n.leader.Load(); l != nil && c.leftWorker != "" {
 			l.Send(hfplan.WorkerLeft(c.leftWorker))
 		}
-		if c.err != nil {
-			n.log.Event(hfevent.EntryRejected, zap.String("error", c.err.Error()))
+		if c.rejection != nil {
+			n.reportRejection(c.rejection)
 		}
 		workersChanged = workersChanged || c.workers
 		if c.policy {
--- a/hfevent/catalogue.go
+++ b/hfevent/catalogue.go
@@ -61,7 +61,7 @@
 	WorkerSilent     = Event{810, "worker-silent", zapcore.WarnLevel, "A worker stopped reporting; its leases are left to expire."}
 	WorkerReporting  = Event{811, "worker-heard", zapcore.InfoLevel, "A worker reports again, or was restarted."}
 	WorkerRemoved    = Event{812, "worker-dropped", zapcore.InfoLevel, "A worker is no longer registered and runs nothing."}
-	EntryRejected    = Event{813, "entry-rejected", zapcore.WarnLevel, "A stored entry cannot be read; the last good one stays in force."}
+	EntryRejected    = Event{813, "entry-rejected", zapcore.WarnLevel, "A stored entry or a part of it cannot be read; the last good one stays in force, and a worker's entry names no worker. Logged once until the reason changes."}
 	PolicyApplied    = Event{814, "policy-applied", zapcore.InfoLevel, "A newer configuration of the queues is in force here."}
 	MirrorReset      = Event{815, "mirror-reset", zapcore.InfoLevel, "The local copy of the store was reloaded in full."}
 	SettingsRead     = Event{816, "settings-read", zapcore.InfoLevel, "The settings file was read again."}
