--- a/hfentry/entries_test.go
+++ b/hfentry/entries_test.go
@@ -107,3 +107,14 @@
 	require.Len(t, n.registeredWorkers(), 2)
 	require.Len(t, rejections(logs), 2)
 }
+
+// Guards against a log line for every report of a worker that repeats a bad row.
+func TestRejectedRowsAreLoggedOnceAndCounted(t *testing.T) {
+	n, logs, registry := newLoggingNode()
+	for range 50 {
+		n.ReportRejected("w", []error{errUnreadable, eris.New("another row")})
+	}
+	n.ReportRejected("x", []error{errUnreadable})
+	require.Len(t, rejections(logs), 3)
+	require.Equal(t, int64(101), metrics.GetOrRegisterCounter("report.rejected", registry).Count())
+}
--- a/hfentry/hint_test.go
+++ b/hfentry/hint_test.go
@@ -23,8 +23,9 @@
 	registry := metrics.NewRegistry()
 	return &Node{
 		name: name, log: hfevent.New(zap.NewNop(), registry), registry: registry,
-		mirror: hfloop.NewGuarded(NewMirror(fakeFormats{}, time.Second)),
-		links:  hfpeer.NewLinks(name, name, &net.Dialer{}, registry), hints: make(chan hfstore.Item, hintQueueSize),
+		mirror:       hfloop.NewGuarded(NewMirror(fakeFormats{}, time.Second)),
+		rejectedRows: hfloop.NewGuarded(map[string]bool{}),
+		links:        hfpeer.NewLinks(name, name, &net.Dialer{}, registry), hints: make(chan hfstore.Item, hintQueueSize),
 	}
 }
 
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -45,28 +45,29 @@
 
 // Node is an entry instance.
 type Node struct {
-	name        string
-	settings    Settings
-	relay       *hfrelay.Store
-	store       hfstore.Committer // the relay
-	formats     Formats
-	minions     hforder.Minions
-	adviser     hforder.Adviser
-	machines    hforder.Machines
-	log         *hfevent.Log
-	registry    metrics.Registry
-	mirror      *hfloop.Guarded[*Mirror]
-	health      *StoreHealth
-	recordWatch prefixWatch // watches our own records
-	policyWatch prefixWatch // watches what operators write
-	workerWatch prefixWatch // watches the workers' entries
-	stopping    atomic.Bool
-	leader      atomic.Pointer[hforder.Leader] // nil unless this instance is the leader
-	leaderless  chan struct{}                  // receives a value when there is no leader
-	stopStarted chan struct{}                  // closed when a planned stop begins
-	links       *hfpeer.Links
-	hints       chan hfstore.Item
-	peerAddress string // at which the other instances reach this one; set before the goroutines start
+	name         string
+	settings     Settings
+	relay        *hfrelay.Store
+	store        hfstore.Committer // the relay
+	formats      Formats
+	minions      hforder.Minions
+	adviser      hforder.Adviser
+	machines     hforder.Machines
+	log          *hfevent.Log
+	registry     metrics.Registry
+	mirror       *hfloop.Guarded[*Mirror]
+	rejectedRows *hfloop.Guarded[map[string]bool] // reasons that were logged for parts of workers' reports, with the worker
+	health       *StoreHealth
+	recordWatch  prefixWatch // watches our own records
+	policyWatch  prefixWatch // watches what operators write
+	workerWatch  prefixWatch // watches the workers' entries
+	stopping     atomic.Bool
+	leader       atomic.Pointer[hforder.Leader] // nil unless this instance is the leader
+	leaderless   chan struct{}                  // receives a value when there is no leader
+	stopStarted  chan struct{}                  // closed when a planned stop begins
+	links        *hfpeer.Links
+	hints        chan hfstore.Item
+	peerAddress  string // at which the other instances reach this one; set before the goroutines start
 }
 
 // New returns a node that has not started.
@@ -80,7 +81,8 @@
 			}
 			log.Event(event, zap.Duration("silent", silent))
 		}),
-		leaderless: make(chan struct{}, 1), stopStarted: make(chan struct{}),
+		rejectedRows: hfloop.NewGuarded(map[string]bool{}),
+		leaderless:   make(chan struct{}, 1), stopStarted: make(chan struct{}),
 		links: hfpeer.NewLinks(s.Name(), uuid.NewString(), dialer, registry), hints: make(chan hfstore.Item, hintQueueSize),
 	}
 	n.relay = hfrelay.New(store, n.links, n.otherInstances, func(direct bool, cause error) {
--- a/hfentry/observe.go
+++ b/hfentry/observe.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/heatherfront/heatherfront/hfevent"
+	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hforder"
 	"github.com/heatherfront/heatherfront/hfplan"
 	"github.com/heatherfront/heatherfront/hfwork"
@@ -62,6 +63,24 @@
 		zap.Duration("sent", now.Sub(g.SentAt())), zap.Int64("clock", g.Clock()), zap.Duration("age", now.Sub(g.ClockReadAt())), zap.Int64("now", g.CalculatedClock()))
 }
 
+// ReportRejected implements hforder.Observer. Each reason is logged once for a worker.
+func (n *Node) ReportRejected(worker string, reasons []error) {
+	metrics.GetOrRegisterCounter("report.rejected", n.registry).Inc(int64(len(reasons)))
+	for _, err := range reasons {
+		reason := shorten(err.Error(), maxReasonBytes)
+		logged := hfloop.With(n.rejectedRows, func(r map[string]bool) bool {
+			known := r[worker+" "+reason] || len(r) >= maxRejectedEntries
+			if !known {
+				r[worker+" "+reason] = true
+			}
+			return known
+		})
+		if !logged {
+			n.log.Event(hfevent.EntryRejected, zap.String("key", "report of "+worker), zap.String("error", reason))
+		}
+	}
+}
+
 // LoadSampled implements hforder.Observer.
 func (n *Node) LoadSampled(l hfplan.Load) {
 	metrics.GetOrRegisterGauge("plan.free.accelerators", n.registry).Update(l.Free().Accelerators())
--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -343,6 +343,11 @@
 		answered, silenceReported = true, false
 		d.leader.Send(hfplan.Report(d.currentWorker().GetId(), sent, report))
 		d.awaitEndsStored(ctx)
+		if rejected := report.Rejected(); len(rejected) > 0 {
+			d.leader.observer.ReportRejected(d.currentWorker().GetId(), rejected)
+			// An end that cannot be acknowledged makes the worker answer every poll at once.
+			hfloop.Sleep(ctx, silentPollPause)
+		}
 	}
 }
 
@@ -350,9 +355,14 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+pollTimeout)
 	defer cancel()
 	d.mu.Lock()
-	worker, lastStored := d.worker, d.lastStored
+	worker, lastStored, incarnation := d.worker, d.lastStored, d.incarnation
 	d.mu.Unlock()
-	return d.leader.minions.Poll(ctx, worker, NewPollRequest(leaseEnd, lastStored, d.leader.tenure.Epoch(), wait))
+	report, err := d.leader.minions.Poll(ctx, worker, NewPollRequest(leaseEnd, lastStored, d.leader.tenure.Epoch(), wait))
+	if err == nil && incarnation != 0 && report.Incarnation() == 0 {
+		// It would be taken as the report of a worker that was restarted and has lost its runs.
+		return hfwork.Report{}, fmt.Errorf("%w: the report does not tell the worker's incarnation", ErrUnanswered)
+	}
+	return report, err
 }
 
 func (d *dispatcher) recordReport(r hfwork.Report, sent time.Time) {
--- a/hforder/leader.go
+++ b/hforder/leader.go
@@ -41,6 +41,8 @@
 	// LeaseObserved is called when a worker stops answering polls (silent) and when it answers
 	// again, with the latest lease granted to it.
 	LeaseObserved(worker string, g Grant, silent bool)
+	// ReportRejected is called with the reasons why parts of a worker's report cannot be read.
+	ReportRejected(worker string, reasons []error)
 	// LoadSampled is called about once a second with the queued and running work and the
 	// free and total resources.
 	LoadSampled(load hfplan.Load)
--- a/hforder/leader_test.go
+++ b/hforder/leader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"time"
@@ -21,8 +22,9 @@
 	starts      []Start
 	polls       []PollRequest
 	ends        []hfwork.End
-	pollErr     error // returned by Poll
-	lostAnswers int   // number of starts whose answer is lost
+	pollErr     error          // returned by Poll
+	lostAnswers int            // number of starts whose answer is lost
+	report      *hfwork.Report // returned by Poll instead of the ends if set
 }
 
 func (m *fakeMinions) Start(_ context.Context, _ *hfwork.Worker, s Start) error {
@@ -51,7 +53,7 @@
 func (m *fakeMinions) Poll(ctx context.Context, _ *hfwork.Worker, r PollRequest) (hfwork.Report, error) {
 	m.mu.Lock()
 	m.polls = append(m.polls, r)
-	err := m.pollErr
+	err, report := m.pollErr, m.report
 	var ends []hfwork.End
 	for _, e := range m.ends {
 		if e.Sequence() > r.LastStored() {
@@ -62,6 +64,9 @@
 	if err != nil {
 		return hfwork.Report{}, err
 	}
+	if report != nil {
+		return *report, nil
+	}
 	if len(ends) == 0 {
 		select {
 		case <-time.After(min(r.Wait(), 20*time.Millisecond)):
@@ -108,6 +113,7 @@
 
 func (fakeServices) Decided(hfplan.NoteCmd)                                               {}
 func (fakeServices) OrderFinished(string, hfwork.TaskID, int64, string, time.Time, error) {}
+func (fakeServices) ReportRejected(string, []error)                                       {}
 func (fakeServices) LeaseObserved(string, Grant, bool)                                    {}
 func (fakeServices) LoadSampled(hfplan.Load)                                              {}
 func (fakeServices) InvariantViolated(error)                                              {}
@@ -295,3 +301,29 @@
 	<-m.release
 	return hfwork.NewReport(1000, 7, nil, nil), nil
 }
+
+// Guards against a report without the worker's incarnation being taken as that of a restarted
+// worker, whose earlier runs have ended.
+func TestReportWithoutIncarnationIsNoRestart(t *testing.T) {
+	unnamed := hfwork.NewReport(1000, 0, nil, nil)
+	d := &dispatcher{leader: &Leader{minions: &fakeMinions{report: &unnamed}, tenure: hflease.NewTenure(5, hflease.Now(), time.Minute)}}
+	_, err := d.poll(t.Context(), 0, 0)
+	require.NoError(t, err, "no worker of the platform tells it")
+	d.recordReport(hfwork.NewReport(1000, 7, nil, nil), time.Now())
+	_, err = d.poll(t.Context(), 0, 0)
+	require.ErrorIs(t, err, ErrUnanswered)
+}
+
+// Guards against a worker being polled without a pause because an end that cannot be read is
+// never acknowledged, so that the worker answers every poll at once.
+func TestRejectedRowsSlowPollsDown(t *testing.T) {
+	report := hfwork.NewReport(1000, 7, nil, nil).WithRejected([]error{errors.New("bad row")}, false)
+	m := &fakeMinions{report: &report}
+	begin := time.Now()
+	startLeader(t, m, &fakeRecords{}, hflease.NewTenure(5, hflease.Now(), time.Minute))
+	time.Sleep(4 * silentPollPause)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	require.NotEmpty(t, m.polls)
+	require.LessOrEqual(t, len(m.polls), int(time.Since(begin)/silentPollPause)+2)
+}
--- a/hfplan/entries_test.go
+++ b/hfplan/entries_test.go
@@ -47,12 +47,7 @@
 			w.submit("a", "usual", single(16, 20*time.Second))
 			w.advance(time.Second)
 			require.Equal(t, 16, w.running("a"))
-			busy := ""
-			for _, id := range sortedKeys(w.fleet) {
-				if len(w.fleet[id].runs) > 0 {
-					busy = id
-				}
-			}
+			busy := w.busyWorker()
 			w.sendChangedEntry(busy, change)
 			w.advance(8 * time.Second)
 			require.NotContains(t, w.notes, NoteRetry)
@@ -77,12 +72,7 @@
 			w.advance(time.Second)
 			w.submit("a", "usual", single(8, 20*time.Second))
 			w.advance(time.Second)
-			busy := ""
-			for _, id := range sortedKeys(w.fleet) {
-				if len(w.fleet[id].runs) > 0 {
-					busy = id
-				}
-			}
+			busy := w.busyWorker()
 			w.fleet[busy].partitioned = true
 			w.replaceScheduler()
 			w.sendChangedEntry(busy, change)
@@ -113,3 +103,49 @@
 	w.advance(10 * time.Second)
 	require.Equal(t, hfwork.StateCompleted, w.state("a"))
 }
+
+// busyWorker returns a worker with runs.
+func (w *world) busyWorker() string {
+	for _, id := range sortedKeys(w.fleet) {
+		if len(w.fleet[id].runs) > 0 {
+			return id
+		}
+	}
+	w.t.Fatal("no worker has runs")
+	return ""
+}
+
+// Guards against a run being taken as ended because its row in a report could not be read.
+func TestIncompleteReportEndsNoRuns(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.advance(time.Second)
+	w.submit("a", "usual", single(16, 6*time.Second))
+	w.advance(time.Second)
+	busy := w.busyWorker()
+	incomplete := hfwork.NewReport(0, 1, nil, nil).WithRejected(nil, true)
+	for range 5 {
+		w.send(Report(busy, w.now, incomplete))
+		w.advance(200 * time.Millisecond)
+	}
+	require.Equal(t, 16, w.running("a"))
+	w.advance(8 * time.Second)
+	require.Equal(t, hfwork.StateCompleted, w.state("a"))
+	require.NotContains(t, w.notes, NoteRetry)
+}
+
+// Guards against a new scheduler starting a task again while the row of its run could not be
+// read.
+func TestIncompleteReportKeepsNewSchedulerWaiting(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.advance(time.Second)
+	w.submit("a", "usual", single(16, 6*time.Second))
+	w.advance(time.Second)
+	busy := w.busyWorker()
+	w.fleet[busy].partitioned = true
+	w.replaceScheduler()
+	w.send(Report(busy, w.now, hfwork.NewReport(0, 1, nil, nil).WithRejected(nil, true)))
+	w.advance(time.Second) // fails if a task starts a second time
+	w.fleet[busy].partitioned = false
+	w.advance(8 * time.Second)
+	require.Equal(t, hfwork.StateCompleted, w.state("a"))
+}
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -92,7 +92,7 @@
 }
 
 // handleReport processes the report of a worker: its ended and its active runs. Runs
-// that a report should list but does not are considered lost.
+// that a report should list but does not are considered lost, unless some in it could not be read.
 func (s *Scheduler) handleReport(m ReportMsg, now time.Time) {
 	w := s.workers[m.worker]
 	if w == nil {
@@ -117,7 +117,9 @@
 		s.pendingAcks[w] = w.lastEnd
 		s.handleEnd(w, e, now)
 	}
-	s.releaseOrphans(w, m.report.Running())
+	if !m.report.Incomplete() {
+		s.releaseOrphans(w, m.report.Running())
+	}
 	stillReported := map[*run]bool{}
 	for _, reported := range m.report.Running() {
 		if r := s.observeRun(w, reported, now); r != nil {
@@ -125,11 +127,13 @@
 		}
 	}
 	for _, r := range sortedRuns(w.runs) {
-		if !stillReported[r] && r.phase >= running && !r.confirmedAt.IsZero() && m.sent.After(r.confirmedAt) {
+		if !m.report.Incomplete() && !stillReported[r] && r.phase >= running && !r.confirmedAt.IsZero() && m.sent.After(r.confirmedAt) {
 			s.finishRun(r, hfwork.LeaseExpired, "", "no longer reported", now)
 		}
 	}
-	s.resolvePriorRuns(w)
+	if !m.report.Incomplete() {
+		s.resolvePriorRuns(w)
+	}
 	s.handleStalls(w, now)
 	s.adjustPace(w, m.report.Running(), now)
 	s.updateUsable(w, now)
--- a/hfwork/task.go
+++ b/hfwork/task.go
@@ -124,6 +124,8 @@
 	incarnation int64 // start of the worker in Unix milliseconds
 	running     []Run
 	ended       []End // not acknowledged yet, sorted by sequence
+	incomplete  bool  // running may lack runs, because some could not be read
+	rejected    []error
 }
 
 // NewReport returns a report. clock is the time on the worker's clock in milliseconds,
@@ -132,6 +134,20 @@
 	return Report{clock: clock, incarnation: incarnation, running: running, ended: ended}
 }
 
+// WithRejected returns a copy of the report with the reasons why rows of it, or parts of them,
+// cannot be read. incomplete is set if the runs in progress may lack some because of that.
+func (r Report) WithRejected(rejected []error, incomplete bool) Report {
+	r.rejected, r.incomplete = rejected, incomplete
+	return r
+}
+
+// Incomplete reports whether the runs in progress may lack some, so that a run that is not
+// among them may be in progress nevertheless.
+func (r Report) Incomplete() bool { return r.incomplete }
+
+// Rejected returns why rows of the report, or parts of them, cannot be read.
+func (r Report) Rejected() []error { return r.rejected }
+
 // Clock returns the time of the report on the worker's clock in milliseconds.
 func (r Report) Clock() int64 { return r.clock }
 
