--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -98,6 +98,7 @@
 	term              int64
 	appliedRevision   int64                       // all our records up to this store revision are applied
 	instances         map[string]*hfwork.Instance // by name; includes this one and some that have ended
+	rejected          map[string]string           // reason for which an entry was last rejected, by key
 }
 
 // NewMirror returns an empty mirror. Workers write their entries at the heartbeat interval.
@@ -106,6 +107,7 @@
 		formats: f, jobs: map[string]*jobRecord{}, workers: map[string]*hfwork.Worker{}, roster: &hfwork.Roster{},
 		lastWrites: map[string]entryWrite{}, leftWorkers: map[string]bool{}, heartbeatInterval: func() time.Duration { return heartbeatInterval },
 		requestedWaves: map[int64]*hfwork.Wave{}, storedWaves: map[int64]*hfwork.Wave{}, instances: map[string]*hfwork.Instance{},
+		rejected: map[string]string{},
 	}
 }
 
@@ -117,7 +119,8 @@
 	workers    bool
 	policy     bool
 	lead       bool
-	err        error // the value is invalid; the previous one stays in use
+	err        error      // the value, or a part of it, is invalid; the previous one stays in use
+	rejection  *rejection // describes err, nil if there is none
 }
 
 // Reset replaces the part of the mirror below a prefix by a complete list of its items.
@@ -133,6 +136,7 @@
 		changes = append(changes, change{lead: true})
 	}
 	m.writtenAfter = time.Time{} // the age of the entries in a list is not known
+	m.forgetRejections(prefix, items)
 	listedJobs := map[string]bool{}
 	for _, i := range items {
 		if id, ok := strings.CutPrefix(i.Key(), jobPrefix); ok {
@@ -195,8 +199,21 @@
 
 // Apply applies one listed item or watched event.
 func (m *Mirror) Apply(i hfstore.Item) change {
+	c := m.apply(i)
+	if c.err != nil {
+		c.rejection = m.reject(i, c.err)
+	}
+	if i.Deleted() {
+		delete(m.rejected, i.Key())
+	}
+	return c
+}
+
+func (m *Mirror) apply(i hfstore.Item) change {
 	key := i.Key()
 	switch {
+	case i.Err() != nil:
+		return m.applyUnreadable(i)
 	case key == m.formats.PolicyKey():
 		return m.applyPolicy(i)
 	case key == leadKey:
@@ -335,6 +352,18 @@
 	return m.workers[id].GetDraining() && !after.IsZero() && m.receivedAt.Sub(after) < maxRemovalIntervals*m.heartbeatInterval()
 }
 
+// applyUnreadable applies an item that cannot be read. It names no worker to use, and replaces
+// no record. Whether a worker has left cannot be told from it.
+func (m *Mirror) applyUnreadable(i hfstore.Item) change {
+	c := change{err: i.Err()}
+	if id, ok := strings.CutPrefix(i.Key(), m.formats.WorkerPrefix()); ok {
+		delete(m.workers, id)
+		delete(m.leftWorkers, id)
+		c.workers = true
+	}
+	return c
+}
+
 func (m *Mirror) applyJob(id string, i hfstore.Item) change {
 	if i.Deleted() {
 		delete(m.jobs, id)
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -46,29 +46,30 @@
 
 // Node is an entry instance.
 type Node struct {
-	name        string
-	settings    Settings
-	relay       *hfrelay.Store
-	store       hfstore.Committer // the relay
-	formats     Formats
-	minions     hforder.Minions
-	adviser     hforder.Adviser
-	machines    hforder.Machines
-	log         *hfevent.Log
-	registry    metrics.Registry
-	mirror      *hfloop.Guarded[*Mirror]
-	health      *StoreHealth
-	recordWatch prefixWatch // watches our own records
-	policyWatch prefixWatch // watches what operators write
-	workerWatch prefixWatch // watches the workers' entries
-	stopping    atomic.Bool
-	claiming    atomic.Bool                    // this instance tries to become the leader, or is the leader
-	leader      atomic.Pointer[hforder.Leader] // nil unless this instance is the leader
-	leaderless  chan struct{}                  // receives a value when there is no leader
-	stopStarted chan struct{}                  // closed when a planned stop begins
-	links       *hfpeer.Links
-	hints       chan hfstore.Item
-	peerAddress string // at which the other instances reach this one; set before the goroutines start
+	name         string
+	settings     Settings
+	relay        *hfrelay.Store
+	store        hfstore.Committer // the relay
+	formats      Formats
+	minions      hforder.Minions
+	adviser      hforder.Adviser
+	machines     hforder.Machines
+	log          *hfevent.Log
+	registry     metrics.Registry
+	mirror       *hfloop.Guarded[*Mirror]
+	rejectedRows *hfloop.Guarded[map[string]bool] // reasons that were logged for parts of workers' reports, with the worker
+	health       *StoreHealth
+	recordWatch  prefixWatch // watches our own records
+	policyWatch  prefixWatch // watches what operators write
+	workerWatch  prefixWatch // watches the workers' entries
+	stopping     atomic.Bool
+	claiming     atomic.Bool                    // this instance tries to become the leader, or is the leader
+	leader       atomic.Pointer[hforder.Leader] // nil unless this instance is the leader
+	leaderless   chan struct{}                  // receives a value when there is no leader
+	stopStarted  chan struct{}                  // closed when a planned stop begins
+	links        *hfpeer.Links
+	hints        chan hfstore.Item
+	peerAddress  string // at which the other instances reach this one; set before the goroutines start
 }
 
 // New returns a node that has not started.
@@ -82,7 +83,8 @@
 			}
 			log.Event(event, zap.Duration("silent", silent))
 		}),
-		leaderless: make(chan struct{}, 1), stopStarted: make(chan struct{}),
+		rejectedRows: hfloop.NewGuarded(map[string]bool{}),
+		leaderless:   make(chan struct{}, 1), stopStarted: make(chan struct{}),
 		links: hfpeer.NewLinks(s.Name(), uuid.NewString(), dialer, registry), hints: make(chan hfstore.Item, hintQueueSize),
 	}
 	n.relay = hfrelay.New(store, n.links, n.otherInstances, func(direct bool, cause error) {
@@ -173,8 +175,8 @@
 		if l := n.leader.Load(); l != nil && c.leftWorker != "" && hfloop.With(n.mirror, func(m *Mirror) bool { return m.hasLeft(c.leftWorker) }) {
 			l.Send(hfplan.WorkerLeft(c.leftWorker))
 		}
-		if c.err != nil {
-			n.log.Event(hfevent.EntryRejected, zap.String("error", c.err.Error()))
+		if c.rejection != nil {
+			n.reportRejection(c.rejection)
 		}
 		workersChanged = workersChanged || c.workers
 		if c.policy {
--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -382,6 +382,11 @@
 		answered, silenceReported = true, false
 		d.leader.Send(hfplan.Report(d.currentWorker().GetId(), sent, report))
 		d.awaitEndsStored(ctx)
+		if rejected := report.Rejected(); len(rejected) > 0 {
+			d.leader.observer.ReportRejected(d.currentWorker().GetId(), rejected)
+			// An end that cannot be acknowledged makes the worker answer every poll at once.
+			hfloop.Sleep(ctx, silentPollPause)
+		}
 	}
 }
 
@@ -392,7 +397,7 @@
 	var report hfwork.Report
 	err := d.send(ctx, wait+pollTimeout, func(ctx context.Context, leaseEnd int64) error {
 		d.mu.Lock()
-		worker, lastStored := d.worker, d.lastStored
+		worker, lastStored, incarnation := d.worker, d.lastStored, d.incarnation
 		d.mu.Unlock()
 		if answered {
 			d.recordGrant("poll", leaseEnd)
@@ -401,6 +406,10 @@
 		}
 		var err error
 		report, err = d.leader.minions.Poll(ctx, worker, NewPollRequest(leaseEnd, lastStored, d.leader.tenure.Epoch(), wait))
+		if err == nil && incarnation != 0 && report.Incarnation() == 0 {
+			// It would be taken as the report of a worker that was restarted and has lost its runs.
+			return fmt.Errorf("%w: the report does not tell the worker's incarnation", ErrUnanswered)
+		}
 		return err
 	})
 	if err != nil {
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -59,12 +59,27 @@
 	s.needsPass = true
 }
 
-// replaceResources updates a worker that was registered again with other resources.
-// All its earlier runs have ended.
+// replaceResources updates a worker that was registered again with other resources. Its runs
+// may still be active: the entry can come from another writer, and only a report shows that the
+// worker restarted. Runs whose start was not sent yet are assigned anew.
 func (s *Scheduler) replaceResources(w *worker, registration *hfwork.Worker, now time.Time) {
-	s.expireRuns(w, "worker restarted", now)
+	for _, r := range sortedRuns(w.runs) {
+		if r.phase == assigned {
+			s.finishRun(r, hfwork.LeaseExpired, "", "worker has other resources", now)
+		}
+	}
 	s.resources.Remove(w.id())
 	w.resources = s.addResources(registration)
+	for r := range w.runs {
+		if !r.resourcesReturned {
+			w.resources.Assign(r.task.group.size)
+		}
+		w.resources.AddRunning(r.task.group.size)
+	}
+	for _, size := range w.orphans {
+		w.resources.Assign(size)
+		w.resources.AddRunning(size)
+	}
 }
 
 // updateUsable decides whether tasks may be assigned to a worker.
@@ -77,7 +92,7 @@
 }
 
 // handleReport processes the report of a worker: its ended and its active runs. Runs
-// that a report should list but does not are considered lost.
+// that a report should list but does not are considered lost, unless some in it could not be read.
 func (s *Scheduler) handleReport(m ReportMsg, now time.Time) {
 	w := s.workers[m.worker]
 	if w == nil {
@@ -102,7 +117,9 @@
 		s.pendingAcks[w] = w.lastEnd
 		s.handleEnd(w, e, now)
 	}
-	s.releaseOrphans(w, m.report.Running())
+	if !m.report.Incomplete() {
+		s.releaseOrphans(w, m.report.Running())
+	}
 	stillReported := map[*run]bool{}
 	for _, reported := range m.report.Running() {
 		if r := s.observeRun(w, reported, now); r != nil {
@@ -110,11 +127,13 @@
 		}
 	}
 	for _, r := range sortedRuns(w.runs) {
-		if !stillReported[r] && r.phase >= running && !r.confirmedAt.IsZero() && m.sent.After(r.confirmedAt) {
+		if !m.report.Incomplete() && !stillReported[r] && r.phase >= running && !r.confirmedAt.IsZero() && m.sent.After(r.confirmedAt) {
 			s.finishRun(r, hfwork.LeaseExpired, "", "no longer reported", now)
 		}
 	}
-	s.resolvePriorRuns(w)
+	if !m.report.Incomplete() {
+		s.resolvePriorRuns(w)
+	}
 	s.handleStalls(w, now)
 	s.adjustPace(w, m.report.Running(), now)
 	s.updateUsable(w, now)
