Report no observation of a worker from before a pause

Trace of a failing run on this machine: start 13.274; e0 paused; suspected at 15.449; e1 leads from 17.224, with the gang running and its leases renewed; e0 wakes at 20.328 (self-paused 7139 ms), its first heartbeat arrives at 20.329 and the job is lost at 20.333. Cause: e0's first heartbeat after the pause reports what it had seen before the gang was started. The receiver counts every report as current from when it receives it, so the new leader takes the member for gone. The same happens without a pause while an observer's polls get no answer: its heartbeats kept the old report current. Ruled out: leases that lapsed in the takeover, as suspected in the issue: the decision follows the heartbeat by 4 ms, and the members were running on the workers. Change: Fleet.Reports gives a worker up as no longer observed once its last answer is older than the freshness; its next answer is reported anew. A reading is vouched for only while it is current to the one who made it.

--- a/hfserve/heartbeat.go
+++ b/hfserve/heartbeat.go
@@ -166,7 +166,7 @@
 	})
 	var fleetVersion uint64
 	hfloop.With(s.fleet, func(f *hfworker.Fleet) bool {
-		beat.Reports, fleetVersion = f.Reports(since)
+		beat.Reports, fleetVersion = f.Reports(since, now)
 		return true
 	})
 	beat.Health = s.unhealthyOwned()
--- a/hfworker/fleet.go
+++ b/hfworker/fleet.go
@@ -389,13 +389,17 @@
 }
 
 // Reports returns the reports for an instance that has received all changes up to version
-// since, and the version that they bring it to. With since 0 the reports are full.
-func (f *Fleet) Reports(since uint64) ([]*hfwire.Report, uint64) {
+// since, and the version that they bring it to. With since 0 the reports are full. A worker
+// whose observation is no longer fresh, as after a pause of this process, is reported as no
+// longer observed until its next poll is answered: the receivers count a report as current
+// from when they receive it.
+func (f *Fleet) Reports(since uint64, now time.Time) ([]*hfwire.Report, uint64) {
+	f.dropStale(now)
 	var reports []*hfwire.Report
 	for name, o := range f.observations {
 		switch {
 		case o.version <= since || o.freshUntil.IsZero():
-		case f.observed[name]:
+		case f.observed[name] && o.observer == selfObserver:
 			reports = append(reports, f.report(name, o))
 		case since > 0:
 			reports = append(reports, &hfwire.Report{Worker: name, Dropped: true})
@@ -404,6 +408,17 @@
 	return reports, f.version
 }
 
+// dropStale ends the observation of the workers that this instance polls and that have not
+// answered within the freshness. Their next answer is reported again.
+func (f *Fleet) dropStale(now time.Time) {
+	for name := range f.observed {
+		if o := f.observation(name); o.observer == selfObserver && !o.lost && !now.Before(o.freshUntil) {
+			f.markChanged(o)
+			o.observer = ""
+		}
+	}
+}
+
 func (f *Fleet) report(name string, o *observation) *hfwire.Report {
 	r := &hfwire.Report{Worker: name, Lost: o.lost}
 	for _, t := range o.tasks {
