--- a/hfentry/observe.go
+++ b/hfentry/observe.go
@@ -58,6 +58,9 @@
 
 // LeaseObserved implements hforder.Observer.
 func (n *Node) LeaseObserved(worker string, g hforder.Grant, silent bool) {
+	if g.LeaseEnd() == 0 {
+		return
+	}
 	now := time.Now()
 	n.log.Event(hfevent.LeaseState, zap.String("worker", worker), zap.Bool("silent", silent), zap.Int64("end", g.LeaseEnd()), zap.String("verb", g.Verb()),
 		zap.Duration("sent", now.Sub(g.SentAt())), zap.Int64("clock", g.Clock()), zap.Duration("age", now.Sub(g.ReportedAt())), zap.Int64("now", g.CalculatedClock()))
--- a/hforder/leader.go
+++ b/hforder/leader.go
@@ -39,7 +39,7 @@
 	// successful polls are not. run is the number of the run, or of the wave for upkeep. err is nil if it succeeded.
 	OrderFinished(verb string, task hfwork.TaskID, run int64, worker string, sent time.Time, err error)
 	// LeaseObserved is called when a worker stops answering polls (silent) and when it answers
-	// again, with the latest lease granted to it.
+	// again, with the latest lease granted to it, whose end is 0 if there is none.
 	LeaseObserved(worker string, g Grant, silent bool)
 	// ReportRejected is called with the reasons why parts of a worker's report cannot be read.
 	ReportRejected(worker string, reasons []error)
