Process the queued reports before a tick expires leases

Cause: once a silent worker answers, the dispatcher queues its report and renews its leases with the next poll. A scheduler that was paused, or had a long queue, could take the tick before that report: it took the leases to have expired, gave the runs up, and started them elsewhere, while the worker went on with them under the renewed leases. Evidence: the new test, on the code before: []string{"lease lapsed", "run stalled"} should not contain "lease lapsed": the leases were renewed in time Change: the time of a tick is read first, then the queued messages are processed, then the tick. A renewal that was sent before that time follows a report that was queued before it. Reading the time last would leave a pause between the two uncovered. Ruled out: renewing only once the scheduler has processed the report; it needs another message for each poll.

--- a/hforder/leader.go
+++ b/hforder/leader.go
@@ -160,20 +160,17 @@
 			l.process(ctx, msg)
 		case <-nextPass.C:
 		case <-tick.C:
-			l.process(ctx, hfplan.TickMsg{})
-			if now := time.Now(); now.Sub(lastLoad) >= loadInterval {
+			// A worker's leases are renewed after its report was queued. A tick that expires
+			// leases therefore follows the reports that were queued before its time.
+			now := time.Now()
+			l.processQueued(ctx)
+			l.processAt(ctx, hfplan.TickMsg{}, now)
+			if now.Sub(lastLoad) >= loadInterval {
 				lastLoad = now
 				l.observer.LoadSampled(l.scheduler.Load(now))
 			}
 		}
-		for more := true; more; {
-			select {
-			case msg := <-l.inbox:
-				l.process(ctx, msg)
-			default:
-				more = false
-			}
-		}
+		l.processQueued(ctx)
 		if wait := passInterval - time.Since(lastPass); wait > 0 {
 			nextPass.Reset(wait)
 			continue
@@ -183,15 +180,31 @@
 	}
 }
 
-// process passes a message to the scheduler and executes the commands it returns.
+// processQueued processes the messages in the inbox.
+func (l *Leader) processQueued(ctx context.Context) {
+	for {
+		select {
+		case msg := <-l.inbox:
+			l.process(ctx, msg)
+		default:
+			return
+		}
+	}
+}
+
 func (l *Leader) process(ctx context.Context, msg hfplan.Msg) {
+	l.processAt(ctx, msg, time.Now())
+}
+
+// processAt passes a message to the scheduler and executes the commands it returns.
+func (l *Leader) processAt(ctx context.Context, msg hfplan.Msg, now time.Time) {
 	// WorkersMsg and RosterMsg hold workers, which may be new.
 	if m, ok := msg.(interface {
 		Nodes() map[string]*hfwork.Worker
 	}); ok {
 		l.startDispatchers(ctx, m.Nodes())
 	}
-	cmds := l.scheduler.Update(msg, time.Now())
+	cmds := l.scheduler.Update(msg, now)
 	l.upkeep.Store(l.scheduler.UpkeepInProgress())
 	if err := l.scheduler.Check(); err != nil {
 		l.observer.InvariantViolated(err)
--- a/hforder/lease_test.go
+++ b/hforder/lease_test.go
@@ -28,8 +28,8 @@
 	end    time.Time // when the worker's clock shows the lease end
 }
 
-// clockWorker is a worker whose runs last, and that delays the answers to polls as long as
-// they allow. It reads its clock when it answers.
+// clockWorker stands for workers whose runs last, and that delay the answers to polls as long
+// as they allow. They read their clock when they answer.
 type clockWorker struct {
 	fakeMinions
 	started    time.Time // of the worker's clock
@@ -38,7 +38,8 @@
 
 	mu      sync.Mutex
 	leases  []grantedLease
-	running []hfwork.Run
+	running map[string][]hfwork.Run // by worker
+	muted   string                  // worker whose polls get no answer
 }
 
 func (w *clockWorker) clock() int64 {
@@ -55,11 +56,14 @@
 	}
 }
 
-func (w *clockWorker) Start(ctx context.Context, _ *hfwork.Worker, s Start) error {
+func (w *clockWorker) Start(ctx context.Context, worker *hfwork.Worker, s Start) error {
 	w.mu.Lock()
 	w.record("start", s.LeaseEnd())
 	if !w.muteStarts {
-		w.running = append(w.running, hfwork.NewRun(s.Task(), s.Run(), "", 0, 0))
+		if w.running == nil {
+			w.running = map[string][]hfwork.Run{}
+		}
+		w.running[worker.GetId()] = append(w.running[worker.GetId()], hfwork.NewRun(s.Task(), s.Run(), "", 0, 0))
 	}
 	w.mu.Unlock()
 	if w.muteStarts {
@@ -69,7 +73,7 @@
 	return nil
 }
 
-func (w *clockWorker) Poll(ctx context.Context, _ *hfwork.Worker, r PollRequest) (hfwork.Report, error) {
+func (w *clockWorker) Poll(ctx context.Context, worker *hfwork.Worker, r PollRequest) (hfwork.Report, error) {
 	w.mu.Lock()
 	w.record("poll", r.LeaseEnd())
 	w.mu.Unlock()
@@ -79,36 +83,64 @@
 		return hfwork.Report{}, ErrUnanswered
 	}
 	w.mu.Lock()
-	report := hfwork.NewReport(w.clock(), 7, append([]hfwork.Run(nil), w.running...), nil)
+	report := hfwork.NewReport(w.clock(), 7, append([]hfwork.Run(nil), w.running[worker.GetId()]...), nil)
+	muted := w.muted == worker.GetId()
 	w.mu.Unlock()
 	time.Sleep(testTransit)
+	if muted {
+		return hfwork.Report{}, ErrUnanswered
+	}
 	return report, nil
 }
 
+// muteBusy mutes a worker that has a run.
+func (w *clockWorker) muteBusy() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for worker := range w.running {
+		w.muted = worker
+	}
+}
+
+func (w *clockWorker) unmute() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.muted = ""
+}
+
 // lead runs a leader while jobs of one long task are submitted at intervals, and for a while
 // more, and returns the result of Run.
-func lead(t *testing.T, m *clockWorker, tenure Tenure, jobs int, more time.Duration) error {
+func lead(t *testing.T, m Minions, tenure Tenure, jobs int, more time.Duration) error {
 	t.Helper()
 	timing := hfplan.NewTiming(testLease)
 	l := NewLeader(hfplan.New(1, timing, time.Now()), tenure, m, fakeServices{}, fakeServices{}, "one", &fakeRecords{}, fakeServices{}, timing)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	ended := make(chan error, 1)
-	go func() {
-		ended <- l.Run(ctx, []hfplan.Msg{
-			hfplan.Policy(&hfwork.Policy{Queues: []*hfwork.Queue{{Name: "q", Pool: "p", Attempts: 1}}}),
-			hfplan.Workers(map[string]*hfwork.Worker{"w": {Id: "w", Pool: "p", Rack: "r", Cpu: 1000, Memory: 1000, Accelerators: 64}}),
-		})
-	}()
+	go func() { ended <- l.Run(ctx, testPool("w")) }()
 	for i := range jobs {
 		time.Sleep(170 * time.Millisecond)
-		l.Send(hfplan.Job(&hfwork.Job{Id: fmt.Sprint("job", i), Queue: "q", Steps: []*hfwork.Step{{Count: 1, Accelerators: 1, Estimate: 60_000}}}, nil, false))
+		l.Send(testJob(fmt.Sprint("job", i)))
 	}
 	time.Sleep(more)
 	cancel()
 	return <-ended
 }
 
+// testPool returns the initial messages for a pool of workers and its queue.
+func testPool(workers ...string) []hfplan.Msg {
+	byID := map[string]*hfwork.Worker{}
+	for _, id := range workers {
+		byID[id] = &hfwork.Worker{Id: id, Pool: "p", Rack: "r", Cpu: 1000, Memory: 1000, Accelerators: 64}
+	}
+	return []hfplan.Msg{hfplan.Policy(&hfwork.Policy{Queues: []*hfwork.Queue{{Name: "q", Pool: "p", Attempts: 1}}}), hfplan.Workers(byID)}
+}
+
+// testJob returns a job of one long task.
+func testJob(id string) hfplan.JobMsg {
+	return hfplan.Job(&hfwork.Job{Id: id, Queue: "q", Steps: []*hfwork.Step{{Count: 1, Accelerators: 1, Estimate: 60_000}}}, nil, false)
+}
+
 // Guards against leases that outlive the time after which the scheduler takes those of a
 // silent worker to have expired: an order that is carried out late extends them up to the
 // lease end that it carries.
@@ -236,3 +268,47 @@
 		}
 	})
 }
+
+// pausingObserver pauses the scheduler when it places the tasks of a job.
+type pausingObserver struct {
+	fakeServices
+	job     string
+	pause   time.Duration
+	retries []string // reasons for which runs were given up
+}
+
+func (o *pausingObserver) Decided(c hfplan.NoteCmd) {
+	switch {
+	case c.Note() == hfplan.NotePlaced && c.Job() == o.job:
+		time.Sleep(o.pause)
+	case c.Note() == hfplan.NoteRetry:
+		o.retries = append(o.retries, c.Reason())
+	}
+}
+
+// Guards against a run that is given up although the leases of its worker were renewed in time:
+// a scheduler that was paused has reports waiting when its tick is due.
+func TestTickFollowsReportsQueuedBefore(t *testing.T) {
+	for range 30 { // a select with several ready cases chooses one at random
+		synctest.Test(t, func(t *testing.T) {
+			m := &clockWorker{started: time.Now().Add(-time.Hour), rate: 100}
+			o := &pausingObserver{job: "second", pause: 2 * testLease}
+			timing := hfplan.NewTiming(testLease)
+			l := NewLeader(hfplan.New(1, timing, time.Now()), hflease.NewTenure(5, hflease.Now(), time.Hour), m, fakeServices{}, fakeServices{}, "one", &fakeRecords{}, o, timing)
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan error, 1)
+			go func() { ended <- l.Run(ctx, testPool("v", "w")) }()
+			l.Send(testJob("first"))
+			time.Sleep(time.Second)
+			m.muteBusy()
+			time.Sleep(3 * time.Second)
+			l.Send(testJob("second"))
+			time.Sleep(time.Second)
+			m.unmute()
+			time.Sleep(3 * testLease)
+			cancel()
+			require.NoError(t, <-ended)
+			require.NotContains(t, o.retries, "lease lapsed", "the leases were renewed in time")
+		})
+	}
+}
