Queue a repeated stop once

Cause: the scheduler repeats a stop every 0.5 s until it has an effect, and with each report that lists an orphan. On a worker that leaves orders unanswered, each held one of two senders for up to 0.9 s, and the repeats piled up before the starts. The new test, on the code before: the stop of a withdrawn start is sent four more times. Change: a stop that is in the queue already is moved to the front and not added again. After: one stop for five requests; the test passes, also under -race.

--- a/hforder/queue.go
+++ b/hforder/queue.go
@@ -1,6 +1,7 @@
 package hforder
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -51,7 +52,7 @@
 
 // add adds an order. Stops and paces go before starts because they free resources. A stop
 // withdraws the start of its run: the start leaves the queue, or ends its retries if it is
-// being sent.
+// being sent. A stop that is queued already moves to the front.
 func (q *orderQueue) add(o order, now time.Time) {
 	switch {
 	case o.start != nil:
@@ -59,12 +60,15 @@
 		q.orders = append(q.orders, o)
 		return
 	case o.stop != nil:
-		id := runID{task: o.stop.Task(), number: o.stop.Number()}
+		id := stopID(*o.stop)
 		if _, sending := q.starting[id]; sending {
 			q.starting[id] = startEnding
 		}
-		if i := slices.IndexFunc(q.orders, func(other order) bool { return other.start != nil && startID(*other.start) == id }); i >= 0 {
-			o.withdrawn = q.orders[i].start
+		if i := slices.IndexFunc(q.orders, func(other order) bool {
+			return other.start != nil && startID(*other.start) == id || other.stop != nil && stopID(*other.stop) == id
+		}); i >= 0 {
+			// The start itself, or the start that the queued stop withdrew.
+			o.withdrawn = cmp.Or(q.orders[i].start, q.orders[i].withdrawn)
 			q.orders = slices.Delete(q.orders, i, i+1)
 		}
 	}
@@ -78,7 +82,7 @@
 		if o.stop == nil {
 			return true
 		}
-		_, sending := q.starting[runID{task: o.stop.Task(), number: o.stop.Number()}]
+		_, sending := q.starting[stopID(*o.stop)]
 		return !sending
 	})
 	if i < 0 {
@@ -104,4 +108,6 @@
 // finish tells that a start will not be sent again.
 func (q *orderQueue) finish(c hfplan.StartCmd) { delete(q.starting, startID(c)) }
 
+func stopID(c hfplan.StopCmd) runID { return runID{task: c.Task(), number: c.Number()} }
+
 func startID(c hfplan.StartCmd) runID { return runID{task: c.Task(), number: c.Number()} }
--- a/hforder/queue_test.go
+++ b/hforder/queue_test.go
@@ -257,6 +257,37 @@
 	}
 }
 
+// Guards against a queue that grows while a worker does not answer: the scheduler repeats a stop
+// until it has an effect.
+func TestRepeatedStopIsQueuedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		starts, stops := startsAndStops(t, sendersPerWorker+1)
+		m := &orderedWorker{answer: func(ctx context.Context, start bool, run string) error {
+			if start {
+				return unanswered(ctx, start, run)
+			}
+			return nil
+		}}
+		last := sendersPerWorker
+		messages := runDispatcher(t, m, func(d *dispatcher) {
+			for i := range starts {
+				d.enqueue(order{start: &starts[i]})
+			}
+			time.Sleep(responseTimeout / 2)
+			for range 5 {
+				d.enqueue(order{stop: &stops[last]})
+			}
+			for range 5 {
+				d.enqueue(order{stop: &stops[0]})
+			}
+		})
+		require.Empty(t, m.sentFor(runName(starts[last].Task(), starts[last].Number()), true))
+		require.Empty(t, m.sentFor(runName(starts[last].Task(), starts[last].Number()), false))
+		require.Contains(t, messages, hfplan.Stopped(stops[last], hfplan.OutcomeRefused))
+		require.Len(t, m.sentFor(runName(starts[0].Task(), starts[0].Number()), false), 1)
+	})
+}
+
 // Guards against a run that is taken to have ended because its worker refused the stop: an
 // unhealthy worker refuses everything, and may go on with the run.
 func TestRefusedStopDoesNotEndRun(t *testing.T) {
