Keep the runs of a worker whose registration changes

Cause: when the entry of a worker changed its pool, rack or resources, all its runs were given up at once, since it was taken to have been started again. An entry may also be a write that the store carried out late, or come from another writer; the runs then went on while their tasks were started elsewhere. Evidence, on the code before: TestChangedRegistrationDoesNotEndRuns: Should be empty, but was [{a {x 0 0 0} 2 }] "the run has not ended" Change: the runs and orphans are counted on the changed worker and end as those of any worker: by a report of another incarnation, by a report without them, or when the leases expire. Assigned runs are placed again, all members of a gang together. Cost: when the worker has really restarted, its tasks are placed again after its first report instead of at the change of its entry. After: the tests pass, TestTasksOfARestartedWorkerRunAgain too.

--- a/hfplan/single_run_test.go
+++ b/hfplan/single_run_test.go
@@ -435,3 +435,52 @@
 	require.Empty(t, d.stops)
 	require.Empty(t, second.worker.runs)
 }
+
+// A worker's registration changes while it runs a task: an entry that was written late, or by
+// someone else, proves nothing about the runs. They used to be given up at once, and started
+// again elsewhere while they went on.
+func TestChangedRegistrationDoesNotEndRuns(t *testing.T) {
+	d := newDesk(t, 1, "a")
+	d.report("a")
+	d.store()
+	c := d.startAll("x", deskStep(1))[0]
+	registered := deskWorkers("a", "b")
+	registered["a"].Rack, registered["a"].Accelerators = "other", 16
+	d.send(Workers(registered))
+	d.store()
+	d.report("b")
+	d.advance(time.Second)
+	d.store()
+	require.Empty(t, d.takeStarts(), "the run has not ended")
+	require.Len(t, d.s.workers["a"].runs, 1)
+	a := d.s.workers["a"].resources
+	require.Equal(t, int64(8), a.Free().Accelerators(), "the run counts on the changed worker")
+	require.True(t, a.CanStart(deskSize))
+
+	d.report("a", hfwork.NewRun(c.Task(), c.Number(), "", 50, 0))
+	require.Empty(t, d.stops)
+	d.reportEnds("a", nil, d.end("a", c.Task(), c.Number(), hfwork.Done))
+	require.Equal(t, int64(16), a.Free().Accelerators())
+	require.Equal(t, hfwork.StateCompleted, d.s.jobs["x"].state)
+}
+
+// Runs that were assigned to a worker before its registration changed are placed again: all
+// members of a gang or none.
+func TestChangedRegistrationReleasesAssignedRuns(t *testing.T) {
+	d := newDesk(t, 1, "a", "b")
+	d.report("a")
+	d.store()
+	d.report("b")
+	step := deskStep(2)
+	step.Gang = true
+	d.submit("x", step)
+	require.Equal(t, 2, d.s.jobs["x"].groups[0].assigned)
+	registered := deskWorkers("a", "b")
+	registered["b"].Accelerators = 4
+	d.send(Workers(registered))
+	d.store()
+	require.Empty(t, d.takeStarts())
+	require.Empty(t, d.s.workers["a"].runs)
+	require.Empty(t, d.s.workers["b"].runs)
+	require.Equal(t, int64(4), d.s.workers["b"].resources.Free().Accelerators())
+}
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -59,12 +59,27 @@
 	s.needsPass = true
 }
 
-// replaceResources updates a worker that was registered again with other resources.
-// All its earlier runs have ended.
+// replaceResources updates a worker whose registration has changed. An entry may have been
+// written late or by someone else, so it does not show that runs have ended: they count until
+// a report does. Runs that are only assigned are placed again.
 func (s *Scheduler) replaceResources(w *worker, registration *hfwork.Worker, now time.Time) {
-	s.expireRuns(w, "worker restarted", now)
+	for _, r := range sortedRuns(w.runs) {
+		if r.phase == assigned {
+			s.stopMembers(r, now)
+		}
+	}
 	s.resources.Remove(w.id())
 	w.resources = s.addResources(registration)
+	for r := range w.runs {
+		if !r.resourcesReturned {
+			w.resources.Assign(r.task.group.size)
+		}
+		w.resources.AddRunning(r.task.group.size)
+	}
+	for _, size := range w.orphans {
+		w.resources.Assign(size)
+		w.resources.AddRunning(size)
+	}
 }
 
 // updateUsable decides whether tasks may be assigned to a worker.
