Do not end a run because its stop was refused

Cause: a refused stop was taken to mean that the worker does not know the run, and the task was placed again at once. A worker refuses with 429 or 503 while it is unhealthy, and with 421 when the entry that its address was taken from is of another life than the process; neither says anything about the run, which may go on or, if its start got no answer, begin later. Evidence, on the code before: TestRefusedStopDoesNotEndTheRun: Should be empty, but was [{a {x 0 0 0} 2 }] "the run may be active" Change: a refused stop changes nothing and is repeated as one without an answer. The run ends by a report, or when the leases of the worker expire. After: the test passes; the refused stop is repeated and nothing is started meanwhile.

--- a/hfplan/run.go
+++ b/hfplan/run.go
@@ -101,23 +101,18 @@
 	}
 }
 
-// handleStopped processes the answer to a StopCmd. The answer does not show whether
-// the run has ended; a report requested afterwards does.
+// handleStopped processes the answer to a StopCmd. The answer does not show whether the run
+// has ended; a report requested after a confirmation does. A stop that was refused or not
+// answered is repeated.
 func (s *Scheduler) handleStopped(m StoppedMsg, now time.Time) {
 	t := s.task(m.task)
-	if t == nil || t.run == nil || t.run.number != m.number || t.run.phase != stopping {
+	if t == nil || t.run == nil || t.run.number != m.number || t.run.phase != stopping || m.outcome != OutcomeDone {
 		return
 	}
-	r := t.run
-	switch m.outcome {
-	case OutcomeDone:
-		if r.confirmedAt.IsZero() {
-			// Keep the time of the first confirmation: if a repeated stop moved it, no report
-			// would ever be late enough to show that the run is gone.
-			r.confirmedAt = now
-		}
-	case OutcomeRefused:
-		s.finishRun(r, hfwork.LeaseExpired, "", "worker does not know the run", now)
+	if r := t.run; r.confirmedAt.IsZero() {
+		// Keep the time of the first confirmation: if a repeated stop moved it, no report
+		// would ever be late enough to show that the run is gone.
+		r.confirmedAt = now
 	}
 }
 
--- a/hfplan/single_run_test.go
+++ b/hfplan/single_run_test.go
@@ -484,3 +484,28 @@
 	require.Empty(t, d.s.workers["b"].runs)
 	require.Equal(t, int64(4), d.s.workers["b"].resources.Free().Accelerators())
 }
+
+// A stop that is refused shows nothing about the run. It used to end the run, and its task was
+// started elsewhere while the worker went on with it.
+func TestRefusedStopDoesNotEndTheRun(t *testing.T) {
+	d := newDesk(t, 1, "a", "b")
+	d.report("a")
+	d.store()
+	d.report("b")
+	d.submit("x", deskStep(1))
+	d.store()
+	c := d.takeStarts()[0]
+	d.send(Started(c, OutcomeUnknown))
+	require.Len(t, d.stops, 1)
+	d.send(Stopped(d.stops[0], OutcomeRefused))
+	d.store()
+	require.Empty(t, d.takeStarts(), "the run may be active")
+	d.advance(time.Second)
+	d.store()
+	require.Empty(t, d.takeStarts(), "the run may be active")
+	require.Greater(t, d.stopsOf(c.Task(), c.Number()), 1, "the stop is repeated")
+	d.send(Stopped(d.stops[0], OutcomeDone))
+	d.report(c.Worker())
+	d.store()
+	require.Len(t, d.takeStarts(), 1)
+}
