Settle a start that is refused as old by a stop

Cause: OutcomeStale says that the worker knows this or a later run of the task, yet it was handled as a refusal without effect: the task was placed again at once, though the run could be active there, or have ended as done without having been reported. Evidence, on the code before: TestStaleStartIsSettledByAStop: Should be empty, but was [{b {x 0 0 0} 2 }] "the worker may have the run" Change: the run is stopped as after a start without an answer. Its task is placed again once the stop is confirmed and a later report does not list the run. Cost: one stop and the wait for a report, after a refusal that is rare. After: the test passes.

--- a/hfplan/run.go
+++ b/hfplan/run.go
@@ -44,8 +44,9 @@
 	})
 }
 
-// handleStarted processes the answer to a StartCmd. A run whose start has an unknown
-// outcome is stopped before its task is assigned again.
+// handleStarted processes the answer to a StartCmd. A run whose start has an unknown outcome
+// is stopped before its task is assigned again; so is one that the worker takes for an old
+// one, since it may have that run.
 func (s *Scheduler) handleStarted(m StartedMsg, now time.Time) {
 	t := s.task(m.task)
 	if t == nil || t.run == nil || t.run.number != m.number {
@@ -57,17 +58,24 @@
 		if r.phase == starting {
 			s.confirmRun(r, now)
 		}
-	case OutcomeUnknown:
+	case OutcomeUnknown, OutcomeStale:
+		if m.outcome == OutcomeStale {
+			s.refuse(r, now)
+		}
 		s.stopMembers(r, now) // the other members of a gang would wait for this one
-	case OutcomeRefused, OutcomeStale:
-		g := t.group
-		delete(g.tickets, r.worker.id())
-		r.worker.refusedUntil = now.Add(refusalBackoff)
-		s.updateUsable(r.worker, now)
+	case OutcomeRefused:
+		s.refuse(r, now)
 		s.finishRun(r, hfwork.Stopped, "", "worker refused the start", now)
 	}
 }
 
+// refuse keeps tasks off the worker of a run for a while, after it refused the start.
+func (s *Scheduler) refuse(r *run, now time.Time) {
+	delete(r.task.group.tickets, r.worker.id())
+	r.worker.refusedUntil = now.Add(refusalBackoff)
+	s.updateUsable(r.worker, now)
+}
+
 // stopGang stops all members of one run of a gang.
 func (s *Scheduler) stopGang(g *group, number int64, now time.Time) {
 	for i := range g.tasks {
--- a/hfplan/single_run_test.go
+++ b/hfplan/single_run_test.go
@@ -509,3 +509,23 @@
 	d.store()
 	require.Len(t, d.takeStarts(), 1)
 }
+
+// A worker that refuses a start because it knows this or a later run may have that run. Its
+// task used to be started elsewhere at once.
+func TestStaleStartIsSettledByAStop(t *testing.T) {
+	d := newDesk(t, 1, "a", "b")
+	d.report("a")
+	d.store()
+	d.report("b")
+	d.submit("x", deskStep(1))
+	d.store()
+	c := d.takeStarts()[0]
+	d.send(Started(c, OutcomeStale))
+	d.store()
+	require.Empty(t, d.takeStarts(), "the worker may have the run")
+	require.Equal(t, 1, d.stopsOf(c.Task(), c.Number()))
+	d.send(Stopped(d.stops[0], OutcomeDone))
+	d.report(c.Worker())
+	d.store()
+	require.Len(t, d.takeStarts(), 1)
+}
