--- a/hfplan/single_run_test.go
+++ b/hfplan/single_run_test.go
@@ -435,3 +435,121 @@
 	require.Empty(t, d.stops)
 	require.Empty(t, second.worker.runs)
 }
+
+// A worker's registration changes while it runs a task: an entry that was written late, or by
+// someone else, proves nothing about the runs. They used to be given up at once, and started
+// again elsewhere while they went on.
+func TestChangedRegistrationDoesNotEndRuns(t *testing.T) {
+	d := newDesk(t, 1, "a")
+	d.report("a")
+	d.store()
+	c := d.startAll("x", deskStep(1))[0]
+	registered := deskWorkers("a", "b")
+	registered["a"].Rack, registered["a"].Accelerators = "other", 16
+	d.send(Workers(registered))
+	d.store()
+	d.report("b")
+	d.advance(time.Second)
+	d.store()
+	require.Empty(t, d.takeStarts(), "the run has not ended")
+	require.Len(t, d.s.workers["a"].runs, 1)
+	a := d.s.workers["a"].resources
+	require.Equal(t, int64(8), a.Free().Accelerators(), "the run counts on the changed worker")
+	require.True(t, a.CanStart(deskSize))
+
+	d.report("a", hfwork.NewRun(c.Task(), c.Number(), "", 50, 0))
+	require.Empty(t, d.stops)
+	d.reportEnds("a", nil, d.end("a", c.Task(), c.Number(), hfwork.Done))
+	require.Equal(t, int64(16), a.Free().Accelerators())
+	require.Equal(t, hfwork.StateCompleted, d.s.jobs["x"].state)
+}
+
+// Runs that were assigned to a worker before its registration changed are placed again: all
+// members of a gang or none.
+func TestChangedRegistrationReleasesAssignedRuns(t *testing.T) {
+	d := newDesk(t, 1, "a", "b")
+	d.report("a")
+	d.store()
+	d.report("b")
+	step := deskStep(2)
+	step.Gang = true
+	d.submit("x", step)
+	require.Equal(t, 2, d.s.jobs["x"].groups[0].assigned)
+	registered := deskWorkers("a", "b")
+	registered["b"].Accelerators = 4
+	d.send(Workers(registered))
+	d.store()
+	require.Empty(t, d.takeStarts())
+	require.Empty(t, d.s.workers["a"].runs)
+	require.Empty(t, d.s.workers["b"].runs)
+	require.Equal(t, int64(4), d.s.workers["b"].resources.Free().Accelerators())
+}
+
+// A stop that is refused shows nothing about the run. It used to end the run, and its task was
+// started elsewhere while the worker went on with it.
+func TestRefusedStopDoesNotEndTheRun(t *testing.T) {
+	d := newDesk(t, 1, "a", "b")
+	d.report("a")
+	d.store()
+	d.report("b")
+	d.submit("x", deskStep(1))
+	d.store()
+	c := d.takeStarts()[0]
+	d.send(Started(c, OutcomeUnknown))
+	require.Len(t, d.stops, 1)
+	d.send(Stopped(d.stops[0], OutcomeRefused))
+	d.store()
+	require.Empty(t, d.takeStarts(), "the run may be active")
+	d.advance(time.Second)
+	d.store()
+	require.Empty(t, d.takeStarts(), "the run may be active")
+	require.Greater(t, d.stopsOf(c.Task(), c.Number()), 1, "the stop is repeated")
+	d.send(Stopped(d.stops[0], OutcomeDone))
+	d.report(c.Worker())
+	d.store()
+	require.Len(t, d.takeStarts(), 1)
+}
+
+// A worker that refuses a start because it knows this or a later run may have that run. Its
+// task used to be started elsewhere at once.
+func TestStaleStartIsSettledByAStop(t *testing.T) {
+	d := newDesk(t, 1, "a", "b")
+	d.report("a")
+	d.store()
+	d.report("b")
+	d.submit("x", deskStep(1))
+	d.store()
+	c := d.takeStarts()[0]
+	d.send(Started(c, OutcomeStale))
+	d.store()
+	require.Empty(t, d.takeStarts(), "the worker may have the run")
+	require.Equal(t, 1, d.stopsOf(c.Task(), c.Number()))
+	d.send(Stopped(d.stops[0], OutcomeDone))
+	d.report(c.Worker())
+	d.store()
+	require.Len(t, d.takeStarts(), 1)
+}
+
+// A start gets no answer, and its stop is confirmed; then the worker restarts under the same id
+// and no longer knows of the stop. The start may still arrive there, so the task used to run
+// twice if it was started elsewhere at once.
+func TestUnansweredStartIsStoppedAgainAfterARestart(t *testing.T) {
+	d := newDesk(t, 1, "a", "b")
+	d.report("a")
+	d.store()
+	d.report("b")
+	d.submit("x", deskStep(1))
+	d.store()
+	c := d.takeStarts()[0]
+	d.send(Started(c, OutcomeUnknown))
+	d.send(Stopped(d.stops[0], OutcomeDone))
+	d.born[c.Worker()] = 2
+	d.report(c.Worker())
+	d.store()
+	require.Empty(t, d.takeStarts(), "the new incarnation does not know of the stop")
+	require.Equal(t, 2, d.stopsOf(c.Task(), c.Number()))
+	d.send(Stopped(d.stops[1], OutcomeDone))
+	d.report(c.Worker())
+	d.store()
+	require.Len(t, d.takeStarts(), 1)
+}
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -59,13 +59,13 @@
 	s.needsPass = true
 }
 
-// replaceResources updates a worker that was registered again with other resources. Its runs
-// may still be active: the entry can come from another writer, and only a report shows that the
-// worker restarted. Runs whose start was not sent yet are assigned anew.
+// replaceResources updates a worker whose registration has changed. An entry may have been
+// written late or by someone else, so it does not show that runs have ended: they count until
+// a report does. Runs that are only assigned are placed again.
 func (s *Scheduler) replaceResources(w *worker, registration *hfwork.Worker, now time.Time) {
 	for _, r := range sortedRuns(w.runs) {
 		if r.phase == assigned {
-			s.finishRun(r, hfwork.LeaseExpired, "", "worker has other resources", now)
+			s.stopMembers(r, now)
 		}
 	}
 	s.resources.Remove(w.id())
@@ -403,6 +403,12 @@
 // may have reached the new incarnation are stopped there.
 func (s *Scheduler) handleRestart(w *worker, sent, now time.Time) {
 	for _, r := range sortedRuns(w.runs) {
+		if r.startUnanswered {
+			// The new incarnation does not know of a stop that the previous one confirmed.
+			r.confirmedAt, r.orderedAt = time.Time{}, now
+			s.emit(StopCmd{worker: w.id(), task: r.task.id(), number: r.number})
+			continue
+		}
 		if r.phase == starting || (r.phase >= running && !sent.After(r.confirmedAt)) || r.confirmedAt.IsZero() && r.phase == stopping {
 			s.stopRun(r, now)
 			continue
