Keep a new leadership when a late batch changes the term

What callers saw: after a leader fails while the store loses answers, the next one may give up its leadership at once, and nothing starts until it, or another instance, is elected again.

Cause: the new leader reads hf/term and writes the next term on condition of the revision read. A batch of the earlier leader that takes effect in between makes the condition fail, which was taken for the loss of the leadership.

The new test fails on the code before: open record writer: write records: last written by one/1: version conflict

Change: after a conflict the lock is read. While it has this leader's epoch, the term is read and written again. Each such conflict consumes one batch of the earlier leader, so it ends.

--- a/hfentry/fenced_writer.go
+++ b/hfentry/fenced_writer.go
@@ -44,7 +44,14 @@
 		if err == nil {
 			return f, nil
 		}
-		if errors.Is(err, hfstore.ErrConflict) || !hfloop.Sleep(ctx, retryPause) {
+		if errors.Is(err, hfstore.ErrConflict) {
+			// A batch of the earlier leader may have taken effect between the read and the write.
+			if lead, readErr := n.store.Get(ctx, leadKey); readErr == nil && lead.Version() == epoch {
+				continue
+			}
+			return nil, fmt.Errorf("open record writer: %w", err)
+		}
+		if !hfloop.Sleep(ctx, retryPause) {
 			return nil, fmt.Errorf("open record writer: %w", err)
 		}
 	}
--- a/hfentry/takeover_test.go
+++ b/hfentry/takeover_test.go
@@ -245,3 +245,29 @@
 		}
 	})
 }
+
+// lateBatchStore is a store that applies the delayed batches right before the next batch.
+type lateBatchStore struct{ *fakeStore }
+
+func (s *lateBatchStore) Commit(ctx context.Context, b *hfstore.Batch) (int64, error) {
+	s.applyDelayed()
+	return s.fakeStore.Commit(ctx, b)
+}
+
+// Guards against giving up a leadership because a batch of the earlier leader took effect
+// between reading and writing the term.
+func TestLateBatchDoesNotEndNewLeadership(t *testing.T) {
+	s := newFakeStore()
+	earlier := openTestWriter(t, s)
+	s.lostAnswers = 1
+	require.Error(t, earlier.Save(t.Context(), newStoreCmd(hfwork.StateRunning)))
+	epoch, err := s.Put(t.Context(), leadKey, []byte("two"), s.items[leadKey].Version(), "")
+	require.NoError(t, err)
+	n := &Node{name: "two", store: &lateBatchStore{s}, formats: fakeFormats{}, mirror: hfloop.NewGuarded(NewMirror(nil, time.Second))}
+	w, err := n.openWriter(t.Context(), epoch)
+	require.NoError(t, err)
+	require.NoError(t, w.Save(t.Context(), newStoreCmd(hfwork.StateCompleted)))
+	require.ErrorIs(t, earlier.Save(t.Context(), newStoreCmd(hfwork.StateRunning)), hfstore.ErrConflict)
+	_, err = n.openWriter(t.Context(), epoch-1)
+	require.ErrorIs(t, err, hfstore.ErrConflict, "another instance leads")
+}
