Apply a configuration without its invalid parts

What callers saw: one route, service, tenant or limit of the wrong type kept a whole configuration from coming into force; nothing that operators changed after it took effect until they found the part. Amounts out of range came into force: a tenant without a name, an empty key, which admits callers without a key, a guarantee below 0, slo_ms of 1e300, which saturates to the largest int64.

Cause: the configuration was decoded at once, and not checked.

Change: its lists are decoded part by part. hfentry keeps, for an invalid part, the last valid one of the same name in force, counts and logs the rejection; a part that has none is left out. Of two parts with one name the first counts. A key that moved to another account stays with that one. A configuration that cannot be read at all changes nothing, as before.

Evidence: on DecodePolicy gives "cannot unmarshal number into Go struct field policyBody.routes of type hfplatform.routeBody" and no queues for a route of 5 beside a valid one, and no error for a key of null with a guarantee of -5 and a body limit of -1.

Weighed: dropping an invalid part. Its callers would be told that their queue or key does not exist, which is final for them. So a key that is taken away by the same version in which its account becomes invalid stays in force until the account is valid again.

--- a/hfentry/entries_test.go
+++ b/hfentry/entries_test.go
@@ -119,3 +119,34 @@
 	require.Len(t, rejections(logs), 3)
 	require.Equal(t, int64(101), metrics.GetOrRegisterCounter("report.rejected", registry).Count())
 }
+
+// Guards against a part of a configuration that is invalid taking its last valid version out of
+// force, or keeping the other parts from coming into force.
+func TestInvalidPartKeepsItsLastVersion(t *testing.T) {
+	m := NewMirror(fakeFormats{}, time.Hour)
+	queue := func(name, host, pool string) *hfwork.Queue {
+		return &hfwork.Queue{Name: name, Host: host, Prefix: "/" + name + "/", Pool: pool}
+	}
+	m.Apply(newItem(t, "op/policy", 1, &hfwork.Policy{Queues: []*hfwork.Queue{queue("a", "old", "p"), queue("b", "old", "p")}}))
+	c := m.Apply(newItem(t, "op/policy", 2, &hfwork.Policy{Queues: []*hfwork.Queue{queue("a", "new", "p"), queue("b", "new", "invalid"), queue("c", "new", "invalid")}}))
+	require.True(t, c.policy)
+	require.NotNil(t, c.rejection)
+	require.Len(t, m.policy.config.GetQueues(), 2)
+	a, _ := m.policy.matchQueue("new", "/a/")
+	require.Equal(t, "a", a.GetName())
+	b, _ := m.policy.matchQueue("old", "/b/")
+	require.Equal(t, "b", b.GetName())
+	gone, _ := m.policy.matchQueue("old", "/a/")
+	require.Nil(t, gone)
+}
+
+// Guards against a key that moved to another account going back to an account that is invalid.
+func TestKeyOfInvalidAccountStaysWithItsNewAccount(t *testing.T) {
+	previous := &hfwork.Policy{Accounts: []*hfwork.Account{{Name: "old", Keys: []string{"k", "l"}}}, Body: 5}
+	p := &hfwork.Policy{Accounts: []*hfwork.Account{{Name: "new", Keys: []string{"k"}}}}
+	keepInvalidParts(p, previous, []InvalidPart{NewInvalidPart(PartAccount, "old", errUnreadable), NewInvalidPart(PartLimits, "", errUnreadable), NewInvalidPart(PartPool, "x", errUnreadable)})
+	index := newPolicyIndex(p)
+	require.Equal(t, "new", index.accountsByKey["k"])
+	require.Equal(t, "old", index.accountsByKey["l"])
+	require.Equal(t, int64(5), p.GetBody())
+}
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -42,8 +42,8 @@
 	Wave(raw []byte, from time.Time) (*hfwork.Wave, error)
 	// WaveStatus returns the key and value that show operators the progress of a wave.
 	WaveStatus(w *hfwork.Wave) (key string, value []byte, err error)
-	// Policy decodes the configuration of the queues.
-	Policy(raw []byte) (*hfwork.Policy, error)
+	// Policy decodes the configuration of the queues. Parts that are invalid are not in it.
+	Policy(raw []byte) (*hfwork.Policy, []InvalidPart, error)
 	// Worker decodes a worker's entry.
 	Worker(id string, raw []byte) (*hfwork.Worker, error)
 }
@@ -295,12 +295,15 @@
 	if i.Deleted() || i.Version() <= m.policyVersion {
 		return change{}
 	}
-	p, err := m.formats.Policy(i.Value())
+	p, invalid, err := m.formats.Policy(i.Value())
 	if err != nil {
 		return change{err: err}
 	}
+	if m.policy != nil {
+		keepInvalidParts(p, m.policy.config, invalid)
+	}
 	m.policy, m.policyVersion = newPolicyIndex(p), i.Version()
-	return change{policy: true}
+	return change{policy: true, err: joinInvalid(invalid)}
 }
 
 func (m *Mirror) applyLead(i hfstore.Item) change {
--- a/hfentry/mirror_test.go
+++ b/hfentry/mirror_test.go
@@ -1,6 +1,7 @@
 package hfentry
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -19,8 +20,19 @@
 func (fakeFormats) PolicyKey() string    { return "op/policy" }
 func (fakeFormats) WorkerPrefix() string { return "workers/" }
 func (fakeFormats) WavePrefix() string   { return "op/wave/" }
-func (fakeFormats) Policy(raw []byte) (*hfwork.Policy, error) {
-	return hfwire.Decode(raw, &hfwork.Policy{})
+func (fakeFormats) Policy(raw []byte) (*hfwork.Policy, []InvalidPart, error) {
+	p, err := hfwire.Decode(raw, &hfwork.Policy{})
+	if err != nil {
+		return nil, nil, err
+	}
+	var invalid []InvalidPart
+	p.Queues = slices.DeleteFunc(p.Queues, func(q *hfwork.Queue) bool {
+		if q.GetPool() == "invalid" {
+			invalid = append(invalid, NewInvalidPart(PartQueue, q.GetName(), errUnreadable))
+		}
+		return q.GetPool() == "invalid"
+	})
+	return p, invalid, nil
 }
 
 func (fakeFormats) Worker(id string, raw []byte) (*hfwork.Worker, error) {
