Limit the sizes of a job

What callers saw: nothing yet. A single job of 64 steps with 20,000 tasks each and 10,000 occurrences was accepted and stored: 12.8 billion tasks of 88 bytes, which no process can hold. The leader would end by running out of memory, and each that follows it, as the job is read from the store again. Sizes near the largest int64 (cpu, memory, the time between occurrences, an estimate of 1e300 ms) overflow the products and sums that the scheduler makes of them.

Cause: only counts of single steps were limited, and sizes below 0.

Not run: a leader with the huge job, which would take the machine's memory.

--- a/hfentry/entries_test.go
+++ b/hfentry/entries_test.go
@@ -150,3 +150,17 @@
 	require.Equal(t, "old", index.accountsByKey["l"])
 	require.Equal(t, int64(5), p.GetBody())
 }
+
+// Guards against a stored job that no leader can hold in memory reaching the scheduler.
+func TestStoredJobOutOfRangeIsNotScheduled(t *testing.T) {
+	m := NewMirror(fakeFormats{}, time.Hour)
+	good := &hfwork.Job{Id: "a", Steps: []*hfwork.Step{{Count: 1}}}
+	require.Equal(t, "a", m.Apply(newItem(t, jobPrefix+"a", 1, good)).job)
+	huge := &hfwork.Job{Id: "b", Times: hfwork.MaxOccurrences, Interval: 1, Steps: []*hfwork.Step{{Count: hfwork.MaxTasksPerStep}}}
+	for _, item := range []hfstore.Item{newItem(t, jobPrefix+"b", 2, huge), newItem(t, jobPrefix+"c", 3, good), newItem(t, jobPrefix, 4, good)} {
+		c := m.Apply(item)
+		require.Empty(t, c.job, item.Key())
+		require.NotNil(t, c.rejection, item.Key())
+	}
+	require.Len(t, m.jobs, 1)
+}
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -4,6 +4,7 @@
 package hfentry
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -373,6 +374,12 @@
 		return change{}
 	}
 	job, err := hfwire.Decode(i.Value(), &hfwork.Job{})
+	if err == nil && job.GetId() != id {
+		err = fmt.Errorf("%w: job %q below the key of %q", hfwork.ErrInvalidJob, job.GetId(), id)
+	}
+	if err == nil {
+		err = hfwork.CheckSizes(job)
+	}
 	if err != nil {
 		return change{err: err}
 	}
--- a/hfplan/entries_test.go
+++ b/hfplan/entries_test.go
@@ -149,3 +149,14 @@
 	w.advance(8 * time.Second)
 	require.Equal(t, hfwork.StateCompleted, w.state("a"))
 }
+
+// Guards against an objective that overflows, so that jobs of the largest values lose their turn.
+func TestLargestObjectiveDoesNotOverflow(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	j := &job{
+		spec:  &hfwork.Job{Received: now.UnixMilli(), Steps: []*hfwork.Step{{Count: 1, Estimate: hfwork.MaxEstimate}}},
+		queue: &hfwork.Queue{Stretch: 1 << 20, Objective: hfwork.MaxMillis},
+	}
+	j.groups = []*group{newGroup(j, 0, 0, j.spec.GetSteps()[0], time.Time{})}
+	require.Equal(t, onTime, j.groups[0].objectiveStatus(now))
+}
--- a/hfplan/objective.go
+++ b/hfplan/objective.go
@@ -8,6 +8,10 @@
 // value to the caller.
 const overdueFactor = 3
 
+// maxObjective limits both parts of an objective, so that sums and products with it stay within
+// a time.Duration.
+const maxObjective = 20 * 365 * 24 * time.Hour
+
 // objectiveStatus is the best result that a job can still reach if its waiting group
 // starts now.
 type objectiveStatus int
@@ -31,7 +35,8 @@
 		start = g.due
 	}
 	total, remaining := j.criticalPath(g.occurrence)
-	objective := time.Duration(j.queue.GetStretch()*float64(total)) + time.Duration(j.queue.GetObjective())*time.Millisecond
+	objective := time.Duration(min(j.queue.GetStretch()*float64(total), float64(maxObjective)))
+	objective += min(time.Duration(j.queue.GetObjective())*time.Millisecond, maxObjective)
 	switch end := now.Add(remaining); {
 	case !end.After(start.Add(objective)):
 		return onTime
