Schedule no job whose progress cannot be read

What callers saw: nothing yet; our own records would have to be damaged. A new leader took a job without readable progress as one of which nothing has run: it would start tasks that run or are done. A record with one step twice counted its done tasks twice.

Change: such a job stays out of the scheduler until its record can be read; its callers see the last known state. After a watch of our own records with an item that cannot be read, the prefix is listed again. A list with an item without a key takes no job out of the mirror, as the item may be that of the job.

Open: a roster that cannot be read leaves an instance that has just started with none. Workers that are registered are known without it.

--- a/hfentry/entries_test.go
+++ b/hfentry/entries_test.go
@@ -15,6 +15,7 @@
 	"github.com/heatherfront/heatherfront/hfevent"
 	"github.com/heatherfront/heatherfront/hflease"
 	"github.com/heatherfront/heatherfront/hfloop"
+	"github.com/heatherfront/heatherfront/hfplan"
 	"github.com/heatherfront/heatherfront/hfstore"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
@@ -164,3 +165,62 @@
 	}
 	require.Len(t, m.jobs, 1)
 }
+
+// Guards against a new leader starting the tasks of a job again, some of which run or are done,
+// because the record of its progress cannot be read.
+func TestJobWithUnreadableProgressIsNotScheduled(t *testing.T) {
+	twice := &hfwork.Progress{State: hfwork.StateRunning, Steps: []*hfwork.StepProgress{{Done: []byte{1}}, {Done: []byte{1}}}}
+	for name, bad := range map[string]hfstore.Item{
+		"bytes":           hfstore.NewItem(progressPrefix+"a", []byte{0xff}, 3, false),
+		"a step twice":    newItem(t, progressPrefix+"a", 3, twice),
+		"no item":         unreadableItem(progressPrefix + "a"),
+		"before readable": hfstore.NewItem(progressPrefix+"a", []byte{0xff}, 1, false),
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newTestNode("one")
+			jobs := func() int {
+				count := 0
+				for _, msg := range n.initialMessages() {
+					if _, ok := msg.(hfplan.JobMsg); ok {
+						count++
+					}
+				}
+				return count
+			}
+			n.applyItem(newItem(t, "op/policy", 1, &hfwork.Policy{}))
+			n.applyItem(newItem(t, jobPrefix+"a", 2, &hfwork.Job{Id: "a", Steps: []*hfwork.Step{{Count: 1}}}))
+			n.applyItem(newItem(t, jobPrefix+"b", 2, &hfwork.Job{Id: "b", Steps: []*hfwork.Step{{Count: 1}}}))
+			require.Equal(t, 2, jobs())
+			if name == "before readable" {
+				n.applyItem(newItem(t, progressPrefix+"a", 2, &hfwork.Progress{State: hfwork.StateRunning}))
+				n.applyItem(bad)
+				require.Equal(t, 2, jobs(), "an older record changes nothing")
+				return
+			}
+			n.applyItem(bad)
+			require.Equal(t, 1, jobs())
+			n.applyItem(newItem(t, progressPrefix+"a", 4, &hfwork.Progress{State: hfwork.StateRunning}))
+			require.Equal(t, 2, jobs(), "a readable record replaces it")
+		})
+	}
+}
+
+// Guards against a record that could not be read in a watch being missed until it is written
+// again, and against a list that lacks a key taking a job out of the mirror.
+func TestUnreadableRecordIsListedAgain(t *testing.T) {
+	n := newTestNode("one")
+	w := &prefixWatch{prefix: recordPrefix}
+	w.synced.Store(true)
+	n.applyEvents(w, []hfstore.Item{newItem(t, jobPrefix+"a", 2, &hfwork.Job{Id: "a"}), unreadableItem(jobPrefix + "b")}, 3, time.Time{})
+	require.False(t, w.synced.Load())
+	require.Equal(t, int64(3), w.revision)
+	require.NotNil(t, n.cachedJob("a"))
+	hfloop.With(n.mirror, func(m *Mirror) []change { return m.Reset(recordPrefix, []hfstore.Item{unreadableItem("")}, 4) })
+	require.NotNil(t, n.cachedJob("a"), "the unreadable item may be that of the job")
+	hfloop.With(n.mirror, func(m *Mirror) []change { return m.Reset(recordPrefix, nil, 5) })
+	require.Nil(t, n.cachedJob("a"))
+	workers := &prefixWatch{prefix: "workers/"}
+	workers.synced.Store(true)
+	n.applyEvents(workers, []hfstore.Item{unreadableItem("workers/w")}, 6, time.Time{})
+	require.True(t, workers.synced.Load(), "a worker writes its entry again soon")
+}
--- a/hfentry/leader.go
+++ b/hfentry/leader.go
@@ -204,7 +204,7 @@
 			msgs = append(msgs, hfplan.Wave(m.currentWave(number)))
 		}
 		for _, r := range m.jobs {
-			if r.job != nil && !hfwork.IsFinal(r.progress.GetState()) {
+			if r.schedulable() && !hfwork.IsFinal(r.progress.GetState()) {
 				msgs = append(msgs, hfplan.Job(r.job, r.progress, r.cancelled))
 			}
 		}
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -51,11 +51,12 @@
 
 // jobRecord holds one job and its progress.
 type jobRecord struct {
-	job       *hfwork.Job // nil if only its progress or cancellation is known
-	progress  *hfwork.Progress
-	version   int64     // store revision of the progress
-	endSeen   time.Time // when a final state was first applied, on the clock of Mirror.receivedAt; zero before
-	cancelled bool
+	job        *hfwork.Job // nil if only its progress or cancellation is known
+	progress   *hfwork.Progress
+	version    int64     // store revision of the progress
+	endSeen    time.Time // when a final state was first applied, on the clock of Mirror.receivedAt; zero before
+	cancelled  bool
+	unreadable bool // the progress cannot be read, so that where its tasks run is not known
 }
 
 // state returns the state that callers see.
@@ -138,14 +139,15 @@
 	}
 	m.writtenAfter = time.Time{} // the age of the entries in a list is not known
 	m.forgetRejections(prefix, items)
-	listedJobs := map[string]bool{}
+	listedJobs, complete := map[string]bool{}, true
 	for _, i := range items {
+		complete = complete && i.Key() != "" // the key of an unreadable item may be missing
 		if id, ok := strings.CutPrefix(i.Key(), jobPrefix); ok {
 			listedJobs[id] = true
 		}
 		changes = append(changes, m.Apply(i))
 	}
-	if prefix == recordPrefix {
+	if prefix == recordPrefix && complete {
 		for id := range m.jobs {
 			if !listedJobs[id] {
 				delete(m.jobs, id)
@@ -360,6 +362,9 @@
 // no record. Whether a worker has left cannot be told from it.
 func (m *Mirror) applyUnreadable(i hfstore.Item) change {
 	c := change{err: i.Err()}
+	if id, ok := strings.CutPrefix(i.Key(), progressPrefix); ok {
+		m.jobRecord(id).unreadable = true
+	}
 	if id, ok := strings.CutPrefix(i.Key(), m.formats.WorkerPrefix()); ok {
 		delete(m.workers, id)
 		delete(m.leftWorkers, id)
@@ -392,13 +397,17 @@
 		return change{}
 	}
 	p, err := hfwire.Decode(i.Value(), &hfwork.Progress{})
-	if err != nil {
-		return change{err: err}
+	if err == nil {
+		err = checkProgress(p)
 	}
 	r := m.jobRecord(id)
 	if i.Version() < r.version {
 		return change{}
 	}
+	r.unreadable = err != nil
+	if err != nil {
+		return change{err: err}
+	}
 	r.version = i.Version()
 	if hfwork.IsFinal(p.GetState()) {
 		p.Steps = nil // no longer needed
@@ -410,6 +419,24 @@
 	return change{}
 }
 
+// checkProgress returns an error if a record holds a step twice.
+func checkProgress(p *hfwork.Progress) error {
+	type place struct{ occurrence, step uint32 }
+	seen := map[place]bool{}
+	for _, sp := range p.GetSteps() {
+		at := place{sp.GetOccurrence(), sp.GetStep()}
+		if seen[at] {
+			return fmt.Errorf("%w: progress: step %d of occurrence %d twice", hfwork.ErrInvalidJob, at.step, at.occurrence)
+		}
+		seen[at] = true
+	}
+	return nil
+}
+
+// schedulable reports whether the scheduler may have a job. One whose progress cannot be read
+// waits: its tasks may be running or done.
+func (r *jobRecord) schedulable() bool { return r.job != nil && !r.unreadable }
+
 // waitingJobs returns the number of jobs in a queue that have not started any task yet.
 func (m *Mirror) waitingJobs(queue string) int {
 	n := 0
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -192,7 +192,7 @@
 			l.Send(hfplan.Wave(c.wave))
 		}
 		if l := n.leader.Load(); l != nil && c.job != "" {
-			if r := n.cachedJob(c.job); r != nil && r.job != nil {
+			if r := n.cachedJob(c.job); r != nil && r.schedulable() {
 				l.Send(hfplan.Job(r.job, r.progress, r.cancelled))
 			}
 		}
--- a/hfentry/watch.go
+++ b/hfentry/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -136,5 +137,8 @@
 	if !isBacklog(items) {
 		w.completeUntil = sent
 	}
+	if w.prefix == recordPrefix && slices.ContainsFunc(items, func(i hfstore.Item) bool { return i.Err() != nil }) {
+		w.synced.Store(false) // an event of our own records is missing; a list may have its item
+	}
 	n.notify(changes)
 }
