--- a/hfentry/entries_test.go
+++ b/hfentry/entries_test.go
@@ -15,6 +15,7 @@
 	"github.com/heatherfront/heatherfront/hfevent"
 	"github.com/heatherfront/heatherfront/hflease"
 	"github.com/heatherfront/heatherfront/hfloop"
+	"github.com/heatherfront/heatherfront/hfplan"
 	"github.com/heatherfront/heatherfront/hfstore"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
@@ -119,3 +120,107 @@
 	require.Len(t, rejections(logs), 3)
 	require.Equal(t, int64(101), metrics.GetOrRegisterCounter("report.rejected", registry).Count())
 }
+
+// Guards against a part of a configuration that is invalid taking its last valid version out of
+// force, or keeping the other parts from coming into force.
+func TestInvalidPartKeepsItsLastVersion(t *testing.T) {
+	m := NewMirror(fakeFormats{}, time.Hour)
+	queue := func(name, host, pool string) *hfwork.Queue {
+		return &hfwork.Queue{Name: name, Host: host, Prefix: "/" + name + "/", Pool: pool}
+	}
+	m.Apply(newItem(t, "op/policy", 1, &hfwork.Policy{Queues: []*hfwork.Queue{queue("a", "old", "p"), queue("b", "old", "p")}}))
+	c := m.Apply(newItem(t, "op/policy", 2, &hfwork.Policy{Queues: []*hfwork.Queue{queue("a", "new", "p"), queue("b", "new", "invalid"), queue("c", "new", "invalid")}}))
+	require.True(t, c.policy)
+	require.NotNil(t, c.rejection)
+	require.Len(t, m.policy.config.GetQueues(), 2)
+	a, _ := m.policy.matchQueue("new", "/a/")
+	require.Equal(t, "a", a.GetName())
+	b, _ := m.policy.matchQueue("old", "/b/")
+	require.Equal(t, "b", b.GetName())
+	gone, _ := m.policy.matchQueue("old", "/a/")
+	require.Nil(t, gone)
+}
+
+// Guards against a key that moved to another account going back to an account that is invalid.
+func TestKeyOfInvalidAccountStaysWithItsNewAccount(t *testing.T) {
+	previous := &hfwork.Policy{Accounts: []*hfwork.Account{{Name: "old", Keys: []string{"k", "l"}}}, Body: 5}
+	p := &hfwork.Policy{Accounts: []*hfwork.Account{{Name: "new", Keys: []string{"k"}}}}
+	keepInvalidParts(p, previous, []InvalidPart{NewInvalidPart(PartAccount, "old", errUnreadable), NewInvalidPart(PartLimits, "", errUnreadable), NewInvalidPart(PartPool, "x", errUnreadable)})
+	index := newPolicyIndex(p)
+	require.Equal(t, "new", index.accountsByKey["k"])
+	require.Equal(t, "old", index.accountsByKey["l"])
+	require.Equal(t, int64(5), p.GetBody())
+}
+
+// Guards against a stored job that no leader can hold in memory reaching the scheduler.
+func TestStoredJobOutOfRangeIsNotScheduled(t *testing.T) {
+	m := NewMirror(fakeFormats{}, time.Hour)
+	good := &hfwork.Job{Id: "a", Steps: []*hfwork.Step{{Count: 1}}}
+	require.Equal(t, "a", m.Apply(newItem(t, jobPrefix+"a", 1, good)).job)
+	huge := &hfwork.Job{Id: "b", Times: hfwork.MaxOccurrences, Interval: 1, Steps: []*hfwork.Step{{Count: hfwork.MaxTasksPerStep}}}
+	for _, item := range []hfstore.Item{newItem(t, jobPrefix+"b", 2, huge), newItem(t, jobPrefix+"c", 3, good), newItem(t, jobPrefix, 4, good)} {
+		c := m.Apply(item)
+		require.Empty(t, c.job, item.Key())
+		require.NotNil(t, c.rejection, item.Key())
+	}
+	require.Len(t, m.jobs, 1)
+}
+
+// Guards against a new leader starting the tasks of a job again, some of which run or are done,
+// because the record of its progress cannot be read.
+func TestJobWithUnreadableProgressIsNotScheduled(t *testing.T) {
+	twice := &hfwork.Progress{State: hfwork.StateRunning, Steps: []*hfwork.StepProgress{{Done: []byte{1}}, {Done: []byte{1}}}}
+	for name, bad := range map[string]hfstore.Item{
+		"bytes":           hfstore.NewItem(progressPrefix+"a", []byte{0xff}, 3, false),
+		"a step twice":    newItem(t, progressPrefix+"a", 3, twice),
+		"no item":         unreadableItem(progressPrefix + "a"),
+		"before readable": hfstore.NewItem(progressPrefix+"a", []byte{0xff}, 1, false),
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newTestNode("one")
+			jobs := func() int {
+				count := 0
+				for _, msg := range n.initialMessages() {
+					if _, ok := msg.(hfplan.JobMsg); ok {
+						count++
+					}
+				}
+				return count
+			}
+			n.applyItem(newItem(t, "op/policy", 1, &hfwork.Policy{}))
+			n.applyItem(newItem(t, jobPrefix+"a", 2, &hfwork.Job{Id: "a", Steps: []*hfwork.Step{{Count: 1}}}))
+			n.applyItem(newItem(t, jobPrefix+"b", 2, &hfwork.Job{Id: "b", Steps: []*hfwork.Step{{Count: 1}}}))
+			require.Equal(t, 2, jobs())
+			if name == "before readable" {
+				n.applyItem(newItem(t, progressPrefix+"a", 2, &hfwork.Progress{State: hfwork.StateRunning}))
+				n.applyItem(bad)
+				require.Equal(t, 2, jobs(), "an older record changes nothing")
+				return
+			}
+			n.applyItem(bad)
+			require.Equal(t, 1, jobs())
+			n.applyItem(newItem(t, progressPrefix+"a", 4, &hfwork.Progress{State: hfwork.StateRunning}))
+			require.Equal(t, 2, jobs(), "a readable record replaces it")
+		})
+	}
+}
+
+// Guards against a record that could not be read in a watch being missed until it is written
+// again, and against a list that lacks a key taking a job out of the mirror.
+func TestUnreadableRecordIsListedAgain(t *testing.T) {
+	n := newTestNode("one")
+	w := &prefixWatch{prefix: recordPrefix}
+	w.synced.Store(true)
+	n.applyEvents(w, []hfstore.Item{newItem(t, jobPrefix+"a", 2, &hfwork.Job{Id: "a"}), unreadableItem(jobPrefix + "b")}, 3, time.Time{})
+	require.False(t, w.synced.Load())
+	require.Equal(t, int64(3), w.revision)
+	require.NotNil(t, n.cachedJob("a"))
+	hfloop.With(n.mirror, func(m *Mirror) []change { return m.Reset(recordPrefix, []hfstore.Item{unreadableItem("")}, 4) })
+	require.NotNil(t, n.cachedJob("a"), "the unreadable item may be that of the job")
+	hfloop.With(n.mirror, func(m *Mirror) []change { return m.Reset(recordPrefix, nil, 5) })
+	require.Nil(t, n.cachedJob("a"))
+	workers := &prefixWatch{prefix: "workers/"}
+	workers.synced.Store(true)
+	n.applyEvents(workers, []hfstore.Item{unreadableItem("workers/w")}, 6, time.Time{})
+	require.True(t, workers.synced.Load(), "a worker writes its entry again soon")
+}
