Take the rows of the membership list one by one, within limits

What callers saw: instances of `serve` that read the list ended again and again, or stopped following it, after another writer had left one odd row.

- a row with 1,000,000,000,000 accelerators: every leader of its failure domain makes a table of all accelerators and ends out of memory, as does the next one, which reads the same list;
- a row with a field of another type, a number that is none (1e400) or more than 10,000 levels of nesting: the whole list is not decoded, and instances keep the members they know;
- a port out of range: the member is used, and never reached.

Cause: the list was decoded in one json.Unmarshal and not checked.

Change: the list is split into its rows without the decoder, whose limit of nesting counts for the whole list, and each row is decoded and checked by itself, with named limits. For an invalid row the last valid one of its name stays in use, so that its runs are not taken as lost; a member that is no longer listed is gone, as before. Of two rows of one name the first counts. Rejected rows are counted (members.rejected) and logged once (206 member-rejected).

--- a/hfevent/catalogue.go
+++ b/hfevent/catalogue.go
@@ -17,6 +17,7 @@
 	ListFailed     = Event{203, "list-failed", zapcore.WarnLevel, "The membership list could not be fetched; the last one stays in use."}
 	MessageUnknown = Event{204, "message-unknown", zapcore.WarnLevel, "A message of a kind that this version does not know was refused."}
 	SelfPaused     = Event{205, "self-paused", zapcore.WarnLevel, "The process did not run for a while; leases and suspicions are checked again."}
+	MemberRejected = Event{206, "member-rejected", zapcore.WarnLevel, "A row of the membership list is invalid; the last valid one of its name stays in use. Logged once until the reason changes."}
 
 	ConfigApplied  = Event{300, "config-applied", zapcore.InfoLevel, "A newer revision of a resource is in force here."}
 	ConfigRejected = Event{301, "config-rejected", zapcore.ErrorLevel, "A stored resource cannot be read; its last good revision stays in force."}
@@ -79,7 +80,7 @@
 func Catalogue() []Event {
 	return []Event{
 		Started, Stopping, Stopped, StopForced, InvariantViolated,
-		PeerUp, PeerSuspect, PeerGone, ListFailed, MessageUnknown, SelfPaused,
+		PeerUp, PeerSuspect, PeerGone, ListFailed, MessageUnknown, SelfPaused, MemberRejected,
 		ConfigApplied, ConfigRejected, StoreReverted, StoreDown, StoreUp, ConfigAccepted, StoreRelayed, StoreDirect,
 		MergeStep, MergeDone, MergeFailed,
 		LedgerUnavailable,
--- a/hfserve/membership.go
+++ b/hfserve/membership.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
@@ -26,20 +27,6 @@
 	maxListBytes          = 8 << 20
 )
 
-// memberRow is one row of the platform's membership list.
-type memberRow struct {
-	Name         string `json:"name"`
-	Role         string `json:"role"`
-	Address      string `json:"address"`
-	Domain       string `json:"domain"`
-	Region       string `json:"region"`
-	Rack         string `json:"rack"`
-	Position     int    `json:"position"`
-	Accelerators int    `json:"accelerators"`
-	Slots        int    `json:"slots"`
-	State        string `json:"state"`
-}
-
 const stateLeaving = "leaving"
 
 // memberListLoop fetches the membership list repeatedly, less often the longer the list
@@ -48,12 +35,17 @@
 func (s *Server) memberListLoop(ctx context.Context) error {
 	s.applySeeds()
 	failing := false
+	list := newMemberList()
 	var nextFetch time.Time
 	return every(ctx, minListInterval, func(ctx context.Context) {
 		if time.Now().Before(nextFetch) {
 			return
 		}
-		rows, size, err := s.fetchMemberList(ctx)
+		body, err := s.fetchMemberList(ctx)
+		var rejected []rejectedRow
+		if err == nil {
+			rejected, err = list.update(body)
+		}
 		if err != nil {
 			if !failing {
 				s.log.Event(hfevent.ListFailed, zap.Error(err))
@@ -62,8 +54,14 @@
 			return
 		}
 		failing = false
-		nextFetch = time.Now().Add(time.Duration(size) * time.Second / maxListBytesPerSecond)
-		s.applyMemberList(ctx, rows)
+		nextFetch = time.Now().Add(time.Duration(len(body)) * time.Second / maxListBytesPerSecond)
+		for _, r := range rejected {
+			metrics.GetOrRegisterCounter("members.rejected", s.registry).Inc(1)
+			if !r.repeated {
+				s.log.Event(hfevent.MemberRejected, zap.String("member", r.name), zap.String("error", r.reason))
+			}
+		}
+		s.applyMemberList(ctx, list.rows)
 	})
 }
 
@@ -76,17 +74,13 @@
 	s.updatePeers(seeds)
 }
 
-// fetchMemberList returns the membership list and its size in bytes.
-func (s *Server) fetchMemberList(ctx context.Context) ([]memberRow, int, error) {
-	var rows []memberRow
-	size, err := s.fetch(ctx, s.settings.MembersURL()+"/v1/members", listTimeout, maxListBytes, &rows)
+// fetchMemberList returns the membership list as the platform sent it.
+func (s *Server) fetchMemberList(ctx context.Context) ([]byte, error) {
+	body, err := s.fetch(ctx, s.settings.MembersURL()+"/v1/members", listTimeout, maxListBytes)
 	if err != nil {
-		return nil, 0, fmt.Errorf("%w: %w", ErrMemberList, err)
-	}
-	if len(rows) == 0 {
-		return nil, 0, fmt.Errorf("%w: it is empty", ErrMemberList)
+		return nil, fmt.Errorf("%w: %w", ErrMemberList, err)
 	}
-	return rows, size, nil
+	return body, nil
 }
 
 // applyMemberList applies the instances, workers and endpoints of a membership list.
--- a/hfserve/poll.go
+++ b/hfserve/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -156,7 +157,11 @@
 	var body struct {
 		State string `json:"state"`
 	}
-	if _, err := s.fetch(ctx, "http://"+address+"/health", healthTimeout, maxHealthBytes, &body); err != nil {
+	raw, err := s.fetch(ctx, "http://"+address+"/health", healthTimeout, maxHealthBytes)
+	if err == nil {
+		err = json.Unmarshal(raw, &body)
+	}
+	if err != nil {
 		return false, fmt.Errorf("%w: %w", ErrHealth, err)
 	}
 	return body.State == stateLeaving, nil
