Test the scheduler behind a network that carries orders out late

What was missing: the simulated world carried starts out late, but no stops, polls or renewals, and calculated leases itself. Change: network_test.go puts a network between scheduler and workers that leaves orders and polls unanswered and carries them out 2 to 12 s later, cuts workers off in one direction or both and restarts them behind the cut; the world fails the test if a task runs twice.

--- a/hfplan/faults_test.go
+++ b/hfplan/faults_test.go
@@ -36,6 +36,7 @@
 func (w *world) restart(f *fakeWorker) {
 	f.incarnation++
 	f.runs, f.ended, f.lastEnd, f.highestRun, f.fence = map[string]*fakeRun{}, nil, 0, map[string]int64{}, 0
+	f.doneEnds, f.leaseEnd = nil, time.Time{}
 }
 
 // TestPromisesUnderRandomFaults replaces schedulers, partitions, mutes and restarts
--- /dev/null
+++ b/hfplan/network_test.go
@@ -0,0 +1,433 @@
+package hfplan
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+// The times of the orders of a leader (see package hforder).
+const (
+	leaseMargin      = 50 * time.Millisecond // subtracted from a lease
+	responseTimeout  = 300 * time.Millisecond
+	orderTimeout     = time.Second
+	pollTimeout      = 900 * time.Millisecond // beyond the wait of a poll
+	silentPollPause  = 250 * time.Millisecond
+	endsStoredWait   = 2 * time.Second // for the record of a reported end
+	maxQueued        = 2 * time.Second // of a start at the leader
+	minLateness      = 2 * time.Second // of an order that is carried out late
+	lateness         = 10 * time.Second
+	maxClockSlowness = 0.02
+)
+
+// network carries orders and polls between the leader and the workers as package hforder
+// sends them. It leaves some of them unanswered and carries them out late, and it can be cut
+// in each direction. Leases end as the orders say, on the clock of the worker.
+type network struct {
+	w      *world
+	random *rand.Rand
+	late   float64 // share of the orders and polls that are carried out late and not answered
+	slow   float64 // share of the starts that wait in the queue of the leader
+	cutTo  map[*fakeWorker]bool
+	cutOff map[*fakeWorker]bool // what the worker sends is lost
+	links  map[string]*link     // of the present leader, by worker id
+}
+
+// link is what a leader knows of its connection to a worker.
+type link struct {
+	term         int
+	fence        int
+	id           string
+	answered     bool // the last poll was answered
+	silent       bool
+	incarnation  int64
+	lastReported int64
+	lastStored   int64
+	forgotten    int64            // number of the last end that the worker has been told is stored, by an answered poll
+	withdrawn    map[StopCmd]bool // queued starts that are not to be sent any more, as their stops
+	waiting      []*waitingPoll   // polls that the worker has not answered yet
+}
+
+// waitingPoll is a poll that a worker answers at its next end or after a wait.
+type waitingPoll struct {
+	f        *fakeWorker
+	answered bool
+	answer   func()
+}
+
+// useNetwork puts a network between the leader and the workers and starts a new scheduler.
+func (w *world) useNetwork(random *rand.Rand) *network {
+	n := &network{w: w, random: random, cutTo: map[*fakeWorker]bool{}, cutOff: map[*fakeWorker]bool{}}
+	for _, id := range sortedKeys(w.fleet) {
+		w.fleet[id].clockRate = 1 + maxClockSlowness*random.Float64()
+	}
+	w.network = n
+	w.replaceScheduler()
+	return n
+}
+
+// connect begins the polls of a new leader, of the workers that are registered or in the roster.
+func (n *network) connect() {
+	n.links = map[string]*link{}
+	known := n.w.registered()
+	for _, r := range n.w.roster {
+		known[r.GetId()] = r
+	}
+	n.follow(known)
+}
+
+// list sends the list of registered workers to the scheduler.
+func (n *network) list() {
+	registered := n.w.registered()
+	n.follow(registered)
+	n.w.send(Workers(registered))
+}
+
+// follow begins to poll workers.
+func (n *network) follow(workers map[string]*hfwork.Worker) {
+	for _, id := range sortedKeys(workers) {
+		if n.links[id] == nil {
+			l := &link{term: n.w.term, fence: n.w.fence, id: id, withdrawn: map[StopCmd]bool{}}
+			n.links[id] = l
+			n.w.at(messageDelay, func() { n.poll(l) })
+		}
+	}
+}
+
+// current reports whether the leader of a link still leads and follows the worker.
+func (n *network) current(l *link) bool { return n.w.term == l.term && n.links[l.id] == l }
+
+// tell passes a message to the scheduler unless its leadership has ended.
+func (n *network) tell(l *link, m Msg) {
+	if n.current(l) {
+		n.w.send(m)
+	}
+}
+
+// order carries an order to a worker. carryOut is called when it arrives, and answer with its
+// result if that gets back in time. The order is lost if the worker restarts meanwhile.
+func (n *network) order(l *link, wait time.Duration, carryOut func(f *fakeWorker, answer func(func()))) {
+	f := n.w.fleet[l.id]
+	incarnation, delay, late := f.incarnation, messageDelay, n.random.Float64() < n.late || f.muted
+	if late {
+		delay = minLateness + time.Duration(n.random.Int64N(int64(lateness)))
+	}
+	if n.cutTo[f] {
+		return
+	}
+	deadline := n.w.now.Add(wait)
+	n.w.at(delay, func() {
+		if f.incarnation != incarnation || l.fence < f.fence {
+			return
+		}
+		f.fence = l.fence
+		carryOut(f, func(deliver func()) {
+			if late || n.cutOff[f] {
+				return
+			}
+			n.w.at(messageDelay, func() {
+				if n.current(l) && !n.w.now.After(deadline) {
+					deliver()
+				}
+			})
+		})
+	})
+}
+
+// extend extends the lease of a worker by an order that was sent at the given time.
+func (n *network) extend(f *fakeWorker, sent time.Time) {
+	onClock := func(d time.Duration) time.Duration { return time.Duration(float64(d) * f.clockRate) }
+	end := sent.Add(onClock(workerLease - leaseMargin))
+	if longest := n.w.now.Add(onClock(workerLease)); end.After(longest) {
+		end = longest
+	}
+	if !end.After(f.leaseEnd) {
+		return
+	}
+	f.leaseEnd = end
+	incarnation := f.incarnation
+	n.w.at(end.Sub(n.w.now), func() {
+		if f.incarnation != incarnation || n.w.now.Before(f.leaseEnd) {
+			return
+		}
+		f.lapses++
+		for _, name := range sortedKeys(f.runs) {
+			if r := f.runs[name]; r != nil {
+				n.w.finish(f, r, hfwork.LeaseExpired)
+			}
+		}
+	})
+}
+
+// poll sends a poll and the next one after it.
+func (n *network) poll(l *link) {
+	if !n.current(l) || n.w.fleet[l.id] == nil {
+		return
+	}
+	sent, renews, lastStored, wait := n.w.now, l.answered, l.lastStored, time.Duration(0)
+	if !renews || lastStored == l.forgotten {
+		lastStored = 0 // a worker that has restarted would forget ends of its own
+	}
+	if renews {
+		wait = pollInterval
+	}
+	answered := false
+	n.w.at(wait+pollTimeout, func() {
+		if answered || !n.current(l) {
+			return
+		}
+		l.silent, l.answered = true, false
+		n.tell(l, WorkerSilent(l.id))
+		n.w.at(silentPollPause, func() { n.poll(l) })
+	})
+	n.order(l, wait+pollTimeout, func(f *fakeWorker, answer func(func())) {
+		if renews {
+			n.extend(f, sent)
+		}
+		n.note(f, lastStored)
+		respond := func() {
+			report := f.report(n.w.now)
+			answer(func() {
+				answered, l.answered, l.silent, l.forgotten = true, true, false, max(l.forgotten, lastStored)
+				n.receive(l, sent, report)
+			})
+		}
+		if len(f.ended) > 0 || wait == 0 {
+			respond()
+			return
+		}
+		p := &waitingPoll{f: f, answer: respond}
+		l.waiting = append(l.waiting, p)
+		n.w.at(wait, func() { n.respond(l, p) })
+	})
+}
+
+// respond answers a waiting poll once.
+func (n *network) respond(l *link, p *waitingPoll) {
+	l.waiting = slices.DeleteFunc(l.waiting, func(o *waitingPoll) bool { return o == p })
+	if !p.answered {
+		p.answered = true
+		p.answer()
+	}
+}
+
+// answerWaiting answers the polls that wait for an end on a worker.
+func (n *network) answerWaiting(f *fakeWorker) {
+	l := n.links[f.registration.GetId()]
+	if l == nil {
+		return
+	}
+	for _, p := range slices.Clone(l.waiting) {
+		if p.f == f {
+			n.respond(l, p)
+		}
+	}
+}
+
+// receive passes a report to the scheduler and sends the next poll once the reported ends are
+// stored.
+func (n *network) receive(l *link, sent time.Time, report hfwork.Report) {
+	if report.Incarnation() != l.incarnation {
+		l.incarnation, l.lastReported, l.lastStored, l.forgotten = report.Incarnation(), 0, 0, 0
+	}
+	for _, e := range report.Ended() {
+		l.lastReported = max(l.lastReported, e.Sequence())
+	}
+	n.tell(l, Report(l.id, sent, report))
+	deadline := n.w.now.Add(endsStoredWait)
+	var next func()
+	next = func() {
+		if n.current(l) && l.lastReported > l.lastStored && n.w.now.Before(deadline) {
+			n.w.at(messageDelay, next)
+			return
+		}
+		n.poll(l)
+	}
+	next()
+}
+
+// note makes a worker forget the ends that are stored. The task of an end as done must not have
+// started since, unless the lease of the worker has expired in between.
+func (n *network) note(f *fakeWorker, lastStored int64) {
+	f.ended = slices.DeleteFunc(f.ended, func(e hfwork.End) bool { return e.Sequence() <= lastStored })
+	f.doneEnds = slices.DeleteFunc(f.doneEnds, func(e doneEnd) bool {
+		if e.sequence > lastStored {
+			return false
+		}
+		if e.lapses == f.lapses {
+			require.False(n.w.t, n.w.starts[e.name].After(e.at), "%s was started after its end as done", e.name)
+			n.w.noted[e.name] = true
+		}
+		return true
+	})
+}
+
+// do carries out the commands that concern workers. It reports whether it knows the command.
+func (n *network) do(cmd Cmd) bool {
+	switch c := cmd.(type) {
+	case StartCmd:
+		queued := messageDelay
+		if n.random.Float64() < n.slow {
+			queued = time.Duration(n.random.Int64N(int64(maxQueued)))
+		}
+		if l := n.links[c.Worker()]; l != nil {
+			n.w.at(queued, func() { n.sendStart(l, c) })
+		}
+	case StopCmd:
+		if l := n.links[c.Worker()]; l != nil {
+			l.withdrawn[c] = true
+			n.try(l, n.w.now, 1, func(f *fakeWorker, _ time.Time) Outcome {
+				n.w.stop(f, c.Task(), c.Number())
+				return OutcomeDone
+			}, func(o Outcome) { n.tell(l, Stopped(c, o)) })
+		}
+	case AckCmd:
+		if l := n.links[c.Worker()]; l != nil && l.incarnation == c.Incarnation() {
+			l.lastStored = max(l.lastStored, c.Sequence())
+		}
+	case NoteCmd:
+		if c.Note() == NoteRemoved {
+			delete(n.links, c.Worker())
+		}
+		return false
+	default:
+		return false
+	}
+	return true
+}
+
+func (n *network) sendStart(l *link, c StartCmd) {
+	if !n.current(l) {
+		return
+	}
+	if l.silent || l.withdrawn[StopCmd{worker: c.Worker(), task: c.Task(), number: c.Number()}] {
+		n.tell(l, Started(c, OutcomeRefused))
+		return
+	}
+	n.try(l, n.w.now, 1, func(f *fakeWorker, sent time.Time) Outcome {
+		if !n.w.now.Before(sent.Add(time.Duration(float64(workerLease-leaseMargin) * f.clockRate))) {
+			return OutcomeRefused // its lease would have ended already
+		}
+		n.extend(f, sent)
+		if r := f.runs[fmt.Sprint(c.Task())]; r != nil && r.number >= c.Number() {
+			if r.number == c.Number() {
+				return OutcomeDone
+			}
+			return OutcomeStale
+		}
+		return n.w.start(f, c)
+	}, func(o Outcome) { n.tell(l, Started(c, o)) })
+}
+
+// try sends an order until it is answered, orderTimeout has passed or the worker is silent.
+func (n *network) try(l *link, begun time.Time, tries int, carryOut func(f *fakeWorker, sent time.Time) Outcome, finish func(Outcome)) {
+	if !n.current(l) || n.w.fleet[l.id] == nil {
+		return
+	}
+	sent, answered := n.w.now, false
+	n.order(l, responseTimeout, func(f *fakeWorker, answer func(func())) {
+		outcome := carryOut(f, sent)
+		answer(func() {
+			answered = true
+			if outcome != OutcomeDone && tries > 1 {
+				outcome = OutcomeUnknown // an earlier try may have taken effect
+			}
+			finish(outcome)
+		})
+	})
+	n.w.at(responseTimeout+messageDelay, func() {
+		switch {
+		case answered || !n.current(l):
+		case n.w.now.Sub(begun) > orderTimeout-responseTimeout || l.silent:
+			finish(OutcomeUnknown)
+		default:
+			n.try(l, begun, tries+1, carryOut, finish)
+		}
+	})
+}
+
+// TestNoTaskRunsTwiceBehindALateNetwork replaces schedulers, leaves orders and polls unanswered
+// and carries them out late, cuts workers off in one direction or both, restarts them behind
+// the cut and changes their entries at random. The world fails the test if a task runs twice,
+// or starts after its end as done was acknowledged. In the end, every job must have ended.
+func TestNoTaskRunsTwiceBehindALateNetwork(t *testing.T) {
+	for seed := range *networkSeeds {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { playLateNetwork(t, seed) })
+	}
+}
+
+var networkSeeds = flag.Uint64("networkseeds", 60, "number of worlds of TestNoTaskRunsTwiceBehindALateNetwork")
+
+func playLateNetwork(t *testing.T, seed uint64) {
+	t.Helper()
+	random := rand.New(rand.NewPCG(seed, 20261205))
+	w := newWorld(t, 2, 4)
+	n := w.useNetwork(random)
+	w.advance(time.Second)
+	after := func(least, most time.Duration, do func()) {
+		w.at(least+time.Duration(random.Int64N(int64(most-least))), do)
+	}
+	jobs := 0
+	for range 60 {
+		w.advance(time.Duration(50+random.IntN(500)) * time.Millisecond)
+		f := w.fleet[fmt.Sprintf("w%d-%d", random.IntN(2), random.IntN(4))]
+		switch random.IntN(16) {
+		case 0:
+			w.replaceScheduler()
+		case 1:
+			n.cutTo[f] = true
+			after(time.Second, 10*time.Second, func() { n.cutTo[f] = false })
+		case 2:
+			n.cutOff[f] = true
+			after(time.Second, 10*time.Second, func() { n.cutOff[f] = false })
+		case 3:
+			f.muted = true
+			after(300*time.Millisecond, 8*time.Second, func() { f.muted = false })
+		case 4:
+			n.late, n.slow = []float64{0.1, 0.3, 0.5}[random.IntN(3)], random.Float64()/2
+			after(time.Second, 10*time.Second, func() { n.late, n.slow = 0, 0 })
+		case 5:
+			w.restart(f)
+		case 6:
+			f.unlisted = true
+			n.list()
+			after(time.Second, 12*time.Second, func() {
+				f.unlisted = false
+				n.list()
+			})
+		case 7:
+			f.oddEntry = true
+			n.list()
+			after(100*time.Millisecond, 2*time.Second, func() {
+				f.oddEntry = false
+				n.list()
+			})
+		case 8:
+			if jobs > 0 {
+				w.cancel(fmt.Sprintf("j%03d", random.IntN(jobs)))
+			}
+		default:
+			step := single(uint32(1+random.IntN(12)), time.Duration(300+random.IntN(9000))*time.Millisecond)
+			if random.IntN(2) == 0 {
+				step = gang(uint32(1+random.IntN(6)), int64(1+random.IntN(8)), time.Duration(300+random.IntN(9000))*time.Millisecond)
+				step.Compact = random.IntN(2) == 0
+			}
+			step.Saves = random.IntN(2) == 0
+			w.submit(fmt.Sprintf("j%03d", jobs), []string{"urgent", "usual", "spare"}[random.IntN(3)], step)
+			jobs++
+		}
+	}
+	w.advance(120 * time.Second)
+	for i := range jobs {
+		id := fmt.Sprintf("j%03d", i)
+		require.True(t, w.cancelled[id] || hfwork.IsFinal(w.state(id)), "%s is %q", id, w.state(id))
+		require.Zero(t, w.running(id), id)
+	}
+}
--- a/hfplan/world_test.go
+++ b/hfplan/world_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/heatherfront/heatherfront/hfplacement"
 	"github.com/heatherfront/heatherfront/hfwork"
@@ -51,6 +52,9 @@
 	adviceRequests int             // number of AdviceCmds
 	interrupted    int             // runs ended by an upkeep
 	lostTime       time.Duration   // accelerator time of runs without checkpoints that ended early
+	network        *network        // between the leader and the workers; nil if orders and reports arrive at once
+	starts         map[string]time.Time
+	noted          map[string]bool // tasks with an acknowledged end as done
 }
 
 // event is a function to call at a point in time.
@@ -95,6 +99,20 @@
 	polls        int       // number of the latest poll; earlier ones are obsolete
 	stalledSince time.Time // no run makes progress after this time; zero if not stalled
 	muted        bool      // orders get no answer, and starts are carried out late
+	clockRate    float64   // duration of a second on its clock, in seconds; only with a network
+	leaseEnd     time.Time // when all its runs end; only with a network
+	lapses       int       // number of leases that have expired with runs or unacknowledged ends
+	doneEnds     []doneEnd // ends as done that are not acknowledged
+	unlisted     bool      // not in the list of registered workers
+	oddEntry     bool      // its entry names another rack
+}
+
+// doneEnd is the end of a run as done.
+type doneEnd struct {
+	sequence int64
+	name     string // of the task
+	at       time.Time
+	lapses   int // of the worker at the end
 }
 
 // mutedStartDelay is the delay before a muted worker carries out a start.
@@ -120,7 +138,7 @@
 	t.Helper()
 	w := &world{
 		t: t, now: time.Unix(1_000_000, 0), fleet: map[string]*fakeWorker{}, records: map[string]*hfwork.Progress{},
-		downUntil: map[string]time.Time{}, upkeepDone: map[string]bool{}, jobs: map[string]*hfwork.Job{}, cancelled: map[string]bool{}, durations: map[string]time.Duration{}, failingJobs: map[string]bool{},
+		starts: map[string]time.Time{}, noted: map[string]bool{}, downUntil: map[string]time.Time{}, upkeepDone: map[string]bool{}, jobs: map[string]*hfwork.Job{}, cancelled: map[string]bool{}, durations: map[string]time.Duration{}, failingJobs: map[string]bool{},
 	}
 	w.policy = &hfwork.Policy{Version: 1, Pools: []*hfwork.Pool{{Name: "pool"}}, Accounts: []*hfwork.Account{{Name: "plants", Guaranteed: int64(racks * perRack * 4)}}}
 	for p, name := range []string{"urgent", "usual", "spare"} {
@@ -139,6 +157,11 @@
 	return w
 }
 
+// trace logs an event, which is printed if the test fails.
+func (w *world) trace(format string, values ...any) {
+	w.t.Logf("%9.3f term %d: %s", w.now.Sub(time.Unix(1_000_000, 0)).Seconds(), w.term, fmt.Sprintf(format, values...))
+}
+
 // at schedules a function call after a delay.
 func (w *world) at(d time.Duration, do func()) {
 	w.lastSequence++
@@ -163,6 +186,9 @@
 	w.fence++
 	term := w.term
 	w.s = New(int64(w.term), NewTiming(6*time.Second), w.now)
+	if w.network != nil {
+		w.network.connect()
+	}
 	w.send(Policy(w.policy))
 	w.send(Roster(w.roster))
 	w.send(Workers(w.registered()))
@@ -172,6 +198,9 @@
 		}
 	}
 	for _, id := range sortedKeys(w.fleet) {
+		if w.network != nil {
+			break
+		}
 		f := w.fleet[id]
 		f.polledAt = w.now
 		w.at(messageDelay, func() {
@@ -194,7 +223,15 @@
 func (w *world) registered() map[string]*hfwork.Worker {
 	workers := map[string]*hfwork.Worker{}
 	for id, f := range w.fleet {
-		workers[id] = f.registration
+		switch {
+		case f.unlisted:
+		case f.oddEntry:
+			odd := proto.Clone(f.registration).(*hfwork.Worker)
+			odd.Rack = "odd"
+			workers[id] = odd
+		default:
+			workers[id] = f.registration
+		}
 	}
 	return workers
 }
@@ -213,6 +250,9 @@
 
 // do carries out a command of the scheduler of a term.
 func (w *world) do(term int, cmd Cmd) {
+	if w.network != nil && w.network.do(cmd) {
+		return
+	}
 	fence := w.fence
 	reply := func(m Msg) {
 		w.at(messageDelay, func() {
@@ -286,6 +326,9 @@
 		})
 	case NoteCmd:
 		w.notes = append(w.notes, c.Note())
+		if w.network != nil {
+			w.trace("%s %s.%d.%d run %d %s %s (now run %d %s)", c.Note(), c.Job(), c.Step(), c.Task(), c.Number(), c.Worker(), c.Reason(), c.Current(), c.Phase())
+		}
 	}
 }
 
@@ -340,6 +383,11 @@
 	for id, o := range w.fleet {
 		require.NotContains(w.t, o.runs, name, "%s runs on %s already", name, id)
 	}
+	require.False(w.t, w.noted[name], "%s starts again after its end as done was acknowledged", name)
+	w.starts[name] = w.now
+	if w.network != nil {
+		w.trace("started %s run %d on %s", name, c.Number(), f.registration.GetId())
+	}
 	duration := w.durations[c.Task().Job()]
 	if duration == 0 {
 		duration = time.Duration(step.GetEstimate()) * time.Millisecond
@@ -424,11 +472,21 @@
 	}
 	f.lastEnd++
 	f.ended = append(f.ended, hfwork.NewEnd(f.lastEnd, r.task, r.number, endReason, saved))
+	if w.network != nil {
+		w.trace("ended %s run %d on %s: %s", name, r.number, f.registration.GetId(), endReason)
+	}
+	if endReason == hfwork.Done {
+		f.doneEnds = append(f.doneEnds, doneEnd{sequence: f.lastEnd, name: name, at: w.now, lapses: f.lapses})
+	}
 	if r.gangSize > 1 && endReason == hfwork.Failed {
 		for member, worker := range w.gangOf(r) {
 			w.finish(worker, member, hfwork.GangBroken)
 		}
 	}
+	if w.network != nil {
+		w.network.answerWaiting(f)
+		return
+	}
 	term := w.term
 	w.at(messageDelay, func() {
 		if w.term == term && w.fleet[f.registration.GetId()] == f {
@@ -445,12 +503,17 @@
 		return
 	}
 	f.fence = max(f.fence, w.fence)
+	w.send(Report(f.registration.GetId(), sent, f.report(w.now)))
+}
+
+// report returns the report of a worker.
+func (f *fakeWorker) report(now time.Time) hfwork.Report {
 	var running []hfwork.Run
 	for _, name := range sortedKeys(f.runs) {
 		r := f.runs[name]
-		running = append(running, hfwork.NewRun(r.task, r.number, "", r.progress(f.workTime(w.now)), 0))
+		running = append(running, hfwork.NewRun(r.task, r.number, "", r.progress(f.workTime(now)), 0))
 	}
-	w.send(Report(f.registration.GetId(), sent, hfwork.NewReport(0, f.incarnation, running, slices.Clone(f.ended))))
+	return hfwork.NewReport(0, f.incarnation, running, slices.Clone(f.ended))
 }
 
 // complete ends a run as done, after its worker is no longer stalled.
