--- a/hfentry/leader.go
+++ b/hfentry/leader.go
@@ -203,7 +203,8 @@
 		for _, number := range slices.Sorted(maps.Keys(m.requestedWaves)) {
 			msgs = append(msgs, hfplan.Wave(m.currentWave(number)))
 		}
-		for _, r := range m.jobs {
+		for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
+			r := m.jobs[id]
 			if r.schedulable() && !hfwork.IsFinal(r.progress.GetState()) {
 				msgs = append(msgs, hfplan.Job(r.job, r.progress, r.cancelled))
 			}
