Acknowledge each end once to a worker that answers

What callers would see: the end of a run is lost and its task runs again. Cause: every poll repeated the last acknowledged sequence number. A worker that was restarted under its id numbers its ends from 1 again; a start sent before the leader heard of the restart ran there, ended as number k at most, and the next poll made the worker forget that end unread. The report then showed a new incarnation without the run. Why it works: an acknowledgement is sent only right after an answer and only until one poll with it was answered, so that it belongs to the incarnation that numbered the end.

--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -46,6 +46,7 @@
 	incarnation   int64     // start time of the worker that sent the last report, which identifies it
 	lastReported  int64     // sequence number of the last end that the worker reported
 	lastStored    int64     // sequence number of the last end whose record is stored
+	acknowledged  int64     // sequence number of the last end that an answered poll acknowledged
 	granted       Grant     // latest lease granted to this incarnation; its clock is not set
 	silent        bool      // the last poll got no answer
 	frequentPolls bool      // poll with the shorter wait of hfplan.PollCmd
@@ -392,17 +393,21 @@
 
 // poll returns the report of the worker, which may delay its answer for wait. It renews the
 // leases and acknowledges ends if the worker answered the last poll. Otherwise the worker may
-// have been restarted, with another clock and other ends.
+// have been restarted, with another clock and other ends. For the same reason it acknowledges
+// no end twice: a worker that has been restarted would forget ends that nobody has read.
 func (d *dispatcher) poll(ctx context.Context, wait time.Duration, answered bool) (hfwork.Report, error) {
 	var report hfwork.Report
 	err := d.send(ctx, wait+pollTimeout, func(ctx context.Context, leaseEnd int64) error {
 		d.mu.Lock()
-		worker, lastStored, incarnation := d.worker, d.lastStored, d.incarnation
+		worker, incarnation, lastStored := d.worker, d.incarnation, int64(0)
+		if answered && d.lastStored > d.acknowledged {
+			lastStored = d.lastStored
+		}
 		d.mu.Unlock()
 		if answered {
 			d.recordGrant("poll", leaseEnd)
 		} else {
-			leaseEnd, lastStored = 0, 0
+			leaseEnd = 0
 		}
 		var err error
 		report, err = d.leader.minions.Poll(ctx, worker, NewPollRequest(leaseEnd, lastStored, d.leader.tenure.Epoch(), wait))
@@ -410,6 +415,9 @@
 			// It would be taken as the report of a worker that was restarted and has lost its runs.
 			return fmt.Errorf("%w: the report does not tell the worker's incarnation", ErrUnanswered)
 		}
+		if err == nil {
+			d.recordAcknowledged(lastStored)
+		}
 		return err
 	})
 	if err != nil {
@@ -418,11 +426,17 @@
 	return report, nil
 }
 
+func (d *dispatcher) recordAcknowledged(sequence int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.acknowledged = max(d.acknowledged, sequence)
+}
+
 func (d *dispatcher) recordReport(r hfwork.Report, received time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if r.Incarnation() != d.incarnation {
-		d.incarnation, d.lastReported, d.lastStored = r.Incarnation(), 0, 0
+		d.incarnation, d.lastReported, d.lastStored, d.acknowledged = r.Incarnation(), 0, 0, 0
 		d.granted = Grant{}
 	}
 	d.workerClock, d.reportedAt = r.Clock(), received
