--- a/hfwork/task.go
+++ b/hfwork/task.go
@@ -124,7 +124,7 @@
 	incarnation int64 // start of the worker in Unix milliseconds
 	running     []Run
 	ended       []End // not acknowledged yet, sorted by sequence
-	incomplete  bool  // running may lack runs, because some could not be read
+	incomplete  bool  // a run that is in neither list may be in progress, or have ended
 	rejected    []error
 }
 
@@ -135,14 +135,15 @@
 }
 
 // WithRejected returns a copy of the report with the reasons why rows of it, or parts of them,
-// cannot be read. incomplete is set if the runs in progress may lack some because of that.
+// cannot be read. incomplete is set if a run that it does not list may be in progress, or have
+// ended in a way that is not known yet.
 func (r Report) WithRejected(rejected []error, incomplete bool) Report {
 	r.rejected, r.incomplete = rejected, incomplete
 	return r
 }
 
-// Incomplete reports whether the runs in progress may lack some, so that a run that is not
-// among them may be in progress nevertheless.
+// Incomplete reports whether a run that is in neither list may be in progress, or have ended in a
+// way that is not known yet.
 func (r Report) Incomplete() bool { return r.incomplete }
 
 // Rejected returns why rows of the report, or parts of them, cannot be read.
