Test that no task runs twice on workers that fall mute

Cause: hfplan's world stands in for the dispatcher, so that what is sent when, and with which lease, was not part of any test of the rule; hforder's tests had one worker that answers at once. Change: a test on a virtual clock runs a leader with its scheduler and dispatchers against 12 workers that fall mute for 2 to 14 s, and carry orders out up to 7 s late or never, with clocks at 98, 100 and 102%. It checks on the workers that no task runs twice at the same time, and that none begins after an end that was acknowledged under an unbroken lease.

--- /dev/null
+++ b/hforder/fleet_test.go
@@ -0,0 +1,304 @@
+package hforder
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/heatherfront/heatherfront/hflease"
+	"github.com/heatherfront/heatherfront/hfplan"
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+const (
+	fleetTransit  = 20 * time.Millisecond // longest transit of an order or answer
+	fleetMaxDelay = 7 * time.Second       // of an order that is carried out late
+	fleetSeeds    = 20
+)
+
+// fleet stands for workers that fall mute for seconds and carry orders out late. It checks that
+// no task runs twice at the same time, or again after an end that was acknowledged.
+type fleet struct {
+	mu      sync.Mutex
+	random  *rand.Rand
+	workers map[string]*fleetWorker
+	tasks   map[hfwork.TaskID]*fleetTask
+	broken  []string // what was found
+	lapsed  int      // leases that expired with runs
+	late    int      // orders carried out late
+}
+
+type fleetTask struct {
+	duration time.Duration
+	done     time.Time   // when a run ended as done
+	noted    bool        // that end was acknowledged under an unbroken lease
+	starts   []time.Time // when runs began
+}
+
+type fleetWorker struct {
+	id         string
+	started    time.Time // of its clock
+	rate       int64     // of its clock, in percent
+	mutedUntil time.Time
+	leaseEnd   int64 // on its clock
+	lapses     int   // of its lease
+	runs       map[hfwork.TaskID]*fleetRun
+	refused    map[hfwork.TaskID]int64 // runs up to this one are refused
+	ends       []fleetEnd
+	lastEnd    int64
+	ended      chan struct{} // closed and replaced when a run ends
+}
+
+type fleetRun struct {
+	number int64
+	timer  *time.Timer
+}
+
+type fleetEnd struct {
+	hfwork.End
+	lapses int // of the worker's lease when the run ended
+}
+
+func newFleet(seed uint64, workers int) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*fleetWorker{}, tasks: map[hfwork.TaskID]*fleetTask{}}
+	for i := range workers {
+		id := fmt.Sprint("w", i)
+		f.workers[id] = &fleetWorker{
+			id: id, started: time.Now().Add(-time.Hour), rate: 98 + int64(i%3)*2, runs: map[hfwork.TaskID]*fleetRun{},
+			refused: map[hfwork.TaskID]int64{}, ended: make(chan struct{}),
+		}
+	}
+	return f
+}
+
+func (f *fleet) below(n time.Duration) time.Duration { return time.Duration(f.random.Int64N(int64(n))) }
+
+func (w *fleetWorker) clock() int64 { return time.Since(w.started).Milliseconds() * w.rate / 100 }
+
+// expire ends the runs of a worker whose lease has expired.
+func (f *fleet) expire(w *fleetWorker) {
+	if w.leaseEnd == 0 || w.clock() < w.leaseEnd {
+		return
+	}
+	w.leaseEnd = 0
+	w.lapses++
+	f.lapsed += len(w.runs)
+	for task, r := range w.runs {
+		f.end(w, task, r, hfwork.LeaseExpired)
+	}
+}
+
+func (f *fleet) end(w *fleetWorker, task hfwork.TaskID, r *fleetRun, reason hfwork.EndReason) {
+	r.timer.Stop()
+	delete(w.runs, task)
+	w.refused[task] = max(w.refused[task], r.number)
+	w.lastEnd++
+	w.ends = append(w.ends, fleetEnd{hfwork.NewEnd(w.lastEnd, task, r.number, reason, ""), w.lapses})
+	if reason == hfwork.Done {
+		f.tasks[task].done = time.Now()
+	}
+	close(w.ended)
+	w.ended = make(chan struct{})
+}
+
+// extend extends the lease of a worker, by a full one at most.
+func (w *fleetWorker) extend(leaseEnd int64) {
+	if limited := min(leaseEnd, w.clock()+testLease.Milliseconds()); limited > w.clock() {
+		w.leaseEnd = max(w.leaseEnd, limited)
+	}
+}
+
+// carryOut carries out an order, unless the worker is mute: then the order is carried out late
+// or never, and is not answered.
+func (f *fleet) carryOut(ctx context.Context, worker string, order func(w *fleetWorker) error) error {
+	f.mu.Lock()
+	w := f.workers[worker]
+	transit, delay := f.below(fleetTransit), f.below(fleetMaxDelay)
+	f.mu.Unlock()
+	time.Sleep(transit)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.expire(w)
+	if time.Now().Before(w.mutedUntil) {
+		if f.random.IntN(4) > 0 {
+			time.AfterFunc(delay, func() {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.expire(w)
+				f.late++
+				_ = order(w) // nobody gets the answer
+			})
+		}
+		f.mu.Unlock()
+		<-ctx.Done()
+		f.mu.Lock()
+		return ErrUnanswered
+	}
+	return order(w)
+}
+
+func (f *fleet) Start(ctx context.Context, worker *hfwork.Worker, s Start) error {
+	return f.carryOut(ctx, worker.GetId(), func(w *fleetWorker) error {
+		if r := w.runs[s.Task()]; r != nil && r.number == s.Run() {
+			w.extend(s.LeaseEnd())
+			return nil
+		}
+		switch {
+		case s.Run() <= w.refused[s.Task()]:
+			w.extend(s.LeaseEnd())
+			return ErrStaleRun
+		case s.LeaseEnd() <= w.clock():
+			return ErrRefused
+		}
+		w.extend(s.LeaseEnd())
+		f.begin(w, s.Task(), s.Run())
+		return nil
+	})
+}
+
+// begin begins a run, and checks that its task neither runs nor has ended.
+func (f *fleet) begin(w *fleetWorker, id hfwork.TaskID, number int64) {
+	for _, other := range f.workers {
+		f.expire(other)
+		if r := other.runs[id]; r != nil {
+			f.broken = append(f.broken, fmt.Sprintf("run %d of %v began on %s beside run %d on %s", number, id, w.id, r.number, other.id))
+		}
+	}
+	task := f.tasks[id]
+	if task.noted {
+		f.broken = append(f.broken, fmt.Sprintf("run %d of %v began on %s after its end was acknowledged", number, id, w.id))
+	}
+	task.starts = append(task.starts, time.Now())
+	r := &fleetRun{number: number}
+	r.timer = time.AfterFunc(task.duration, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.expire(w)
+		if w.runs[id] == r {
+			f.end(w, id, r, hfwork.Done)
+		}
+	})
+	w.runs[id] = r
+}
+
+func (f *fleet) Stop(ctx context.Context, worker *hfwork.Worker, task hfwork.TaskID, run, _ int64) error {
+	return f.carryOut(ctx, worker.GetId(), func(w *fleetWorker) error {
+		w.refused[task] = max(w.refused[task], run)
+		if r := w.runs[task]; r != nil && r.number == run {
+			f.end(w, task, r, hfwork.Stopped)
+		}
+		return nil
+	})
+}
+
+func (f *fleet) Pace(context.Context, *hfwork.Worker, hfwork.TaskID, int64, int64, int64) error {
+	return nil
+}
+
+func (f *fleet) Poll(ctx context.Context, worker *hfwork.Worker, request PollRequest) (hfwork.Report, error) {
+	var ended chan struct{}
+	err := f.carryOut(ctx, worker.GetId(), func(w *fleetWorker) error {
+		f.acknowledge(w, request.LastStored())
+		w.extend(request.LeaseEnd())
+		if ended = w.ended; len(w.ends) > 0 {
+			ended = nil
+		}
+		return nil
+	})
+	if err != nil {
+		return hfwork.Report{}, err
+	}
+	if ended != nil {
+		select {
+		case <-ended:
+		case <-time.After(request.Wait()):
+		case <-ctx.Done():
+			return hfwork.Report{}, ErrUnanswered
+		}
+	}
+	var report hfwork.Report
+	err = f.carryOut(ctx, worker.GetId(), func(w *fleetWorker) error {
+		var running []hfwork.Run
+		for task, r := range w.runs {
+			running = append(running, hfwork.NewRun(task, r.number, "", int64(f.random.IntN(100)), 0))
+		}
+		var ends []hfwork.End
+		for _, e := range w.ends {
+			ends = append(ends, e.End)
+		}
+		report = hfwork.NewReport(w.clock(), 7, running, ends)
+		return nil
+	})
+	if err != nil {
+		return hfwork.Report{}, err
+	}
+	return report, nil
+}
+
+// acknowledge lets a worker forget its ends up to a sequence number.
+func (f *fleet) acknowledge(w *fleetWorker, sequence int64) {
+	w.ends = slices.DeleteFunc(w.ends, func(e fleetEnd) bool {
+		if e.Sequence() > sequence {
+			return false
+		}
+		task := f.tasks[e.Task()]
+		if e.Reason() == hfwork.Done && e.lapses == w.lapses {
+			task.noted = true
+			for _, began := range task.starts {
+				if began.After(task.done) {
+					f.broken = append(f.broken, fmt.Sprintf("a run of %v began after run %d had ended as done on %s, which was acknowledged", e.Task(), e.Number(), w.id))
+				}
+			}
+		}
+		return true
+	})
+}
+
+// Guards against a task that runs twice while its workers leave orders and polls unanswered and
+// carry them out late. The order of goroutines is not part of a seed.
+func TestNoTaskRunsTwiceOnMuteWorkers(t *testing.T) {
+	lapsed, late := 0, 0
+	for seed := range uint64(fleetSeeds) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(seed, 12)
+			var ids []string
+			for id := range f.workers {
+				ids = append(ids, id)
+			}
+			slices.Sort(ids)
+			timing := hfplan.NewTiming(testLease)
+			l := NewLeader(hfplan.New(1, timing, time.Now()), hflease.NewTenure(5, hflease.Now(), time.Hour), f, fakeServices{}, fakeServices{}, "one", &fakeRecords{}, fakeServices{}, timing)
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan error, 1)
+			go func() { ended <- l.Run(ctx, testPool(ids...)) }()
+			for i := range 150 {
+				time.Sleep(400 * time.Millisecond)
+				f.mu.Lock()
+				job := &hfwork.Job{Id: fmt.Sprint("job", i), Queue: "q", Steps: []*hfwork.Step{{Count: 1 + uint32(f.random.IntN(2)), Accelerators: 16, Estimate: 2000}}}
+				for index := range job.GetSteps()[0].GetCount() {
+					f.tasks[hfwork.NewTaskID(job.GetId(), 0, 0, index)] = &fleetTask{duration: 2*time.Second + f.below(10*time.Second)}
+				}
+				if f.random.IntN(2) == 0 {
+					f.workers[ids[f.random.IntN(len(ids))]].mutedUntil = time.Now().Add(2*time.Second + f.below(12*time.Second))
+				}
+				f.mu.Unlock()
+				l.Send(hfplan.Job(job, nil, false))
+			}
+			time.Sleep(time.Minute)
+			cancel()
+			require.NoError(t, <-ended)
+			time.Sleep(time.Minute) // late orders
+			require.Empty(t, f.broken, "seed %d", seed)
+			lapsed, late = lapsed+f.lapsed, late+f.late
+		})
+	}
+	require.Greater(t, lapsed, fleetSeeds, "runs whose lease expired")
+	require.Greater(t, late, 10*fleetSeeds, "orders carried out late")
+}
