Repeat the gangs of the test world in a fixed order

Cause: gangOf returned a map, and the members of a gang began, and broke, in its order, so that later random numbers went to other orders. Change: a list ordered by worker and task.

--- a/hfplan/world_test.go
+++ b/hfplan/world_test.go
@@ -411,13 +411,20 @@
 	return OutcomeDone
 }
 
-// gangOf returns the members of a gang run with their workers.
-func (w *world) gangOf(r *fakeRun) map[*fakeRun]*fakeWorker {
-	members := map[*fakeRun]*fakeWorker{}
-	for _, f := range w.fleet {
-		for _, o := range f.runs {
-			if o.task.Job() == r.task.Job() && o.task.Step() == r.task.Step() && o.number == r.number {
-				members[o] = f
+// member is a run of a gang with its worker.
+type member struct {
+	run    *fakeRun
+	worker *fakeWorker
+}
+
+// gangOf returns the members of a gang run, ordered by worker and task so that a seed repeats.
+func (w *world) gangOf(r *fakeRun) []member {
+	var members []member
+	for _, id := range sortedKeys(w.fleet) {
+		f := w.fleet[id]
+		for _, name := range sortedKeys(f.runs) {
+			if o := f.runs[name]; o.task.Job() == r.task.Job() && o.task.Step() == r.task.Step() && o.number == r.number {
+				members = append(members, member{run: o, worker: f})
 			}
 		}
 	}
@@ -430,8 +437,8 @@
 	if len(members) < r.gangSize {
 		return
 	}
-	for member, f := range members {
-		w.begin(f, member)
+	for _, m := range members {
+		w.begin(m.worker, m.run)
 	}
 }
 
@@ -479,8 +486,8 @@
 		f.doneEnds = append(f.doneEnds, doneEnd{sequence: f.lastEnd, name: name, at: w.now, lapses: f.lapses})
 	}
 	if r.gangSize > 1 && endReason == hfwork.Failed {
-		for member, worker := range w.gangOf(r) {
-			w.finish(worker, member, hfwork.GangBroken)
+		for _, m := range w.gangOf(r) {
+			w.finish(m.worker, m.run, hfwork.GangBroken)
 		}
 	}
 	if w.network != nil {
