Count machines that were down before a new leader

Cause: only a confirmed upkeep is stored. A machine that went down by an upkeep without an answer, or shortly before its leader ended, was not counted by the next leader, which let another machine go down. Evidence: the test, on the code before: ["a", "a"] should not contain "a". Change: for the longest time of an upkeep after a scheduler has learned of a wave, machines of the wave that are listed as not up count as down. Machines that stay down for another reason hold the wave up for that time only.

--- a/hfplan/upkeep.go
+++ b/hfplan/upkeep.go
@@ -85,8 +85,9 @@
 
 // wave is an upkeep wave in progress.
 type wave struct {
-	spec     *hfwork.Wave
-	machines map[string]*machineUpkeep // by machine name
+	spec      *hfwork.Wave
+	machines  map[string]*machineUpkeep // by machine name
+	learnedAt time.Time                 // when this scheduler learned of it
 }
 
 // addWave adds a wave unless it is completed or already known. Machines whose upkeep
@@ -95,7 +96,7 @@
 	if spec.GetCompleted() || s.waves[spec.GetNumber()] != nil {
 		return
 	}
-	w := &wave{spec: spec, machines: map[string]*machineUpkeep{}}
+	w := &wave{spec: spec, machines: map[string]*machineUpkeep{}, learnedAt: now}
 	for _, name := range spec.GetMachines() {
 		u := &machineUpkeep{phaseSince: now}
 		if slices.Contains(spec.GetBegun(), name) {
@@ -127,7 +128,7 @@
 // advanceWave advances the machines of a wave and starts to drain the next ones.
 func (s *Scheduler) advanceWave(w *wave, now time.Time) {
 	maxDown := max(int(w.spec.GetMost()), 1)
-	down := w.count(upkeepRequested, upkeepDown)
+	down := w.count(upkeepRequested, upkeepDown) + s.downBefore(w, now)
 	for _, name := range w.spec.GetMachines() {
 		u := w.machines[name]
 		before := u.phase
@@ -152,6 +153,22 @@
 	}
 }
 
+// downBefore returns the number of machines of a wave that may be down for an upkeep that an
+// earlier scheduler asked for, but did not store. Such a machine is up again within maxUpkeepTime;
+// one that stays down is down for another reason.
+func (s *Scheduler) downBefore(w *wave, now time.Time) int {
+	if now.Sub(w.learnedAt) >= maxUpkeepTime {
+		return 0
+	}
+	n := 0
+	for name, u := range w.machines {
+		if m := s.machines[name]; m != nil && !m.GetUp() && (u.phase == upkeepWaiting || u.phase == upkeepDraining) {
+			n++
+		}
+	}
+	return n
+}
+
 // count returns the number of machines in the given phases.
 func (w *wave) count(phases ...upkeepPhase) int {
 	n := 0
--- a/hfplan/upkeep_test.go
+++ b/hfplan/upkeep_test.go
@@ -55,3 +55,30 @@
 	require.Len(t, w.upkeepDone, 3)
 	require.False(t, w.s.UpkeepInProgress())
 }
+
+// Guards against an upkeep that begins while as many machines as may be down are down: the
+// earlier leader got no answer for the last one, or ended before it stored it.
+func TestNewLeaderCountsMachinesThatAreDown(t *testing.T) {
+	s, now := New(2, NewTiming(workerLease), time.Unix(1_000_000, 0)), time.Unix(1_000_000, 0)
+	machines := map[string]*hfwork.Machine{"a": {Name: "a", Up: true}, "b": {Name: "b"}}
+	s.Update(Wave(&hfwork.Wave{Number: 1, Machines: []string{"a", "b"}, Most: 1, Deadline: now.Add(time.Minute).UnixMilli()}), now)
+	s.Update(Machines(machines), now)
+	var begun []string
+	for end := now.Add(upkeepDuration); now.Before(end); now = now.Add(tickInterval) {
+		for _, cmd := range s.Update(TickMsg{}, now) {
+			if c, ok := cmd.(UpkeepCmd); ok {
+				begun = append(begun, c.Machine())
+			}
+		}
+	}
+	require.NotContains(t, begun, "a", "b is down")
+	s.Update(Machines(map[string]*hfwork.Machine{"a": {Name: "a", Up: true}, "b": {Name: "b", Up: true}}), now)
+	for end := now.Add(upkeepDuration); now.Before(end); now = now.Add(tickInterval) {
+		for _, cmd := range s.Update(TickMsg{}, now) {
+			if c, ok := cmd.(UpkeepCmd); ok {
+				begun = append(begun, c.Machine())
+			}
+		}
+	}
+	require.Contains(t, begun, "a")
+}
