Soak: late orders, slow clocks, restarts behind a cut, odd entries

What our own tests missed: a task ran twice at the same time, and the soak could not show it, as its stand-in of the platform's workers could not

- leave an order unanswered and carry it out seconds later, after newer ones (a dropped order had no effect);
- run a clock that is slow, or limit a lease to the longest one from when the order is carried out;
- extend leases by starts that it refuses as old;
- restart behind a cut; have its entry replaced by an odd one;
- tell a start after an end that the scheduler took note of: any start within 15 s after an end was allowed.

Change: hfstand.PlatformWorker does all of it. Ends as done of which a hold order takes note before the lease lapses are noted, and a start of the task after one is a violation. A lease that has ended counts as ended for the check of two runs at once, also in the 50 ms until the worker ends its runs. The soak injects these faults into random workers, from a random source of their own: the earlier faults of each seed stay.

go test ./hfsoak -run Soak -first 1 -seeds 24 -parallel 3

--- a/hfsoak/env_test.go
+++ b/hfsoak/env_test.go
@@ -28,6 +28,7 @@
 	acceleratorsPerWorker = 8
 	callerKey             = "soak-key"
 	maxLeaseMS            = 4000 // longest lease of a task in milliseconds
+	maxClockError         = 0.02 // by which the clock of a worker may be slow
 )
 
 // testEnv holds the fakes of the platform and the entry instances of one seed.
@@ -183,6 +184,7 @@
 	require.NoError(t, e.store.Set("op/config", e.platformConfig(1)))
 	for i := range rackCount * workersPerRack {
 		w := hfstand.NewPlatformWorker(fmt.Sprintf("w%d", i), acceleratorsPerWorker, e.runLog)
+		w.SetClock(1-maxClockError*float64(i%3)/2, maxLeaseMS*time.Millisecond)
 		workerServer := httptest.NewServer(w.Handler())
 		t.Cleanup(func() { workerServer.CloseClientConnections(); workerServer.Close() })
 		go w.ExpireLeases(e.done)
--- a/hfsoak/soak_test.go
+++ b/hfsoak/soak_test.go
@@ -47,10 +47,11 @@
 // soakRun is the run of one seed.
 type soakRun struct {
 	*testEnv
-	random    *rand.Rand
-	jobs      map[string]*jobRecord // by id
-	faultLog  []string
-	startedAt time.Time
+	random       *rand.Rand
+	workerRandom *rand.Rand            // for the faults of workers, which came later: the seeds keep their other faults
+	jobs         map[string]*jobRecord // by id
+	faultLog     []string
+	startedAt    time.Time
 }
 
 // TestSoak runs each seed: jobs and cancellations under random faults, then a phase
@@ -64,7 +65,7 @@
 	for _, seed := range list {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			t.Parallel()
-			s := &soakRun{testEnv: newTestEnv(t), random: rand.New(rand.NewPCG(seed, 1)), jobs: map[string]*jobRecord{}, startedAt: time.Now()}
+			s := &soakRun{testEnv: newTestEnv(t), random: rand.New(rand.NewPCG(seed, 1)), workerRandom: rand.New(rand.NewPCG(seed, 2)), jobs: map[string]*jobRecord{}, startedAt: time.Now()}
 			defer s.saveLogs(seed)
 			s.runFaults()
 			s.clearFaults()
@@ -101,7 +102,7 @@
 func (s *soakRun) runFaults() {
 	s.waitReady()
 	end := time.Now().Add(faultDuration)
-	nextFault := time.Now()
+	nextFault, nextWorkerFault := time.Now(), time.Now()
 	for time.Now().Before(end) {
 		if s.random.IntN(2) == 0 {
 			s.submitJob()
@@ -113,6 +114,10 @@
 			s.injectFault()
 			nextFault = time.Now().Add(time.Duration(300+s.random.IntN(1500)) * time.Millisecond)
 		}
+		if time.Now().After(nextWorkerFault) {
+			s.injectWorkerFault()
+			nextWorkerFault = time.Now().Add(time.Duration(500+s.workerRandom.IntN(1500)) * time.Millisecond)
+		}
 		time.Sleep(time.Duration(20+s.random.IntN(120)) * time.Millisecond)
 	}
 }
@@ -184,8 +189,10 @@
 }
 
 // undoLater calls undo after 0.5 to 4 seconds.
-func (s *soakRun) undoLater(undo func()) {
-	time.AfterFunc(time.Duration(500+s.random.IntN(3500))*time.Millisecond, undo)
+func (s *soakRun) undoLater(undo func()) { undoLater(s.random, undo) }
+
+func undoLater(random *rand.Rand, undo func()) {
+	time.AfterFunc(time.Duration(500+random.IntN(3500))*time.Millisecond, undo)
 }
 
 // injectFault injects a random fault into a random instance, worker or the store.
@@ -244,6 +251,41 @@
 	}
 }
 
+// oddEntries are workers' entries that another writer may leave.
+var oddEntries = []string{
+	"\xff\x00", "", "5", strings.Repeat("[", 200_000), `{"service":"pool","address":"127.0.0.1:99999","zone":"z","state":"ready","capacity":{"cpu":1,"mem_mb":1}}`,
+	`{"service":"pool","address":"127.0.0.1:1","zone":"z","state":"ready","capacity":{"cpu":1e300,"mem_mb":9223372036854775807}}`,
+	`{"service":"pool","address":"127.0.0.1:1","zone":"z","state":"ready","capacity":{"cpu":1,"mem_mb":1,"gpu":1},"labels":["a","other"]}`,
+	`{"service":"other","address":"127.0.0.1:1","zone":"z","state":"odd","capacity":{}}`,
+}
+
+// injectWorkerFault injects a random fault into a random worker or its entry.
+func (s *soakRun) injectWorkerFault() {
+	i := s.workerRandom.IntN(len(s.workers))
+	switch s.workerRandom.IntN(6) {
+	case 0, 1, 2:
+		share := []float64{0.3, 0.6, 1}[s.workerRandom.IntN(3)]
+		s.logFault("worker %d answers no share of %.1f of its orders and carries them out late", i, share)
+		random := rand.New(rand.NewPCG(s.workerRandom.Uint64(), 3))
+		s.workers[i].SetLateOrders(hfstand.LateOrders{Share: share, MinDelay: time.Second, MaxDelay: 6 * time.Second, Random: random})
+		undoLater(s.workerRandom, func() { s.workers[i].SetLateOrders(hfstand.LateOrders{}) })
+	case 3:
+		s.logFault("worker %d restarts behind a cut", i)
+		s.workerProxies[i].setMode("cut")
+		s.workers[i].Restart()
+		undoLater(s.workerRandom, func() { s.workerProxies[i].setMode(""); s.registerWorker(i, false) })
+	case 4:
+		odd := s.workerRandom.IntN(len(oddEntries))
+		s.logFault("odd entry %d of worker %d", odd, i)
+		s.store.SetBytes(fmt.Sprintf("servers/w%d", i), []byte(oddEntries[odd]))
+		undoLater(s.workerRandom, func() { s.registerWorker(i, false) })
+	case 5:
+		odd := s.workerRandom.IntN(len(oddEntries))
+		s.logFault("odd entry %d of no worker", odd)
+		s.store.SetBytes(fmt.Sprintf("servers/odd/%d", odd), []byte(oddEntries[odd]))
+	}
+}
+
 // clearFaults waits until the delays of undoLater are over. It then clears the faults of the
 // store, as lost answers have no undo, and those of the connections to it.
 func (s *soakRun) clearFaults() {
--- a/hfstand/kv.go
+++ b/hfstand/kv.go
@@ -196,13 +196,18 @@
 	if err != nil {
 		return fmt.Errorf("encode %s: %w", key, err)
 	}
+	s.SetBytes(key, raw)
+	return nil
+}
+
+// SetBytes stores a value without a condition, which need not be JSON.
+func (s *Store) SetBytes(key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	item := storeItem{Key: key, Value: raw, Version: s.revision}
+	item := storeItem{Key: key, Value: value, Version: s.revision}
 	s.items[key] = item
 	s.appendEvent(item)
-	return nil
 }
 
 // Delete deletes a key without a condition, as the platform does.
--- a/hfstand/platform_worker.go
+++ b/hfstand/platform_worker.go
@@ -3,11 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -27,6 +29,13 @@
 	EndedAt   time.Time // zero while it runs
 	Outcome   string    // done, failed, stopped, lapsed, alone or restart; empty while it runs
 	Spec      string
+	noted     bool            // ended as done, and a hold order took note of that end before the lease lapsed
+	worker    *PlatformWorker // nil in tests of the log itself
+}
+
+// lapsed reports whether the lease of the run had ended at a time.
+func (s *Start) lapsed(at time.Time) bool {
+	return s.worker != nil && !at.Before(time.UnixMicro(s.worker.leaseEndMicros.Load()))
 }
 
 // RunLog records the runs on all workers that share it and checks them for violations.
@@ -39,12 +48,25 @@
 }
 
 // Violations returns the violations: a worker with more accelerators in use than it has, a
-// task that runs twice at once, or a task that starts again more than doneRecordTime after
-// it was done.
+// task that runs twice at once, a task that starts again more than doneRecordTime after
+// it was done, or a task that starts after a run of it was done if the scheduler took note of
+// that end, before the start or later.
 func (l *RunLog) Violations() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]string(nil), l.violations...)
+	list := append([]string(nil), l.violations...)
+	for _, done := range l.starts {
+		if !done.noted {
+			continue
+		}
+		for _, s := range l.starts {
+			if s.Task == done.Task && s.StartedAt.After(done.EndedAt) {
+				list = append(list, fmt.Sprintf("%s run %d on %s %v after run %d was done on %s, an end that was taken note of",
+					s.Task, s.Run, s.Worker, s.StartedAt.Sub(done.EndedAt), done.Run, done.Worker))
+			}
+		}
+	}
+	return list
 }
 
 // checkStart records a violation if a start is invalid. used counts the accelerators in
@@ -54,7 +76,7 @@
 		if other.Task != s.Task {
 			continue
 		}
-		if other.EndedAt.IsZero() {
+		if other.EndedAt.IsZero() && !other.lapsed(s.StartedAt) {
 			l.violations = append(l.violations, fmt.Sprintf("%s run %d on %s while run %d is on %s", s.Task, s.Run, s.Worker, other.Run, other.Worker))
 		}
 		if other.Outcome == "done" && s.StartedAt.Sub(other.EndedAt) > doneRecordTime {
@@ -114,8 +136,11 @@
 
 	mu            sync.Mutex
 	bornAt        time.Time
-	fence         int64     // highest fencing token received
-	leaseEnd      time.Time // end of the lease of all runs
+	fence         int64         // highest fencing token received
+	leaseEnd      time.Time     // end of the lease of all runs
+	clockRate     float64       // of the worker's clock, relative to the local one
+	maxLease      time.Duration // on the worker's clock, from when an order is carried out; 0 for no limit
+	late          LateOrders
 	runs          map[string]*activeRun
 	ended         []endedRun
 	lastEndNumber int64
@@ -123,6 +148,17 @@
 	wake          chan struct{}    // closed and replaced when a run ends
 	dropOrders    bool             // the connection of each order is dropped
 	accelerators  int64
+
+	leaseEndMicros atomic.Int64 // leaseEnd in Unix microseconds, for the run log
+}
+
+// LateOrders describes a fault: orders get no answer and are carried out later, after newer
+// ones.
+type LateOrders struct {
+	Share    float64       // of the orders, from 0 to 1
+	MinDelay time.Duration // until an order is carried out
+	MaxDelay time.Duration
+	Random   *rand.Rand
 }
 
 // activeRun is a run that has not ended.
@@ -139,11 +175,13 @@
 	task    string
 	run     int64
 	outcome string
+	start   *Start
+	lapsed  bool // the lease lapsed after the end
 }
 
 // NewPlatformWorker returns a worker with a number of accelerators and without runs.
 func NewPlatformWorker(id string, accelerators int64, l *RunLog) *PlatformWorker {
-	w := &PlatformWorker{id: id, accelerators: accelerators, runLog: l}
+	w := &PlatformWorker{id: id, accelerators: accelerators, runLog: l, clockRate: 1}
 	w.Restart()
 	return w
 }
@@ -159,6 +197,7 @@
 	}
 	w.runLog.mu.Unlock()
 	w.bornAt, w.fence, w.leaseEnd, w.lastEndNumber = time.Now(), 0, time.Time{}, 0
+	w.leaseEndMicros.Store(0)
 	w.runs, w.ended, w.highestRun = map[string]*activeRun{}, nil, map[string]int64{}
 	w.wake = make(chan struct{})
 }
@@ -171,6 +210,26 @@
 	w.dropOrders = drop
 }
 
+// SetClock sets the rate of the worker's clock, relative to the local one, and the longest lease
+// on it. It is called before the first order.
+func (w *PlatformWorker) SetClock(rate float64, maxLease time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.clockRate, w.maxLease = rate, maxLease
+}
+
+// SetLateOrders sets which orders get no answer and are carried out late.
+func (w *PlatformWorker) SetLateOrders(f LateOrders) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.late = f
+}
+
+// clock returns the time on the worker's clock in milliseconds. The caller holds mu.
+func (w *PlatformWorker) clock() int64 {
+	return int64(float64(time.Since(w.bornAt)) * w.clockRate / float64(time.Millisecond))
+}
+
 // Entry returns the entry under which the worker is registered in the store.
 func (w *PlatformWorker) Entry(service, address, zone, rack string, cpu, memory int64, draining bool) map[string]any {
 	w.mu.Lock()
@@ -207,10 +266,10 @@
 	WaitMS   int64  `json:"wait_ms"`
 }
 
-// withOrder decodes an order and passes it to handle with mu held. It refuses an order
+// withOrder decodes an order, carries it out with mu held and answers it. It refuses an order
 // whose fencing token is below the highest one received, and drops the connection while
-// dropOrders is set.
-func (w *PlatformWorker) withOrder(c echo.Context, handle func(b orderBody) error) error {
+// dropOrders is set. carryOut returns the reason of a refusal, or "".
+func (w *PlatformWorker) withOrder(c echo.Context, carryOut func(b orderBody) string, answer func(b orderBody) error) error {
 	var b orderBody
 	if err := json.NewDecoder(c.Request().Body).Decode(&b); err != nil {
 		return c.NoContent(http.StatusBadRequest)
@@ -220,11 +279,35 @@
 	if w.dropOrders {
 		panic(http.ErrAbortHandler)
 	}
+	if f := w.late; f.Share > 0 && f.Random.Float64() < f.Share {
+		born := w.bornAt
+		time.AfterFunc(f.MinDelay+time.Duration(f.Random.Int64N(int64(f.MaxDelay-f.MinDelay)+1)), func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if w.bornAt.Equal(born) { // an order that waits ends with the worker
+				w.carryOut(b, carryOut)
+			}
+		})
+		w.mu.Unlock()
+		<-c.Request().Context().Done()
+		w.mu.Lock()
+		panic(http.ErrAbortHandler)
+	}
+	if reason := w.carryOut(b, carryOut); reason != "" {
+		return w.refuse(c, reason)
+	}
+	return answer(b)
+}
+
+// carryOut carries out an order unless its fencing token is too low. It returns the reason of a
+// refusal, or "". The caller holds mu.
+func (w *PlatformWorker) carryOut(b orderBody, carryOut func(b orderBody) string) string {
 	if b.Fence < w.fence {
-		return w.refuse(c, "fence")
+		return "fence"
 	}
 	w.fence = b.Fence
-	return handle(b)
+	w.endLapsedRuns()
+	return carryOut(b)
 }
 
 // withClock adds the fields that every answer has: the worker's clock and its start time.
@@ -232,7 +315,7 @@
 	if body == nil {
 		body = map[string]any{}
 	}
-	body["clock_ms"], body["born"] = time.Since(w.bornAt).Milliseconds(), w.bornAt.UnixMilli()
+	body["clock_ms"], body["born"] = w.clock(), w.bornAt.UnixMilli()
 	return body
 }
 
@@ -241,38 +324,43 @@
 	return c.JSON(http.StatusConflict, w.withClock(map[string]any{"reason": reason}))
 }
 
-// extendLeases extends the lease of all runs to untilMS on the worker's clock, and never
-// shortens it. The caller holds mu.
+// extendLeases extends the lease of all runs to untilMS on the worker's clock, by maxLease at
+// most, and never shortens it. The caller holds mu.
 func (w *PlatformWorker) extendLeases(untilMS int64) {
-	if end := w.bornAt.Add(time.Duration(untilMS) * time.Millisecond); untilMS > 0 && end.After(w.leaseEnd) {
+	if w.maxLease > 0 {
+		untilMS = min(untilMS, w.clock()+w.maxLease.Milliseconds())
+	}
+	end := w.bornAt.Add(time.Duration(float64(untilMS) / w.clockRate * float64(time.Millisecond)))
+	if untilMS > 0 && end.After(w.leaseEnd) {
 		w.leaseEnd = end
+		w.leaseEndMicros.Store(end.UnixMicro())
 	}
 }
 
 // handleStart starts a run. It refuses one whose number is not above that of earlier runs
 // of the task, and one whose lease has already ended.
 func (w *PlatformWorker) handleStart(c echo.Context) error {
-	return w.withOrder(c, func(b orderBody) error {
+	return w.withOrder(c, func(b orderBody) string {
+		w.extendLeases(b.UntilMS) // also by a start that is refused
 		if active := w.runs[b.Task]; active != nil && active.start.Run == b.Run {
-			return c.JSON(http.StatusOK, w.withClock(nil))
+			return ""
 		}
 		if b.Run <= w.highestRun[b.Task] {
-			return w.refuse(c, "old")
+			return "old"
 		}
-		if time.Since(w.bornAt).Milliseconds() > b.UntilMS {
-			return w.refuse(c, "late")
+		if w.clock() > b.UntilMS {
+			return "late"
 		}
-		w.extendLeases(b.UntilMS)
 		w.startRun(b)
-		return c.JSON(http.StatusOK, w.withClock(nil))
-	})
+		return ""
+	}, func(orderBody) error { return c.JSON(http.StatusOK, w.withClock(nil)) })
 }
 
 // startRun records a run and waits for its gang. The run ends as "alone" if its gang
 // does not become complete within gangTimeout. The caller holds mu.
 func (w *PlatformWorker) startRun(b orderBody) {
 	l := w.runLog
-	active := &activeRun{start: &Start{Worker: w.id, Task: b.Task, Run: b.Run, StartedAt: time.Now(), Spec: b.Spec}, profile: l.profileOf(b.Task)}
+	active := &activeRun{start: &Start{Worker: w.id, Task: b.Task, Run: b.Run, StartedAt: time.Now(), Spec: b.Spec, worker: w}, profile: l.profileOf(b.Task)}
 	w.runs[b.Task], w.highestRun[b.Task] = active, b.Run
 	used := int64(0)
 	for _, other := range w.runs {
@@ -317,6 +405,7 @@
 	time.AfterFunc(runTime, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
+		w.endLapsedRuns()
 		w.endRun(active, outcome)
 	})
 }
@@ -332,7 +421,7 @@
 	active.start.EndedAt, active.start.Outcome = time.Now(), outcome
 	w.runLog.mu.Unlock()
 	w.lastEndNumber++
-	w.ended = append(w.ended, endedRun{number: w.lastEndNumber, task: active.start.Task, run: active.start.Run, outcome: outcome})
+	w.ended = append(w.ended, endedRun{number: w.lastEndNumber, task: active.start.Task, run: active.start.Run, outcome: outcome, start: active.start})
 	close(w.wake)
 	w.wake = make(chan struct{})
 }
@@ -340,7 +429,7 @@
 // handleStop stops a run after stopDelay. Later starts of this run and of earlier ones of
 // the task are refused.
 func (w *PlatformWorker) handleStop(c echo.Context) error {
-	return w.withOrder(c, func(b orderBody) error {
+	return w.withOrder(c, func(b orderBody) string {
 		w.highestRun[b.Task] = max(w.highestRun[b.Task], b.Run)
 		if active := w.runs[b.Task]; active != nil && active.start.Run == b.Run && !active.stopping {
 			active.stopping = true
@@ -350,17 +439,19 @@
 				w.endRun(active, "stopped")
 			})
 		}
-		return c.JSON(http.StatusOK, w.withClock(nil))
-	})
+		return ""
+	}, func(orderBody) error { return c.JSON(http.StatusOK, w.withClock(nil)) })
 }
 
 // handleHold extends the lease, forgets the ends up to LastSeen, which the scheduler has
 // seen, and returns the running and ended runs. It waits up to WaitMS for an end if there
 // is none.
 func (w *PlatformWorker) handleHold(c echo.Context) error {
-	return w.withOrder(c, func(b orderBody) error {
+	return w.withOrder(c, func(b orderBody) string {
 		w.extendLeases(b.UntilMS)
-		w.ended = slices.DeleteFunc(w.ended, func(e endedRun) bool { return e.number <= b.LastSeen })
+		w.forgetEnds(b.LastSeen)
+		return ""
+	}, func(b orderBody) error {
 		if len(w.ended) == 0 && b.WaitMS > 0 {
 			wake := w.wake
 			w.mu.Unlock()
@@ -376,6 +467,19 @@
 	})
 }
 
+// forgetEnds forgets the ends up to lastSeen, of which the scheduler has taken note. The caller
+// holds mu.
+func (w *PlatformWorker) forgetEnds(lastSeen int64) {
+	w.runLog.mu.Lock()
+	defer w.runLog.mu.Unlock()
+	w.ended = slices.DeleteFunc(w.ended, func(e endedRun) bool {
+		if e.number <= lastSeen && e.outcome == "done" && !e.lapsed {
+			e.start.noted = true
+		}
+		return e.number <= lastSeen
+	})
+}
+
 // endLapsedRuns ends all runs once the lease has expired. The caller holds mu.
 func (w *PlatformWorker) endLapsedRuns() {
 	if time.Now().Before(w.leaseEnd) {
@@ -384,6 +488,9 @@
 	for _, active := range w.runs {
 		w.endRun(active, "lapsed")
 	}
+	for i := range w.ended {
+		w.ended[i].lapsed = true
+	}
 }
 
 // runLists returns the running and ended runs in the format of an answer. The caller holds
--- a/hfstand/platform_worker_test.go
+++ b/hfstand/platform_worker_test.go
@@ -1,6 +1,11 @@
 package hfstand
 
 import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -32,3 +37,102 @@
 		})
 	}
 }
+
+// postOrder sends an order to a worker and returns the status, or 0 if there was no answer.
+func postOrder(t *testing.T, server *httptest.Server, path, body string) int {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+path, strings.NewReader(body))
+	require.NoError(t, err)
+	r.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	require.NoError(t, resp.Body.Close())
+	return resp.StatusCode
+}
+
+// Guards against a stand-in that cannot do what made a task run twice: an order without an
+// answer, carried out after newer ones.
+func TestLateOrderIsCarriedOutAfterNewerOnes(t *testing.T) {
+	l := NewRunLog(func(string) TaskProfile { return TaskProfile{RunTime: time.Hour, GangSize: 1} })
+	w := NewPlatformWorker("w", 8, l)
+	server := httptest.NewServer(w.Handler())
+	defer server.Close()
+	w.SetLateOrders(LateOrders{Share: 1, MinDelay: 400 * time.Millisecond, MaxDelay: 400 * time.Millisecond, Random: rand.New(rand.NewPCG(1, 1))})
+	require.Zero(t, postOrder(t, server, "/v1/run-start", `{"task":"a.0.0.0","run":1,"until_ms":600000}`))
+	w.SetLateOrders(LateOrders{})
+	require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/run-start", `{"task":"a.0.0.1","run":2,"until_ms":600000}`))
+	require.Eventually(t, func() bool { return len(l.Starts()) == 2 }, 10*time.Second, 5*time.Millisecond)
+	require.Equal(t, "a.0.0.1", l.Starts()[0].Task)
+	require.Equal(t, "a.0.0.0", l.Starts()[1].Task)
+	w.SetLateOrders(LateOrders{Share: 1, MinDelay: time.Millisecond, MaxDelay: time.Millisecond, Random: rand.New(rand.NewPCG(1, 1))})
+	require.Zero(t, postOrder(t, server, "/v1/run-start", `{"task":"a.0.0.2","run":3,"until_ms":600000,"fence":-1}`))
+	require.Len(t, l.Starts(), 2, "a late order with an old token has no effect")
+}
+
+// Guards against leases that end too early in the stand-in to show an overlap.
+func TestLeaseOfWorker(t *testing.T) {
+	w := NewPlatformWorker("w", 8, NewRunLog(func(string) TaskProfile { return TaskProfile{RunTime: time.Hour, GangSize: 1} }))
+	const maxLease = 100_000 // milliseconds
+	w.SetClock(0.98, maxLease*time.Millisecond)
+	server := httptest.NewServer(w.Handler())
+	defer server.Close()
+	w.mu.Lock()
+	w.bornAt = time.Now().Add(-100 * time.Second)
+	w.mu.Unlock()
+	// read returns the time and the end of the lease on the worker's clock.
+	read := func() (now, leaseEnd int64) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.clock(), int64(float64(w.leaseEnd.Sub(w.bornAt).Milliseconds()) * w.clockRate)
+	}
+	before, _ := read()
+	require.GreaterOrEqual(t, before, int64(98_000))
+	require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/run-start", `{"task":"a.0.0.0","run":5,"until_ms":150000}`))
+	_, leaseEnd := read()
+	require.InDelta(t, 150_000, leaseEnd, 2)
+	require.Equal(t, http.StatusConflict, postOrder(t, server, "/v1/run-start", `{"task":"a.0.0.0","run":4,"until_ms":160000}`))
+	_, leaseEnd = read()
+	require.InDelta(t, 160_000, leaseEnd, 2, "a start that is refused as old extends the lease too")
+	before, _ = read()
+	require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/hold", `{"until_ms":900000}`))
+	after, leaseEnd := read()
+	require.GreaterOrEqual(t, leaseEnd, before+maxLease-2, "the longest lease counts from when the order is carried out")
+	require.LessOrEqual(t, leaseEnd, after+maxLease)
+}
+
+// Guards against the soak missing a start after an end that the scheduler took note of.
+func TestStartAfterNotedEndIsAViolation(t *testing.T) {
+	for name, c := range map[string]struct {
+		lapses, noted bool
+		want          int
+	}{
+		"taken note of":            {false, true, 1},
+		"never taken note of":      {false, false, 0},
+		"lapsed before it is seen": {true, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := NewRunLog(func(string) TaskProfile { return TaskProfile{RunTime: time.Millisecond, GangSize: 1} })
+			w := NewPlatformWorker("w", 8, l)
+			server := httptest.NewServer(w.Handler())
+			defer server.Close()
+			require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/run-start", `{"task":"a.0.0.0","run":1,"until_ms":600000}`))
+			require.Eventually(t, func() bool { return l.Starts()[0].Outcome == "done" }, 10*time.Second, time.Millisecond)
+			if c.lapses {
+				w.mu.Lock()
+				w.leaseEnd = time.Now()
+				w.endLapsedRuns()
+				w.mu.Unlock()
+			}
+			require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/run-start", `{"task":"a.0.0.0","run":2,"until_ms":600000}`))
+			require.Empty(t, l.Violations(), "the end may never be taken note of")
+			if c.noted {
+				require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/hold", `{"last_seen":1,"until_ms":600000}`))
+			}
+			require.Len(t, l.Violations(), c.want)
+		})
+	}
+}
