Ignore polls that end after their worker was reassigned

Cause: the answer, or the failure, of a poll was recorded as an observation of this instance even if another instance had been assigned the worker meanwhile and had reported it. The older reading replaced the report: a leader there was told that the worker had no tasks, or was lost (the last of three failed polls), which ends a gang that is not idempotent as unknown. The heartbeats of the new observer then kept nothing current, as the observation was not its own. Evidence: the test, on the code before: "Should be empty, but was [{w1 [] false}]" for an answer, and "[{w1 [] true}]" for a failure. Change: only polls of workers that are still assigned to this instance count.

--- a/hfworker/fleet.go
+++ b/hfworker/fleet.go
@@ -197,13 +197,16 @@
 	return o
 }
 
+// recordPoll records the answer to a poll. One that arrives after the worker was assigned to
+// another instance is ignored, as it may be older than the report of that instance.
 func (f *Fleet) recordPoll(m PolledMsg, now time.Time) []Cmd {
+	if !f.observed[m.worker] {
+		return nil
+	}
 	o := f.observation(m.worker)
 	o.failedPolls = 0
 	cmds := f.recordTasks(m.worker, selfObserver, m.tasks, false, m.sent.Add(f.Freshness()))
-	if f.observed[m.worker] {
-		o.nextPoll = f.nextPollTime(o, m.sent, now)
-	}
+	o.nextPoll = f.nextPollTime(o, m.sent, now)
 	return cmds
 }
 
@@ -226,6 +229,9 @@
 }
 
 func (f *Fleet) recordFailedPoll(worker string, now time.Time) []Cmd {
+	if !f.observed[worker] {
+		return nil
+	}
 	o := f.observation(worker)
 	o.failedPolls++
 	o.nextPoll = now.Add(f.pollInterval() / retryPollDivisor)
--- a/hfworker/fleet_test.go
+++ b/hfworker/fleet_test.go
@@ -225,3 +225,31 @@
 	beat()
 	require.NotContains(t, other.FreshWorkers("a", now), "w1")
 }
+
+// Guards against a poll that is answered after its worker was assigned to another instance: it
+// replaced the newer report of that instance, whose heartbeats then kept nothing current.
+func TestPollAnsweredAfterReassignmentReplacesNoReport(t *testing.T) {
+	for name, late := range map[string]Msg{
+		"answered": Polled("w1", nil, time.Unix(0, 0)),
+		"failed":   PollFailed("w1"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(0, 0)
+			f := testFleet(start, "w0", "w1")
+			for range lostAfterPolls - 1 {
+				f.Update(PollFailed("w1"), start)
+			}
+			f.Update(Observe(map[string]bool{"w0": true}), start)
+			now := start.Add(testHeartbeat)
+			running := []*hfwire.Task{task(1, 2, StateRunning)}
+			f.Update(PeerReports("other", "o1", true, []*hfwire.Report{{Worker: "w1", Tasks: running}}), now)
+			require.Empty(t, f.Update(late, now), "the report of the observer is newer")
+			require.Equal(t, 1, f.TaskCount())
+			for range 20 {
+				now = now.Add(testHeartbeat)
+				f.Update(PeerReports("other", "o1", false, nil), now)
+			}
+			require.Contains(t, f.FreshWorkers("a", now), "w1")
+		})
+	}
+}
