Report no loss of a worker from before a pause

Cause: gives observations up that are no longer fresh, but not those of lost workers, which had no age. An instance that had lost a worker, was paused and woke told all others, at the first full report, that the worker was lost, while another instance had seen it meanwhile and a gang had been started. Evidence: the test, on the code before: "Should be empty, but was [{w1 [] true}]: a loss from before the pause is reported as current". Change: a loss counts as seen when the last poll failed, and is given up like other observations if no poll has failed within the freshness since.

--- a/hfworker/fleet.go
+++ b/hfworker/fleet.go
@@ -235,10 +235,10 @@
 	o := f.observation(worker)
 	o.failedPolls++
 	o.nextPoll = now.Add(f.pollInterval() / retryPollDivisor)
-	if o.failedPolls < lostAfterPolls || o.lost {
+	if o.failedPolls < lostAfterPolls {
 		return nil
 	}
-	return f.recordTasks(worker, selfObserver, nil, true, now)
+	return f.recordTasks(worker, selfObserver, nil, true, now.Add(f.Freshness()+callTimeout)) // until the next poll has failed
 }
 
 // recordPeerReports records the reports in another instance's heartbeat. The heartbeat also
@@ -415,10 +415,11 @@
 }
 
 // dropStale ends the observation of the workers that this instance polls and that have not
-// answered within the freshness. Their next answer is reported again.
+// answered within the freshness, or whose loss was not confirmed by a failed poll since. Their
+// next answer, or loss, is reported again.
 func (f *Fleet) dropStale(now time.Time) {
 	for name := range f.observed {
-		if o := f.observation(name); o.observer == selfObserver && !o.lost && !now.Before(o.freshUntil) {
+		if o := f.observation(name); o.observer == selfObserver && !now.Before(o.freshUntil) {
 			f.markChanged(o)
 			o.observer = ""
 		}
--- a/hfworker/fleet_test.go
+++ b/hfworker/fleet_test.go
@@ -253,3 +253,37 @@
 		})
 	}
 }
+
+// Guards against an instance that was paused and passes on that it had lost a worker before the
+// pause: a gang that was started there meanwhile ended as lost.
+func TestPausedObserverReportsNoLossFromBefore(t *testing.T) {
+	start := time.Unix(0, 0)
+	paused, other := testFleet(start, "w1"), testFleet(start, "w0")
+	for range lostAfterPolls {
+		paused.Update(PollFailed("w1"), start)
+	}
+	reports, version := paused.Reports(0, start)
+	require.True(t, reports[0].GetLost())
+	other.Update(PeerReports("paused", "p1", true, reports), start)
+
+	now := start.Add(10 * time.Second)
+	other.Update(Observe(map[string]bool{"w0": true, "w1": true}), now)
+	other.Update(Polled("w1", []*hfwire.Task{task(1, 2, StateRunning)}, now), now)
+	other.Update(Observe(map[string]bool{"w0": true}), now)
+	for _, since := range []uint64{0, version} {
+		reports, _ = paused.Reports(since, now)
+		require.Empty(t, other.Update(PeerReports("paused", "p1", since == 0, reports), now), "a loss from before the pause is reported as current")
+	}
+
+	_, version = paused.Reports(version, now)
+	paused.Update(PollFailed("w1"), now)
+	reports, version = paused.Reports(version, now)
+	require.Len(t, reports, 1, "the first poll after the pause is reported")
+	require.True(t, reports[0].GetLost())
+	for range 20 {
+		now = now.Add(testPoll / retryPollDivisor)
+		paused.Update(PollFailed("w1"), now)
+		reports, version = paused.Reports(version, now)
+		require.Empty(t, reports, "it is still lost")
+	}
+}
