Do not end a member because its stop was answered

The product's workers end a task before they answer a stop. Cause: any state in the answer to a stop other than done and failed counted as stopped, also held and running. Evidence: the test, on the code before: expected "stopping", actual "cancelled" (held). Change: only done, failed and stopped end the member; otherwise the stop is resent.

--- a/hfgang/gang_test.go
+++ b/hfgang/gang_test.go
@@ -355,3 +355,24 @@
 		require.Len(t, sim.workers["w00"].tasks, 1)
 	}
 }
+
+// Guards against a member that counts as stopped because its worker answered the stop, although
+// the answer says that the member still runs.
+func TestAnswerThatMemberRunsDoesNotEndIt(t *testing.T) {
+	for _, state := range []string{hfworker.StateHeld, hfworker.StateRunning, "stopping"} {
+		sim := newSimulation(1, workersOfEight(1), testDirectory(nil, nil))
+		sim.start()
+		sim.submit("j1", "a", "once", 8, time.Minute)
+		sim.advance(time.Second)
+		require.Equal(t, StateRunning, sim.state("j1"))
+		j := sim.scheduler.jobs["j1"]
+		stop := j.command(VerbStop, j.members[0])
+		sim.workers["w00"].unreachable = true // no other answer
+		sim.lastToken++
+		sim.send(Cancel(sim.lastToken, "j1", "", "test"))
+		sim.send(Answered(stop, state, false, 0))
+		require.Equal(t, StateStopping, sim.state("j1"), state)
+		sim.send(Answered(stop, hfworker.StateStopped, false, 0))
+		require.Equal(t, StateCancelled, sim.state("j1"))
+	}
+}
--- a/hfgang/member.go
+++ b/hfgang/member.go
@@ -196,23 +196,20 @@
 }
 
 func (s *Scheduler) stopAnswered(j *job, mb *member, m AnsweredMsg, now time.Time) []Cmd {
-	if j.state() != StateStopping || m.state == "" {
+	if j.state() != StateStopping {
 		return nil
 	}
-	mb.phase = endPhase(m.state)
-	return s.finishStopping(j, now)
-}
-
-// endPhase returns the phase of a member whose task is in the given state after a stop.
-func endPhase(state string) phase {
-	switch state {
+	switch m.state {
 	case hfworker.StateDone:
-		return phaseDone
+		mb.phase = phaseDone
 	case hfworker.StateFailed:
-		return phaseFailed
+		mb.phase = phaseFailed
+	case hfworker.StateStopped:
+		mb.phase = phaseStopped
 	default:
-		return phaseStopped
+		return nil // no answer, or the task still runs: the stop is resent
 	}
+	return s.finishStopping(j, now)
 }
 
 // finishStopping moves a stopping job to its next state once all its members have
