Known red: an isolated observer renews a replaced attempt

What callers would see: two attempts of an idempotent gang of `serve` at once, while a worker and the instance that polls it are cut off from the placement leader for longer than a lease and 1 s. Cause: the leader takes the leases of a worker that its side has lost to end one lease after the loss (tickStopping). But the observers renew leases as long as they see the whole gang (GangComplete), without asking whether its attempt is current: a leader's term, a stop or a loss seen by others do not reach them. Not fixed: the observers renew without a leader on purpose, so that gangs outlive its failure. A fix needs a decision: renew only while the leader of the domain, or the store, has been heard within a bound that the leader waits for, or leave a lost attempt in its place until its worker answers. Jobs that are not idempotent are not run again, and are not concerned.

--- a/hfgang/gang_test.go
+++ b/hfgang/gang_test.go
@@ -376,3 +376,44 @@
 		require.Equal(t, StateCancelled, sim.state("j1"))
 	}
 }
+
+// Guards against two attempts of a job at once when a worker and its observer are cut off from
+// the leader, which takes the leases there to have expired while the observer renews them.
+func TestIsolatedObserverRenewsNoReplacedAttempt(t *testing.T) {
+	sim := newSimulation(1, workersOfEight(2), testDirectory(nil, nil))
+	sim.start()
+	sim.submit("j1", "a", "again", 8, time.Hour)
+	sim.advance(3 * time.Second)
+	require.Equal(t, StateRunning, sim.state("j1"))
+	cutOff := sim.workers["w00"]
+	if len(cutOff.tasks) == 0 {
+		cutOff = sim.workers["w01"]
+	}
+	// The instance of the leader polls the workers as well, and does not reach one of them.
+	leaders, isolated := hfworker.NewFleet(simPoll, simHeartbeat, sim.renewalRule), sim.fleet
+	observed, entries := map[string]bool{}, []hfworker.Worker{}
+	for _, name := range slices.Sorted(maps.Keys(sim.listedWorkers)) {
+		observed[name], entries = true, append(entries, sim.listedWorkers[name])
+	}
+	leaders.Update(hfworker.Listed(entries), sim.now)
+	leaders.Update(hfworker.Observe(observed), sim.now)
+	for end := sim.now.Add(5 * simLease); sim.now.Before(end); {
+		sim.now = sim.now.Add(simStep)
+		cutOff.unreachable, sim.fleet, sim.reportsCut = true, leaders, false
+		sim.runDueEvents()
+		sim.endTasks()
+		sim.pollWorkers()
+		sim.send(TickMsg{})
+		cutOff.unreachable, sim.fleet, sim.reportsCut = false, isolated, true
+		sim.pollWorkers()
+		attempts := 0
+		for _, fw := range sim.workers {
+			for _, task := range fw.tasks {
+				if task.state == hfworker.StateRunning {
+					attempts++
+				}
+			}
+		}
+		require.LessOrEqual(t, attempts, 1, "attempts of j1 that run at once")
+	}
+}
