--- a/hfworker/fleet.go
+++ b/hfworker/fleet.go
@@ -197,13 +197,16 @@
 	return o
 }
 
+// recordPoll records the answer to a poll. One that arrives after the worker was assigned to
+// another instance is ignored, as it may be older than the report of that instance.
 func (f *Fleet) recordPoll(m PolledMsg, now time.Time) []Cmd {
+	if !f.observed[m.worker] {
+		return nil
+	}
 	o := f.observation(m.worker)
 	o.failedPolls = 0
 	cmds := f.recordTasks(m.worker, selfObserver, m.tasks, false, m.sent.Add(f.Freshness()))
-	if f.observed[m.worker] {
-		o.nextPoll = f.nextPollTime(o, m.sent, now)
-	}
+	o.nextPoll = f.nextPollTime(o, m.sent, now)
 	return cmds
 }
 
@@ -226,13 +229,16 @@
 }
 
 func (f *Fleet) recordFailedPoll(worker string, now time.Time) []Cmd {
+	if !f.observed[worker] {
+		return nil
+	}
 	o := f.observation(worker)
 	o.failedPolls++
 	o.nextPoll = now.Add(f.pollInterval() / retryPollDivisor)
-	if o.failedPolls < lostAfterPolls || o.lost {
+	if o.failedPolls < lostAfterPolls {
 		return nil
 	}
-	return f.recordTasks(worker, selfObserver, nil, true, now)
+	return f.recordTasks(worker, selfObserver, nil, true, now.Add(f.Freshness()+callTimeout)) // until the next poll has failed
 }
 
 // recordPeerReports records the reports in another instance's heartbeat. The heartbeat also
@@ -409,10 +415,11 @@
 }
 
 // dropStale ends the observation of the workers that this instance polls and that have not
-// answered within the freshness. Their next answer is reported again.
+// answered within the freshness, or whose loss was not confirmed by a failed poll since. Their
+// next answer, or loss, is reported again.
 func (f *Fleet) dropStale(now time.Time) {
 	for name := range f.observed {
-		if o := f.observation(name); o.observer == selfObserver && !o.lost && !now.Before(o.freshUntil) {
+		if o := f.observation(name); o.observer == selfObserver && !now.Before(o.freshUntil) {
 			f.markChanged(o)
 			o.observer = ""
 		}
