Check the numbers of ends beside the last that was reported

What callers saw: nothing yet. Since polls acknowledge each end once, most of them tell no last end, and a row with a huge number, alone in a list, was taken again: all later ends of that worker would have been skipped.

Cause: which numbers are plausible was judged by the end that the poll acknowledges, which is 0 since.

Change: the poll request carries the last end that the worker reported, which is not sent.

Evidence: TestPollTellsTheLastReportedEnd gets 0 instead of 58 without it.

--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -399,7 +399,7 @@
 	var report hfwork.Report
 	err := d.send(ctx, wait+pollTimeout, func(ctx context.Context, leaseEnd int64) error {
 		d.mu.Lock()
-		worker, incarnation, lastStored := d.worker, d.incarnation, int64(0)
+		worker, incarnation, lastStored, lastReported := d.worker, d.incarnation, int64(0), d.lastReported
 		if answered && d.lastStored > d.acknowledged {
 			lastStored = d.lastStored
 		}
@@ -410,7 +410,8 @@
 			leaseEnd = 0
 		}
 		var err error
-		report, err = d.leader.minions.Poll(ctx, worker, NewPollRequest(leaseEnd, lastStored, d.leader.tenure.Epoch(), wait))
+		request := NewPollRequest(leaseEnd, lastStored, d.leader.tenure.Epoch(), wait).WithLastReported(lastReported)
+		report, err = d.leader.minions.Poll(ctx, worker, request)
 		if err == nil && incarnation != 0 && report.Incarnation() == 0 {
 			// It would be taken as the report of a worker that was restarted and has lost its runs.
 			return fmt.Errorf("%w: the report does not tell the worker's incarnation", ErrUnanswered)
--- a/hforder/leader_test.go
+++ b/hforder/leader_test.go
@@ -352,3 +352,15 @@
 	d.lastStored = 4
 	require.Equal(t, int64(4), poll(true))
 }
+
+// Guards against an end with a huge number hiding all later ends: which numbers are plausible
+// shows only beside the last one.
+func TestPollTellsTheLastReportedEnd(t *testing.T) {
+	m := &fakeMinions{}
+	d := &dispatcher{leader: &Leader{minions: m, tenure: hflease.NewTenure(5, hflease.Now(), time.Minute), timing: hfplan.NewTiming(6 * time.Second)}}
+	d.recordReport(hfwork.NewReport(1000, 7, nil, []hfwork.End{hfwork.NewEnd(58, hfwork.TaskID{}, 1, hfwork.Done, "")}), time.Now())
+	_, err := d.poll(t.Context(), 0, true)
+	require.NoError(t, err)
+	require.Equal(t, int64(58), m.polls[0].LastReported())
+	require.Zero(t, m.polls[0].LastStored())
+}
--- a/hforder/order.go
+++ b/hforder/order.go
@@ -67,10 +67,11 @@
 
 // PollRequest asks a worker for its report, and may renew the leases of its runs.
 type PollRequest struct {
-	leaseEnd   int64 // new end of the leases of all its runs, 0 to leave them unchanged
-	lastStored int64 // sequence number of the last end whose record is stored
-	epoch      int64
-	wait       func() time.Duration // time for which the worker may delay its answer until a run ends
+	leaseEnd     int64 // new end of the leases of all its runs, 0 to leave them unchanged
+	lastStored   int64 // sequence number of the last end whose record is stored
+	lastReported int64 // sequence number of the last end that the worker reported before, or 0
+	epoch        int64
+	wait         func() time.Duration // time for which the worker may delay its answer until a run ends
 }
 
 // NewPollRequest returns a PollRequest. It renews no leases if leaseEnd is 0.
@@ -78,6 +79,16 @@
 	return PollRequest{leaseEnd: leaseEnd, lastStored: lastStored, epoch: epoch, wait: func() time.Duration { return wait }}
 }
 
+// WithLastReported returns a copy of the request with the sequence number of the last end that the
+// worker reported before. It is not sent, but shows which numbers of ends are plausible.
+func (r PollRequest) WithLastReported(sequence int64) PollRequest {
+	r.lastReported = sequence
+	return r
+}
+
+// LastReported returns the sequence number of the last end that the worker reported before, or 0.
+func (r PollRequest) LastReported() int64 { return r.lastReported }
+
 // LeaseEnd returns the new end of the leases in milliseconds on the worker's clock, or 0 to
 // leave them unchanged.
 func (r PollRequest) LeaseEnd() int64 { return r.leaseEnd }
