Let a stop end a run only where the worker was

What callers saw: nothing yet. An entry of the right shape that gives a known worker the address of another one sends its orders there. The other worker answers 421, which was taken as proof that the worker restarted: a stop ended its run at once, and the task was started again while the run went on at the old address.

Cause: 421 shows that another incarnation is at an address. It says something about the worker's runs only if the worker was there.

Change: the dispatcher remembers where the last poll was answered. A stop answered with 421 elsewhere has an unknown outcome, so that the run ends by a report or when its lease lapses.

Evidence: without the condition two of three cases of TestStopAnsweredAtAnotherAddressDoesNotEndRun get OutcomeRefused. The third, a worker that was replaced at its address, is as before.

--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -43,6 +43,7 @@
 	queue         orderQueue
 	workerClock   int64     // worker's time in milliseconds in its last report
 	reportedAt    time.Time // when the last report was received; the worker's clock was read before
+	reportedFrom  string    // address at which the last poll was answered
 	incarnation   int64     // start time of the worker that sent the last report, which identifies it
 	lastReported  int64     // sequence number of the last end that the worker reported
 	lastStored    int64     // sequence number of the last end whose record is stored
@@ -285,7 +286,7 @@
 		return d.leader.minions.Stop(ctx, worker, c.Task(), c.Number(), d.leader.tenure.Epoch())
 	})
 	d.leader.observer.OrderFinished("stop", c.Task(), c.Number(), worker.GetId(), sent, err)
-	d.leader.Send(hfplan.Stopped(c, d.stopOutcome(err)))
+	d.leader.Send(hfplan.Stopped(c, d.stopOutcome(err, worker.GetAddress())))
 }
 
 func (d *dispatcher) sendPace(ctx context.Context, c hfplan.PaceCmd) {
@@ -329,12 +330,15 @@
 	return hfplan.OutcomeUnknown
 }
 
-// stopOutcome returns the outcome of a stop that ended with err. A refused stop does not show
-// that the run is not there: an unhealthy worker refuses every order and may go on with its
-// runs. Only the answer of another incarnation does.
-func (d *dispatcher) stopOutcome(err error) hfplan.Outcome {
+// stopOutcome returns the outcome of a stop that was sent to an address and ended with err. A
+// refused stop does not show that the run is not there: an unhealthy worker refuses every order
+// and may go on with its runs. Only the answer of another incarnation does, at the address where
+// this one was: the registered address can come from another writer.
+func (d *dispatcher) stopOutcome(err error, address string) hfplan.Outcome {
 	o := d.outcome(err)
-	if o == hfplan.OutcomeDone || errors.Is(err, ErrWorkerRestarted) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if o == hfplan.OutcomeDone || (errors.Is(err, ErrWorkerRestarted) && address == d.reportedFrom) {
 		return o
 	}
 	return hfplan.OutcomeUnknown
@@ -417,7 +421,7 @@
 			return fmt.Errorf("%w: the report does not tell the worker's incarnation", ErrUnanswered)
 		}
 		if err == nil {
-			d.recordAcknowledged(lastStored)
+			d.recordAnswer(worker.GetAddress(), lastStored)
 		}
 		return err
 	})
@@ -427,10 +431,12 @@
 	return report, nil
 }
 
-func (d *dispatcher) recordAcknowledged(sequence int64) {
+// recordAnswer records that a poll, which acknowledged the ends up to a sequence number, was
+// answered at an address.
+func (d *dispatcher) recordAnswer(address string, acknowledged int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.acknowledged = max(d.acknowledged, sequence)
+	d.reportedFrom, d.acknowledged = address, max(d.acknowledged, acknowledged)
 }
 
 func (d *dispatcher) recordReport(r hfwork.Report, received time.Time) {
--- a/hforder/queue_test.go
+++ b/hforder/queue_test.go
@@ -312,3 +312,42 @@
 		})
 	}
 }
+
+// Guards against a run that is taken to have ended because its worker's entry names the address
+// of another worker, which answers that it is not meant. The run goes on at the old address.
+func TestStopAnsweredAtAnotherAddressDoesNotEndRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		polledAt string
+		want     hfplan.Outcome
+	}{
+		"where the worker was":    {"10.0.0.1:80", hfplan.OutcomeRefused},
+		"at another address":      {"10.0.0.2:80", hfplan.OutcomeUnknown},
+		"before the first report": {"", hfplan.OutcomeUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				starts, stops := startsAndStops(t, 1)
+				m := &orderedWorker{answer: func(_ context.Context, start bool, _ string) error {
+					if start {
+						return nil
+					}
+					return ErrWorkerRestarted
+				}}
+				messages := runDispatcher(t, m, func(d *dispatcher) {
+					d.worker = &hfwork.Worker{Id: "w", Address: c.polledAt}
+					if c.polledAt != "" {
+						_, err := d.poll(t.Context(), 0, false)
+						require.NoError(t, err)
+					}
+					d.mu.Lock()
+					d.worker = &hfwork.Worker{Id: "w", Address: "10.0.0.1:80"}
+					d.mu.Unlock()
+					d.enqueue(order{start: &starts[0]})
+					time.Sleep(time.Minute)
+					d.enqueue(order{stop: &stops[0]})
+				})
+				require.Contains(t, messages, hfplan.Stopped(stops[0], c.want))
+			})
+		})
+	}
+}
