End a worker's silence together with the record of its report

Found in the review: pollLoop first ended the silence and then recorded the report. A start sent in between carried a lease end on the clock of an earlier incarnation, if the worker had been restarted. Both happen under one lock; TestReportEndsSilence does not hold before (recordReport left the worker silent).

--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -379,7 +379,6 @@
 			hfloop.Sleep(ctx, silentPollPause)
 			continue
 		}
-		d.setSilent(false)
 		d.recordReport(report, time.Now())
 		if silenceReported {
 			d.leader.observer.LeaseObserved(d.currentWorker().GetId(), d.latestGrant(time.Now()), false)
@@ -439,6 +438,8 @@
 	d.reportedFrom, d.acknowledged = address, max(d.acknowledged, acknowledged)
 }
 
+// recordReport records a report, which ends a silence. Both happen together: no start may carry a
+// lease end on the clock of an earlier incarnation.
 func (d *dispatcher) recordReport(r hfwork.Report, received time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -446,7 +447,7 @@
 		d.incarnation, d.lastReported, d.lastStored, d.acknowledged = r.Incarnation(), 0, 0, 0
 		d.granted = Grant{}
 	}
-	d.workerClock, d.reportedAt = r.Clock(), received
+	d.workerClock, d.reportedAt, d.silent = r.Clock(), received, false
 	for _, e := range r.Ended() {
 		d.lastReported = max(d.lastReported, e.Sequence())
 	}
--- a/hforder/leader_test.go
+++ b/hforder/leader_test.go
@@ -364,3 +364,15 @@
 	require.Equal(t, int64(58), m.polls[0].LastReported())
 	require.Zero(t, m.polls[0].LastStored())
 }
+
+// Guards against a start with a lease end on the clock of an earlier incarnation, sent between the
+// end of a silence and the record of the report that ended it.
+func TestReportEndsSilence(t *testing.T) {
+	d := &dispatcher{leader: &Leader{timing: hfplan.NewTiming(6 * time.Second)}}
+	d.setSilent(true)
+	require.ErrorIs(t, d.checkStart(hfplan.StartCmd{}), ErrNotSent)
+	now := time.Now()
+	d.recordReport(hfwork.NewReport(1000, 7, nil, nil), now)
+	require.False(t, d.isSilent())
+	require.Equal(t, int64(1000+6000-leaseMarginMS), d.leaseEnd(now))
+}
