Known red: seed 1952 of the late network

Cause: a worker restarts under its id between an answered poll and the next one. Not fixed: the platform's orders name a worker by its id only, which the next life keeps.

--- a/hfplan/network_test.go
+++ b/hfplan/network_test.go
@@ -368,17 +368,28 @@
 	})
 }
 
+// Guards against two runs of one task, or a run after its end, on workers that are hard to reach.
 // TestNoTaskRunsTwiceBehindALateNetwork replaces schedulers, refuses orders, leaves orders and
 // polls unanswered and carries them out late, cuts workers off in one direction or both,
 // restarts them behind the cut and changes their entries at random. The world fails the test
 // if a task runs twice, or starts after its end as done was acknowledged. In the end, every
 // job must have ended.
 func TestNoTaskRunsTwiceBehindALateNetwork(t *testing.T) {
+	seeds := failedNetworkSeeds
 	for seed := range *networkSeeds {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { playLateNetwork(t, seed) })
 	}
 }
 
+// failedNetworkSeeds holds seeds that once failed, beyond the default ones.
+//
+//   - 1952: a poll that is carried out late by the next life of a worker makes it forget an end
+//     as done that nobody has read
+var failedNetworkSeeds = []uint64{1952}
+
 var networkSeeds = flag.Uint64("networkseeds", 100, "number of worlds of TestNoTaskRunsTwiceBehindALateNetwork")
 
 func playLateNetwork(t *testing.T, seed uint64) {
