Keep tasks on a worker whose start was withdrawn

Change: the refusal of a start whose run is being stopped does not count against the worker. TestWithdrawnStartIsNoRefusal fails before.

--- a/hfplan/run.go
+++ b/hfplan/run.go
@@ -65,7 +65,9 @@
 		r.startUnanswered = m.outcome == OutcomeUnknown
 		s.stopMembers(r, now) // the other members of a gang would wait for this one
 	case OutcomeRefused:
-		s.refuse(r, now)
+		if r.phase != stopping { // else the start was withdrawn
+			s.refuse(r, now)
+		}
 		s.finishRun(r, hfwork.Stopped, "", "worker refused the start", now)
 	}
 }
--- a/hfplan/single_run_test.go
+++ b/hfplan/single_run_test.go
@@ -556,3 +556,20 @@
 	d.store()
 	require.Len(t, d.takeStarts(), 1)
 }
+
+// Guards against a worker that gets no tasks for a while because a start for it was withdrawn by
+// a stop, which says nothing about the worker.
+func TestWithdrawnStartIsNoRefusal(t *testing.T) {
+	d := newDesk(t, 1, "a")
+	d.report("a")
+	d.store()
+	d.submit("x", deskStep(1))
+	d.store()
+	c := d.takeStarts()[0]
+	d.send(Job(&hfwork.Job{Id: "x"}, nil, true))
+	require.Equal(t, 1, d.stopsOf(c.Task(), c.Number()))
+	d.send(Started(c, OutcomeRefused))
+	d.submit("y", deskStep(1))
+	d.store()
+	require.Len(t, d.takeStarts(), 1)
+}
