Soak: runs longer than a lease, and seeds 3 and 7 in every run

Why our own tests missed leases that end too late: runs of the soak lasted 0.2 to 1.7 s and leases 4 s, so that no lease ended while its run was at work. One job in five has runs of 4 to 10 s, from a random source of its own.

Seeds 3 and 7 have an odd entry in place of a worker's own (TestChangedEntryOfWorkerEndsNoRuns). The soak has not found the path of the late orders.

--- a/hfsoak/soak_test.go
+++ b/hfsoak/soak_test.go
@@ -28,7 +28,9 @@
 //
 //   - 246: a worker restarted while a gang was assigned to it, and a member was released
 //     twice (TestRestartedWorkerReleasesAssignedGangOnce)
-var regressionSeeds = []uint64{246}
+//   - 3 and 7: an odd entry in place of a worker's own, and its runs were taken as ended
+//     (TestChangedEntryOfWorkerEndsNoRuns)
+var regressionSeeds = []uint64{246, 3, 7}
 
 const (
 	faultDuration = 9 * time.Second  // time during which faults are injected
@@ -47,11 +49,12 @@
 // soakRun is the run of one seed.
 type soakRun struct {
 	*testEnv
-	random       *rand.Rand
-	workerRandom *rand.Rand            // for the faults of workers, which came later: the seeds keep their other faults
-	jobs         map[string]*jobRecord // by id
-	faultLog     []string
-	startedAt    time.Time
+	random        *rand.Rand
+	workerRandom  *rand.Rand            // for the faults of workers, which came later: the seeds keep their other faults
+	runTimeRandom *rand.Rand            // for the runs that are longer than a lease, likewise
+	jobs          map[string]*jobRecord // by id
+	faultLog      []string
+	startedAt     time.Time
 }
 
 // TestSoak runs each seed: jobs and cancellations under random faults, then a phase
@@ -65,7 +68,7 @@
 	for _, seed := range list {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			t.Parallel()
-			s := &soakRun{testEnv: newTestEnv(t), random: rand.New(rand.NewPCG(seed, 1)), workerRandom: rand.New(rand.NewPCG(seed, 2)), jobs: map[string]*jobRecord{}, startedAt: time.Now()}
+			s := &soakRun{testEnv: newTestEnv(t), random: rand.New(rand.NewPCG(seed, 1)), workerRandom: rand.New(rand.NewPCG(seed, 2)), runTimeRandom: rand.New(rand.NewPCG(seed, 4)), jobs: map[string]*jobRecord{}, startedAt: time.Now()}
 			defer s.saveLogs(seed)
 			s.runFaults()
 			s.clearFaults()
@@ -152,6 +155,11 @@
 		profile.Accelerators = 1
 	}
 	profile.Fails = s.random.IntN(25) == 0
+	if s.runTimeRandom.IntN(5) == 0 {
+		// Only runs that are longer than a lease show one that ends too late.
+		profile.RunTime = maxLeaseMS*time.Millisecond + time.Duration(s.runTimeRandom.IntN(6000))*time.Millisecond
+		step["estimate_ms"] = profile.RunTime.Milliseconds()
+	}
 	s.mu.Lock()
 	s.jobProfiles[id] = profile
 	s.mu.Unlock()
