--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -268,7 +268,7 @@
 			return fmt.Errorf("%w: it was queued for too long", ErrNotSent)
 		}
 		if err := d.checkStart(c); err != nil {
-			return err
+			return fmt.Errorf("check: %w", err)
 		}
 		d.recordGrant("start", leaseEnd)
 		return d.leader.minions.Start(ctx, worker, Start{
@@ -415,14 +415,15 @@
 		var err error
 		request := NewPollRequest(leaseEnd, lastStored, d.leader.tenure.Epoch(), wait).WithLastReported(lastReported)
 		report, err = d.leader.minions.Poll(ctx, worker, request)
-		if err == nil && incarnation != 0 && report.Incarnation() == 0 {
+		if err != nil {
+			return fmt.Errorf("request: %w", err)
+		}
+		if incarnation != 0 && report.Incarnation() == 0 {
 			// It would be taken as the report of a worker that was restarted and has lost its runs.
 			return fmt.Errorf("%w: the report does not tell the worker's incarnation", ErrUnanswered)
 		}
-		if err == nil {
-			d.recordAnswer(worker.GetAddress(), lastStored)
-		}
-		return err
+		d.recordAnswer(worker.GetAddress(), lastStored)
+		return nil
 	})
 	if err != nil {
 		return report, fmt.Errorf("poll: %w", err)
--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -108,6 +108,7 @@
 	stopping              // stop sent, end not confirmed
 )
 
+// String returns the name of the phase, as it is logged.
 func (p phase) String() string {
 	return [...]string{assigned: "assigned", starting: "starting", running: "running", stopping: "stopping"}[p]
 }
