Compute a backlog and a complete report once

Last read of the change: isBacklog went over the values of each answer twice, and handleReport asked three times whether a report is complete. No decision changes.

--- a/hfentry/watch.go
+++ b/hfentry/watch.go
@@ -95,8 +95,8 @@
 			hfloop.Sleep(ctx, retryPause)
 			continue
 		}
-		n.applyEvents(w, items, revision, sent)
-		if len(items) > 0 && !isBacklog(items) {
+		backlog := n.applyEvents(w, items, revision, sent)
+		if len(items) > 0 && !backlog {
 			hfloop.Sleep(ctx, w.pause())
 		}
 	}
@@ -122,8 +122,9 @@
 	return true
 }
 
-// applyEvents applies the answer to the call of a watch that was sent at the given time.
-func (n *Node) applyEvents(w *prefixWatch, items []hfstore.Item, revision int64, sent time.Time) {
+// applyEvents applies the answer to the call of a watch that was sent at the given time. It
+// reports whether the answer is a backlog.
+func (n *Node) applyEvents(w *prefixWatch, items []hfstore.Item, revision int64, sent time.Time) bool {
 	receivedAt := hflease.Now()
 	changes := hfloop.With(n.mirror, func(m *Mirror) []change {
 		m.setWriteTimes(w.completeUntil, receivedAt)
@@ -134,11 +135,13 @@
 		return append(applied, m.advance(w.prefix, revision)...)
 	})
 	w.revision = max(w.revision, revision)
-	if !isBacklog(items) {
+	backlog := isBacklog(items)
+	if !backlog {
 		w.completeUntil = sent
 	}
 	if w.prefix == recordPrefix && slices.ContainsFunc(items, func(i hfstore.Item) bool { return i.Err() != nil }) {
 		w.synced.Store(false) // an event of our own records is missing; a list may have its item
 	}
 	n.notify(changes)
+	return backlog
 }
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -117,7 +117,8 @@
 		s.pendingAcks[w] = w.lastEnd
 		s.handleEnd(w, e, now)
 	}
-	if !m.report.Incomplete() {
+	complete := !m.report.Incomplete()
+	if complete {
 		s.releaseOrphans(w, m.report.Running())
 	}
 	stillReported := map[*run]bool{}
@@ -127,11 +128,11 @@
 		}
 	}
 	for _, r := range sortedRuns(w.runs) {
-		if !m.report.Incomplete() && !stillReported[r] && r.phase >= running && !r.confirmedAt.IsZero() && m.sent.After(r.confirmedAt) {
+		if complete && !stillReported[r] && r.phase >= running && !r.confirmedAt.IsZero() && m.sent.After(r.confirmedAt) {
 			s.finishRun(r, hfwork.LeaseExpired, "", "no longer reported", now)
 		}
 	}
-	if !m.report.Incomplete() {
+	if complete {
 		s.resolvePriorRuns(w)
 	}
 	s.handleStalls(w, now)
