One memory of rejected entries for entry and serve

Last read of the change: hfentry/rejection.go and hfserve/member_list.go each had the same memory of what was rejected for which reason, the same limits and the same shorten, and hfentry kept a third one for the rows of workers' reports. Change: hfevent.Rejections serves all three, with the limits as they were (1,000 keys, 300 bytes of a reason, 200 and 60 of a key). One difference: a member whose name is longer than 60 bytes was never forgotten once its row was valid again, since the full name was deleted where the shortened one was kept.

--- a/hfentry/entries_test.go
+++ b/hfentry/entries_test.go
@@ -86,15 +86,15 @@
 func TestRejectionsAreBounded(t *testing.T) {
 	n, logs, registry := newLoggingNode()
 	long := strings.Repeat("\u00e4", 1<<14)
-	for k := range 2 * maxRejectedEntries {
+	for k := range 2 * hfevent.MaxRejections {
 		n.applyItem(hfstore.NewUnreadableItem(fmt.Sprint("workers/", k), 1, fmt.Errorf("%w: %s", errUnreadable, long)))
 	}
-	require.Len(t, rejections(logs), maxRejectedEntries)
-	require.Less(t, len(fmt.Sprint(rejections(logs)[0].ContextMap()["error"])), 2*maxReasonBytes)
-	require.Equal(t, int64(2*maxRejectedEntries), metrics.GetOrRegisterCounter("entry.rejected", registry).Count())
+	require.Len(t, rejections(logs), hfevent.MaxRejections)
+	require.Less(t, len(fmt.Sprint(rejections(logs)[0].ContextMap()["error"])), 2*hfevent.MaxReasonBytes)
+	require.Equal(t, int64(2*hfevent.MaxRejections), metrics.GetOrRegisterCounter("entry.rejected", registry).Count())
 	n.notify(hfloop.With(n.mirror, func(m *Mirror) []change { return m.Reset("workers/", nil, 5) }))
 	n.applyItem(unreadableItem("workers/new"))
-	require.Len(t, rejections(logs), maxRejectedEntries+1, "entries that are gone make room")
+	require.Len(t, rejections(logs), hfevent.MaxRejections+1, "entries that are gone make room")
 }
 
 // Guards against a watch that stops at an invalid entry.
--- a/hfentry/hint_test.go
+++ b/hfentry/hint_test.go
@@ -24,7 +24,7 @@
 	return &Node{
 		name: name, log: hfevent.New(zap.NewNop(), registry), registry: registry,
 		mirror:       hfloop.NewGuarded(NewMirror(fakeFormats{}, time.Second)),
-		rejectedRows: hfloop.NewGuarded(map[string]bool{}),
+		rejectedRows: hfloop.NewGuarded(hfevent.NewRejections(maxKeyBytes + hfevent.MaxReasonBytes)),
 		links:        hfpeer.NewLinks(name, name, &net.Dialer{}, registry), hints: make(chan hfstore.Item, hintQueueSize),
 	}
 }
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/heatherfront/heatherfront/hfevent"
 	"github.com/heatherfront/heatherfront/hfstore"
 	"github.com/heatherfront/heatherfront/hfwire"
 	"github.com/heatherfront/heatherfront/hfwork"
@@ -100,7 +101,7 @@
 	term              int64
 	appliedRevision   int64                       // all our records up to this store revision are applied
 	instances         map[string]*hfwork.Instance // by name; includes this one and some that have ended
-	rejected          map[string]string           // reason for which an entry was last rejected, by key
+	rejected          *hfevent.Rejections         // entries that were last invalid, by key
 }
 
 // NewMirror returns an empty mirror. Workers write their entries at the heartbeat interval.
@@ -109,7 +110,7 @@
 		formats: f, jobs: map[string]*jobRecord{}, workers: map[string]*hfwork.Worker{}, roster: &hfwork.Roster{},
 		lastWrites: map[string]entryWrite{}, leftWorkers: map[string]bool{}, heartbeatInterval: func() time.Duration { return heartbeatInterval },
 		requestedWaves: map[int64]*hfwork.Wave{}, storedWaves: map[int64]*hfwork.Wave{}, instances: map[string]*hfwork.Instance{},
-		rejected: map[string]string{},
+		rejected: hfevent.NewRejections(maxKeyBytes),
 	}
 }
 
@@ -138,7 +139,11 @@
 		changes = append(changes, change{lead: true})
 	}
 	m.writtenAfter = time.Time{} // the age of the entries in a list is not known
-	m.forgetRejections(prefix, items)
+	keys := make([]string, 0, len(items))
+	for _, i := range items {
+		keys = append(keys, i.Key())
+	}
+	m.rejected.Retain(prefix, keys)
 	listedJobs, complete := map[string]bool{}, true
 	for _, i := range items {
 		complete = complete && i.Key() != "" // the key of an unreadable item may be missing
@@ -207,7 +212,7 @@
 		c.rejection = m.reject(i, c.err)
 	}
 	if i.Deleted() {
-		delete(m.rejected, i.Key())
+		m.rejected.Forget(i.Key())
 	}
 	return c
 }
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -57,7 +57,7 @@
 	log          *hfevent.Log
 	registry     metrics.Registry
 	mirror       *hfloop.Guarded[*Mirror]
-	rejectedRows *hfloop.Guarded[map[string]bool] // reasons that were logged for parts of workers' reports, with the worker
+	rejectedRows *hfloop.Guarded[*hfevent.Rejections] // parts of workers' reports, by worker and reason
 	health       *StoreHealth
 	recordWatch  prefixWatch // watches our own records
 	policyWatch  prefixWatch // watches what operators write
@@ -83,7 +83,7 @@
 			}
 			log.Event(event, zap.Duration("silent", silent))
 		}),
-		rejectedRows: hfloop.NewGuarded(map[string]bool{}),
+		rejectedRows: hfloop.NewGuarded(hfevent.NewRejections(maxKeyBytes + hfevent.MaxReasonBytes)),
 		leaderless:   make(chan struct{}, 1), stopStarted: make(chan struct{}),
 		links: hfpeer.NewLinks(s.Name(), uuid.NewString(), dialer, registry), hints: make(chan hfstore.Item, hintQueueSize),
 	}
--- a/hfentry/observe.go
+++ b/hfentry/observe.go
@@ -70,16 +70,10 @@
 func (n *Node) ReportRejected(worker string, reasons []error) {
 	metrics.GetOrRegisterCounter("report.rejected", n.registry).Inc(int64(len(reasons)))
 	for _, err := range reasons {
-		reason := shorten(err.Error(), maxReasonBytes)
-		logged := hfloop.With(n.rejectedRows, func(r map[string]bool) bool {
-			known := r[worker+" "+reason] || len(r) >= maxRejectedEntries
-			if !known {
-				r[worker+" "+reason] = true
-			}
-			return known
-		})
-		if !logged {
-			n.log.Event(hfevent.EntryRejected, zap.String("key", "report of "+worker), zap.String("error", reason))
+		reason := err.Error()
+		r := hfloop.With(n.rejectedRows, func(rows *hfevent.Rejections) hfevent.Rejection { return rows.Reject(worker+" "+reason, reason) })
+		if !r.Repeated() {
+			n.log.Event(hfevent.EntryRejected, zap.String("key", "report of "+worker), zap.String("error", r.Reason()))
 		}
 	}
 }
--- a/hfserve/member_list.go
+++ b/hfserve/member_list.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/netip"
 	"strings"
+
+	"github.com/heatherfront/heatherfront/hfevent"
 )
 
 // Limits of a row of the membership list. Rows beyond them come from another writer.
@@ -13,8 +15,6 @@
 	maxAccelerators   = 1 << 12 // of one worker; a leader keeps a table of all accelerators
 	maxSlots          = 1 << 20 // of one endpoint
 	maxPosition       = 1 << 31 // of a worker in its rack
-	maxRejectedRows   = 1000    // whose last rejection is remembered
-	maxReasonBytes    = 300     // of the reason of a rejection
 	rejectedNameBytes = 60      // of the name in it
 )
 
@@ -32,25 +32,20 @@
 	State        string `json:"state"`
 }
 
-// rejectedRow is a row that is invalid.
-type rejectedRow struct {
-	name     string // "" if it is not known
-	reason   string
-	repeated bool // the row of this name was last rejected for the same reason
-}
-
 // memberList is the membership list, of which each row is the last valid one of its name.
 type memberList struct {
 	rows     []memberRow
-	rejected map[string]string // reason of the last rejection, by name
+	rejected *hfevent.Rejections // rows that were last invalid, by name
 }
 
-func newMemberList() *memberList { return &memberList{rejected: map[string]string{}} }
+func newMemberList() *memberList {
+	return &memberList{rejected: hfevent.NewRejections(rejectedNameBytes)}
+}
 
 // update replaces the list by the valid rows of a newer one. For a row that is invalid, the last
 // valid row of its name stays in the list. It fails, and changes nothing, if the list cannot be
 // read or has no valid row.
-func (l *memberList) update(body []byte) ([]rejectedRow, error) {
+func (l *memberList) update(body []byte) ([]hfevent.Rejection, error) {
 	parts, err := splitArray(body)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMemberList, err)
@@ -60,7 +55,7 @@
 		last[r.Name] = r
 	}
 	var rows []memberRow
-	var rejected []rejectedRow
+	var rejected []hfevent.Rejection
 	listed := map[string]bool{}
 	var invalid []string // names of invalid rows
 	for _, part := range parts {
@@ -73,12 +68,12 @@
 		}
 		if reason == "" {
 			listed[r.Name] = true
-			delete(l.rejected, r.Name)
+			l.rejected.Forget(r.Name)
 			rows = append(rows, r)
 			continue
 		}
 		invalid = append(invalid, r.Name)
-		rejected = append(rejected, l.reject(r.Name, reason))
+		rejected = append(rejected, l.rejected.Reject(r.Name, reason))
 	}
 	for _, name := range invalid {
 		if r, known := last[name]; known && !listed[name] {
@@ -93,20 +88,6 @@
 	return rejected, nil
 }
 
-// reject records that a row is invalid.
-func (l *memberList) reject(name, reason string) rejectedRow {
-	r := rejectedRow{name: shorten(name, rejectedNameBytes), reason: shorten(reason, maxReasonBytes)}
-	lastReason, known := l.rejected[r.name]
-	r.repeated = lastReason == r.reason || (!known && len(l.rejected) >= maxRejectedRows)
-	if !r.repeated {
-		l.rejected[r.name] = r.reason
-	}
-	return r
-}
-
-// shorten returns the first n bytes of s as valid UTF-8.
-func shorten(s string, n int) string { return strings.ToValidUTF8(s[:min(len(s), n)], "?") }
-
 // problem returns what is invalid in the row, or "". Rows of unknown roles are valid, as they are
 // not used.
 func (r memberRow) problem() string {
--- a/hfserve/member_list_test.go
+++ b/hfserve/member_list_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/heatherfront/heatherfront/hfevent"
 )
 
 const (
@@ -64,13 +66,13 @@
 			rejected, err := l.update([]byte(" [" + goodRow + " , " + bad + "\n," + otherRow + "]\n"))
 			require.NoError(t, err)
 			require.Len(t, rejected, 1)
-			require.False(t, rejected[0].repeated)
-			require.NotEmpty(t, rejected[0].reason)
-			require.LessOrEqual(t, len(rejected[0].reason), maxReasonBytes)
+			require.False(t, rejected[0].Repeated())
+			require.NotEmpty(t, rejected[0].Reason())
+			require.LessOrEqual(t, len(rejected[0].Reason()), hfevent.MaxReasonBytes)
 			require.Equal(t, []string{"a", "c"}, names(l))
 			rejected, err = l.update([]byte("[" + goodRow + "," + bad + "]"))
 			require.NoError(t, err)
-			require.True(t, rejected[0].repeated, "logged once")
+			require.True(t, rejected[0].Repeated(), "logged once")
 			require.Equal(t, []string{"a"}, names(l), "the rest of the list is followed")
 		})
 	}
@@ -85,7 +87,7 @@
 	rejected, err := l.update([]byte("[" + otherRow + "," + strings.Replace(goodRow, ":80", ":80000", 1) + "]"))
 	require.NoError(t, err)
 	require.Len(t, rejected, 1)
-	require.Equal(t, "a", rejected[0].name)
+	require.Equal(t, "a", rejected[0].Key())
 	require.Equal(t, []string{"c", "a"}, names(l))
 	require.Equal(t, before, l.rows[1])
 	rejected, err = l.update([]byte("[" + goodRow + "," + strings.Replace(goodRow, ":80", ":81", 1) + "]"))
--- a/hfserve/membership.go
+++ b/hfserve/membership.go
@@ -42,7 +42,7 @@
 			return
 		}
 		body, err := s.fetchMemberList(ctx)
-		var rejected []rejectedRow
+		var rejected []hfevent.Rejection
 		if err == nil {
 			rejected, err = list.update(body)
 		}
@@ -57,8 +57,8 @@
 		nextFetch = time.Now().Add(time.Duration(len(body)) * time.Second / maxListBytesPerSecond)
 		for _, r := range rejected {
 			metrics.GetOrRegisterCounter("members.rejected", s.registry).Inc(1)
-			if !r.repeated {
-				s.log.Event(hfevent.MemberRejected, zap.String("member", r.name), zap.String("error", r.reason))
+			if !r.Repeated() {
+				s.log.Event(hfevent.MemberRejected, zap.String("member", r.Key()), zap.String("error", r.Reason()))
 			}
 		}
 		s.applyMemberList(ctx, list.rows)
