Late network of hfplan: a start is not sent again after its stop

The trace: start of j016.0.1 sent at 15.591 and answered late, its stop sent at 15.595 and carried out, the worker restarted at 15.738, and try 2 of the same start sent at 15.893 to the next incarnation, which knows of no stop.

Cause: in the model alone. hforder never sends these: a stop ends the retries of the start of its run, and is itself sent only after the last of them (orderQueue; TestStopEndsRetriesOfStart, TestNoStartIsSentAfterStopOfItsRun). The model sent both at once and went on with the retries.

Ruled out: a fault of the scheduler. The run was reported as stopped before its task was placed again.

The model now does as hforder does: no try of a start after its stop was ordered, and no stop before the last try of its start. Nothing else is narrowed.

--- a/hfplan/network_test.go
+++ b/hfplan/network_test.go
@@ -53,7 +53,9 @@
 	incarnation  int64
 	lastReported int64
 	lastStored   int64
-	withdrawn    map[StopCmd]bool // queued starts that are not to be sent any more, as their stops
+	withdrawn    map[StopCmd]bool // starts that are not to be sent any more, as their stops
+	starting     map[StopCmd]bool // starts that may be sent again, as their stops
+	held         map[StopCmd]bool // stops that wait for their start
 	waiting      []*waitingPoll   // polls that the worker has not answered yet
 }
 
@@ -96,7 +98,7 @@
 func (n *network) follow(workers map[string]*hfwork.Worker) {
 	for _, id := range sortedKeys(workers) {
 		if n.links[id] == nil {
-			l := &link{term: n.w.term, fence: n.w.fence, id: id, withdrawn: map[StopCmd]bool{}}
+			l := &link{term: n.w.term, fence: n.w.fence, id: id, withdrawn: map[StopCmd]bool{}, starting: map[StopCmd]bool{}, held: map[StopCmd]bool{}}
 			n.links[id] = l
 			n.w.at(messageDelay, func() { n.poll(l) })
 		}
@@ -294,10 +296,11 @@
 	case StopCmd:
 		if l := n.links[c.Worker()]; l != nil {
 			l.withdrawn[c] = true
-			n.try(l, n.w.now, 1, func(f *fakeWorker, _ time.Time) Outcome {
-				n.w.stop(f, c.Task(), c.Number())
-				return OutcomeDone
-			}, func(o Outcome) { n.tell(l, Stopped(c, o)) })
+			if l.starting[c] {
+				l.held[c] = true
+			} else {
+				n.sendStop(l, c)
+			}
 		}
 	case AckCmd:
 		if l := n.links[c.Worker()]; l != nil && l.incarnation == c.Incarnation() {
@@ -318,12 +321,15 @@
 	if !n.current(l) {
 		return
 	}
-	if l.silent || l.withdrawn[StopCmd{worker: c.Worker(), task: c.Task(), number: c.Number()}] {
+	stop := StopCmd{worker: c.Worker(), task: c.Task(), number: c.Number()}
+	if l.silent || l.withdrawn[stop] {
 		n.tell(l, Started(c, OutcomeRefused))
 		return
 	}
 	require.False(n.w.t, n.acknowledged[fmt.Sprint(c.Task())], "the start of %v is sent after its end as done was acknowledged", c.Task())
-	n.try(l, n.w.now, 1, func(f *fakeWorker, sent time.Time) Outcome {
+	l.starting[stop] = true
+	maySend := func() bool { return !l.withdrawn[stop] }
+	n.try(l, n.w.now, 1, maySend, func(f *fakeWorker, sent time.Time) Outcome {
 		if !n.w.now.Before(sent.Add(time.Duration(float64(workerLease-leaseMargin) * f.clockRate))) {
 			return OutcomeRefused // its lease would have ended already
 		}
@@ -335,11 +341,26 @@
 			return OutcomeStale
 		}
 		return n.w.start(f, c)
-	}, func(o Outcome) { n.tell(l, Started(c, o)) })
+	}, func(o Outcome) {
+		delete(l.starting, stop)
+		n.tell(l, Started(c, o))
+		if l.held[stop] && n.current(l) {
+			delete(l.held, stop)
+			n.sendStop(l, stop)
+		}
+	})
+}
+
+func (n *network) sendStop(l *link, c StopCmd) {
+	n.try(l, n.w.now, 1, func() bool { return true }, func(f *fakeWorker, _ time.Time) Outcome {
+		n.w.stop(f, c.Task(), c.Number())
+		return OutcomeDone
+	}, func(o Outcome) { n.tell(l, Stopped(c, o)) })
 }
 
-// try sends an order until it is answered, orderTimeout has passed or the worker is silent.
-func (n *network) try(l *link, begun time.Time, tries int, carryOut func(f *fakeWorker, sent time.Time) Outcome, finish func(Outcome)) {
+// try sends an order until it is answered, orderTimeout has passed, the worker is silent or it may
+// not be sent again.
+func (n *network) try(l *link, begun time.Time, tries int, maySend func() bool, carryOut func(f *fakeWorker, sent time.Time) Outcome, finish func(Outcome)) {
 	if !n.current(l) || n.w.fleet[l.id] == nil {
 		return
 	}
@@ -360,10 +381,10 @@
 	n.w.at(responseTimeout+messageDelay, func() {
 		switch {
 		case answered || !n.current(l):
-		case n.w.now.Sub(begun) > orderTimeout-responseTimeout || l.silent:
+		case n.w.now.Sub(begun) > orderTimeout-responseTimeout || l.silent || !maySend():
 			finish(OutcomeUnknown)
 		default:
-			n.try(l, begun, tries+1, carryOut, finish)
+			n.try(l, begun, tries+1, maySend, carryOut, finish)
 		}
 	})
 }
