Polls that depend on the incarnation of a worker stay on its connection

What callers could see: a task that ran again after its end (TWICE). In its trace a worker answers a poll with its ends up to 4 and restarts under its id before 6.746, when the next poll is sent with last_seen 4. That one is carried out late, at 9.257, by the next incarnation, and makes it forget its ends 1 and 2, as done, that nobody has read. At 9.400 the leader takes their runs for lost and places the tasks again.

Cause: an order names a worker by its id only, and the HTTP transport chose the connection: a poll whose connection had ended with the worker went to the next incarnation on a new one.

Ruled out: - An order that a worker held when it restarted: its connection ends with the process that accepted it, and PROTOCOL.md says that the next incarnation knows nothing of before. - A hook that refuses to dial for such polls, in an http.Transport: a dial whose request has gone stays in the pool as an idle connection on which nobody has answered, another worker id at the address shares the pool, and a request of which nothing was written is sent again on any connection. A promise on top of that depends on the details of the transport.

Change: a poll that renews leases or acknowledges ends is bound to the incarnation that sent the last report. The leader then polls at once without renewal and acknowledgement, on a new connection, and takes that for no silence. Since a connection cannot lead to two processes, no other incarnation receives a bound poll, however late it is carried out.

TestLostConnectionIsFollowedByAnUnboundPoll and TestWorkerThatClosesItsConnectionIsPolledAtIntervals guard the loop. Polls of one incarnation and unbound ones are as late as before.

--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -345,9 +345,10 @@
 }
 
 // pollLoop polls the worker until ctx ends. Polls of a silent worker do not renew its
-// leases, so that they expire at a known time, and acknowledge no ends.
+// leases, so that they expire at a known time, and acknowledge no ends. Neither does the first poll
+// after its connection was lost, which shows whether the worker was restarted.
 func (d *dispatcher) pollLoop(ctx context.Context) {
-	answered, silenceReported := false, false
+	answered, bound, silenceReported := false, false, false // bound: the last answered poll was a bound one
 	for ctx.Err() == nil {
 		wait := time.Duration(0)
 		if answered {
@@ -366,6 +367,14 @@
 			if errors.Is(err, ErrNotLeading) {
 				return
 			}
+			if answered && errors.Is(err, ErrDisconnected) {
+				// This shows no silence. The next poll opens a connection.
+				if answered = false; !bound {
+					hfloop.Sleep(ctx, silentPollPause) // the worker closes its connection after each answer
+				}
+				bound = false
+				continue
+			}
 			d.setSilent(true)
 			if ctx.Err() == nil && !silenceReported {
 				silenceReported = true
@@ -375,7 +384,7 @@
 			if ctx.Err() == nil {
 				d.leader.Send(hfplan.WorkerSilent(d.currentWorker().GetId()))
 			}
-			answered = false
+			answered, bound = false, false
 			hfloop.Sleep(ctx, silentPollPause)
 			continue
 		}
@@ -383,7 +392,7 @@
 		if silenceReported {
 			d.leader.observer.LeaseObserved(d.currentWorker().GetId(), d.latestGrant(time.Now()), false)
 		}
-		answered, silenceReported = true, false
+		answered, bound, silenceReported = true, answered, false
 		d.leader.Send(hfplan.Report(d.currentWorker().GetId(), sent, report))
 		d.awaitEndsStored(ctx)
 		if rejected := report.Rejected(); len(rejected) > 0 {
@@ -396,8 +405,8 @@
 
 // poll returns the report of the worker, which may delay its answer for wait. It renews the
 // leases and acknowledges ends if the worker answered the last poll. Otherwise the worker may
-// have been restarted, with another clock and other ends. For the same reason it acknowledges
-// no end twice: a worker that has been restarted would forget ends that nobody has read.
+// have been restarted, with another clock and other ends. Such a poll is bound to the incarnation
+// that sent the last report. No end is acknowledged twice.
 func (d *dispatcher) poll(ctx context.Context, wait time.Duration, answered bool) (hfwork.Report, error) {
 	var report hfwork.Report
 	err := d.send(ctx, wait+pollTimeout, func(ctx context.Context, leaseEnd int64) error {
@@ -413,7 +422,7 @@
 			leaseEnd = 0
 		}
 		var err error
-		request := NewPollRequest(leaseEnd, lastStored, d.leader.tenure.Epoch(), wait).WithLastReported(lastReported)
+		request := NewPollRequest(leaseEnd, lastStored, d.leader.tenure.Epoch(), wait).WithLastReported(lastReported).WithIncarnation(incarnation)
 		report, err = d.leader.minions.Poll(ctx, worker, request)
 		if err != nil {
 			return fmt.Errorf("request: %w", err)
--- a/hforder/lease_test.go
+++ b/hforder/lease_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -312,3 +313,101 @@
 		})
 	}
 }
+
+// reconnectingWorker is a worker whose connection for polls is lost at times.
+type reconnectingWorker struct {
+	fakeMinions
+	mu         sync.Mutex
+	born       int64
+	connected  bool // the incarnation has answered on the open connection
+	closes     bool // it closes the connection after each answer
+	polls      []PollRequest
+	bornAt     []int64 // of the incarnation that received each poll
+	calls      int
+	disconnect func() // called after the tenth poll if set
+}
+
+func (w *reconnectingWorker) Poll(_ context.Context, _ *hfwork.Worker, r PollRequest) (hfwork.Report, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls++
+	if r.Bound() && !w.connected {
+		return hfwork.Report{}, ErrDisconnected
+	}
+	time.Sleep(testTransit)
+	w.polls, w.bornAt = append(w.polls, r), append(w.bornAt, w.born)
+	w.connected = !w.closes
+	report := hfwork.NewReport(1000*w.born, w.born, nil, nil)
+	if len(w.polls) == 10 && w.disconnect != nil {
+		w.disconnect()
+	}
+	return report, nil
+}
+
+// silenceObserver counts the polls that are reported as unanswered.
+type silenceObserver struct {
+	fakeServices
+	silences atomic.Int64
+}
+
+func (o *silenceObserver) OrderFinished(verb string, _ hfwork.TaskID, _ int64, _ string, _ time.Time, _ error) {
+	if verb == "look" {
+		o.silences.Add(1)
+	}
+}
+
+// pollReconnectingWorker polls a worker for ten seconds.
+func pollReconnectingWorker(t *testing.T, m *reconnectingWorker) *silenceObserver {
+	t.Helper()
+	o, timing := &silenceObserver{}, hfplan.NewTiming(testLease)
+	l := NewLeader(hfplan.New(1, timing, time.Now()), hflease.NewTenure(5, hflease.Now(), time.Hour), m, fakeServices{}, fakeServices{}, "one", &fakeRecords{}, o, timing)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		ended <- l.Run(ctx, []hfplan.Msg{hfplan.Workers(map[string]*hfwork.Worker{"w": {Id: "w", Pool: "p"}})})
+	}()
+	time.Sleep(10 * time.Second)
+	cancel()
+	require.NoError(t, <-ended)
+	return o
+}
+
+// Guards against a lost connection that passes for a silent worker, on which nothing is started,
+// and against bound polls for an earlier incarnation after it.
+func TestLostConnectionIsFollowedByAnUnboundPoll(t *testing.T) {
+	for name, restarts := range map[string]bool{"connection reset": false, "worker restarted": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := &reconnectingWorker{born: 7}
+				m.disconnect = func() {
+					m.connected = false
+					if restarts {
+						m.born++
+					}
+				}
+				o := pollReconnectingWorker(t, m)
+				require.Greater(t, len(m.polls), 12)
+				require.Zero(t, o.silences.Load())
+				for i, r := range m.polls {
+					switch i {
+					case 0, 10:
+						require.False(t, r.Bound(), "poll %d", i)
+						require.Zero(t, r.Wait(), "poll %d", i)
+					default:
+						require.True(t, r.Bound(), "poll %d", i)
+						require.Equal(t, m.bornAt[i], r.Incarnation(), "poll %d", i)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against polls without a pause to a worker that closes its connection after each answer.
+func TestWorkerThatClosesItsConnectionIsPolledAtIntervals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &reconnectingWorker{born: 7, closes: true}
+		pollReconnectingWorker(t, m)
+		require.LessOrEqual(t, m.calls, 2*int(10*time.Second/silentPollPause)+2)
+	})
+}
--- a/hforder/order.go
+++ b/hforder/order.go
@@ -29,6 +29,9 @@
 	ErrUnanswered = eris.New("no answer from worker")
 	// ErrNotSent reports that a start was not sent, as it is out of date or its worker is silent.
 	ErrNotSent = eris.New("start was not sent")
+	// ErrDisconnected reports that a poll for one incarnation of a worker was not sent, as no open
+	// connection certainly leads to that incarnation.
+	ErrDisconnected = eris.New("no connection to this incarnation of the worker")
 	// ErrNotLeading reports that an order was not sent because the leadership may have ended.
 	ErrNotLeading = eris.New("leadership may have ended")
 )
@@ -70,6 +73,7 @@
 	leaseEnd     int64 // new end of the leases of all its runs, 0 to leave them unchanged
 	lastStored   int64 // sequence number of the last end whose record is stored
 	lastReported int64 // sequence number of the last end that the worker reported before, or 0
+	incarnation  int64 // start time of the worker whose clock and ends leaseEnd and lastStored refer to
 	epoch        int64
 	wait         func() time.Duration // time for which the worker may delay its answer until a run ends
 }
@@ -86,6 +90,21 @@
 	return r
 }
 
+// WithIncarnation returns a copy of the request whose lease end and acknowledgement are meant for the
+// incarnation of the worker that started at the given time.
+func (r PollRequest) WithIncarnation(started int64) PollRequest {
+	r.incarnation = started
+	return r
+}
+
+// Incarnation returns the start time of the worker that the lease end and the acknowledgement are
+// meant for. It is not sent: an order names a worker by its id only.
+func (r PollRequest) Incarnation() int64 { return r.incarnation }
+
+// Bound reports whether the request renews leases or acknowledges ends, so that only the incarnation
+// that it is meant for may receive it.
+func (r PollRequest) Bound() bool { return r.leaseEnd != 0 || r.lastStored != 0 }
+
 // LastReported returns the sequence number of the last end that the worker reported before, or 0.
 func (r PollRequest) LastReported() int64 { return r.lastReported }
 
@@ -111,7 +130,10 @@
 	Stop(ctx context.Context, w *hfwork.Worker, task hfwork.TaskID, run, epoch int64) error
 	// Pace limits a run to a percentage of its full speed.
 	Pace(ctx context.Context, w *hfwork.Worker, task hfwork.TaskID, run, percent, epoch int64) error
-	// Poll renews leases as asked and returns the worker's report.
+	// Poll renews leases as asked and returns the worker's report. A bound request is sent only on a
+	// connection on which its incarnation has answered a poll: a connection ends with the process that
+	// accepted it, so that no other incarnation can receive the request, however late. Without such a
+	// connection Poll sends nothing and returns ErrDisconnected. It never does so for other requests.
 	Poll(ctx context.Context, w *hfwork.Worker, r PollRequest) (hfwork.Report, error)
 }
 
--- a/hfplan/network_test.go
+++ b/hfplan/network_test.go
@@ -29,7 +29,9 @@
 
 // network carries orders and polls between the leader and the workers as package hforder
 // sends them. It leaves some of them unanswered and carries them out late, and it can be cut
-// in each direction. Leases end as the orders say, on the clock of the worker.
+// in each direction. Leases end as the orders say, on the clock of the worker. A poll that renews
+// leases or acknowledges ends belongs to a connection on which the worker has answered, which ends
+// with that incarnation (TestBoundPollReachesItsIncarnationOnly of package hfplatform).
 type network struct {
 	w      *world
 	random *rand.Rand
@@ -186,6 +188,13 @@
 	if renews {
 		wait = pollInterval
 	}
+	f := n.w.fleet[l.id]
+	disconnected := renews && f.incarnation != l.incarnation
+	if disconnected && !n.cutTo[f] && !n.cutOff[f] && n.random.IntN(2) == 0 {
+		l.answered = false // the leader knows that the connection has ended
+		n.poll(l)
+		return
+	}
 	answered := false
 	n.w.at(wait+pollTimeout, func() {
 		if answered || !n.current(l) {
@@ -195,6 +204,9 @@
 		n.tell(l, WorkerSilent(l.id))
 		n.w.at(silentPollPause, func() { n.poll(l) })
 	})
+	if disconnected {
+		return // the poll is lost with its connection
+	}
 	n.order(l, wait+pollTimeout, func(f *fakeWorker, answer func(func())) {
 		if renews {
 			n.extend(f, sent)
