--- a/hfplan/network_test.go
+++ b/hfplan/network_test.go
@@ -29,7 +29,9 @@
 
 // network carries orders and polls between the leader and the workers as package hforder
 // sends them. It leaves some of them unanswered and carries them out late, and it can be cut
-// in each direction. Leases end as the orders say, on the clock of the worker.
+// in each direction. Leases end as the orders say, on the clock of the worker. A poll that renews
+// leases or acknowledges ends belongs to a connection on which the worker has answered, which ends
+// with that incarnation (TestBoundPollReachesItsIncarnationOnly of package hfplatform).
 type network struct {
 	w      *world
 	random *rand.Rand
@@ -53,7 +55,9 @@
 	incarnation  int64
 	lastReported int64
 	lastStored   int64
-	withdrawn    map[StopCmd]bool // queued starts that are not to be sent any more, as their stops
+	withdrawn    map[StopCmd]bool // starts that are not to be sent any more, as their stops
+	starting     map[StopCmd]bool // starts that may be sent again, as their stops
+	held         map[StopCmd]bool // stops that wait for their start
 	waiting      []*waitingPoll   // polls that the worker has not answered yet
 }
 
@@ -96,7 +100,7 @@
 func (n *network) follow(workers map[string]*hfwork.Worker) {
 	for _, id := range sortedKeys(workers) {
 		if n.links[id] == nil {
-			l := &link{term: n.w.term, fence: n.w.fence, id: id, withdrawn: map[StopCmd]bool{}}
+			l := &link{term: n.w.term, fence: n.w.fence, id: id, withdrawn: map[StopCmd]bool{}, starting: map[StopCmd]bool{}, held: map[StopCmd]bool{}}
 			n.links[id] = l
 			n.w.at(messageDelay, func() { n.poll(l) })
 		}
@@ -184,6 +188,13 @@
 	if renews {
 		wait = pollInterval
 	}
+	f := n.w.fleet[l.id]
+	disconnected := renews && f.incarnation != l.incarnation
+	if disconnected && !n.cutTo[f] && !n.cutOff[f] && n.random.IntN(2) == 0 {
+		l.answered = false // the leader knows that the connection has ended
+		n.poll(l)
+		return
+	}
 	answered := false
 	n.w.at(wait+pollTimeout, func() {
 		if answered || !n.current(l) {
@@ -193,6 +204,9 @@
 		n.tell(l, WorkerSilent(l.id))
 		n.w.at(silentPollPause, func() { n.poll(l) })
 	})
+	if disconnected {
+		return // the poll is lost with its connection
+	}
 	n.order(l, wait+pollTimeout, func(f *fakeWorker, answer func(func())) {
 		if renews {
 			n.extend(f, sent)
@@ -294,10 +308,11 @@
 	case StopCmd:
 		if l := n.links[c.Worker()]; l != nil {
 			l.withdrawn[c] = true
-			n.try(l, n.w.now, 1, func(f *fakeWorker, _ time.Time) Outcome {
-				n.w.stop(f, c.Task(), c.Number())
-				return OutcomeDone
-			}, func(o Outcome) { n.tell(l, Stopped(c, o)) })
+			if l.starting[c] {
+				l.held[c] = true
+			} else {
+				n.sendStop(l, c)
+			}
 		}
 	case AckCmd:
 		if l := n.links[c.Worker()]; l != nil && l.incarnation == c.Incarnation() {
@@ -318,12 +333,15 @@
 	if !n.current(l) {
 		return
 	}
-	if l.silent || l.withdrawn[StopCmd{worker: c.Worker(), task: c.Task(), number: c.Number()}] {
+	stop := StopCmd{worker: c.Worker(), task: c.Task(), number: c.Number()}
+	if l.silent || l.withdrawn[stop] {
 		n.tell(l, Started(c, OutcomeRefused))
 		return
 	}
 	require.False(n.w.t, n.acknowledged[fmt.Sprint(c.Task())], "the start of %v is sent after its end as done was acknowledged", c.Task())
-	n.try(l, n.w.now, 1, func(f *fakeWorker, sent time.Time) Outcome {
+	l.starting[stop] = true
+	maySend := func() bool { return !l.withdrawn[stop] }
+	n.try(l, n.w.now, 1, maySend, func(f *fakeWorker, sent time.Time) Outcome {
 		if !n.w.now.Before(sent.Add(time.Duration(float64(workerLease-leaseMargin) * f.clockRate))) {
 			return OutcomeRefused // its lease would have ended already
 		}
@@ -335,11 +353,26 @@
 			return OutcomeStale
 		}
 		return n.w.start(f, c)
-	}, func(o Outcome) { n.tell(l, Started(c, o)) })
+	}, func(o Outcome) {
+		delete(l.starting, stop)
+		n.tell(l, Started(c, o))
+		if l.held[stop] && n.current(l) {
+			delete(l.held, stop)
+			n.sendStop(l, stop)
+		}
+	})
+}
+
+func (n *network) sendStop(l *link, c StopCmd) {
+	n.try(l, n.w.now, 1, func() bool { return true }, func(f *fakeWorker, _ time.Time) Outcome {
+		n.w.stop(f, c.Task(), c.Number())
+		return OutcomeDone
+	}, func(o Outcome) { n.tell(l, Stopped(c, o)) })
 }
 
-// try sends an order until it is answered, orderTimeout has passed or the worker is silent.
-func (n *network) try(l *link, begun time.Time, tries int, carryOut func(f *fakeWorker, sent time.Time) Outcome, finish func(Outcome)) {
+// try sends an order until it is answered, orderTimeout has passed, the worker is silent or it may
+// not be sent again.
+func (n *network) try(l *link, begun time.Time, tries int, maySend func() bool, carryOut func(f *fakeWorker, sent time.Time) Outcome, finish func(Outcome)) {
 	if !n.current(l) || n.w.fleet[l.id] == nil {
 		return
 	}
@@ -360,10 +393,10 @@
 	n.w.at(responseTimeout+messageDelay, func() {
 		switch {
 		case answered || !n.current(l):
-		case n.w.now.Sub(begun) > orderTimeout-responseTimeout || l.silent:
+		case n.w.now.Sub(begun) > orderTimeout-responseTimeout || l.silent || !maySend():
 			finish(OutcomeUnknown)
 		default:
-			n.try(l, begun, tries+1, carryOut, finish)
+			n.try(l, begun, tries+1, maySend, carryOut, finish)
 		}
 	})
 }
