Observers renew leases only as long as the leader waits for them

Jobs that are not idempotent are not run again, but were shown as `unknown` while they still ran.

Cause: both sides counted the same lease from different events. The leader took it to end one lease after the loss of the worker; an observer extended it as long as it saw the whole gang, whether or not anyone had given the attempt up.

Ruled out: a lost order or a late command (the simulation has none here), a stale report at the leader (the worker was lost to it in truth).

Designs weighed (docs/DECISIONS.md): a lost attempt stays in its place until its worker answers or leaves the list (a dead machine then holds a gang for ever); heartbeats name what may be renewed (5,300 ids in each); a permit that runs out, renewed by the leader's answers, and without a leader by the store (ends all gangs in its outage), by a majority (a leader of two would never give up) or by all known instances. The last one is taken: - The answer to a heartbeat names the attempts that the leader has revoked; instances relay leaders' answers once, with their age. An observer renews for 12 s from when it asked. Without a leader it counts from when all known instances were asked and none led: a later leader waits anew from its start. - The leader counts a lost member as stopped 12 s, a lease and 1 s after the revocation was in its answers, instead of a lease and 1 s after the loss. - Event 753 tells that an instance no longer renews, 754 that it does again.

Why it works: a permit counts from before the question, so whoever gave it had not revoked the attempt by then. A later revocation is followed by the whole permit and the lease. A leader whose tenure has ended permits nothing.

Price: a gang on a lost worker runs again 12 s later. In an outage of the store an instance that is listed and does not answer ends the gangs after 12 s and a lease; while all answer they outlive it.

TestGangOutlivesLongFaults keeps a gang for 36 s without the store, and for 36 s with a cut link between the leader and an instance.

Changes to tests: the fakes of hfgang and hfworker now pass on the leader's answer, which the observers need; no check was changed.

--- a/harness_test.go
+++ b/harness_test.go
@@ -148,6 +148,7 @@
 	filters   []*addressFilter
 	urls      [2]string // of the store and of the membership list
 	workers   map[string]*hfstand.Worker
+	reach     map[string]*addressFilter // in front of each worker
 	minions   map[string]*hfstand.Minion
 	processes []*process
 	client    *http.Client
@@ -158,16 +159,16 @@
 	t.Helper()
 	c := &cluster{
 		t: t, store: hfstand.NewStore(), members: hfstand.NewMembers(),
-		workers: map[string]*hfstand.Worker{}, minions: map[string]*hfstand.Minion{},
+		workers: map[string]*hfstand.Worker{}, reach: map[string]*addressFilter{}, minions: map[string]*hfstand.Minion{},
 		client: &http.Client{Timeout: 40 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
 	c.urls = [2]string{c.serveFiltered(c.store.Handler()), c.serveFiltered(c.members.Handler())}
 	for i := range workers {
 		name := fmt.Sprint("w", i)
 		w := hfstand.NewWorker(name, 8)
-		c.workers[name] = w
+		c.workers[name], c.reach[name] = w, &addressFilter{blocked: map[string]bool{}, next: w.Handler()}
 		c.members.Set(hfstand.Member{
-			Name: name, Role: "worker", Address: c.serve(w.Handler()), Domain: "a", Region: "one",
+			Name: name, Role: "worker", Address: c.serve(c.reach[name]), Domain: "a", Region: "one",
 			Rack: "r0", Position: i, Accelerators: 8, State: "live",
 		})
 	}
@@ -313,6 +314,14 @@
 	c.filters[0].blocked[p.ip] = cut && store
 }
 
+// block blocks or restores the calls of an instance to a worker.
+func (c *cluster) block(p *process, worker string, blocked bool) {
+	f := c.reach[worker]
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.blocked[p.ip] = blocked
+}
+
 // answer is the answer to an HTTP call. err is set if the call failed.
 type answer struct {
 	status  int
@@ -437,6 +446,26 @@
 	return len(seen)
 }
 
+// runsAtOnce reports whether members of two attempts of a job ran at the same time.
+func (c *cluster) runsAtOnce(job string) bool {
+	var runs []hfstand.Run
+	for _, w := range c.workers {
+		for _, r := range w.Runs() {
+			if r.Job == job {
+				runs = append(runs, r)
+			}
+		}
+	}
+	for _, a := range runs {
+		for _, b := range runs {
+			if a.Attempt < b.Attempt && (a.To.IsZero() || b.From.Before(a.To)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // leader waits until a live instance is the placement leader and returns it. All instances
 // are in domain a.
 func (c *cluster) leader() *process {
--- a/hfevent/catalogue.go
+++ b/hfevent/catalogue.go
@@ -46,8 +46,10 @@
 	WorkerQuarantined = Event{706, "worker-aside", zapcore.WarnLevel, "A worker failed tasks of several jobs, or its runs make no progress; it is quarantined."}
 	WorkerRestored    = Event{707, "worker-back", zapcore.InfoLevel, "A quarantined worker completed a job on probe and takes work again."}
 
-	WorkerLost  = Event{750, "worker-lost", zapcore.WarnLevel, "A worker gave no report for the loss time."}
-	GangPartial = Event{752, "gang-partial", zapcore.WarnLevel, "Members of a gang are missing; the leases of the rest are no longer renewed."}
+	WorkerLost     = Event{750, "worker-lost", zapcore.WarnLevel, "A worker gave no report for the loss time."}
+	GangPartial    = Event{752, "gang-partial", zapcore.WarnLevel, "Members of a gang are missing; the leases of the rest are no longer renewed."}
+	RenewalPaused  = Event{753, "renewal-paused", zapcore.WarnLevel, "This instance renews no leases of a failure domain: for 12 s it had no answer from the domain's leader, nor, if there is none, from every other instance."}
+	RenewalResumed = Event{754, "renewal-resumed", zapcore.InfoLevel, "This instance renews the leases of a failure domain again."}
 
 	JobAccepted      = Event{800, "job-accepted", zapcore.InfoLevel, "A job is stored; its caller was told so."}
 	JobRefused       = Event{801, "job-refused", zapcore.InfoLevel, "A call about a job was not carried out; the fields give the reason."}
@@ -86,7 +88,7 @@
 		LedgerUnavailable,
 		EndpointLeaving, EndpointOpen, EndpointClosed, EndpointDown,
 		LeaderElected, LeaderLost, TakeoverRetry, JobChanged, WorkerQuarantined, WorkerRestored,
-		WorkerLost, GangPartial,
+		WorkerLost, GangPartial, RenewalPaused, RenewalResumed,
 		JobAccepted, JobRefused, JobCancelled, JobUnknown, JobState, TasksPlaced, TasksPreempted, TaskRetried,
 		OrderFailed, PlanRecovered, WorkerSilent, WorkerReporting, WorkerRemoved, EntryRejected, PolicyApplied, MirrorReset,
 		SettingsRead, SettingsInvalid, LinesDropped, PlanLoad, HintsUnavailable, AnnounceFailed, LeaseRevoked,
--- a/hfgang/job.go
+++ b/hfgang/job.go
@@ -73,6 +73,8 @@
 	checkpointDeadline time.Time       // end of the wait for checkpoints; zero if none is in progress
 	avoidedWorker      string          // last worker that did not start a member
 	startDeadline      time.Time       // an incomplete start is aborted at this time
+	revoked            bool            // the attempt is among those of the last RevokeCmd
+	renewalsEnd        time.Time       // no observer renews the attempt's leases from then on; zero until its RevokeCmd was executed
 	reportsValidFrom   time.Time       // a member missing from a report that is current at this time or later is lost
 }
 
--- a/hfgang/leader.go
+++ b/hfgang/leader.go
@@ -60,7 +60,8 @@
 
 	mu        sync.Mutex
 	versions  [Shards]int64
-	addresses map[string]string // worker addresses by name
+	addresses map[string]string      // worker addresses by name
+	revoked   map[hfworker.Gang]bool // from the last RevokeCmd; nil before the first
 	group     *errgroup.Group
 	cancel    context.CancelCauseFunc
 	ended     chan struct{}
@@ -254,6 +255,15 @@
 	}
 }
 
+// Revoked returns the attempts whose leases the observers must not renew, or nil before the records
+// are loaded. valid is false if the tenure has ended, so that a later leader may have revoked others.
+func (l *Leader) Revoked() (gangs map[hfworker.Gang]bool, valid bool) {
+	l.mu.Lock()
+	gangs = l.revoked
+	l.mu.Unlock()
+	return gangs, l.tenure.Valid(hflease.Now()) // after the attempts were read
+}
+
 func (l *Leader) execute(ctx context.Context, cmd Cmd) {
 	switch c := cmd.(type) {
 	case CommitCmd:
@@ -270,6 +280,10 @@
 		l.replies.Deliver(c.token, c)
 	case ChangedCmd:
 		l.observer.JobChanged(c.job)
+	case RevokeCmd:
+		l.mu.Lock()
+		l.revoked = c.gangs
+		l.mu.Unlock()
 	case QuarantineCmd:
 		l.observer.WorkerQuarantined(c.worker, c.lifted)
 	}
--- a/hfgang/member.go
+++ b/hfgang/member.go
@@ -63,6 +63,7 @@
 	}
 	j.record.Next, j.record.Reason = next, reason
 	j.checkpointDeadline = time.Time{}
+	s.revokePending = true
 	s.markDirty(j)
 	cmds := s.stopMembers(j, now)
 	return append(cmds, s.finishStopping(j, now)...)
@@ -76,6 +77,7 @@
 	j.enterState(StateStopping, reason, now)
 	j.record.Next = StateQueued
 	j.checkpointDeadline = now.Add(checkpointWindow)
+	s.revokePending = true
 	s.markDirty(j)
 	var cmds []Cmd
 	for _, m := range j.members {
@@ -245,6 +247,8 @@
 	}
 	j.record.Grants, j.record.Next = nil, ""
 	j.members, j.block = nil, Block{}
+	j.revoked, j.renewalsEnd = false, time.Time{}
+	s.revokePending = true
 	s.schedulePending, s.assignPending = true, true
 }
 
--- a/hfgang/message.go
+++ b/hfgang/message.go
@@ -244,8 +244,17 @@
 // Lifted reports whether the quarantine was lifted.
 func (c QuarantineCmd) Lifted() bool { return c.lifted }
 
+// RevokeCmd sets the attempts whose leases the observers must no longer renew, in place of those
+// of the last one. It must be executed before the next message is processed, from which on the
+// time until the leases have expired is counted.
+type RevokeCmd struct{ gangs map[hfworker.Gang]bool }
+
+// Gangs returns the attempts. The map is never modified.
+func (c RevokeCmd) Gangs() map[hfworker.Gang]bool { return c.gangs }
+
 func (CommitCmd) gangCmd()     {}
 func (TaskCmd) gangCmd()       {}
 func (ReplyCmd) gangCmd()      {}
 func (ChangedCmd) gangCmd()    {}
 func (QuarantineCmd) gangCmd() {}
+func (RevokeCmd) gangCmd()     {}
--- a/hfgang/records.go
+++ b/hfgang/records.go
@@ -119,7 +119,7 @@
 // released gang is released again, which has no effect on running members, and is then
 // evaluated against the workers' reports.
 func (s *Scheduler) load(shards []*hfwire.Shard, now time.Time) []Cmd {
-	s.loaded, s.schedulePending = true, true
+	s.loaded, s.schedulePending, s.revokePending = true, true, true
 	for _, shard := range shards {
 		for _, r := range shard.GetJobs() {
 			j := &job{record: hfwire.Copy(r), storedCopy: r}
--- a/hfgang/scheduler.go
+++ b/hfgang/scheduler.go
@@ -29,7 +29,7 @@
 	checkpointWindow    = time.Second     // time for all members of a preempted gang to checkpoint
 	resendAfter         = time.Second     // unanswered stops and releases are resent after this time
 	maxHeartbeatTransit = time.Second     // time for a heartbeat of an observer to arrive
-	leaseMargin         = time.Second     // added to the lease before a member on an unreachable worker counts as stopped
+	leaseMargin         = time.Second     // time for the last renewal of a lease to reach its worker, see the timeout of hfworker.Client
 )
 
 // worker is the leader's view of one worker, in addition to its entry in the membership
@@ -118,6 +118,7 @@
 	estimates       map[string]*estimate
 	schedulePending bool         // a waiting job may be able to start since the last pass
 	violation       error        // the first invariant violation found by an update
+	revokePending   bool         // the stopping jobs may have changed since the last RevokeCmd
 	assignPending   bool         // accelerators were vacated or the usable workers changed
 	reserved        *reservation // the current reservation, or nil
 	lastExpiry      time.Time    // last time finished jobs were dropped
@@ -155,6 +156,10 @@
 		s.schedulePending = false
 		cmds = append(cmds, s.schedule(now)...)
 	}
+	if s.revokePending {
+		s.revokePending = false
+		cmds = append(cmds, s.revokeStopping())
+	}
 	return append(cmds, s.buildCommits()...)
 }
 
--- a/hfgang/simulation_test.go
+++ b/hfgang/simulation_test.go
@@ -71,7 +71,9 @@
 	partialSince   map[hfworker.Gang]time.Time
 	longestPartial time.Duration // longest time that part of a gang ran without the rest
 	lastToken      uint64
-	quarantines    []QuarantineCmd // in order
+	permitsByTest  bool                   // the test passes the leader's answers to the observers
+	quarantines    []QuarantineCmd        // in order
+	revoked        map[hfworker.Gang]bool // attempts that the leader revoked
 }
 
 // newSimulation returns a simulation that has not started. It has one worker for each of
@@ -122,6 +124,20 @@
 	for _, cmd := range cmds {
 		sim.execute(s, cmd)
 	}
+	if _, ok := msg.(TickMsg); ok && !sim.permitsByTest {
+		sim.askLeader()
+	}
+}
+
+// askLeader passes the answer of the leader's instance to the observers. It also answers while no
+// leader has loaded the records.
+func (sim *simulation) askLeader() {
+	var led []*hfwire.Leadership
+	if sim.scheduler.loaded {
+		led = append(led, &hfwire.Leadership{Domain: "a", Revoked: hfworker.Attempts(sim.revoked)})
+	}
+	sim.fleet.Update(hfworker.Instances([]string{"leader"}), sim.now)
+	sim.fleet.Update(hfworker.Leaderships("leader", sim.now, led), sim.now)
 }
 
 // after schedules do. If scheduler is not nil, do is skipped if another scheduler leads by
@@ -148,6 +164,8 @@
 		})
 	case ReplyCmd:
 		sim.replies[c.token] = c
+	case RevokeCmd:
+		sim.revoked = c.gangs
 	case QuarantineCmd:
 		sim.quarantines = append(sim.quarantines, c)
 	}
--- a/hfgang/tick.go
+++ b/hfgang/tick.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/heatherfront/heatherfront/hfworker"
 )
 
 // retryInterval is the interval at which waiting jobs are reconsidered without a new
@@ -67,8 +69,12 @@
 }
 
 // tickStopping ends the wait for checkpoints, resends stops that were not answered, and
-// counts members on unreachable workers as stopped once their leases have expired.
+// counts members on unreachable workers as stopped once their leases have expired. Observers that
+// are cut off from this leader as well renew them until renewalsEnd.
 func (s *Scheduler) tickStopping(j *job, now time.Time) []Cmd {
+	if j.revoked && j.renewalsEnd.IsZero() {
+		j.renewalsEnd = now.Add(hfworker.RenewalPermit)
+	}
 	if !j.checkpointDeadline.IsZero() {
 		if now.Before(j.checkpointDeadline) {
 			return nil
@@ -82,7 +88,7 @@
 		}
 		w := s.workerOf(m)
 		if w.unreachable() {
-			if !now.Before(w.silentSince.Add(s.timing.lease() + leaseMargin)) {
+			if s.leasesExpired(j, w, now) {
 				m.phase = phaseStopped
 			}
 			continue
@@ -95,6 +101,31 @@
 	return append(cmds, s.finishStopping(j, now)...)
 }
 
+// leasesExpired reports whether the leases of a stopping job on an unreachable worker have
+// certainly expired.
+func (s *Scheduler) leasesExpired(j *job, w *worker, now time.Time) bool {
+	if j.renewalsEnd.IsZero() {
+		return false
+	}
+	lastRenewal := j.renewalsEnd
+	if w.silentSince.After(lastRenewal) {
+		lastRenewal = w.silentSince
+	}
+	return !now.Before(lastRenewal.Add(s.timing.lease() + leaseMargin))
+}
+
+// revokeStopping returns the command that revokes the attempts of all stopping jobs.
+func (s *Scheduler) revokeStopping() Cmd {
+	gangs := map[hfworker.Gang]bool{}
+	for _, j := range s.open {
+		if j.state() == StateStopping {
+			gangs[hfworker.NewGang(j.id(), j.record.GetAttempt())] = true
+			j.revoked = true
+		}
+	}
+	return RevokeCmd{gangs: gangs}
+}
+
 // expire drops finished jobs after the retention time.
 func (s *Scheduler) expire(now time.Time) {
 	oldest := now.Add(-s.timing.retention()).UnixMilli()
--- a/hfserve/heartbeat.go
+++ b/hfserve/heartbeat.go
@@ -90,6 +90,7 @@
 		cmds := hfloop.With(s.members, func(m *hfpeer.State) []hfpeer.Cmd { return m.Update(hfpeer.TickMsg{}, now) })
 		s.executePeerCmds(cmds)
 		s.updateOwnership(now)
+		s.updatePermits(now)
 		s.borrowOwnSlots(now)
 		s.sendFreshReports(ctx, now)
 		state := s.localState()
@@ -139,6 +140,12 @@
 		return
 	}
 	s.recordPeerContact()
+	if in.GetSender() == p.Name() { // not of an instance that has taken over the address
+		hfloop.With(s.fleet, func(f *hfworker.Fleet) bool {
+			f.Update(hfworker.Leaderships(p.Name(), sentAt, ack.GetLeaderships()), time.Now())
+			return true
+		})
+	}
 	until := sentAt.Add(hfendpoint.LoanTTL)
 	s.dispatcher.WithRouter(func(r *hfendpoint.Router) {
 		for _, loan := range ack.GetLoans() {
@@ -266,7 +273,10 @@
 	})
 	s.executeFleetCmds(ctx, fleetCmds)
 	s.applyPeerHealth(p, beat.GetHealth(), now)
-	ack := &hfwire.Ack{Full: hfloop.With(s.fleet, func(f *hfworker.Fleet) bool { return f.NeedsFullReport(in.GetSender(), in.GetIncarnation()) })}
+	ack := &hfwire.Ack{
+		Full:        hfloop.With(s.fleet, func(f *hfworker.Fleet) bool { return f.NeedsFullReport(in.GetSender(), in.GetIncarnation()) }),
+		Leaderships: append(s.leaderships(), s.relayedLeaderships()...),
+	}
 	if !p.Leaving() {
 		for _, l := range s.lendTo(p, beat.GetUsage(), beat.GetDemand(), now) {
 			ack.Loans = append(ack.Loans, &hfwire.Loan{
--- a/hfserve/leadership.go
+++ b/hfserve/leadership.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -223,6 +225,49 @@
 	return msgs
 }
 
+// updatePermits passes the known instances, and the leaderships of this one, to the fleet.
+func (s *Server) updatePermits(now time.Time) {
+	s.updateInstances(now)
+	own := s.leaderships()
+	hfloop.With(s.fleet, func(f *hfworker.Fleet) bool {
+		f.Update(hfworker.Leaderships(s.settings.Name(), now, own), now)
+		return true
+	})
+}
+
+// updateInstances passes the known instances to the fleet. The members are held meanwhile, so that
+// no older set replaces a later one.
+func (s *Server) updateInstances(now time.Time) {
+	hfloop.With(s.members, func(m *hfpeer.State) bool {
+		names := []string{s.settings.Name()}
+		for _, p := range m.Known() {
+			names = append(names, p.Name())
+		}
+		hfloop.With(s.fleet, func(f *hfworker.Fleet) bool { f.Update(hfworker.Instances(names), now); return true })
+		return true
+	})
+}
+
+// leaderships returns what the leaders of this instance let the observers renew. A leader that has
+// not loaded the records is left out: it has revoked nothing.
+func (s *Server) leaderships() []*hfwire.Leadership {
+	s.mu.Lock()
+	leaders := maps.Clone(s.localLeaders)
+	s.mu.Unlock()
+	out := make([]*hfwire.Leadership, 0, len(leaders))
+	for _, domain := range slices.Sorted(maps.Keys(leaders)) {
+		if revoked, valid := leaders[domain].Revoked(); revoked != nil {
+			out = append(out, &hfwire.Leadership{Domain: domain, Unsettled: !valid, Revoked: hfworker.Attempts(revoked)})
+		}
+	}
+	return out
+}
+
+// relayedLeaderships returns what the leaders of other instances answered to this one.
+func (s *Server) relayedLeaderships() []*hfwire.Leadership {
+	return hfloop.With(s.fleet, func(f *hfworker.Fleet) []*hfwire.Leadership { return f.Leaderships(s.settings.Name(), time.Now()) })
+}
+
 // sendToLeaders sends a message to every leader of this instance.
 func (s *Server) sendToLeaders(ctx context.Context, msg hfgang.Msg) {
 	s.mu.Lock()
--- a/hfserve/membership.go
+++ b/hfserve/membership.go
@@ -101,6 +101,7 @@
 	}
 	s.updatePeers(peers)
 	now := time.Now()
+	s.updateInstances(now)
 	s.dispatcher.WithRouter(func(r *hfendpoint.Router) { r.SetEndpoints(endpoints, now) })
 	changed := hfloop.With(s.fleet, func(f *hfworker.Fleet) bool {
 		before := len(f.Workers())
--- a/hfserve/poll.go
+++ b/hfserve/poll.go
@@ -50,6 +50,12 @@
 			s.forwardReport(ctx, c)
 		case hfworker.PartialCmd:
 			s.log.Event(hfevent.GangPartial, zap.String("job", c.Gang().Job()), zap.Uint32("attempt", c.Gang().Attempt()))
+		case hfworker.PermitCmd:
+			event := hfevent.RenewalResumed
+			if c.Ended() {
+				event = hfevent.RenewalPaused
+			}
+			s.log.Event(event, zap.String("domain", c.Domain()))
 		}
 	}
 }
@@ -66,11 +72,15 @@
 	}
 }
 
-// pollWorker polls one worker: it renews the leases of the tasks whose gang is complete,
+// pollWorker polls one worker: it renews the leases of the tasks that the fleet named,
 // and records the worker's tasks or the failed poll.
 func (s *Server) pollWorker(ctx context.Context, c hfworker.PollCmd) {
 	sent := time.Now()
-	tasks, err := s.workers.Renew(ctx, c.Worker().Address(), c.Renew(), s.settings.TaskLease())
+	renew := c.Renew()
+	if !sent.Before(c.RenewUntil()) {
+		renew = nil // the process was paused since the decision
+	}
+	tasks, err := s.workers.Renew(ctx, c.Worker().Address(), renew, s.settings.TaskLease())
 	now := time.Now()
 	cmds := hfloop.With(s.fleet, func(f *hfworker.Fleet) []hfworker.Cmd {
 		if err != nil {
--- a/hfworker/fleet.go
+++ b/hfworker/fleet.go
@@ -82,8 +82,8 @@
 type RenewalRule func(f *Fleet, g Gang, size uint32, now time.Time) bool
 
 // Fleet is the state machine that decides when to poll workers and which leases to renew:
-// those of running tasks whose gang satisfies the RenewalRule. It combines this instance's polls
-// with the reports of other instances.
+// those of running tasks whose gang satisfies the RenewalRule, as long as the leader of the failure
+// domain permits it. It combines this instance's polls with the reports of other instances.
 type Fleet struct {
 	workers           map[string]Worker
 	observations      map[string]*observation
@@ -92,6 +92,7 @@
 	pollInterval      func() time.Duration
 	heartbeatInterval func() time.Duration
 	rule              RenewalRule
+	permits           *permits
 	partialReported   map[Gang]bool     // gangs whose PartialCmd was returned
 	syncedIncarnation map[string]string // by observer: the incarnation whose reports were all received, from a full one on
 	version           uint64            // increases with every change of an observation made by this instance
@@ -103,6 +104,7 @@
 	return &Fleet{
 		workers: map[string]Worker{}, observations: map[string]*observation{}, members: map[Gang]map[uint32]string{},
 		observed: map[string]bool{}, partialReported: map[Gang]bool{}, syncedIncarnation: map[string]string{}, rule: rule,
+		permits:      newPermits(),
 		pollInterval: func() time.Duration { return poll }, heartbeatInterval: func() time.Duration { return heartbeat },
 	}
 }
@@ -125,6 +127,10 @@
 		return f.recordFailedPoll(m.worker, now)
 	case PeerReportsMsg:
 		return f.recordPeerReports(m, now)
+	case InstancesMsg:
+		f.permits.setInstances(m.names)
+	case LeadershipsMsg:
+		f.permits.record(m)
 	case TickMsg:
 		return f.duePolls(now)
 	}
@@ -144,6 +150,7 @@
 		}
 	}
 	f.workers = byName
+	f.permits.setDomains(byName)
 }
 
 // setObserved sets the workers that this instance polls. Newly assigned ones are polled at
@@ -206,7 +213,7 @@
 	o := f.observation(m.worker)
 	o.failedPolls = 0
 	cmds := f.recordTasks(m.worker, selfObserver, m.tasks, false, m.sent.Add(f.Freshness()))
-	o.nextPoll = f.nextPollTime(o, m.sent, now)
+	o.nextPoll = f.nextPollTime(m.worker, o, m.sent, now)
 	return cmds
 }
 
@@ -214,13 +221,15 @@
 // was renewed within the poll interval before the last poll, for example because this
 // instance has only begun to observe it, the poll is due at once when a lease may be renewed now, and after a quarter
 // of the poll interval (see retryPollDivisor) otherwise.
-func (f *Fleet) nextPollTime(o *observation, sent, now time.Time) time.Time {
+func (f *Fleet) nextPollTime(worker string, o *observation, sent, now time.Time) time.Time {
 	overdue := o.lastRenewal.Before(sent.Add(-f.pollInterval()))
+	domain := f.workers[worker].domain
 	for _, t := range o.tasks {
 		if t.GetState() != StateRunning || !overdue {
 			continue
 		}
-		if f.rule(f, NewGang(t.GetJob(), t.GetAttempt()), t.GetSize(), now) {
+		g := NewGang(t.GetJob(), t.GetAttempt())
+		if f.rule(f, g, t.GetSize(), now) && f.permits.allows(domain, g, now) {
 			return now
 		}
 		return sent.Add(f.pollInterval() / retryPollDivisor)
@@ -361,19 +370,20 @@
 			continue
 		}
 		o.nextPoll = now.Add(f.pollInterval())
-		renew, partial := f.renewableTasks(o, now)
+		renew, reports := f.renewableTasks(w.domain, o, now)
 		if len(renew) > 0 {
 			o.lastRenewal = now
 		}
-		cmds = append(cmds, partial...)
-		cmds = append(cmds, PollCmd{worker: w, renew: renew})
+		cmds = append(cmds, reports...)
+		cmds = append(cmds, PollCmd{worker: w, renew: renew, renewUntil: f.permits.domain(w.domain).until()})
 	}
 	return cmds
 }
 
-// renewableTasks returns the ids of the tasks whose leases may be renewed, and a
-// PartialCmd for each gang that does not satisfy the rule and was not reported before.
-func (f *Fleet) renewableTasks(o *observation, now time.Time) ([]string, []Cmd) {
+// renewableTasks returns the ids of a worker's tasks whose leases may be renewed, a PartialCmd for
+// each gang that does not satisfy the rule and was not reported before, and a PermitCmd if the
+// permit of the failure domain has ended or begun again.
+func (f *Fleet) renewableTasks(domain string, o *observation, now time.Time) ([]string, []Cmd) {
 	var renew []string
 	var cmds []Cmd
 	for _, id := range slices.Sorted(maps.Keys(o.tasks)) {
@@ -382,18 +392,29 @@
 			continue
 		}
 		g := NewGang(t.GetJob(), t.GetAttempt())
-		if f.rule(f, g, t.GetSize(), now) {
-			renew = append(renew, id)
+		if !f.rule(f, g, t.GetSize(), now) {
+			if !f.partialReported[g] {
+				f.partialReported[g] = true
+				cmds = append(cmds, PartialCmd{gang: g})
+			}
 			continue
 		}
-		if !f.partialReported[g] {
-			f.partialReported[g] = true
-			cmds = append(cmds, PartialCmd{gang: g})
+		if f.permits.allows(domain, g, now) {
+			renew = append(renew, id)
+		}
+		if ended, changed := f.permits.reportEnd(domain, now); changed {
+			cmds = append(cmds, PermitCmd{domain: domain, ended: ended})
 		}
 	}
 	return renew, cmds
 }
 
+// Leaderships returns what the leaders of failure domains answered to this instance, which is
+// named self, so that it reaches the instances that do not reach a leader.
+func (f *Fleet) Leaderships(self string, now time.Time) []*hfwire.Leadership {
+	return f.permits.relayed(self, now)
+}
+
 // Reports returns the reports for an instance that has received all changes up to version
 // since, and the version that they bring it to. With since 0 the reports are full. A worker
 // whose observation is no longer fresh, as after a pause of this process, is reported as no
--- a/hfworker/fleet_test.go
+++ b/hfworker/fleet_test.go
@@ -22,7 +22,8 @@
 	return t
 }
 
-// testFleet returns a Fleet with the workers w0 and w1 that observes some of them.
+// testFleet returns a Fleet with the workers w0 and w1 that observes some of them. The leader of
+// their failure domain was asked at now.
 func testFleet(now time.Time, observe ...string) *Fleet {
 	f := NewFleet(testPoll, testHeartbeat, GangComplete)
 	var workers []Worker
@@ -35,6 +36,8 @@
 	}
 	f.Update(Listed(workers), now)
 	f.Update(Observe(observed), now)
+	f.Update(Instances([]string{"leader"}), now)
+	f.Update(Leaderships("leader", now, []*hfwire.Leadership{{Domain: "a"}}), now)
 	return f
 }
 
--- a/hfworker/task.go
+++ b/hfworker/task.go
@@ -1,7 +1,8 @@
 // Package hfworker polls the workers and renews the leases of running gangs. Every
 // instance polls its share of the workers and reports changes to the other instances.
-// A gang's leases are renewed only while all of its members are running or done. This
-// needs neither a placement leader nor the store.
+// A gang's leases are renewed only while all of its members are running or done, and the
+// placement leader has not revoked its attempt. Without a leader they are renewed as long as all
+// instances answer, which does not need the store.
 package hfworker
 
 import (
--- a/job_test.go
+++ b/job_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/heatherfront/heatherfront/hfstand"
+	"github.com/heatherfront/heatherfront/hfworker"
 )
 
 // jobFaults returns the faults of TestJobsUnderFaults: a function that injects each one,
@@ -66,6 +67,88 @@
 	}
 }
 
+// Guards against two attempts of a job at once: an instance that is cut off from the store and the
+// others, but not from the worker that they no longer reach, renewed the leases of the first one.
+// The job must run again.
+func TestIsolatedInstanceRenewsNoReplacedAttempt(t *testing.T) {
+	c := newCluster(t, 3, 2, 0)
+	c.declareAccounts()
+	leader := c.leader()
+	id := newID()
+	require.Eventually(t, func() bool {
+		return c.submit(leader, plantCredential, id, "audit", 8, 10*time.Minute).status == http.StatusAccepted
+	}, settleTimeout, 200*time.Millisecond, "the job is not accepted")
+	require.Eventually(t, func() bool { return c.countAttempts(id) == 1 }, settleTimeout, 50*time.Millisecond, "the job does not run")
+	var worker string
+	for name, w := range c.workers {
+		if len(w.Runs()) > 0 {
+			worker = name
+		}
+	}
+	var isolated *process
+	for _, p := range c.processes {
+		if p != leader {
+			isolated = p
+		}
+	}
+	cut := func(cut bool) {
+		c.isolate(isolated, true, cut)
+		for _, p := range c.processes {
+			if p != isolated {
+				c.block(p, worker, cut)
+			}
+		}
+	}
+	cut(true)
+	require.Eventually(t, func() bool { return c.countAttempts(id) == 2 }, hfworker.RenewalPermit+settleTimeout, 50*time.Millisecond, "the job does not run again")
+	cut(false)
+	for _, p := range c.processes {
+		c.waitReady(p)
+	}
+	require.False(t, c.runsAtOnce(id), "two attempts ran at the same time")
+	require.Equal(t, 2, c.countAttempts(id))
+}
+
+// Guards against gangs that expire in long faults: an outage of the store, in which no instance can
+// lead, and a cut link to the leader, around which its answers are relayed.
+func TestGangOutlivesLongFaults(t *testing.T) {
+	c := newCluster(t, 3, 4, 0)
+	c.declareAccounts()
+	leader, id := c.leader(), newID()
+	require.Eventually(t, func() bool {
+		return c.submit(leader, plantCredential, id, "audit", 32, 10*time.Minute).status == http.StatusAccepted
+	}, settleTimeout, 200*time.Millisecond, "the job is not accepted")
+	require.Eventually(t, func() bool { return c.countAttempts(id) == 1 }, settleTimeout, 50*time.Millisecond, "the job does not run")
+	for _, fault := range []struct {
+		name string
+		set  func(on bool)
+	}{
+		{"store down", func(on bool) { c.store.Fault(hfstand.StoreFault{Down: on}) }},
+		{"link to the leader cut", func(on bool) {
+			leader := c.leader()
+			for _, p := range c.processes {
+				if p != leader {
+					leader.peerProxy.setBlocked(p.ip, on)
+					p.peerProxy.setBlocked(leader.ip, on)
+					return
+				}
+			}
+		}},
+	} {
+		fault.set(true)
+		time.Sleep(3 * hfworker.RenewalPermit) // well above the permit and the lease of a task
+		for _, w := range c.workers {
+			for _, r := range w.Runs() {
+				require.Zero(t, r.To, "%s: member %d ended as %s", fault.name, r.Index, r.State)
+			}
+		}
+		fault.set(false)
+		c.leader()
+		c.waitJob(c.processes[0], plantCredential, id, "running")
+	}
+	require.Equal(t, 1, c.countAttempts(id))
+}
+
 // TestSubmissionsSurviveKills submits jobs under ids that the caller chose, some of them
 // twice, while the leader is killed. Every accepted job must end, and no job may run in more
 // than one attempt.
