End the runs of a replaced worker as soon as its next life answers

Cause: a crashed worker is back after some 3.3 s at the same address under another id. It answers a poll of the earlier id with status 421 (worker was restarted), and the poll loop took every error for silence, so that all that ran there waited for the lease, and on from there until the entry had gone.

What is taken as proof that an incarnation is over: the answer 421 at the address at which this leader was itself answered before. Two processes do not share an address. Not taken: a refused connection (a cut may refuse, too), a missing entry (the worker may be cut off from the store), 421 at an address that only the entry names (another writer may have written it), or an address that was answered at before the entry last changed it: a worker that was restarted under its id elsewhere could have been sent a start there. Such a worker still waits for its leases.

WorkerReplacedMsg tells the scheduler. endIncarnation is the one place where runs end because their worker's process has, also for a worker that reports under its id with a later start. The poll loop ends silent, so that none of the starts still queued is sent, and the worker is removed with its dispatcher. If its entry is still registered it is followed anew, unusable until it reports. No start can take effect late: one that the earlier life held died with it, and the next life refuses the id that it names.

--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hfplan"
 	"github.com/heatherfront/heatherfront/hfwork"
@@ -31,6 +33,9 @@
 	minClockRate = 98
 )
 
+// errReplaced reports that another worker has the address at which a worker answered before.
+var errReplaced = eris.New("worker was replaced")
+
 // dispatcher sends orders to one worker and polls its reports.
 type dispatcher struct {
 	leader *Leader
@@ -43,7 +48,7 @@
 	queue         orderQueue
 	workerClock   int64     // worker's time in milliseconds in its last report
 	reportedAt    time.Time // when the last report was received; the worker's clock was read before
-	reportedFrom  string    // address at which the last poll was answered
+	reportedFrom  string    // address at which the last poll was answered; "" if the worker's address has changed since
 	incarnation   int64     // start time of the worker that sent the last report, which identifies it
 	lastReported  int64     // sequence number of the last end that the worker reported
 	lastStored    int64     // sequence number of the last end whose record is stored
@@ -60,9 +65,7 @@
 	defer l.mu.Unlock()
 	for id, w := range workers {
 		if d := l.dispatchers[id]; d != nil {
-			d.mu.Lock()
-			d.worker = w
-			d.mu.Unlock()
+			d.setWorker(w)
 			continue
 		}
 		workerCtx, cancel := context.WithCancel(ctx)
@@ -81,6 +84,17 @@
 	}
 }
 
+// setWorker updates the worker record.
+func (d *dispatcher) setWorker(w *hfwork.Worker) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if w.GetAddress() != d.worker.GetAddress() {
+		// Orders may be sent to the new address, where the worker may be if it was restarted.
+		d.reportedFrom = ""
+	}
+	d.worker = w
+}
+
 func (l *Leader) dispatcher(id string) *dispatcher {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -332,20 +346,26 @@
 
 // stopOutcome returns the outcome of a stop that was sent to an address and ended with err. A
 // refused stop does not show that the run is not there: an unhealthy worker refuses every order
-// and may go on with its runs. Only the answer of another incarnation does, at the address where
-// this one was: the registered address can come from another writer.
+// and may go on with its runs. Only the answer of another incarnation does.
 func (d *dispatcher) stopOutcome(err error, address string) hfplan.Outcome {
-	o := d.outcome(err)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if o == hfplan.OutcomeDone || (errors.Is(err, ErrWorkerRestarted) && address == d.reportedFrom) {
+	if o := d.outcome(err); o == hfplan.OutcomeDone || d.isReplaced(err, address) {
 		return o
 	}
 	return hfplan.OutcomeUnknown
 }
 
-// pollLoop polls the worker until ctx ends. Polls of a silent worker do not renew its
-// leases, so that they expire at a known time, and acknowledge no ends.
+// isReplaced reports whether the result of an order that was sent to an address shows that the
+// worker's process has ended: another incarnation answered where this one has answered before, and
+// two processes do not share an address. The registered address alone can come from another
+// writer.
+func (d *dispatcher) isReplaced(err error, address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return errors.Is(err, ErrWorkerRestarted) && address == d.reportedFrom
+}
+
+// pollLoop polls the worker until ctx ends or the worker's process has ended. Polls of a silent
+// worker do not renew its leases, so that they expire at a known time, and acknowledge no ends.
 func (d *dispatcher) pollLoop(ctx context.Context) {
 	answered, silenceReported := false, false
 	for ctx.Err() == nil {
@@ -367,6 +387,12 @@
 				return
 			}
 			d.setSilent(true)
+			if errors.Is(err, errReplaced) {
+				// The worker stays silent, so that no queued start is sent.
+				d.leader.observer.OrderFinished("look", hfwork.TaskID{}, 0, d.currentWorker().GetId(), sent, err)
+				d.leader.Send(d.replacedMsg())
+				return
+			}
 			if ctx.Err() == nil && !silenceReported {
 				silenceReported = true
 				d.leader.observer.OrderFinished("look", hfwork.TaskID{}, 0, d.currentWorker().GetId(), sent, err)
@@ -415,6 +441,9 @@
 		var err error
 		request := NewPollRequest(leaseEnd, lastStored, d.leader.tenure.Epoch(), wait).WithLastReported(lastReported)
 		report, err = d.leader.minions.Poll(ctx, worker, request)
+		if d.isReplaced(err, worker.GetAddress()) {
+			return fmt.Errorf("%w: %w", errReplaced, err)
+		}
 		if err != nil {
 			return fmt.Errorf("request: %w", err)
 		}
@@ -431,6 +460,13 @@
 	return report, nil
 }
 
+// replacedMsg returns the message that the worker's process has ended.
+func (d *dispatcher) replacedMsg() hfplan.WorkerReplacedMsg {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return hfplan.WorkerReplaced(d.worker.GetId(), d.incarnation)
+}
+
 // recordAnswer records that a poll, which acknowledged the ends up to a sequence number, was
 // answered at an address.
 func (d *dispatcher) recordAnswer(address string, acknowledged int64) {
--- a/hfplan/desk_test.go
+++ b/hfplan/desk_test.go
@@ -182,3 +182,11 @@
 }
 
 var allPhases = []phase{assigned, starting, running, stopping}
+
+// testRestart is the time between the crash of a worker and its next life.
+const testRestart = 3 * time.Second
+
+// stopOf returns the stop of a run that was started.
+func stopOf(c StartCmd) StopCmd {
+	return StopCmd{worker: c.worker, task: c.task, number: c.number}
+}
--- a/hfplan/message.go
+++ b/hfplan/message.go
@@ -68,6 +68,19 @@
 // WorkerSilent returns a WorkerSilentMsg.
 func WorkerSilent(worker string) WorkerSilentMsg { return WorkerSilentMsg{worker: worker} }
 
+// WorkerReplacedMsg reports that the process of a worker has ended: another worker answers at the
+// address at which it answered before. No start was sent to it anywhere else since its last
+// report, and none will be sent until the worker is registered anew.
+type WorkerReplacedMsg struct {
+	worker      string
+	incarnation int64 // of the worker's last report
+}
+
+// WorkerReplaced returns a WorkerReplacedMsg. incarnation is that of the worker's last report.
+func WorkerReplaced(worker string, incarnation int64) WorkerReplacedMsg {
+	return WorkerReplacedMsg{worker: worker, incarnation: incarnation}
+}
+
 // Outcome is the result of an order to a worker or to the platform.
 type Outcome int
 
@@ -116,18 +129,19 @@
 // PassMsg triggers a scheduling pass. It is sent after a batch of other messages.
 type PassMsg struct{}
 
-func (PolicyMsg) planMsg()       {}
-func (WorkersMsg) planMsg()      {}
-func (WorkerLeftMsg) planMsg()   {}
-func (RosterMsg) planMsg()       {}
-func (JobMsg) planMsg()          {}
-func (ReportMsg) planMsg()       {}
-func (WorkerSilentMsg) planMsg() {}
-func (StartedMsg) planMsg()      {}
-func (StoppedMsg) planMsg()      {}
-func (StoredMsg) planMsg()       {}
-func (TickMsg) planMsg()         {}
-func (PassMsg) planMsg()         {}
+func (PolicyMsg) planMsg()         {}
+func (WorkersMsg) planMsg()        {}
+func (WorkerLeftMsg) planMsg()     {}
+func (RosterMsg) planMsg()         {}
+func (JobMsg) planMsg()            {}
+func (ReportMsg) planMsg()         {}
+func (WorkerSilentMsg) planMsg()   {}
+func (WorkerReplacedMsg) planMsg() {}
+func (StartedMsg) planMsg()        {}
+func (StoppedMsg) planMsg()        {}
+func (StoredMsg) planMsg()         {}
+func (TickMsg) planMsg()           {}
+func (PassMsg) planMsg()           {}
 
 // Cmd is an output of Scheduler.Update.
 type Cmd interface{ planCmd() }
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -111,6 +111,8 @@
 		s.handleReport(m, now)
 	case WorkerSilentMsg:
 		s.handleSilent(m.worker, now)
+	case WorkerReplacedMsg:
+		s.handleReplaced(m, now)
 	case StartedMsg:
 		s.handleStarted(m, now)
 	case PacedMsg:
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -400,25 +400,52 @@
 	s.resolvePriorRuns(w)
 }
 
+// endIncarnation ends the runs of an incarnation of a worker whose process has certainly ended: it
+// runs nothing, and the orders that it held have no effect. Runs that may be on the next
+// incarnation are kept. Runs that are only assigned are placed again.
+func (s *Scheduler) endIncarnation(w *worker, kept map[*run]bool, reason string, now time.Time) {
+	for _, r := range sortedRuns(w.runs) {
+		switch {
+		case kept[r]:
+		case r.phase == assigned:
+			s.stopMembers(r, now)
+		default:
+			s.finishRun(r, hfwork.LeaseExpired, "", reason, now)
+		}
+	}
+	for key := range w.orphans {
+		s.releaseOrphan(w, key)
+	}
+}
+
 // handleRestart ends the runs of the previous incarnation of a worker. Starts that
 // may have reached the new incarnation are stopped there.
 func (s *Scheduler) handleRestart(w *worker, sent, now time.Time) {
+	kept := map[*run]bool{}
 	for _, r := range sortedRuns(w.runs) {
-		if r.startUnanswered {
+		switch {
+		case r.startUnanswered:
 			// The new incarnation does not know of a stop that the previous one confirmed.
 			r.confirmedAt, r.orderedAt = time.Time{}, now
 			s.emit(StopCmd{worker: w.id(), task: r.task.id(), number: r.number})
-			continue
-		}
-		if r.phase == starting || (r.phase >= running && !sent.After(r.confirmedAt)) || r.confirmedAt.IsZero() && r.phase == stopping {
+			kept[r] = true
+		case r.phase == starting || (r.phase >= running && !sent.After(r.confirmedAt)) || r.confirmedAt.IsZero() && r.phase == stopping:
 			s.stopRun(r, now)
-			continue
+			kept[r] = true
 		}
-		s.finishRun(r, hfwork.LeaseExpired, "", "worker restarted", now)
 	}
-	for key := range w.orphans {
-		s.releaseOrphan(w, key)
+	s.endIncarnation(w, kept, "worker restarted", now)
+}
+
+// handleReplaced removes a worker whose process has ended. The next life of its machine has another
+// id, so it refuses every start that was sent to this worker.
+func (s *Scheduler) handleReplaced(m WorkerReplacedMsg, now time.Time) {
+	w := s.workers[m.worker]
+	if w == nil || w.incarnation != m.incarnation {
+		return
 	}
+	s.endIncarnation(w, nil, "worker replaced", now)
+	s.removeWorker(w, "worker replaced", now)
 }
 
 // checkRecovered detects when all runs of earlier schedulers are accounted for: each
