Send starts only to the address at which the worker answered last

What callers would see: a task that runs twice. After the entry of a worker changed its address a start went there before the worker had answered there. If it was restarted there under its id it takes the start, and then the answer of another worker at the former address shows nothing about the new run.

Cause: orders follow the registered address at once. A start is now sent only to the address at which the last poll was answered. A start that is withheld counts as refused, and its task is placed again, as after other refusals. Stops and polls still follow the entry.

Another worker's answer at that address is then proof also when the entry names another address for a while, which another writer may do.

--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -48,7 +48,7 @@
 	queue         orderQueue
 	workerClock   int64     // worker's time in milliseconds in its last report
 	reportedAt    time.Time // when the last report was received; the worker's clock was read before
-	reportedFrom  string    // address at which the last poll was answered; "" if the worker's address has changed since
+	reportedFrom  string    // address at which the last poll was answered; starts are sent only there
 	incarnation   int64     // start time of the worker that sent the last report, which identifies it
 	lastReported  int64     // sequence number of the last end that the worker reported
 	lastStored    int64     // sequence number of the last end whose record is stored
@@ -65,7 +65,9 @@
 	defer l.mu.Unlock()
 	for id, w := range workers {
 		if d := l.dispatchers[id]; d != nil {
-			d.setWorker(w)
+			d.mu.Lock()
+			d.worker = w
+			d.mu.Unlock()
 			continue
 		}
 		workerCtx, cancel := context.WithCancel(ctx)
@@ -84,17 +86,6 @@
 	}
 }
 
-// setWorker updates the worker record.
-func (d *dispatcher) setWorker(w *hfwork.Worker) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if w.GetAddress() != d.worker.GetAddress() {
-		// Orders may be sent to the new address, where the worker may be if it was restarted.
-		d.reportedFrom = ""
-	}
-	d.worker = w
-}
-
 func (l *Leader) dispatcher(id string) *dispatcher {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -137,13 +128,16 @@
 	d.queue.finish(c)
 }
 
-// checkStart returns ErrNotSent if a start must not be sent. Starts are not sent to a silent
-// worker: they would postpone the time from which nothing can run there, as that time counts
-// from when the silence was noticed.
-func (d *dispatcher) checkStart(c hfplan.StartCmd) error {
+// checkStart returns ErrNotSent if a start must not be sent to an address. Starts are not sent to a
+// silent worker: they would postpone the time from which nothing can run there, as that time
+// counts from when the silence was noticed. Nor are they sent to an address at which the worker
+// has not answered: whoever answers at the last one then shows whether a run can be active.
+func (d *dispatcher) checkStart(c hfplan.StartCmd, address string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
+	case address != d.reportedFrom:
+		return fmt.Errorf("%w: the worker has not answered at this address", ErrNotSent)
 	case d.silent:
 		return fmt.Errorf("%w: the worker is silent", ErrNotSent)
 	case !d.queue.maySend(c):
@@ -281,7 +275,7 @@
 		if !sent.Before(sendBefore) {
 			return fmt.Errorf("%w: it was queued for too long", ErrNotSent)
 		}
-		if err := d.checkStart(c); err != nil {
+		if err := d.checkStart(c, worker.GetAddress()); err != nil {
 			return fmt.Errorf("check: %w", err)
 		}
 		d.recordGrant("start", leaseEnd)
--- a/hforder/order.go
+++ b/hforder/order.go
@@ -27,7 +27,8 @@
 	// ErrUnanswered reports an order whose effect is not known: it may have been carried out, or
 	// may be carried out later.
 	ErrUnanswered = eris.New("no answer from worker")
-	// ErrNotSent reports that a start was not sent, as it is out of date or its worker is silent.
+	// ErrNotSent reports that a start was not sent, as it is out of date, or its worker is silent or
+	// has not answered at its address.
 	ErrNotSent = eris.New("start was not sent")
 	// ErrNotLeading reports that an order was not sent because the leadership may have ended.
 	ErrNotLeading = eris.New("leadership may have ended")
--- a/hfplan/message.go
+++ b/hfplan/message.go
@@ -69,8 +69,8 @@
 func WorkerSilent(worker string) WorkerSilentMsg { return WorkerSilentMsg{worker: worker} }
 
 // WorkerReplacedMsg reports that the process of a worker has ended: another worker answers at the
-// address at which it answered before. No start was sent to it anywhere else since its last
-// report, and none will be sent until the worker is registered anew.
+// address at which it answered last. No start was sent to it anywhere else since, and none will be
+// sent until the worker is registered anew.
 type WorkerReplacedMsg struct {
 	worker      string
 	incarnation int64 // of the worker's last report
