Let a new leader recognize a worker that crashed under the last one

Cause: a new leader has been answered nowhere, so that a 421 at the registered address proves nothing to it.

The roster now stores the address at which each worker answered last. A worker gets tasks only once that address is stored, and starts go only there, so that for every leader all starts since that answer went to one address. If another worker answers there, the process has ended, and the tasks that were placed there are placed again. Costs one more write of the roster when a worker reports for the first time; a worker is usable after it.

Ruled out: trusting the registered address (an entry of another writer), and storing the address without waiting for the write (a worker that is restarted under its id elsewhere could then have a run that the stored address hides).

Tests, seen failing on the code before: TestNewLeaderKnowsReplacedWorker/where_it_answered (replaced_test.go:180, "6.608s" is not less than "4s"); its other two cases hold before and after. TestWorkerIsUsedOnceItsAddressIsStored (replaced_test.go:105) fails without the wait.

--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -48,7 +48,7 @@
 	queue         orderQueue
 	workerClock   int64     // worker's time in milliseconds in its last report
 	reportedAt    time.Time // when the last report was received; the worker's clock was read before
-	reportedFrom  string    // address at which the last poll was answered; starts are sent only there
+	reportedFrom  string    // address at which the last poll was answered, by this leader or an earlier one; starts are sent only there
 	incarnation   int64     // start time of the worker that sent the last report, which identifies it
 	lastReported  int64     // sequence number of the last end that the worker reported
 	lastStored    int64     // sequence number of the last end whose record is stored
@@ -71,7 +71,7 @@
 			continue
 		}
 		workerCtx, cancel := context.WithCancel(ctx)
-		d := &dispatcher{leader: l, wake: make(chan struct{}, sendersPerWorker), acked: make(chan struct{}, 1), cancel: cancel, worker: w}
+		d := &dispatcher{leader: l, wake: make(chan struct{}, sendersPerWorker), acked: make(chan struct{}, 1), cancel: cancel, worker: w, reportedFrom: w.GetAnswered()}
 		l.dispatchers[id] = d
 		l.group.Go(func() error {
 			d.pollLoop(workerCtx)
@@ -446,6 +446,7 @@
 			return fmt.Errorf("%w: the report does not tell the worker's incarnation", ErrUnanswered)
 		}
 		d.recordAnswer(worker.GetAddress(), lastStored)
+		report = report.AnsweredAt(worker.GetAddress())
 		return nil
 	})
 	if err != nil {
--- a/hforder/replaced_test.go
+++ b/hforder/replaced_test.go
@@ -136,6 +136,53 @@
 	}
 }
 
+// Guards against a new leader that waits for the leases of a worker that crashed under an earlier
+// leader, although its next life answers where it answered that leader. An address that only its
+// entry names shows nothing.
+func TestNewLeaderKnowsReplacedWorker(t *testing.T) {
+	for name, c := range map[string]struct {
+		answered string        // address at which the worker answered the earlier leader
+		after    time.Duration // from the crash until the task may start again
+	}{
+		"where it answered": {answered: oldAddress, after: testRestart},
+		"elsewhere":         {answered: newAddress, after: testLease},
+		"never answered":    {after: testLease},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m, began := &crashingWorkers{crashed: "w", backAt: time.Now().Add(testRestart)}, time.Now()
+				timing := hfplan.NewTiming(testLease)
+				l := NewLeader(hfplan.New(2, timing, time.Now()), hflease.NewTenure(5, hflease.Now(), time.Hour), m, fakeServices{}, fakeServices{}, "one", &fakeRecords{}, fakeServices{}, timing)
+				ctx, cancel := context.WithCancel(t.Context())
+				ended := make(chan error, 1)
+				worker := func(id string) *hfwork.Worker {
+					return &hfwork.Worker{Id: id, Pool: "p", Rack: "r", Cpu: 1000, Memory: 1000, Accelerators: 8, Address: oldAddress}
+				}
+				crashed := worker("w")
+				crashed.Answered = c.answered
+				job := &hfwork.Job{Id: "a", Queue: "q", Steps: []*hfwork.Step{{Count: 1, Accelerators: 8, Estimate: 10}}}
+				progress := &hfwork.Progress{State: hfwork.StateRunning, Steps: []*hfwork.StepProgress{{Places: map[uint32]string{0: "w"}}}}
+				go func() {
+					ended <- l.Run(ctx, []hfplan.Msg{
+						hfplan.Policy(&hfwork.Policy{Queues: []*hfwork.Queue{{Name: "q", Pool: "p", Attempts: 1}}}),
+						hfplan.Roster([]*hfwork.Worker{crashed}),
+						hfplan.Workers(map[string]*hfwork.Worker{"v": worker("v"), "w": worker("w")}),
+						hfplan.Job(job, progress, false),
+					})
+				}()
+				time.Sleep(2 * testLease)
+				cancel()
+				require.NoError(t, <-ended)
+				require.Len(t, m.starts, 1)
+				require.Equal(t, "v", m.starts[0].worker)
+				waited := m.starts[0].at.Sub(began)
+				require.GreaterOrEqual(t, waited, c.after)
+				require.Less(t, waited, c.after+time.Second)
+			})
+		})
+	}
+}
+
 // Guards against a start that reaches a restarted worker at an address at which it has not answered:
 // the answer of another worker at its last address would not show whether the run is active.
 func TestStartIsSentOnlyWhereTheWorkerAnswered(t *testing.T) {
--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -139,7 +139,8 @@
 	reported         bool                // has reported to this scheduler
 	silent           bool                // did not answer the last poll
 	registered       bool                // is in the list of registered workers
-	inRoster         bool                // is in the stored roster, so that a later scheduler knows of it
+	answered         string              // address at which it last answered this scheduler or an earlier one; starts are sent only there
+	inRoster         bool                // is in the stored roster with this address, so that a later scheduler knows of it
 	leaseExpiry      time.Time           // if it does not report, nothing runs on it after this time
 	runs             map[*run]struct{}
 	priorTasks       map[*task]struct{}               // tasks without a run here that may be active here until it reports
--- a/hfplan/network_test.go
+++ b/hfplan/network_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/heatherfront/heatherfront/hfwire"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
 
@@ -40,7 +41,9 @@
 	cutOff map[*fakeWorker]bool // what the worker sends is lost
 	links  map[string]*link     // of the present leader, by worker id
 
-	acknowledged map[string]bool // tasks with an acknowledged end as done, also if a lease has expired before
+	replaced     map[string]string // addresses at which another worker answers, by the id of the earlier one
+	lives        int               // number of workers that have crashed
+	acknowledged map[string]bool   // tasks with an acknowledged end as done, also if a lease has expired before
 }
 
 // link is what a leader knows of its connection to a worker.
@@ -48,7 +51,8 @@
 	term         int
 	fence        int
 	id           string
-	answered     bool // the last poll was answered
+	answered     bool   // the last poll was answered
+	answeredAt   string // address at which the worker answered this leader or an earlier one
 	silent       bool
 	incarnation  int64
 	lastReported int64
@@ -66,7 +70,7 @@
 
 // useNetwork puts a network between the leader and the workers and starts a new scheduler.
 func (w *world) useNetwork(random *rand.Rand) *network {
-	n := &network{w: w, random: random, cutTo: map[*fakeWorker]bool{}, cutOff: map[*fakeWorker]bool{}, acknowledged: map[string]bool{}}
+	n := &network{w: w, random: random, cutTo: map[*fakeWorker]bool{}, cutOff: map[*fakeWorker]bool{}, replaced: map[string]string{}, acknowledged: map[string]bool{}}
 	for _, id := range sortedKeys(w.fleet) {
 		w.fleet[id].clockRate = 1 + maxClockSlowness*random.Float64()
 	}
@@ -80,7 +84,7 @@
 	n.links = map[string]*link{}
 	known := n.w.registered()
 	for _, r := range n.w.roster {
-		known[r.GetId()] = r
+		known[r.GetId()] = r // with the address at which it answered
 	}
 	n.follow(known)
 }
@@ -96,7 +100,7 @@
 func (n *network) follow(workers map[string]*hfwork.Worker) {
 	for _, id := range sortedKeys(workers) {
 		if n.links[id] == nil {
-			l := &link{term: n.w.term, fence: n.w.fence, id: id, withdrawn: map[StopCmd]bool{}}
+			l := &link{term: n.w.term, fence: n.w.fence, id: id, answeredAt: workers[id].GetAnswered(), withdrawn: map[StopCmd]bool{}}
 			n.links[id] = l
 			n.w.at(messageDelay, func() { n.poll(l) })
 		}
@@ -121,7 +125,7 @@
 	if late {
 		delay = minLateness + time.Duration(n.random.Int64N(int64(lateness)))
 	}
-	if n.cutTo[f] {
+	if n.cutTo[f] || f.crashed {
 		return
 	}
 	deadline := n.w.now.Add(wait)
@@ -174,7 +178,14 @@
 
 // poll sends a poll and the next one after it.
 func (n *network) poll(l *link) {
-	if !n.current(l) || n.w.fleet[l.id] == nil {
+	if !n.current(l) {
+		return
+	}
+	if address, replaced := n.replaced[l.id]; replaced {
+		n.pollReplaced(l, address)
+		return
+	}
+	if n.w.fleet[l.id] == nil {
 		return
 	}
 	sent, renews, lastStored, wait := n.w.now, l.answered, l.lastStored, time.Duration(0)
@@ -206,7 +217,8 @@
 			report := f.report(n.w.now)
 			answer(func() {
 				answered, l.answered, l.silent = true, true, false
-				n.receive(l, sent, report)
+				l.answeredAt = f.registration.GetAddress()
+				n.receive(l, sent, report.AnsweredAt(l.answeredAt))
 			})
 		}
 		if len(f.ended) > 0 || wait == 0 {
@@ -219,6 +231,50 @@
 	})
 }
 
+// pollReplaced sends a poll to the address of a worker, where another one answers by now.
+func (n *network) pollReplaced(l *link, address string) {
+	n.w.at(2*messageDelay, func() {
+		if !n.current(l) {
+			return
+		}
+		l.silent, l.answered = true, false
+		if l.answeredAt == address {
+			n.tell(l, WorkerReplaced(l.id, l.incarnation))
+			return
+		}
+		n.tell(l, WorkerSilent(l.id))
+		n.w.at(silentPollPause, func() { n.poll(l) })
+	})
+}
+
+// crash ends the process of a worker. The next life of its machine has another id at the same
+// address; the entry of the crashed one expires around that time.
+func (n *network) crash(f *fakeWorker, entryExpires time.Duration) {
+	id := f.registration.GetId()
+	if f.crashed || n.w.fleet[id] != f {
+		return
+	}
+	n.w.trace("%s crashes with %d runs", id, len(f.runs))
+	n.w.restart(f) // orders that it held are lost
+	f.crashed = true
+	n.lives++
+	next := &fakeWorker{
+		registration: hfwire.Copy(f.registration), incarnation: f.incarnation, runs: map[string]*fakeRun{}, highestRun: map[string]int64{},
+		slowdown: 1, clockRate: f.clockRate,
+	}
+	next.registration.Id = fmt.Sprintf("%s-%d", id, n.lives)
+	n.w.at(testRestart, func() {
+		n.w.trace("%s answers in place of %s", next.registration.GetId(), id)
+		n.replaced[id] = f.registration.GetAddress()
+		n.w.fleet[next.registration.GetId()] = next
+		n.list()
+	})
+	n.w.at(entryExpires, func() {
+		f.unlisted = true
+		n.list()
+	})
+}
+
 // respond answers a waiting poll once.
 func (n *network) respond(l *link, p *waitingPoll) {
 	l.waiting = slices.DeleteFunc(l.waiting, func(o *waitingPoll) bool { return o == p })
@@ -343,6 +399,14 @@
 	if !n.current(l) || n.w.fleet[l.id] == nil {
 		return
 	}
+	if n.replaced[l.id] != "" {
+		if tries == 1 {
+			finish(OutcomeRefused)
+			return
+		}
+		finish(OutcomeUnknown)
+		return
+	}
 	sent, answered := n.w.now, false
 	n.order(l, responseTimeout, func(f *fakeWorker, answer func(func())) {
 		outcome := OutcomeRefused
@@ -380,7 +444,15 @@
 		seeds = append(seeds, seed)
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { playLateNetwork(t, seed) })
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { playLateNetwork(t, seed, false) })
+	}
+}
+
+// Guards against two runs of one task, or a run after its end, as workers crash and come back under
+// other ids amid the same faults.
+func TestNoTaskRunsTwiceAmongReplacedWorkers(t *testing.T) {
+	for seed := range *networkSeeds {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { playLateNetwork(t, seed, true) })
 	}
 }
 
@@ -392,10 +464,16 @@
 
 var networkSeeds = flag.Uint64("networkseeds", 100, "number of worlds of TestNoTaskRunsTwiceBehindALateNetwork")
 
-func playLateNetwork(t *testing.T, seed uint64) {
+// playLateNetwork plays one world. Workers crash in it if crashes is set.
+func playLateNetwork(t *testing.T, seed uint64, crashes bool) {
 	t.Helper()
-	random := rand.New(rand.NewPCG(seed, 20261205))
+	random, crashRandom := rand.New(rand.NewPCG(seed, 20261205)), rand.New(rand.NewPCG(seed, 20261206))
 	w := newWorld(t, 2, 4)
+	if crashes {
+		for _, id := range sortedKeys(w.fleet) {
+			w.fleet[id].registration.Address = id + ":80"
+		}
+	}
 	n := w.useNetwork(random)
 	w.advance(time.Second)
 	after := func(least, most time.Duration, do func()) {
@@ -405,6 +483,13 @@
 	for range 60 {
 		w.advance(time.Duration(50+random.IntN(500)) * time.Millisecond)
 		f := w.fleet[fmt.Sprintf("w%d-%d", random.IntN(2), random.IntN(4))]
+		if crashes {
+			ids := sortedKeys(w.fleet)
+			f = w.fleet[ids[random.IntN(len(ids))]]
+			if crashRandom.IntN(6) == 0 {
+				n.crash(f, 2*time.Second+time.Duration(crashRandom.Int64N(int64(4*time.Second))))
+			}
+		}
 		switch random.IntN(16) {
 		case 0:
 			w.replaceScheduler()
@@ -422,12 +507,14 @@
 			n.refuse = random.Float64() / 4
 			after(time.Second, 10*time.Second, func() { n.late, n.slow, n.refuse = 0, 0, 0 })
 		case 5:
-			w.restart(f)
+			if !f.crashed {
+				w.restart(f)
+			}
 		case 6:
 			f.unlisted = true
 			n.list()
 			after(time.Second, 12*time.Second, func() {
-				f.unlisted = false
+				f.unlisted = f.crashed
 				n.list()
 			})
 		case 7:
--- a/hfplan/record.go
+++ b/hfplan/record.go
@@ -100,10 +100,11 @@
 	}
 	clear(s.dirtyWaves)
 	if s.rosterChanged {
-		s.rosterChanged, s.rosterInFlight = false, nil
+		s.rosterChanged, s.rosterInFlight = false, map[*worker]string{}
 		for _, id := range sortedKeys(s.workers) {
-			s.rosterInFlight = append(s.rosterInFlight, s.workers[id])
-			c.roster = append(c.roster, s.workers[id].registration)
+			w := s.workers[id]
+			s.rosterInFlight[w] = w.answered
+			c.roster = append(c.roster, w.rosterEntry())
 		}
 	}
 	s.emit(c)
@@ -123,8 +124,8 @@
 		return
 	}
 	s.storedSequence = sequence
-	for _, w := range s.rosterInFlight {
-		w.inRoster = true
+	for w, answered := range s.rosterInFlight {
+		w.inRoster = w.inRoster || w.answered == answered
 		s.updateUsable(w, now)
 	}
 	s.rosterInFlight = nil
--- a/hfplan/replaced_test.go
+++ b/hfplan/replaced_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -81,3 +82,57 @@
 	require.Zero(t, d.retries(starts[0].Task(), starts[0].Number()))
 	require.NotNil(t, d.s.workers["w"])
 }
+
+// reportFrom sends a report that a worker gave at an address.
+func (d *desk) reportFrom(worker, address string, runs ...hfwork.Run) {
+	d.t.Helper()
+	d.now = d.now.Add(messageDelay)
+	d.send(Report(worker, d.now.Add(-time.Millisecond), hfwork.NewReport(0, 1, runs, nil).AnsweredAt(address)))
+}
+
+// Guards against a start at an address that a later scheduler does not know of: it would take the
+// answer of another worker at the earlier address as proof that nothing runs.
+func TestWorkerIsUsedOnceItsAddressIsStored(t *testing.T) {
+	d := newDesk(t, 1, "w")
+	d.store()
+	answered := func() string {
+		d.t.Helper()
+		require.Len(t, d.stores, 1)
+		require.Len(t, d.stores[0].Roster(), 1)
+		return d.stores[0].Roster()[0].GetAnswered()
+	}
+	d.reportFrom("w", "10.0.0.1:80")
+	require.False(t, d.s.workers["w"].resources.Usable())
+	require.Equal(t, "10.0.0.1:80", answered())
+	d.reportFrom("w", "10.0.0.2:80")
+	d.send(Stored(d.stores[0])) // with the earlier address
+	d.stores = d.stores[1:]
+	require.False(t, d.s.workers["w"].resources.Usable())
+	require.Equal(t, "10.0.0.2:80", answered())
+	d.store()
+	require.True(t, d.s.workers["w"].resources.Usable())
+	d.reportFrom("w", "10.0.0.2:80")
+	require.Empty(t, d.stores)
+	require.Empty(t, d.s.workers["w"].registration.GetAnswered(), "the registration does not tell it")
+}
+
+// Guards against a task that waits for the leases of a crashed worker because the scheduler that
+// started it has been replaced, too; and against a stored address that the next roster has lost.
+func TestNewSchedulerSettlesTasksOfReplacedWorker(t *testing.T) {
+	d := newDesk(t, 2, "x")
+	worker := deskWorkers("w")["w"]
+	worker.Answered = "10.0.0.1:80"
+	d.send(Roster([]*hfwork.Worker{worker}))
+	progress := &hfwork.Progress{State: hfwork.StateRunning, Steps: []*hfwork.StepProgress{{Places: map[uint32]string{0: "w"}}}}
+	d.send(Job(&hfwork.Job{Id: "a", Queue: "usual", Account: "plants", Steps: []*hfwork.Step{deskStep(1)}}, progress, false))
+	d.send(Workers(deskWorkers("w", "x")))
+	d.report("x")
+	d.store()
+	require.Empty(t, d.takeStarts())
+	require.Equal(t, "10.0.0.1:80", d.s.workers["w"].rosterEntry().GetAnswered())
+	d.send(WorkerReplaced("w", 0))
+	d.store()
+	starts := d.takeStarts()
+	require.Len(t, starts, 1)
+	require.Equal(t, "x", starts[0].Worker())
+}
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -64,7 +64,7 @@
 	storedSequence   uint64                      // of the last StoreCmd that was stored
 	recordsInFlight  map[string]*hfwork.Progress // records of the StoreCmd in flight, nil if there is none
 	rosterChanged    bool                        // the stored roster is out of date
-	rosterInFlight   []*worker                   // roster of the StoreCmd in flight
+	rosterInFlight   map[*worker]string          // roster of the StoreCmd in flight: workers with the addresses at which they answered
 	pendingAcks      map[*worker]int64           // last end to acknowledge, once its record is stored
 	acksInFlight     map[*worker]int64           // last end whose record is in the StoreCmd in flight
 	dirtyJobs        map[string]*job             // jobs whose progress has to be stored
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/heatherfront/heatherfront/hfplacement"
+	"github.com/heatherfront/heatherfront/hfwire"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
 
@@ -14,11 +15,21 @@
 func (s *Scheduler) addRoster(roster []*hfwork.Worker) {
 	for _, registration := range roster {
 		if s.workers[registration.GetId()] == nil {
-			s.addWorker(registration)
+			s.addWorker(registration).answered = registration.GetAnswered()
 		}
 	}
 }
 
+// rosterEntry returns the worker as it is stored in the roster.
+func (w *worker) rosterEntry() *hfwork.Worker {
+	if w.registration.GetAnswered() == w.answered {
+		return w.registration
+	}
+	entry := hfwire.Copy(w.registration)
+	entry.Answered = w.answered
+	return entry
+}
+
 // addWorker adds a worker and schedules the roster to be stored.
 func (s *Scheduler) addWorker(registration *hfwork.Worker) *worker {
 	w := &worker{
@@ -109,6 +120,9 @@
 		s.emit(NoteCmd{note: NoteReporting, worker: w.id(), reason: "reports"})
 	}
 	w.incarnation, w.reported, w.silent = m.report.Incarnation(), true, false
+	if address := m.report.Address(); address != w.answered {
+		w.answered, w.inRoster, s.rosterChanged = address, false, true
+	}
 	for _, e := range m.report.Ended() {
 		if e.Sequence() <= w.lastEnd {
 			continue
--- a/hfplan/world_test.go
+++ b/hfplan/world_test.go
@@ -105,6 +105,7 @@
 	doneEnds     []doneEnd // ends as done that are not acknowledged
 	unlisted     bool      // not in the list of registered workers
 	oddEntry     bool      // its entry names another rack
+	crashed      bool      // its process has ended; the next life of its machine has another id
 }
 
 // doneEnd is the end of a run as done.
--- a/hfwork/task.go
+++ b/hfwork/task.go
@@ -126,6 +126,7 @@
 	ended       []End // not acknowledged yet, sorted by sequence
 	incomplete  bool  // a run that is in neither list may be in progress, or have ended
 	rejected    []error
+	address     string // at which the worker answered
 }
 
 // NewReport returns a report. clock is the time on the worker's clock in milliseconds,
@@ -142,6 +143,15 @@
 	return r
 }
 
+// AnsweredAt returns a copy of the report with the address at which the worker answered.
+func (r Report) AnsweredAt(address string) Report {
+	r.address = address
+	return r
+}
+
+// Address returns the address at which the worker answered.
+func (r Report) Address() string { return r.address }
+
 // Incomplete reports whether a run that is in neither list may be in progress, or have ended in a
 // way that is not known yet.
 func (r Report) Incomplete() bool { return r.incomplete }
