Withdraw starts that no longer fit when a worker's resources shrink

What callers would see: a worker that is filled beyond its resources, which may shrink and grow while it runs.

Cause: when an entry shows fewer resources, runs that are only assigned are placed again, but starts that were already handed to the dispatcher were sent: up to 2 s later (startQueueTimeout), and up to 0.6 s later again (third try within orderTimeout).

Now unconfirmed starts beyond the new resources are stopped, the latest first, which takes them out of the queue or ends their retries: 1.5 s + 0.6 s + 0.3 s for the try under way = 2.4 s; 3.0 s if the leader has just taken over, as its watch may still pause for 1.2 s (standbyWorkerPause). Confirmed runs go on: the rule is about starts, and stopping them would lose their work for a shrink that may pass. They and what is being stopped count as used, so that nothing is started beside them before their ends are reported.

Looked at and found right, with tests that pass before and after: a job larger than all present workers waits, is neither rejected nor failed, and starts as soon as the entries have grown, also when the roster of a new leader has the earlier size (TestJobLargerThanShrunkWorkersWaits); what is being stopped counts (TestShrunkWorkerCountsWhatRuns). Read only: reservations, budgets and victims are computed anew in each pass from the present resources; guarantees count accelerators of the account, not of the workers; nothing checks a job against workers when it is handed in. An entry without cpu or mem_mb names no worker, which then gets nothing, as with resources of zero.

--- a/hfplacement/workers.go
+++ b/hfplacement/workers.go
@@ -51,6 +51,11 @@
 	return int(tasks)
 }
 
+// Exceeds reports whether s is larger than o in any resource.
+func (s Resources) Exceeds(o Resources) bool {
+	return s.cpu > o.cpu || s.memory > o.memory || s.accelerators > o.accelerators
+}
+
 // DominantShare returns the dominant share of s in whole: the largest fraction that s takes of
 // any one resource.
 func (s Resources) DominantShare(whole Resources) float64 {
@@ -93,6 +98,9 @@
 // Capacity returns the total resources of the worker.
 func (w *Worker) Capacity() Resources { return w.capacity }
 
+// Used returns the resources of the tasks that may be running.
+func (w *Worker) Used() Resources { return w.used }
+
 // Usable reports whether the worker accepts new tasks.
 func (w *Worker) Usable() bool { return w.usable }
 
--- /dev/null
+++ b/hfplan/shrink_test.go
@@ -0,0 +1,137 @@
+package hfplan
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+// resize registers all workers, the given one with the resources that go with a number of
+// accelerators.
+func (d *desk) resize(id string, accelerators int64, all ...string) {
+	d.t.Helper()
+	workers := deskWorkers(all...)
+	w := workers[id]
+	w.Cpu, w.Memory, w.Accelerators = w.Cpu*accelerators/w.Accelerators, w.Memory*accelerators/w.Accelerators, accelerators
+	d.send(Workers(workers))
+}
+
+// smallStep returns a step whose tasks take a part of a worker each.
+func smallStep(count uint32, accelerators int64) *hfwork.Step {
+	return &hfwork.Step{Count: count, Cpu: 10_000, Memory: 20_000, Accelerators: accelerators, Estimate: 5000}
+}
+
+// Guards against starts that reach a worker whose resources have shrunk since they were decided. The
+// last ones are withdrawn; runs that are confirmed go on.
+func TestUnconfirmedStartsBeyondShrunkResourcesAreWithdrawn(t *testing.T) {
+	for name, c := range map[string]struct {
+		accelerators int64
+		confirmed    bool
+		withdrawn    []string // jobs
+	}{
+		"all fit":   {4, false, nil},
+		"one fits":  {3, false, []string{"b"}},
+		"none fits": {1, false, []string{"b", "a"}},
+		"running":   {1, true, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t, 1, "w")
+			d.report("w")
+			d.store()
+			for _, id := range []string{"a", "b"} {
+				d.submit(id, smallStep(1, 2))
+				d.store()
+				d.now = d.now.Add(messageDelay)
+			}
+			starts := d.takeStarts()
+			require.Len(t, starts, 2)
+			if c.confirmed {
+				for _, start := range starts {
+					d.send(Started(start, OutcomeDone))
+				}
+			}
+			d.resize("w", c.accelerators, "w")
+			var withdrawn []string
+			for _, stop := range d.stops {
+				withdrawn = append(withdrawn, stop.Task().Job())
+			}
+			require.Equal(t, c.withdrawn, withdrawn)
+			d.store()
+			require.Empty(t, d.takeStarts())
+		})
+	}
+}
+
+// Guards against a gang that loses the member whose start was withdrawn, and waits for it.
+func TestGangIsWithdrawnWithItsMember(t *testing.T) {
+	d := newDesk(t, 1, "v", "w")
+	d.report("v")
+	d.report("w")
+	d.store()
+	step := deskStep(2)
+	step.Gang = true
+	d.submit("a", step)
+	d.store()
+	require.Len(t, d.takeStarts(), 2)
+	d.resize("w", 7, "v", "w")
+	require.Len(t, d.stops, 2)
+}
+
+// Guards against work that is rejected or given up because of a passing shrink, and against resources
+// that stay unused after they have grown again, also under a new scheduler whose roster has the
+// earlier ones.
+func TestJobLargerThanShrunkWorkersWaits(t *testing.T) {
+	for name, step := range map[string]*hfwork.Step{"task": deskStep(1), "gang": {Count: 2, Accelerators: 8, Estimate: 5000, Gang: true, Compact: true}} {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t, 1, "v", "w")
+			shrunk := deskWorkers("v", "w")
+			for _, w := range shrunk {
+				w.Cpu, w.Memory, w.Accelerators = 0, 0, 0
+			}
+			roster := []*hfwork.Worker{deskWorkers("v")["v"], deskWorkers("w")["w"]}
+			d.s = New(2, NewTiming(workerLease), d.now)
+			d.send(Policy(&hfwork.Policy{Version: 1, Pools: []*hfwork.Pool{{Name: "pool"}}, Queues: []*hfwork.Queue{{Name: "usual", Pool: "pool", Attempts: 2}}}))
+			d.send(Roster(roster))
+			d.send(Workers(shrunk))
+			d.report("v")
+			d.report("w")
+			d.submit("a", step)
+			d.store()
+			d.advance(20 * time.Second)
+			d.store()
+			require.Empty(t, d.takeStarts())
+			require.False(t, d.s.jobs["a"].final())
+			d.report("v")
+			d.report("w")
+			d.send(Workers(deskWorkers("v", "w")))
+			d.store()
+			require.Len(t, d.takeStarts(), int(step.GetCount()))
+		})
+	}
+}
+
+// Guards against a start beside a run that is being stopped, or that no longer fits, on a worker
+// whose resources have shrunk.
+func TestShrunkWorkerCountsWhatRuns(t *testing.T) {
+	d := newDesk(t, 1, "w")
+	d.report("w")
+	d.store()
+	running := d.startAll("a", smallStep(2, 3))
+	d.resize("w", 5, "w")
+	d.submit("b", smallStep(1, 2))
+	d.store()
+	require.Empty(t, d.takeStarts(), "6 of 5 are in use")
+	d.send(Job(&hfwork.Job{Id: "a", Queue: "usual", Steps: []*hfwork.Step{smallStep(2, 3)}}, nil, true))
+	d.store()
+	require.Empty(t, d.takeStarts(), "the runs are being stopped")
+	for _, c := range running[:1] {
+		d.send(Stopped(stopOf(c), OutcomeDone))
+	}
+	reported := hfwork.NewRun(running[1].Task(), running[1].Number(), "", 10, 0)
+	d.reportEnds("w", []hfwork.Run{reported}, d.end("w", running[0].Task(), running[0].Number(), hfwork.Stopped))
+	d.store()
+	require.Len(t, d.takeStarts(), 1, "2 beside 3 of 5")
+}
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -72,7 +72,7 @@
 
 // replaceResources updates a worker whose registration has changed. An entry may have been
 // written late or by someone else, so it does not show that runs have ended: they count until
-// a report does. Runs that are only assigned are placed again.
+// a report does, and go on if they no longer fit. Runs that are only assigned are placed again.
 func (s *Scheduler) replaceResources(w *worker, registration *hfwork.Worker, now time.Time) {
 	for _, r := range sortedRuns(w.runs) {
 		if r.phase == assigned {
@@ -91,6 +91,27 @@
 		w.resources.Assign(size)
 		w.resources.AddRunning(size)
 	}
+	s.withdrawStarts(w, now)
+}
+
+// withdrawStarts stops runs that exceed the resources of a worker and whose start was not
+// confirmed, the latest first: it may still be queued, or be sent again.
+func (s *Scheduler) withdrawStarts(w *worker, now time.Time) {
+	var unconfirmed []*run
+	for _, r := range sortedRuns(w.runs) {
+		if r.phase == starting {
+			unconfirmed = append(unconfirmed, r)
+		}
+	}
+	slices.SortStableFunc(unconfirmed, func(a, b *run) int { return b.orderedAt.Compare(a.orderedAt) })
+	used := w.resources.Used()
+	for _, r := range unconfirmed {
+		if !used.Exceeds(w.resources.Capacity()) {
+			return
+		}
+		s.stopMembers(r, now)
+		used = used.Plus(r.task.group.size, -1)
+	}
 }
 
 // updateUsable decides whether tasks may be assigned to a worker.
