Count a run of unknown size as the whole worker after it has grown

What callers would see: a worker filled beyond its resources. A run that is reported and whose job is not known is being stopped, and counts as the whole worker until it is gone. If the worker's resources had shrunk when it was first reported, it counted as that little after they had grown again, and tasks were started in the rest.

Now such a run counts as the present resources whenever these change.

--- a/hfplan/shrink_test.go
+++ b/hfplan/shrink_test.go
@@ -135,3 +135,19 @@
 	d.store()
 	require.Len(t, d.takeStarts(), 1, "2 beside 3 of 5")
 }
+
+// Guards against a run of unknown size that counts as less than the whole worker after the worker's
+// resources have grown.
+func TestOrphanOfUnknownSizeFillsAGrownWorker(t *testing.T) {
+	d := newDesk(t, 1, "w")
+	d.resize("w", 2, "w")
+	d.report("w", hfwork.NewRun(hfwork.NewTaskID("gone", 0, 0, 0), 1, "", 0, 0))
+	d.store()
+	d.submit("a", smallStep(1, 6))
+	d.resize("w", 8, "w")
+	d.store()
+	require.Empty(t, d.takeStarts())
+	d.report("w")
+	d.store()
+	require.Len(t, d.takeStarts(), 1)
+}
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -87,7 +87,11 @@
 		}
 		w.resources.AddRunning(r.task.group.size)
 	}
-	for _, size := range w.orphans {
+	for key, size := range w.orphans {
+		if s.task(key.task) == nil {
+			size = w.resources.Capacity()
+			w.orphans[key] = size
+		}
 		w.resources.Assign(size)
 		w.resources.AddRunning(size)
 	}
