Use a restarted worker only by its own entry

What callers would see: a task on a worker without the label that its step requires, or beyond the worker's resources. A worker may start again under its id, and a new incarnation may be of a different kind. It answers polls at once, while the leader sees its entry up to 0.6 s later, and until then it got tasks by the entry of its earlier life.

The entry and the reports tell the same `born`. A worker whose entry has another one than its reports is not usable, nor is one whose next life has registered but not reported yet. Workers that tell none are used as before.

--- a/hfplan/shrink_test.go
+++ b/hfplan/shrink_test.go
@@ -151,3 +151,32 @@
 	d.store()
 	require.Len(t, d.takeStarts(), 1)
 }
+
+// Guards against the entry of a worker's earlier life being used for the next one under its id, which
+// may have other resources and labels.
+func TestRestartedWorkerIsUsedByItsOwnEntry(t *testing.T) {
+	d := newDesk(t, 1, "w")
+	register := func(born, accelerators int64) {
+		d.t.Helper()
+		workers := deskWorkers("w")
+		workers["w"].Born, workers["w"].Accelerators = born, accelerators
+		d.send(Workers(workers))
+	}
+	register(1, 8)
+	d.report("w")
+	d.store()
+	require.True(t, d.s.workers["w"].resources.Usable())
+	d.born["w"] = 2
+	d.report("w")
+	d.submit("a", deskStep(1))
+	d.store()
+	require.Empty(t, d.takeStarts())
+	register(2, 4)
+	d.store()
+	require.Empty(t, d.takeStarts())
+	register(2, 8)
+	d.store()
+	require.Len(t, d.takeStarts(), 1)
+	register(3, 8) // its next life is registered before it reports
+	require.False(t, d.s.workers["w"].resources.Usable())
+}
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -120,13 +120,19 @@
 
 // updateUsable decides whether tasks may be assigned to a worker.
 func (s *Scheduler) updateUsable(w *worker, now time.Time) {
-	usable := w.registered && w.inRoster && w.reported && !w.silent && !w.registration.GetDraining() && !w.upkeepPending && !now.Before(w.quarantinedUntil) && !now.Before(w.refusedUntil)
+	usable := w.registered && w.ownRegistration() && w.inRoster && w.reported && !w.silent && !w.registration.GetDraining() && !w.upkeepPending && !now.Before(w.quarantinedUntil) && !now.Before(w.refusedUntil)
 	if usable != w.resources.Usable() {
 		w.resources.SetUsable(usable)
 		s.needsPass = true
 	}
 }
 
+// ownRegistration reports whether the registration is that of the incarnation that reports. Another
+// one may have had other resources and labels.
+func (w *worker) ownRegistration() bool {
+	return w.incarnation == 0 || w.registration.GetBorn() == 0 || w.registration.GetBorn() == w.incarnation
+}
+
 // handleReport processes the report of a worker: its ended and its active runs. Runs
 // that a report should list but does not are considered lost, unless some in it could not be read.
 func (s *Scheduler) handleReport(m ReportMsg, now time.Time) {
