Test that no start exceeds resources that shrink and grow

The model of the network repeated an unanswered start after a stop of its run; package hforder does not. A stop ends the retries in the model, too.

--- a/hfplan/network_test.go
+++ b/hfplan/network_test.go
@@ -350,7 +350,7 @@
 	case StopCmd:
 		if l := n.links[c.Worker()]; l != nil {
 			l.withdrawn[c] = true
-			n.try(l, n.w.now, 1, func(f *fakeWorker, _ time.Time) Outcome {
+			n.try(l, n.w.now, 1, func() bool { return true }, func(f *fakeWorker, _ time.Time) Outcome {
 				n.w.stop(f, c.Task(), c.Number())
 				return OutcomeDone
 			}, func(o Outcome) { n.tell(l, Stopped(c, o)) })
@@ -379,7 +379,8 @@
 		return
 	}
 	require.False(n.w.t, n.acknowledged[fmt.Sprint(c.Task())], "the start of %v is sent after its end as done was acknowledged", c.Task())
-	n.try(l, n.w.now, 1, func(f *fakeWorker, sent time.Time) Outcome {
+	wanted := func() bool { return !l.withdrawn[StopCmd{worker: c.Worker(), task: c.Task(), number: c.Number()}] }
+	n.try(l, n.w.now, 1, wanted, func(f *fakeWorker, sent time.Time) Outcome {
 		if !n.w.now.Before(sent.Add(time.Duration(float64(workerLease-leaseMargin) * f.clockRate))) {
 			return OutcomeRefused // its lease would have ended already
 		}
@@ -394,11 +395,16 @@
 	}, func(o Outcome) { n.tell(l, Started(c, o)) })
 }
 
-// try sends an order until it is answered, orderTimeout has passed or the worker is silent.
-func (n *network) try(l *link, begun time.Time, tries int, carryOut func(f *fakeWorker, sent time.Time) Outcome, finish func(Outcome)) {
+// try sends an order until it is answered, orderTimeout has passed, the worker is silent or retry
+// returns false.
+func (n *network) try(l *link, begun time.Time, tries int, retry func() bool, carryOut func(f *fakeWorker, sent time.Time) Outcome, finish func(Outcome)) {
 	if !n.current(l) || n.w.fleet[l.id] == nil {
 		return
 	}
+	if tries > 1 && !retry() {
+		finish(OutcomeUnknown)
+		return
+	}
 	if n.replaced[l.id] != "" {
 		if tries == 1 {
 			finish(OutcomeRefused)
@@ -427,7 +433,7 @@
 		case n.w.now.Sub(begun) > orderTimeout-responseTimeout || l.silent:
 			finish(OutcomeUnknown)
 		default:
-			n.try(l, begun, tries+1, carryOut, finish)
+			n.try(l, begun, tries+1, retry, carryOut, finish)
 		}
 	})
 }
--- a/hfplan/shrink_test.go
+++ b/hfplan/shrink_test.go
@@ -1,14 +1,27 @@
 package hfplan
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/heatherfront/heatherfront/hfplacement"
+	"github.com/heatherfront/heatherfront/hfwire"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
 
+const (
+	heartbeatInterval = 1500 * time.Millisecond // after which a worker writes its entry
+	entryWatchPause   = 1200 * time.Millisecond // after which a new leader sees it
+
+	// maxShrinkDelay is the time after which no start may follow from the earlier resources of a
+	// worker: its entry is seen, and the try under way ends.
+	maxShrinkDelay = heartbeatInterval + entryWatchPause + responseTimeout
+)
+
 // resize registers all workers, the given one with the resources that go with a number of
 // accelerators.
 func (d *desk) resize(id string, accelerators int64, all ...string) {
@@ -180,3 +193,80 @@
 	register(3, 8) // its next life is registered before it reports
 	require.False(t, d.s.workers["w"].resources.Usable())
 }
+
+// resize changes the resources of a worker to those that go with a number of accelerators. The leader
+// sees it after a delay.
+func (w *world) resize(f *fakeWorker, accelerators int64, delay time.Duration) {
+	before := f.registration
+	w.trace("%s changes from %d to %d accelerators, which is seen in %s", before.GetId(), before.GetAccelerators(), accelerators, delay)
+	if f.entry == nil {
+		f.entry = before
+	}
+	changed := hfwire.Copy(before)
+	changed.Cpu, changed.Memory, changed.Accelerators = 16_000*accelerators, 32_768*accelerators, accelerators
+	f.registration = changed
+	if accelerators < before.GetAccelerators() {
+		f.shrunk = append(f.shrunk, shrink{at: w.now, from: hfplacement.NewResources(before.GetCpu(), before.GetMemory(), before.GetAccelerators())})
+	}
+	f.resizes++
+	number := f.resizes
+	w.at(delay, func() {
+		if number > f.seen {
+			f.seen, f.entry = number, changed
+			w.network.list()
+		}
+	})
+}
+
+// Guards against workers that are filled beyond resources that shrink and grow, amid starts that wait
+// in a queue, workers that are cut off or restart, cancellations and new schedulers. The world fails the
+// test if a start exceeds them. In the end, every job must have ended.
+func TestNoStartExceedsShrunkResources(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 20261207))
+			w := newWorld(t, 2, 4)
+			n := w.useNetwork(random)
+			n.slow = 0.5
+			w.advance(time.Second)
+			delay := func() time.Duration { return time.Duration(random.Int64N(int64(heartbeatInterval + entryWatchPause))) }
+			jobs := 0
+			for range 80 {
+				w.advance(time.Duration(50+random.IntN(400)) * time.Millisecond)
+				f := w.fleet[fmt.Sprintf("w%d-%d", random.IntN(2), random.IntN(4))]
+				switch random.IntN(10) {
+				case 0, 1, 2, 3:
+					w.resize(f, int64(random.IntN(9)), delay())
+				case 4:
+					if random.IntN(3) == 0 {
+						w.replaceScheduler()
+					}
+				case 5:
+					n.cutTo[f], n.cutOff[f] = true, true
+					w.at(delay(), func() { n.cutTo[f], n.cutOff[f] = false, false })
+				case 6:
+					w.restart(f)
+				case 7:
+					if jobs > 0 {
+						w.cancel(fmt.Sprintf("j%03d", random.IntN(jobs)))
+					}
+				default:
+					step := single(uint32(1+random.IntN(12)), time.Duration(300+random.IntN(4000))*time.Millisecond)
+					if random.IntN(2) == 0 {
+						step = gang(uint32(1+random.IntN(6)), int64(1+random.IntN(8)), time.Duration(300+random.IntN(4000))*time.Millisecond)
+					}
+					w.submit(fmt.Sprintf("j%03d", jobs), []string{"urgent", "usual", "spare"}[random.IntN(3)], step)
+					jobs++
+				}
+			}
+			for _, id := range sortedKeys(w.fleet) {
+				w.resize(w.fleet[id], 8, delay())
+			}
+			w.advance(120 * time.Second)
+			for i := range jobs {
+				id := fmt.Sprintf("j%03d", i)
+				require.True(t, w.cancelled[id] || hfwork.IsFinal(w.state(id)), "%s is %q", id, w.state(id))
+			}
+		})
+	}
+}
--- a/hfplan/world_test.go
+++ b/hfplan/world_test.go
@@ -106,6 +106,17 @@
 	unlisted     bool      // not in the list of registered workers
 	oddEntry     bool      // its entry names another rack
 	crashed      bool      // its process has ended; the next life of its machine has another id
+
+	entry   *hfwork.Worker // its entry as the leader sees it; nil if that is its registration
+	resizes int            // number of changes of its resources
+	seen    int            // number of the change that the leader sees
+	shrunk  []shrink       // its former resources
+}
+
+// shrink is a change to fewer resources.
+type shrink struct {
+	at   time.Time
+	from hfplacement.Resources
 }
 
 // doneEnd is the end of a run as done.
@@ -226,6 +237,8 @@
 	for id, f := range w.fleet {
 		switch {
 		case f.unlisted:
+		case f.entry != nil:
+			workers[id] = f.entry
 		case f.oddEntry:
 			odd := proto.Clone(f.registration).(*hfwork.Worker)
 			odd.Rack = "odd"
@@ -376,7 +389,7 @@
 		require.Equal(w.t, "for "+f.registration.GetId(), c.Ticket())
 	}
 	size := hfplacement.NewResources(step.GetCpu(), step.GetMemory(), step.GetAccelerators())
-	free := hfplacement.NewResources(f.registration.GetCpu(), f.registration.GetMemory(), f.registration.GetAccelerators())
+	free := f.capacity(w.now)
 	for _, r := range f.runs {
 		free = free.Plus(r.size, -1)
 	}
@@ -412,6 +425,18 @@
 	return OutcomeDone
 }
 
+// capacity returns the resources of a worker up to which it may be filled: a shrink counts once the
+// leader has had the time to act on it.
+func (f *fakeWorker) capacity(now time.Time) hfplacement.Resources {
+	most := hfplacement.NewResources(f.registration.GetCpu(), f.registration.GetMemory(), f.registration.GetAccelerators())
+	for _, shrink := range f.shrunk {
+		if now.Sub(shrink.at) <= maxShrinkDelay && shrink.from.Exceeds(most) {
+			most = shrink.from
+		}
+	}
+	return most
+}
+
 // member is a run of a gang with its worker.
 type member struct {
 	run    *fakeRun
