--- a/hfevent/catalogue.go
+++ b/hfevent/catalogue.go
@@ -61,7 +61,7 @@
 	PlanRecovered    = Event{809, "plan-settled", zapcore.InfoLevel, "Every run that earlier schedulers may have started is accounted for."}
 	WorkerSilent     = Event{810, "worker-silent", zapcore.WarnLevel, "A worker stopped reporting; its leases are left to expire."}
 	WorkerReporting  = Event{811, "worker-heard", zapcore.InfoLevel, "A worker reports again, or was restarted."}
-	WorkerRemoved    = Event{812, "worker-dropped", zapcore.InfoLevel, "A worker is no longer registered and runs nothing."}
+	WorkerRemoved    = Event{812, "worker-dropped", zapcore.InfoLevel, "A worker runs nothing and is no longer followed: it has left, its leases have expired, or another worker answers at its address."}
 	EntryRejected    = Event{813, "entry-rejected", zapcore.WarnLevel, "A stored entry or a part of it cannot be read; the last good one stays in force, and a worker's entry names no worker. Logged once until the reason changes."}
 	PolicyApplied    = Event{814, "policy-applied", zapcore.InfoLevel, "A newer configuration of the queues is in force here."}
 	MirrorReset      = Event{815, "mirror-reset", zapcore.InfoLevel, "The local copy of the store was reloaded in full."}
