--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hfplan"
 	"github.com/heatherfront/heatherfront/hfwork"
@@ -31,6 +33,9 @@
 	minClockRate = 98
 )
 
+// errReplaced reports that another worker has the address at which a worker answered before.
+var errReplaced = eris.New("worker was replaced")
+
 // dispatcher sends orders to one worker and polls its reports.
 type dispatcher struct {
 	leader *Leader
@@ -43,7 +48,7 @@
 	queue         orderQueue
 	workerClock   int64     // worker's time in milliseconds in its last report
 	reportedAt    time.Time // when the last report was received; the worker's clock was read before
-	reportedFrom  string    // address at which the last poll was answered
+	reportedFrom  string    // address at which the last poll was answered, by this leader or an earlier one; starts are sent only there
 	incarnation   int64     // start time of the worker that sent the last report, which identifies it
 	lastReported  int64     // sequence number of the last end that the worker reported
 	lastStored    int64     // sequence number of the last end whose record is stored
@@ -66,7 +71,7 @@
 			continue
 		}
 		workerCtx, cancel := context.WithCancel(ctx)
-		d := &dispatcher{leader: l, wake: make(chan struct{}, sendersPerWorker), acked: make(chan struct{}, 1), cancel: cancel, worker: w}
+		d := &dispatcher{leader: l, wake: make(chan struct{}, sendersPerWorker), acked: make(chan struct{}, 1), cancel: cancel, worker: w, reportedFrom: w.GetAnswered()}
 		l.dispatchers[id] = d
 		l.group.Go(func() error {
 			d.pollLoop(workerCtx)
@@ -123,13 +128,16 @@
 	d.queue.finish(c)
 }
 
-// checkStart returns ErrNotSent if a start must not be sent. Starts are not sent to a silent
-// worker: they would postpone the time from which nothing can run there, as that time counts
-// from when the silence was noticed.
-func (d *dispatcher) checkStart(c hfplan.StartCmd) error {
+// checkStart returns ErrNotSent if a start must not be sent to an address. Starts are not sent to a
+// silent worker: they would postpone the time from which nothing can run there, as that time
+// counts from when the silence was noticed. Nor are they sent to an address at which the worker
+// has not answered: whoever answers at the last one then shows whether a run can be active.
+func (d *dispatcher) checkStart(c hfplan.StartCmd, address string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
+	case address != d.reportedFrom:
+		return fmt.Errorf("%w: the worker has not answered at this address", ErrNotSent)
 	case d.silent:
 		return fmt.Errorf("%w: the worker is silent", ErrNotSent)
 	case !d.queue.maySend(c):
@@ -267,7 +275,7 @@
 		if !sent.Before(sendBefore) {
 			return fmt.Errorf("%w: it was queued for too long", ErrNotSent)
 		}
-		if err := d.checkStart(c); err != nil {
+		if err := d.checkStart(c, worker.GetAddress()); err != nil {
 			return fmt.Errorf("check: %w", err)
 		}
 		d.recordGrant("start", leaseEnd)
@@ -332,21 +340,28 @@
 
 // stopOutcome returns the outcome of a stop that was sent to an address and ended with err. A
 // refused stop does not show that the run is not there: an unhealthy worker refuses every order
-// and may go on with its runs. Only the answer of another incarnation does, at the address where
-// this one was: the registered address can come from another writer.
+// and may go on with its runs. Only the answer of another incarnation does.
 func (d *dispatcher) stopOutcome(err error, address string) hfplan.Outcome {
-	o := d.outcome(err)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if o == hfplan.OutcomeDone || (errors.Is(err, ErrWorkerRestarted) && address == d.reportedFrom) {
+	if o := d.outcome(err); o == hfplan.OutcomeDone || d.isReplaced(err, address) {
 		return o
 	}
 	return hfplan.OutcomeUnknown
 }
 
-// pollLoop polls the worker until ctx ends. Polls of a silent worker do not renew its
-// leases, so that they expire at a known time, and acknowledge no ends. Neither does the first poll
-// after its connection was lost, which shows whether the worker was restarted.
+// isReplaced reports whether the result of an order that was sent to an address shows that the
+// worker's process has ended: another incarnation answered where this one has answered before, and
+// two processes do not share an address. The registered address alone can come from another
+// writer.
+func (d *dispatcher) isReplaced(err error, address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return errors.Is(err, ErrWorkerRestarted) && address == d.reportedFrom
+}
+
+// pollLoop polls the worker until ctx ends or the worker's process has ended. Polls of a silent
+// worker do not renew its leases, so that they expire at a known time, and acknowledge no ends.
+// Neither does the first poll after its connection was lost, which shows whether the worker was
+// restarted.
 func (d *dispatcher) pollLoop(ctx context.Context) {
 	answered, bound, silenceReported := false, false, false // bound: the last answered poll was a bound one
 	for ctx.Err() == nil {
@@ -376,6 +391,12 @@
 				continue
 			}
 			d.setSilent(true)
+			if errors.Is(err, errReplaced) {
+				// The worker stays silent, so that no queued start is sent.
+				d.leader.observer.OrderFinished("look", hfwork.TaskID{}, 0, d.currentWorker().GetId(), sent, err)
+				d.leader.Send(d.replacedMsg())
+				return
+			}
 			if ctx.Err() == nil && !silenceReported {
 				silenceReported = true
 				d.leader.observer.OrderFinished("look", hfwork.TaskID{}, 0, d.currentWorker().GetId(), sent, err)
@@ -424,6 +445,9 @@
 		var err error
 		request := NewPollRequest(leaseEnd, lastStored, d.leader.tenure.Epoch(), wait).WithLastReported(lastReported).WithIncarnation(incarnation)
 		report, err = d.leader.minions.Poll(ctx, worker, request)
+		if d.isReplaced(err, worker.GetAddress()) {
+			return fmt.Errorf("%w: %w", errReplaced, err)
+		}
 		if err != nil {
 			return fmt.Errorf("request: %w", err)
 		}
@@ -432,6 +456,7 @@
 			return fmt.Errorf("%w: the report does not tell the worker's incarnation", ErrUnanswered)
 		}
 		d.recordAnswer(worker.GetAddress(), lastStored)
+		report = report.AnsweredAt(worker.GetAddress())
 		return nil
 	})
 	if err != nil {
@@ -440,6 +465,13 @@
 	return report, nil
 }
 
+// replacedMsg returns the message that the worker's process has ended.
+func (d *dispatcher) replacedMsg() hfplan.WorkerReplacedMsg {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return hfplan.WorkerReplaced(d.worker.GetId(), d.incarnation)
+}
+
 // recordAnswer records that a poll, which acknowledged the ends up to a sequence number, was
 // answered at an address.
 func (d *dispatcher) recordAnswer(address string, acknowledged int64) {
--- a/hforder/order.go
+++ b/hforder/order.go
@@ -27,7 +27,8 @@
 	// ErrUnanswered reports an order whose effect is not known: it may have been carried out, or
 	// may be carried out later.
 	ErrUnanswered = eris.New("no answer from worker")
-	// ErrNotSent reports that a start was not sent, as it is out of date or its worker is silent.
+	// ErrNotSent reports that a start was not sent, as it is out of date, or its worker is silent or
+	// has not answered at its address.
 	ErrNotSent = eris.New("start was not sent")
 	// ErrDisconnected reports that a poll for one incarnation of a worker was not sent, as no open
 	// connection certainly leads to that incarnation.
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/heatherfront/heatherfront/hfplacement"
+	"github.com/heatherfront/heatherfront/hfwire"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
 
@@ -14,11 +15,21 @@
 func (s *Scheduler) addRoster(roster []*hfwork.Worker) {
 	for _, registration := range roster {
 		if s.workers[registration.GetId()] == nil {
-			s.addWorker(registration)
+			s.addWorker(registration).answered = registration.GetAnswered()
 		}
 	}
 }
 
+// rosterEntry returns the worker as it is stored in the roster.
+func (w *worker) rosterEntry() *hfwork.Worker {
+	if w.registration.GetAnswered() == w.answered {
+		return w.registration
+	}
+	entry := hfwire.Copy(w.registration)
+	entry.Answered = w.answered
+	return entry
+}
+
 // addWorker adds a worker and schedules the roster to be stored.
 func (s *Scheduler) addWorker(registration *hfwork.Worker) *worker {
 	w := &worker{
@@ -61,7 +72,7 @@
 
 // replaceResources updates a worker whose registration has changed. An entry may have been
 // written late or by someone else, so it does not show that runs have ended: they count until
-// a report does. Runs that are only assigned are placed again.
+// a report does, and go on if they no longer fit. Runs that are only assigned are placed again.
 func (s *Scheduler) replaceResources(w *worker, registration *hfwork.Worker, now time.Time) {
 	for _, r := range sortedRuns(w.runs) {
 		if r.phase == assigned {
@@ -76,21 +87,52 @@
 		}
 		w.resources.AddRunning(r.task.group.size)
 	}
-	for _, size := range w.orphans {
+	for key, size := range w.orphans {
+		if s.task(key.task) == nil {
+			size = w.resources.Capacity()
+			w.orphans[key] = size
+		}
 		w.resources.Assign(size)
 		w.resources.AddRunning(size)
 	}
+	s.withdrawStarts(w, now)
+}
+
+// withdrawStarts stops runs that exceed the resources of a worker and whose start was not
+// confirmed, the latest first: it may still be queued, or be sent again.
+func (s *Scheduler) withdrawStarts(w *worker, now time.Time) {
+	var unconfirmed []*run
+	for _, r := range sortedRuns(w.runs) {
+		if r.phase == starting {
+			unconfirmed = append(unconfirmed, r)
+		}
+	}
+	slices.SortStableFunc(unconfirmed, func(a, b *run) int { return b.orderedAt.Compare(a.orderedAt) })
+	used := w.resources.Used()
+	for _, r := range unconfirmed {
+		if !used.Exceeds(w.resources.Capacity()) {
+			return
+		}
+		s.stopMembers(r, now)
+		used = used.Plus(r.task.group.size, -1)
+	}
 }
 
 // updateUsable decides whether tasks may be assigned to a worker.
 func (s *Scheduler) updateUsable(w *worker, now time.Time) {
-	usable := w.registered && w.inRoster && w.reported && !w.silent && !w.registration.GetDraining() && !w.upkeepPending && !now.Before(w.quarantinedUntil) && !now.Before(w.refusedUntil)
+	usable := w.registered && w.ownRegistration() && w.inRoster && w.reported && !w.silent && !w.registration.GetDraining() && !w.upkeepPending && !now.Before(w.quarantinedUntil) && !now.Before(w.refusedUntil)
 	if usable != w.resources.Usable() {
 		w.resources.SetUsable(usable)
 		s.needsPass = true
 	}
 }
 
+// ownRegistration reports whether the registration is that of the incarnation that reports. Another
+// one may have had other resources and labels.
+func (w *worker) ownRegistration() bool {
+	return w.incarnation == 0 || w.registration.GetBorn() == 0 || w.registration.GetBorn() == w.incarnation
+}
+
 // handleReport processes the report of a worker: its ended and its active runs. Runs
 // that a report should list but does not are considered lost, unless some in it could not be read.
 func (s *Scheduler) handleReport(m ReportMsg, now time.Time) {
@@ -109,6 +151,9 @@
 		s.emit(NoteCmd{note: NoteReporting, worker: w.id(), reason: "reports"})
 	}
 	w.incarnation, w.reported, w.silent = m.report.Incarnation(), true, false
+	if address := m.report.Address(); address != w.answered {
+		w.answered, w.inRoster, s.rosterChanged = address, false, true
+	}
 	for _, e := range m.report.Ended() {
 		if e.Sequence() <= w.lastEnd {
 			continue
@@ -400,25 +445,52 @@
 	s.resolvePriorRuns(w)
 }
 
+// endIncarnation ends the runs of an incarnation of a worker whose process has certainly ended: it
+// runs nothing, and the orders that it held have no effect. Runs that may be on the next
+// incarnation are kept. Runs that are only assigned are placed again.
+func (s *Scheduler) endIncarnation(w *worker, kept map[*run]bool, reason string, now time.Time) {
+	for _, r := range sortedRuns(w.runs) {
+		switch {
+		case kept[r]:
+		case r.phase == assigned:
+			s.stopMembers(r, now)
+		default:
+			s.finishRun(r, hfwork.LeaseExpired, "", reason, now)
+		}
+	}
+	for key := range w.orphans {
+		s.releaseOrphan(w, key)
+	}
+}
+
 // handleRestart ends the runs of the previous incarnation of a worker. Starts that
 // may have reached the new incarnation are stopped there.
 func (s *Scheduler) handleRestart(w *worker, sent, now time.Time) {
+	kept := map[*run]bool{}
 	for _, r := range sortedRuns(w.runs) {
-		if r.startUnanswered {
+		switch {
+		case r.startUnanswered:
 			// The new incarnation does not know of a stop that the previous one confirmed.
 			r.confirmedAt, r.orderedAt = time.Time{}, now
 			s.emit(StopCmd{worker: w.id(), task: r.task.id(), number: r.number})
-			continue
-		}
-		if r.phase == starting || (r.phase >= running && !sent.After(r.confirmedAt)) || r.confirmedAt.IsZero() && r.phase == stopping {
+			kept[r] = true
+		case r.phase == starting || (r.phase >= running && !sent.After(r.confirmedAt)) || r.confirmedAt.IsZero() && r.phase == stopping:
 			s.stopRun(r, now)
-			continue
+			kept[r] = true
 		}
-		s.finishRun(r, hfwork.LeaseExpired, "", "worker restarted", now)
 	}
-	for key := range w.orphans {
-		s.releaseOrphan(w, key)
+	s.endIncarnation(w, kept, "worker restarted", now)
+}
+
+// handleReplaced removes a worker whose process has ended. The next life of its machine has another
+// id, so it refuses every start that was sent to this worker.
+func (s *Scheduler) handleReplaced(m WorkerReplacedMsg, now time.Time) {
+	w := s.workers[m.worker]
+	if w == nil || w.incarnation != m.incarnation {
+		return
 	}
+	s.endIncarnation(w, nil, "worker replaced", now)
+	s.removeWorker(w, "worker replaced", now)
 }
 
 // checkRecovered detects when all runs of earlier schedulers are accounted for: each
