--- a/hfentry/observe.go
+++ b/hfentry/observe.go
@@ -32,6 +32,13 @@
 	case hfplan.NoteLateEnd:
 		n.log.Event(hfevent.EndLate, append(fields, zap.Uint32("step", c.Step()), zap.Uint32("task", c.Task()), zap.Int64("run", c.Number()),
 			zap.String("worker", c.Worker()), zap.Int64("current", c.Current()), zap.String("phase", c.Phase()))...)
+	case hfplan.NoteCrash:
+		n.log.Event(hfevent.WorkerCrashed, zap.String("worker", c.Worker()), zap.Int("runs", c.Tasks()), zap.Strings("suspects", taskNames(c.Suspects())),
+			zap.Bool("alone", c.Alone()), zap.String("reason", c.Reason()))
+	case hfplan.NoteIsolated:
+		n.log.Event(hfevent.TaskIsolated, append(fields, zap.Uint32("step", c.Step()), zap.Uint32("task", c.Task()), zap.Int64("run", c.Number()), zap.String("worker", c.Worker()))...)
+	case hfplan.NoteGaveUp:
+		n.log.Event(hfevent.TaskGivenUp, append(fields, zap.Uint32("step", c.Step()), zap.Uint32("task", c.Task()))...)
 	case hfplan.NoteQuarantined:
 		n.log.Event(hfevent.WorkerQuarantined, append(fields, zap.String("worker", c.Worker()))...)
 	case hfplan.NoteSilent:
@@ -45,6 +52,15 @@
 	}
 }
 
+// taskNames returns the names of tasks in the form JOB.OCCURRENCE.STEP.INDEX.
+func taskNames(tasks []hfwork.TaskID) []string {
+	names := make([]string, 0, len(tasks))
+	for _, t := range tasks {
+		names = append(names, fmt.Sprintf("%s.%d.%d.%d", t.Job(), t.Occurrence(), t.Step(), t.Index()))
+	}
+	return names
+}
+
 // OrderFinished implements hforder.Observer.
 func (n *Node) OrderFinished(verb string, task hfwork.TaskID, run int64, worker string, sent time.Time, err error) {
 	metrics.GetOrRegisterTimer("order."+verb, n.registry).UpdateSince(sent)
--- a/hfevent/catalogue.go
+++ b/hfevent/catalogue.go
@@ -74,6 +74,9 @@
 	LeaseRevoked     = Event{822, "lease-ended", zapcore.InfoLevel, "The scheduling lease of an earlier process of this instance was revoked, or the attempt failed."}
 	LeaseState       = Event{823, "lease-state", zapcore.InfoLevel, "A worker stopped answering, or answers again; the fields hold the latest lease that was granted to it and the clock from which that lease was calculated."}
 	EndLate          = Event{824, "end-late", zapcore.WarnLevel, "A worker reported the end of a run after the run was given up; the fields tell which run the task has now."}
+	WorkerCrashed    = Event{830, "worker-crashed", zapcore.WarnLevel, "A worker crashed under runs; the fields name the tasks that had just been started there, and tell whether one task or gang was alone."}
+	TaskIsolated     = Event{831, "task-isolated", zapcore.InfoLevel, "A worker crashed under a task before; it got a worker on which no other task is placed."}
+	TaskGivenUp      = Event{832, "task-given-up", zapcore.WarnLevel, "Workers crashed under a task as often as they may; its job has failed."}
 )
 
 // Catalogue returns every event.
@@ -90,6 +93,6 @@
 		JobAccepted, JobRefused, JobCancelled, JobUnknown, JobState, TasksPlaced, TasksPreempted, TaskRetried,
 		OrderFailed, PlanRecovered, WorkerSilent, WorkerReporting, WorkerRemoved, EntryRejected, PolicyApplied, MirrorReset,
 		SettingsRead, SettingsInvalid, LinesDropped, PlanLoad, HintsUnavailable, AnnounceFailed, LeaseRevoked,
-		LeaseState, EndLate,
+		LeaseState, EndLate, WorkerCrashed, TaskIsolated, TaskGivenUp,
 	}
 }
--- a/hfplacement/placement.go
+++ b/hfplacement/placement.go
@@ -40,6 +40,13 @@
 // Excluding excludes the workers for which excluded returns true.
 func (n Need) Excluding(excluded func(id string) bool) Need { n.excluded = excluded; return n }
 
+// AlsoExcluding excludes further workers.
+func (n Need) AlsoExcluding(excluded func(id string) bool) Need {
+	before := n.excluded
+	n.excluded = func(id string) bool { return excluded(id) || (before != nil && before(id)) }
+	return n
+}
+
 // ForGroup sets the group of the tasks and when they are expected to end if they start now.
 // Reserved workers are used if they are reserved for the group, or if the tasks end
 // before the reservation starts.
@@ -81,7 +88,7 @@
 
 // eligible reports whether the worker may be used, regardless of its free resources.
 func (n Need) eligible(w *Worker) bool {
-	if !w.usable || (n.excluded != nil && n.excluded(w.id)) {
+	if !w.usable || w.isolated || (n.excluded != nil && n.excluded(w.id)) {
 		return false
 	}
 	if w.reservedFor != nil && w.reservedFor != n.group && (n.expectedEnd.IsZero() || n.expectedEnd.After(w.reservedUntil)) {
--- a/hfplacement/workers.go
+++ b/hfplacement/workers.go
@@ -76,6 +76,7 @@
 	free           Resources // capacity minus all assigned tasks; negative while victims of a preemption still run
 	used           Resources // tasks that may be running: from before their start is sent until their end is known
 	usable         bool      // accepts new tasks
+	isolated       bool      // runs a task that no other task is placed beside
 	reservedFor    any       // group that the worker is reserved for, or nil
 	reservedUntil  time.Time // when that group is expected to start; shorter tasks may run until then
 }
@@ -99,6 +100,12 @@
 // SetUsable sets whether the worker accepts new tasks.
 func (w *Worker) SetUsable(usable bool) { w.usable = usable }
 
+// Isolated reports whether the worker runs a task that no other task is placed beside.
+func (w *Worker) Isolated() bool { return w.isolated }
+
+// SetIsolated sets whether the worker runs a task that no other task is placed beside.
+func (w *Worker) SetIsolated(isolated bool) { w.isolated = isolated }
+
 // Assign assigns a task of size s to the worker, which reduces its free resources.
 func (w *Worker) Assign(s Resources) { w.free = w.free.Plus(s, -1) }
 
--- /dev/null
+++ b/hfplan/crash.go
@@ -0,0 +1,293 @@
+package hfplan
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+const (
+	// maxCrashes is how many workers may crash under a task before its job fails. After three
+	// crashes, the platform allows two more starts.
+	maxCrashes = 5
+	// maxCrashesAlone is how many workers may crash under a task that had just begun with no
+	// other on the worker. The platform allows to give a task up after two crashes.
+	maxCrashesAlone = 2
+	// maxGangCrashesAlone is the same for a gang, which more unrelated crashes meet: any of its
+	// workers may crash by chance.
+	maxGangCrashesAlone = 3
+	// crashStartWindow is how long a run must have been at work to show that its start did not
+	// crash the worker. It is longer than the wait of a poll, so that a report shows it.
+	crashStartWindow = 2 * time.Second
+	// missingTime is how long the runs of a worker are kept whose leases have expired. Workers
+	// that crashed are back after some seconds; short cuts of the network have ended by then.
+	missingTime = 20 * time.Second
+	// unstableTime is how long the next crash at an address is not counted as that of a task
+	// that ran alone: the worker may crash by itself.
+	unstableTime = 30 * time.Second
+	// crashMemory is how long a task must have been at work in one run for earlier crashes to
+	// be forgotten, so that tasks that run for weeks do not collect unrelated ones.
+	crashMemory = time.Minute
+)
+
+// crashes counts the workers that crashed under a task. Gangs keep it in their primary task,
+// and count each run once, also if several of its workers crash.
+type crashes struct {
+	total    uint32 // runs lost in a crash, or with a worker that has not come back since they began
+	alone    uint32 // of these, runs that had just begun on a worker with nothing else
+	run      int64  // number of the last run that is included in total
+	aloneRun int64  // number of the last run that is included in alone
+	suspect  bool   // the last of these runs had just begun, and no run since has been at work for long
+}
+
+func crashesOf(c *hfwork.Crashes) crashes {
+	return crashes{total: c.GetTotal(), alone: c.GetAlone(), run: c.GetRun(), aloneRun: c.GetAloneRun(), suspect: c.GetSuspect()}
+}
+
+func (c crashes) toRecord() *hfwork.Crashes {
+	return &hfwork.Crashes{Total: c.total, Alone: c.alone, Run: c.run, AloneRun: c.aloneRun, Suspect: c.suspect}
+}
+
+// lostRun is a run that was lost with its worker.
+type lostRun struct {
+	task    *task // primary task of a gang
+	number  int64
+	worked  time.Duration // from its start to the last report that listed it
+	prior   bool          // started by an earlier scheduler: only its place is known
+	counted bool          // included in the crashes of the task before the crash was proven
+}
+
+// justBegun reports whether the start of the run may have crashed the worker.
+func (l lostRun) justBegun() bool { return l.worked < crashStartWindow }
+
+// missingWorker holds what ran on an incarnation of a worker when its leases expired. Either
+// a later incarnation proves that it crashed, or it was only cut off and reports again.
+type missingWorker struct {
+	id, address string
+	incarnation int64
+	forgetAt    time.Time
+	runs        []lostRun
+}
+
+// worked returns how long a run has been at work by the last report that listed it.
+func (r *run) worked() time.Duration { return max(0, r.progress.reportedAt.Sub(r.startedAt)) }
+
+// address returns the address of a worker, or its id if the address is not known.
+func (w *worker) address() string { return cmp.Or(w.registration.GetAddress(), w.id()) }
+
+// lostRuns returns the runs that are lost if the incarnation of a worker is over: those that
+// may have started. A worker that was about to leave or to go down for upkeep has not crashed.
+// After a change of the scheduler, nothing is known of the recorded runs but their places.
+func (s *Scheduler) lostRuns(w *worker) []lostRun {
+	if w.registration.GetDraining() || w.upkeepPending || w.upkeepRequested {
+		return nil
+	}
+	var lost []lostRun
+	for _, r := range sortedRuns(w.runs) {
+		if r.phase != assigned {
+			lost = append(lost, lostRun{task: r.task.group.primary(r.task), number: r.number, worked: r.worked()})
+		}
+	}
+	if w.reported {
+		return lost // its prior tasks have orphans, which are being stopped
+	}
+	return append(lost, s.lostPriorRuns(w)...)
+}
+
+// lostPriorRuns returns the runs that are lost if the incarnation is over on which an earlier
+// scheduler placed tasks. They are numbered as the last ones of the earlier term.
+func (s *Scheduler) lostPriorRuns(w *worker) []lostRun {
+	var lost []lostRun
+	for _, t := range sortedTasks(w.priorTasks) {
+		if s.orphans[t.id()] == 0 {
+			lost = append(lost, lostRun{task: t.group.primary(t), number: s.runNumberBase, prior: true})
+		}
+	}
+	return lost
+}
+
+// sortedTasks returns tasks ordered by job, occurrence, step and index.
+func sortedTasks(tasks map[*task]struct{}) []*task {
+	list := make([]*task, 0, len(tasks))
+	for t := range tasks {
+		list = append(list, t)
+	}
+	slices.SortFunc(list, func(a, b *task) int {
+		return cmp.Or(
+			cmp.Compare(a.group.job.id(), b.group.job.id()), cmp.Compare(a.group.occurrence, b.group.occurrence),
+			cmp.Compare(a.group.step, b.group.step), cmp.Compare(a.index, b.index),
+		)
+	})
+	return list
+}
+
+// blameCrash counts a proven crash against the tasks whose runs were lost in it.
+func (s *Scheduler) blameCrash(address, id string, lost []lostRun, now time.Time) {
+	if len(lost) == 0 {
+		return
+	}
+	alone := !slices.ContainsFunc(lost, func(l lostRun) bool { return l.task != lost[0].task })
+	note := NoteCmd{note: NoteCrash, worker: id, tasks: len(lost), alone: alone, reason: "a later incarnation answers"}
+	certain := alone && !now.Before(s.unstable[address])
+	if certain && lost[0].prior {
+		certain = lost[0].task.crashes.suspect // as recorded: it was isolated and had just begun
+	}
+	s.unstable[address] = now.Add(unstableTime)
+	for _, l := range lost {
+		s.countCrash(l, certain && l.justBegun())
+		if l.justBegun() {
+			note.suspects = append(note.suspects, l.task.id())
+		}
+	}
+	s.emit(note)
+	for _, l := range lost {
+		s.giveUpIfExhausted(l.task, now)
+	}
+	s.needsPass = true
+}
+
+// countCrash includes a lost run in the crashes of its task. It reports whether the run was not
+// included before.
+func (s *Scheduler) countCrash(l lostRun, alone bool) bool {
+	t := l.task
+	if t.done || t.group.job.final() {
+		return false
+	}
+	c, added := &t.crashes, l.number > t.crashes.run
+	if added && l.worked >= crashMemory {
+		*c = crashes{}
+	}
+	if added {
+		c.run, t.sharedFrom = l.number, time.Time{}
+		c.total++
+	}
+	if l.number == c.run {
+		c.suspect = l.justBegun()
+	}
+	if alone && l.number > c.aloneRun {
+		c.aloneRun = l.number
+		c.alone++
+	}
+	t.group.crashed = true
+	s.markDirty(t.group.job)
+	return added
+}
+
+// maxAlone returns how many workers may crash under a task, or its gang, that was alone.
+func (t *task) maxAlone() uint32 {
+	if t.group.gang() {
+		return maxGangCrashesAlone
+	}
+	return maxCrashesAlone
+}
+
+// giveUpIfExhausted fails the job of a task under which workers have crashed as often as they
+// may.
+func (s *Scheduler) giveUpIfExhausted(t *task, now time.Time) {
+	j, c := t.group.job, t.crashes
+	if t.done || j.final() || c.alone < t.maxAlone() && c.total < maxCrashes {
+		return
+	}
+	subject := fmt.Sprintf("task %d.%d", t.group.step, t.index)
+	if t.group.gang() {
+		subject = fmt.Sprintf("the gang of step %d", t.group.step)
+	}
+	reason := fmt.Sprintf("%d workers crashed while %s ran alone on them", c.alone, subject)
+	if c.alone < t.maxAlone() {
+		reason = fmt.Sprintf("%d workers crashed under %s", c.total, subject)
+	}
+	s.emit(NoteCmd{note: NoteGaveUp, job: j.id(), step: t.group.step, task: t.index, reason: reason})
+	s.endJob(j, hfwork.StateFailed, reason, now)
+	s.stopJob(j, now)
+}
+
+// presumeLost remembers the runs of a worker whose leases have expired, unless a later
+// incarnation is known already. Runs that had just begun are counted at once, so that they are
+// counted before their tasks start again.
+func (s *Scheduler) presumeLost(w *worker, now time.Time) {
+	lost, incarnation := s.lostRuns(w), cmp.Or(w.incarnation, w.rosterBorn)
+	if len(lost) == 0 || incarnation == 0 {
+		return
+	}
+	for _, id := range sortedKeys(s.workers) {
+		if o := s.workers[id]; o != w && o.address() == w.address() && o.incarnation > incarnation {
+			s.blameCrash(w.address(), w.id(), lost, now)
+			return
+		}
+	}
+	for i := range lost {
+		lost[i].counted = lost[i].justBegun() && s.countCrash(lost[i], false)
+		if lost[i].counted {
+			lost[i].task.crashes.suspect = false // not before the crash is proven
+		}
+	}
+	s.missing[w.id()] = &missingWorker{id: w.id(), address: w.address(), incarnation: incarnation, forgetAt: now.Add(missingTime), runs: lost}
+}
+
+// identifyCrashes processes the incarnation in a report of a worker: it proves that earlier
+// incarnations at the same address are over, or that the worker was only cut off.
+func (s *Scheduler) identifyCrashes(w *worker, incarnation int64, now time.Time) {
+	for _, id := range sortedKeys(s.missing) {
+		m := s.missing[id]
+		switch {
+		case id != w.id() && m.address != w.address():
+		case incarnation > m.incarnation:
+			delete(s.missing, id)
+			s.blameCrash(m.address, id, m.runs, now)
+		case id == w.id():
+			delete(s.missing, id)
+			s.absolve(m)
+		}
+	}
+}
+
+// absolve takes back what was counted for a worker that has not crashed.
+func (s *Scheduler) absolve(m *missingWorker) {
+	for _, l := range m.runs {
+		if t := l.task; l.counted && !t.done && !t.group.job.final() && t.crashes.run == l.number {
+			t.crashes.total--
+			s.markDirty(t.group.job)
+		}
+	}
+	s.needsPass = true
+}
+
+// blamePriorRuns counts a crash against the tasks that an earlier scheduler placed on a worker,
+// if its first report shows that the incarnation in the roster is over.
+func (s *Scheduler) blamePriorRuns(w *worker, now time.Time) {
+	if w.rosterBorn == 0 || w.incarnation <= w.rosterBorn || w.registration.GetDraining() || w.upkeepPending || w.upkeepRequested {
+		return
+	}
+	s.blameCrash(w.address(), w.id(), s.lostPriorRuns(w), now)
+}
+
+// recordIncarnation stores the incarnation of a worker with the roster, from which a later
+// scheduler knows on which one tasks were placed.
+func (s *Scheduler) recordIncarnation(w *worker, incarnation int64) {
+	if w.storedBorn != incarnation {
+		s.rosterChanged = true
+	}
+}
+
+// forgetCrashes ends the wait for proof of crashes, and forgets workers that have not crashed
+// for a while.
+func (s *Scheduler) forgetCrashes(now time.Time) {
+	for _, id := range sortedKeys(s.missing) {
+		m := s.missing[id]
+		if now.Before(m.forgetAt) {
+			continue
+		}
+		delete(s.missing, id)
+		for _, l := range m.runs {
+			s.giveUpIfExhausted(l.task, now)
+		}
+	}
+	for address, until := range s.unstable {
+		if !now.Before(until) {
+			delete(s.unstable, address)
+		}
+	}
+}
--- /dev/null
+++ b/hfplan/crash_test.go
@@ -0,0 +1,476 @@
+package hfplan
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/heatherfront/heatherfront/hfwire"
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+const (
+	crashDelay = 10 * time.Millisecond   // between the start of a deadly task and the crash
+	shortDown  = 3300 * time.Millisecond // of a worker that crashed, less than its lease
+	longDown   = 9 * time.Second         // more than its lease
+)
+
+// crash ends a worker with all that runs on it. It is back after its down time, under its id or,
+// if workers are renamed, under another one at the same address. One that is cut off is back at
+// once, behind the cut.
+func (w *world) crash(f *fakeWorker) {
+	cut := f.partitioned
+	f.partitioned = true
+	for _, name := range sortedKeys(f.runs) {
+		if r := f.runs[name]; r.gangSize > 1 {
+			for _, m := range w.gangOf(r) {
+				if m.worker != f {
+					w.finish(m.worker, m.run, hfwork.GangBroken)
+				}
+			}
+		}
+	}
+	f.incarnation++
+	f.runs, f.ended, f.lastEnd, f.highestRun, f.fence = map[string]*fakeRun{}, nil, 0, map[string]int64{}, 0
+	if cut {
+		return
+	}
+	w.at(w.downTime, func() {
+		if !w.rename {
+			f.partitioned = false
+			return
+		}
+		id := f.registration.GetId()
+		f.unlisted = true // its entry is gone, and it never answers again
+		next := &fakeWorker{
+			registration: hfwire.Copy(f.registration), incarnation: f.incarnation, runs: map[string]*fakeRun{}, highestRun: map[string]int64{}, slowdown: 1,
+		}
+		next.registration.Id, next.registration.Born = fmt.Sprintf("%s'", id), f.incarnation
+		w.fleet[next.registration.GetId()] = next
+		w.send(Workers(w.registered()))
+		next.polledAt = w.now
+		term := w.term
+		w.at(messageDelay, func() {
+			if w.term == term {
+				w.deliverReport(term, next)
+			}
+		})
+	})
+}
+
+// makeDeadly makes a task of the first occurrence and step of a job crash its workers.
+func (w *world) makeDeadly(job string, index uint32) string {
+	name := fmt.Sprint(hfwork.NewTaskID(job, 0, 0, index))
+	w.deadly[name] = true
+	return name
+}
+
+// maxStartsOfDeadly is the number of starts that BUDGET allows a task that crashes each worker:
+// three with the crashes that show it, and two more.
+const maxStartsOfDeadly = 5
+
+// renamings are the ways in which a worker is back after a crash.
+var renamings = map[string]bool{"under its id": false, "under another id": true}
+
+// Guards against BUDGET: a task that crashes each worker that starts it was started for as long as
+// its job lasted, and took the tasks beside it down each time.
+func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	for name, rename := range renamings {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 2, 4)
+			w.rename = rename
+			w.advance(time.Second)
+			w.submit("good", "usual", single(20, 6*time.Second))
+			task := w.makeDeadly("bad", 1)
+			w.submit("bad", "usual", single(3, 5*time.Second))
+			w.advance(60 * time.Second)
+			require.LessOrEqual(t, w.startCounts[task], maxStartsOfDeadly)
+			require.Equal(t, hfwork.StateFailed, w.state("bad"))
+			require.Contains(t, w.records["bad"].GetReason(), "task 0.1")
+			require.Equal(t, hfwork.StateCompleted, w.state("good"))
+			require.Zero(t, w.running("bad"))
+			for i := range uint32(20) {
+				require.LessOrEqual(t, w.startCounts[fmt.Sprint(hfwork.NewTaskID("good", 0, 0, i))], 2, "a task was lost again beside the suspect")
+			}
+		})
+	}
+}
+
+// Guards against BUDGET for a gang: a member that crashes its worker breaks the whole gang each time.
+func TestGangWithAMemberThatCrashesItsWorkerIsGivenUp(t *testing.T) {
+	for name, rename := range renamings {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 2, 4)
+			w.rename = rename
+			w.advance(time.Second)
+			w.submit("good", "usual", single(12, 6*time.Second))
+			task := w.makeDeadly("bad", 2)
+			w.submit("bad", "urgent", gang(4, 4, 5*time.Second))
+			w.advance(80 * time.Second)
+			require.LessOrEqual(t, w.startCounts[task], maxStartsOfDeadly)
+			require.Equal(t, hfwork.StateFailed, w.state("bad"))
+			require.Contains(t, w.records["bad"].GetReason(), "gang of step 0")
+			require.Equal(t, hfwork.StateCompleted, w.state("good"))
+		})
+	}
+}
+
+// Guards against BUDGET for lasting tasks, which have no limit of failed runs.
+func TestLastingTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	w := newWorld(t, 2, 4)
+	w.advance(time.Second)
+	step := single(2, time.Second)
+	step.Lasting = true
+	task := w.makeDeadly("bad", 0)
+	w.submit("bad", "usual", step)
+	w.advance(60 * time.Second)
+	require.LessOrEqual(t, w.startCounts[task], maxStartsOfDeadly)
+	require.Equal(t, hfwork.StateFailed, w.state("bad"))
+	require.Zero(t, w.running("bad"))
+}
+
+// Guards against two suspects that hide each other: each crash has two tasks that may have caused it.
+func TestTwoTasksThatCrashOneWorkerAreBothGivenUp(t *testing.T) {
+	w := newWorld(t, 2, 4)
+	w.advance(time.Second)
+	first, second := w.makeDeadly("a", 0), w.makeDeadly("b", 0)
+	w.submit("a", "usual", single(1, 5*time.Second))
+	w.submit("b", "usual", single(1, 5*time.Second))
+	w.submit("good", "usual", single(6, 5*time.Second))
+	w.advance(80 * time.Second)
+	for _, task := range []string{first, second} {
+		require.LessOrEqual(t, w.startCounts[task], maxStartsOfDeadly)
+	}
+	require.Equal(t, hfwork.StateFailed, w.state("a"))
+	require.Equal(t, hfwork.StateFailed, w.state("b"))
+	require.Equal(t, hfwork.StateCompleted, w.state("good"))
+}
+
+// Guards against a count that is lost with the leader, by a change of the leader at various times
+// after each crash.
+func TestCrashesAreCountedAcrossLeaders(t *testing.T) {
+	for name, rename := range renamings {
+		for _, delay := range []time.Duration{0, 50 * time.Millisecond, time.Second, 3 * time.Second, 4 * time.Second, 7 * time.Second, 8 * time.Second} {
+			t.Run(fmt.Sprint(name, " after ", delay), func(t *testing.T) {
+				w := newWorld(t, 2, 4)
+				w.rename = rename
+				w.advance(time.Second)
+				task := w.makeDeadly("bad", 0)
+				w.submit("bad", "usual", single(1, 5*time.Second))
+				w.submit("good", "usual", single(6, 5*time.Second))
+				for crashes := 0; crashes < 8 && w.state("bad") != hfwork.StateFailed; crashes++ {
+					for i := 0; i < 200 && w.startCounts[task] == crashes; i++ {
+						w.advance(100 * time.Millisecond)
+					}
+					w.advance(delay)
+					w.replaceScheduler()
+				}
+				w.advance(40 * time.Second)
+				require.LessOrEqual(t, w.startCounts[task], maxStartsOfDeadly)
+				require.Equal(t, hfwork.StateFailed, w.state("bad"))
+				require.Equal(t, hfwork.StateCompleted, w.state("good"))
+			})
+		}
+	}
+}
+
+// Guards against starts that go on uncounted while the store does not answer.
+func TestCrashesAreCountedWhileTheStoreIsAway(t *testing.T) {
+	w := newWorld(t, 2, 4)
+	w.advance(time.Second)
+	task := w.makeDeadly("bad", 0)
+	w.submit("bad", "usual", single(1, 5*time.Second))
+	for range 10 {
+		w.advance(2 * time.Second)
+		w.storeAway = !w.storeAway
+	}
+	w.storeAway = false
+	w.advance(60 * time.Second)
+	require.LessOrEqual(t, w.startCounts[task], maxStartsOfDeadly)
+	require.Equal(t, hfwork.StateFailed, w.state("bad"))
+}
+
+// Guards against a job that fails because one worker crashes by itself again and again.
+func TestWorkerThatCrashesByItselfFailsNoJob(t *testing.T) {
+	for name, rename := range renamings {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 2, 4)
+			w.rename = rename
+			w.advance(time.Second)
+			for i := range 30 {
+				w.submit(fmt.Sprintf("j%02d", i), "usual", single(4, 3*time.Second))
+				w.advance(1500 * time.Millisecond)
+				w.submit(fmt.Sprintf("g%02d", i), "usual", gang(2, 4, 3*time.Second))
+				w.advance(1500 * time.Millisecond)
+				for _, id := range sortedKeys(w.fleet) {
+					if f := w.fleet[id]; f.registration.GetAddress() == "10.0.w0-0" && !f.unlisted {
+						w.crash(f)
+					}
+				}
+			}
+			w.advance(60 * time.Second)
+			for i := range 30 {
+				require.Equal(t, hfwork.StateCompleted, w.state(fmt.Sprintf("j%02d", i)))
+				require.Equal(t, hfwork.StateCompleted, w.state(fmt.Sprintf("g%02d", i)))
+			}
+		})
+	}
+}
+
+var crashSeeds = flag.Uint64("crashseeds", 20, "number of worlds of TestChanceCrashesFailNoJob for each rate")
+
+// Guards against jobs that fail because workers crash or are cut off by chance. Below one crash
+// in a few seconds for eight workers, no job may fail.
+func TestChanceCrashesFailNoJob(t *testing.T) {
+	for _, mean := range []time.Duration{2 * time.Second, 4 * time.Second, 10 * time.Second} {
+		failed, jobs := 0, 0
+		for seed := range *crashSeeds {
+			random := rand.New(rand.NewPCG(seed, 20261207))
+			w := newWorld(t, 2, 4)
+			w.rename = seed%2 == 1
+			w.advance(time.Second)
+			n, next := 0, w.now
+			for range 60 {
+				if random.IntN(2) == 0 {
+					step := single(uint32(1+random.IntN(8)), time.Duration(500+random.IntN(5000))*time.Millisecond)
+					if random.IntN(2) == 0 {
+						step = gang(uint32(2+random.IntN(3)), int64(1+random.IntN(8)), time.Duration(500+random.IntN(5000))*time.Millisecond)
+					}
+					w.submit(fmt.Sprintf("j%03d", n), []string{"urgent", "usual"}[random.IntN(2)], step)
+					n++
+				}
+				w.advance(time.Second)
+				for !next.After(w.now) {
+					next = next.Add(time.Duration(random.ExpFloat64() * float64(mean)))
+					ids := sortedKeys(w.registered())
+					f := w.fleet[ids[random.IntN(len(ids))]]
+					if random.IntN(3) == 0 {
+						w.partition(f, time.Duration(500+random.IntN(12000))*time.Millisecond)
+					} else {
+						w.crash(f)
+					}
+				}
+			}
+			w.advance(200 * time.Second)
+			for i := range n {
+				jobs++
+				if w.state(fmt.Sprintf("j%03d", i)) != hfwork.StateCompleted {
+					failed++
+					t.Logf("seed %d: %s is %q: %s", seed, fmt.Sprintf("j%03d", i), w.state(fmt.Sprintf("j%03d", i)), w.records[fmt.Sprintf("j%03d", i)].GetReason())
+				}
+			}
+		}
+		t.Logf("a fault every %v among 8 workers: %d of %d jobs not completed", mean, failed, jobs)
+		if mean >= 10*time.Second {
+			require.Zero(t, failed)
+		}
+	}
+}
+
+// Guards against BUDGET when a worker is away for longer than its lease, so that tasks start again
+// before it is known that it crashed.
+func TestCrashesAreCountedBeforeTheyAreProven(t *testing.T) {
+	for name, rename := range renamings {
+		for _, replaced := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, " new leader ", replaced), func(t *testing.T) {
+				w := newWorld(t, 2, 4)
+				w.rename, w.downTime = rename, longDown
+				w.advance(time.Second)
+				task := w.makeDeadly("bad", 0)
+				w.submit("bad", "usual", single(1, 5*time.Second))
+				for range 16 {
+					w.advance(8 * time.Second)
+					if replaced {
+						w.replaceScheduler()
+					}
+				}
+				require.LessOrEqual(t, w.startCounts[task], maxStartsOfDeadly)
+				require.Equal(t, hfwork.StateFailed, w.state("bad"))
+			})
+		}
+	}
+}
+
+// Guards against BUDGET when several faults meet: tasks that crash their workers, random cuts, mute
+// workers, changes of the leader and a store that is away.
+func TestTaskThatCrashesItsWorkersIsGivenUpUnderRandomFaults(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 20261208))
+			w := newWorld(t, 2, 4)
+			w.rename, w.downTime = random.IntN(2) == 0, []time.Duration{shortDown, longDown}[random.IntN(2)]
+			w.advance(time.Second)
+			var deadly []string
+			for i := range 40 {
+				w.advance(time.Duration(100+random.IntN(1500)) * time.Millisecond)
+				ids := sortedKeys(w.registered())
+				f := w.fleet[ids[random.IntN(len(ids))]]
+				switch random.IntN(8) {
+				case 0:
+					w.replaceScheduler()
+				case 1:
+					w.partition(f, time.Duration(500+random.IntN(9000))*time.Millisecond)
+				case 2:
+					f.muted = true
+					w.at(time.Duration(300+random.IntN(2500))*time.Millisecond, func() { f.muted = false })
+				case 3:
+					w.storeAway = true
+					w.at(time.Duration(300+random.IntN(4000))*time.Millisecond, func() { w.storeAway = false })
+				default:
+					id, step := fmt.Sprintf("j%03d", i), single(uint32(1+random.IntN(6)), time.Duration(500+random.IntN(5000))*time.Millisecond)
+					if random.IntN(2) == 0 {
+						step = gang(uint32(2+random.IntN(3)), int64(1+random.IntN(8)), time.Duration(500+random.IntN(5000))*time.Millisecond)
+					}
+					if random.IntN(8) == 0 {
+						deadly = append(deadly, w.makeDeadly(id, 0))
+					}
+					w.submit(id, []string{"urgent", "usual", "spare"}[random.IntN(3)], step)
+				}
+			}
+			w.advance(300 * time.Second)
+			for _, task := range deadly {
+				require.LessOrEqual(t, w.startCounts[task], maxStartsOfDeadly, task)
+			}
+			for _, id := range sortedKeys(w.jobs) {
+				require.True(t, hfwork.IsFinal(w.state(id)), "%s is %q", id, w.state(id))
+				require.Zero(t, w.running(id), id)
+			}
+		})
+	}
+}
+
+// crashNotes returns the number of logged crashes.
+func (w *world) crashNotes() int {
+	n := 0
+	for _, note := range w.notes {
+		if note == NoteCrash {
+			n++
+		}
+	}
+	return n
+}
+
+// requireNoneBlamed requires that no crash was counted against a task.
+func (w *world) requireNoneBlamed() {
+	w.t.Helper()
+	require.Zero(w.t, w.crashNotes())
+	for _, j := range w.s.jobs {
+		for _, g := range j.groups {
+			for i := range g.tasks {
+				require.Zero(w.t, g.tasks[i].crashes.total, "%v", g.tasks[i].id())
+			}
+		}
+	}
+}
+
+// Guards against tasks that are blamed for a worker that was only cut off, and comes back after
+// its leases have expired.
+func TestCutWorkerBlamesNobody(t *testing.T) {
+	w := newWorld(t, 2, 4)
+	w.advance(time.Second)
+	w.submit("a", "usual", single(20, 30*time.Second))
+	w.advance(500 * time.Millisecond)
+	w.partition(w.fleet[w.busyWorker()], 12*time.Second)
+	w.advance(20 * time.Second)
+	w.requireNoneBlamed()
+	w.advance(40 * time.Second)
+	require.Equal(t, hfwork.StateCompleted, w.state("a"))
+}
+
+// Guards against tasks that are blamed for a worker that was taken down for upkeep.
+func TestUpkeepBlamesNobody(t *testing.T) {
+	w := newWorld(t, 2, 4)
+	w.advance(time.Second)
+	w.submit("a", "usual", single(40, 30*time.Second))
+	w.listMachines()
+	w.send(Wave(&hfwork.Wave{Number: 1, Machines: sortedKeys(w.fleet), Most: 2, Deadline: w.now.Add(15 * time.Second).UnixMilli()}))
+	for range 60 {
+		w.advance(500 * time.Millisecond)
+		w.listMachines()
+	}
+	require.Len(t, w.upkeepDone, 8)
+	w.requireNoneBlamed()
+	w.advance(200 * time.Second)
+	require.Equal(t, hfwork.StateCompleted, w.state("a"))
+}
+
+// Guards against tasks that are blamed for a worker that drains, ends and is back as another one.
+func TestLeavingWorkerBlamesNobody(t *testing.T) {
+	for name, rename := range renamings {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 2, 4)
+			w.rename = rename
+			w.advance(time.Second)
+			w.submit("a", "usual", single(20, 10*time.Second))
+			w.advance(500 * time.Millisecond)
+			f := w.fleet[w.busyWorker()]
+			f.registration = hfwire.Copy(f.registration)
+			f.registration.Draining = true
+			w.send(Workers(w.registered()))
+			w.crash(f)
+			w.advance(20 * time.Second)
+			w.requireNoneBlamed()
+			w.submit("b", "usual", single(20, 10*time.Second))
+			w.advance(500 * time.Millisecond)
+			left := w.fleet[w.busyWorker()]
+			left.partitioned, left.runs = true, map[string]*fakeRun{}
+			left.unlisted = true
+			w.send(WorkerLeft(left.registration.GetId()))
+			w.advance(time.Second)
+			w.requireNoneBlamed()
+			w.advance(60 * time.Second)
+			require.Equal(t, hfwork.StateCompleted, w.state("a"))
+			require.Equal(t, hfwork.StateCompleted, w.state("b"))
+		})
+	}
+}
+
+// Guards against isolation that holds innocent tasks back: all tasks that began on a worker just
+// before it crashed are suspects. They run again within isolationWait of the proof, or once the
+// last workers with room are no longer isolated.
+func TestManySuspectsWaitNoLongerThanIsolation(t *testing.T) {
+	for busy, bound := range map[bool]time.Duration{false: isolationWait, true: isolationWait + isolationTime + pollInterval} {
+		t.Run(fmt.Sprint("full ", busy), func(t *testing.T) {
+			w := newWorld(t, 2, 4)
+			w.advance(time.Second)
+			if busy {
+				w.submit("long", "usual", single(52, 60*time.Second))
+			}
+			w.advance(5 * time.Second)
+			w.submit("a", "usual", single(8, 20*time.Second))
+			w.advance(500 * time.Millisecond)
+			require.Equal(t, 8, w.running("a"))
+			crashed := w.fleet[w.workerOf("a")]
+			w.crash(crashed)
+			for i := 0; i < 200 && w.crashNotes() == 0; i++ {
+				w.advance(100 * time.Millisecond)
+			}
+			require.Positive(t, w.crashNotes())
+			w.advance(bound + 2*tickInterval)
+			require.Equal(t, 8, w.running("a"))
+			w.advance(120 * time.Second)
+			require.Equal(t, hfwork.StateCompleted, w.state("a"))
+		})
+	}
+}
+
+// workerOf returns the worker with the most runs of a job.
+func (w *world) workerOf(job string) string {
+	best, most := "", 0
+	for _, id := range sortedKeys(w.fleet) {
+		n := 0
+		for _, r := range w.fleet[id].runs {
+			if r.task.Job() == job {
+				n++
+			}
+		}
+		if n > most {
+			best, most = id, n
+		}
+	}
+	return best
+}
--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -48,6 +48,7 @@
 	tickets          map[string]ticket // by worker id, for advised queues
 	refusedWorkers   map[string]bool   // workers that may not run the step
 	reservedRack     string            // rack reserved for a compact gang, or ""
+	crashed          bool              // a worker has crashed under one of its tasks
 }
 
 // gang reports whether the tasks of the group must run together.
@@ -84,6 +85,8 @@
 	countedRun  int64  // number of the last run that is included in failures
 	checkpoint  string // latest checkpoint; gangs keep it in their primary task
 	priorWorker string // worker on which an earlier scheduler may have started the task, or that has an orphan of it, or ""
+	crashes     crashes
+	sharedFrom  time.Time // when it may be placed beside others although it is a suspect; zero before it had to wait
 }
 
 // workerID returns the worker on which the task may be running, or "".
@@ -127,6 +130,7 @@
 	startUnanswered   bool      // the start got no answer and may take effect later; the run is being stopped
 	resourcesReturned bool      // its resources are free for assignments although it has not ended
 	progress          progress
+	isolated          bool  // a run of a suspect: no other group is placed on its worker
 	pace              int64 // percentage confirmed by the worker, or unknownPace
 	requestedPace     int64 // percentage in the PaceCmd in flight, or unknownPace
 }
@@ -136,6 +140,9 @@
 	registration     *hfwork.Worker
 	resources        *hfplacement.Worker // free and used resources
 	incarnation      int64               // value in the last report; changes when the worker restarts
+	rosterBorn       int64               // start of the incarnation in the roster of an earlier scheduler, or 0
+	storedBorn       int64               // start of the incarnation in the roster as this scheduler stored it, or 0
+	upkeepRequested  bool                // the platform was asked to take its machine down, which ends this incarnation
 	reported         bool                // has reported to this scheduler
 	silent           bool                // did not answer the last poll
 	registered       bool                // is in the list of registered workers
--- a/hfplan/lifecycle.go
+++ b/hfplan/lifecycle.go
@@ -51,6 +51,7 @@
 		for i := range g.tasks {
 			s.awaitPriorRun(&g.tasks[i])
 			s.awaitOrphan(&g.tasks[i])
+			s.giveUpIfExhausted(&g.tasks[i], now)
 		}
 	}
 	s.needsPass = true
--- a/hfplan/message.go
+++ b/hfplan/message.go
@@ -227,6 +227,9 @@
 	NoteRemoved     Note = "gone"      // a worker was removed
 	NoteRecovered   Note = "settled"   // all runs of earlier schedulers are accounted for
 	NoteLateEnd     Note = "late-end"  // a worker reported the end of a run after the run was given up
+	NoteCrash       Note = "crash"     // a worker crashed, or was lost, under runs
+	NoteIsolated    Note = "isolated"  // a task was placed with no other group on its worker
+	NoteGaveUp      Note = "gave-up"   // workers crashed under a task as often as they may
 )
 
 // NoteCmd asks to log a decision or state change.
@@ -238,13 +241,22 @@
 	tasks  int
 	reason string
 
-	task    uint32    // index of the task, for NoteRetry and NoteLateEnd
-	number  int64     // of the run, for NoteRetry and NoteLateEnd
+	task    uint32    // index of the task, for NoteRetry, NoteLateEnd, NoteIsolated and NoteGaveUp
+	number  int64     // of the run, for NoteRetry, NoteLateEnd and NoteIsolated
 	current int64     // number of the task's current run, or 0, for NoteLateEnd
 	phase   string    // of the current run, for NoteLateEnd
 	expires time.Time // when the leases expire, for NoteSilent
+
+	suspects []hfwork.TaskID // tasks whose runs had just begun, for NoteCrash
+	alone    bool            // the lost runs belong to one task or gang, for NoteCrash
 }
 
+// Suspects returns the tasks whose runs had just begun on the worker of a NoteCrash.
+func (c NoteCmd) Suspects() []hfwork.TaskID { return c.suspects }
+
+// Alone reports whether the worker of a NoteCrash ran one task or gang only.
+func (c NoteCmd) Alone() bool { return c.alone }
+
 // Note returns the kind of note.
 func (c NoteCmd) Note() Note { return c.note }
 
@@ -263,10 +275,10 @@
 // Reason returns the cause, or the new state for a NoteState.
 func (c NoteCmd) Reason() string { return c.reason }
 
-// Task returns the index of the task of a NoteRetry or NoteLateEnd.
+// Task returns the index of the task of a NoteRetry, NoteLateEnd, NoteIsolated or NoteGaveUp.
 func (c NoteCmd) Task() uint32 { return c.task }
 
-// Number returns the number of the run of a NoteRetry or NoteLateEnd.
+// Number returns the number of the run of a NoteRetry, NoteLateEnd or NoteIsolated.
 func (c NoteCmd) Number() int64 { return c.number }
 
 // Current returns the number of the run that the task of a NoteLateEnd has now, or 0.
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -206,7 +206,7 @@
 // unconstrained reports whether the group can use any worker of its pool that has
 // enough room.
 func (g *group) unconstrained() bool {
-	return g.spec.GetLabel() == "" && g.spec.GetApart() == 0 && !g.job.queue.GetAdvised() && len(g.avoid) == 0
+	return g.spec.GetLabel() == "" && g.spec.GetApart() == 0 && !g.job.queue.GetAdvised() && len(g.avoid) == 0 && !g.crashed
 }
 
 // placeGroups assigns the waiting groups to workers in scheduling order. Except for
@@ -251,11 +251,18 @@
 // gang or none, and as many single tasks as fit. It reports whether every task was
 // assigned.
 func (s *Scheduler) placeGroup(g *group, now time.Time) bool {
-	need, count := s.placementNeed(g, now), g.waiting()
+	need := s.placementNeed(g, now)
+	if g.crashed {
+		s.placeSuspects(g, need, now)
+	}
+	count := g.waitingShared(now)
 	if !g.gang() {
 		placements, placed := s.resources.PlaceAcrossRacks(need, count)
 		s.assign(g, placements, now)
-		return placed == count
+		return placed == count && g.waiting() == 0
+	}
+	if count == 0 {
+		return g.waiting() == 0
 	}
 	if g.spec.GetCompact() {
 		if placements, ok := s.resources.PlaceInOneRack(need, count); ok {
@@ -274,9 +281,15 @@
 	return true
 }
 
-// assign creates a run on the placed workers for each placed task of a group. The
-// members of a gang share one run number.
+// assign creates a run on the placed workers for each placed task of a group that need not be
+// isolated. The members of a gang share one run number.
 func (s *Scheduler) assign(g *group, placements []hfplacement.Placement, now time.Time) {
+	s.assignRuns(g, placements, false, now)
+}
+
+// assignRuns creates a run for each placed task: either for tasks that are isolated, or for
+// those that are not.
+func (s *Scheduler) assignRuns(g *group, placements []hfplacement.Placement, isolated bool, now time.Time) {
 	if len(placements) == 0 {
 		return
 	}
@@ -293,7 +306,7 @@
 	for _, p := range placements {
 		w := s.workers[p.Worker().ID()]
 		for range p.Tasks() {
-			for g.tasks[next].done || g.tasks[next].run != nil || g.tasks[next].priorWorker != "" {
+			for !g.tasks[next].waiting() || g.tasks[next].held() || g.tasks[next].isolates(now) != isolated {
 				next++
 			}
 			t := &g.tasks[next]
@@ -305,6 +318,9 @@
 			t.run = &run{task: t, worker: w, number: runNumber, phase: assigned, pace: fullPace, requestedPace: unknownPace}
 			w.runs[t.run] = struct{}{}
 			w.resources.Assign(g.size)
+			if isolated {
+				s.isolate(t.run)
+			}
 			g.active++
 			g.assigned++
 			placed++
--- a/hfplan/preempt.go
+++ b/hfplan/preempt.go
@@ -19,7 +19,10 @@
 	if now.Before(g.preemptNotBefore) {
 		return false
 	}
-	need, count := s.placementNeed(g, now), g.waiting()
+	need, count := s.placementNeed(g, now), g.waitingShared(now)
+	if count == 0 {
+		return false
+	}
 	victims := s.victims(g, now)
 	if len(victims) == 0 {
 		return false
--- a/hfplan/record.go
+++ b/hfplan/record.go
@@ -1,6 +1,7 @@
 package hfplan
 
 import (
+	"cmp"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -26,6 +27,9 @@
 			t.failures = sp.GetFailures()[uint32(i)]
 			t.checkpoint = sp.GetSaved()[uint32(i)]
 			t.priorWorker = sp.GetPlaces()[uint32(i)]
+			if c := sp.GetCrashes()[uint32(i)]; c != nil {
+				t.crashes, g.crashed = crashesOf(c), true
+			}
 		}
 	}
 }
@@ -52,6 +56,12 @@
 				}
 				sp.Failures[uint32(i)], sp.Counted[uint32(i)] = t.failures, t.countedRun
 			}
+			if t.crashes.total > 0 && !t.done {
+				if sp.Crashes == nil {
+					sp.Crashes = map[uint32]*hfwork.Crashes{}
+				}
+				sp.Crashes[uint32(i)] = t.crashes.toRecord()
+			}
 			if worker := t.workerID(); worker != "" && !t.done {
 				if sp.Places == nil {
 					sp.Places = map[uint32]string{}
@@ -65,7 +75,7 @@
 				sp.Saved[uint32(i)] = t.checkpoint
 			}
 		}
-		if sp.Done != nil || sp.Failures != nil || sp.Saved != nil || sp.Places != nil {
+		if sp.Done != nil || sp.Failures != nil || sp.Saved != nil || sp.Places != nil || sp.Crashes != nil {
 			p.Steps = append(p.Steps, sp)
 		}
 	}
@@ -103,12 +113,24 @@
 		s.rosterChanged, s.rosterInFlight = false, nil
 		for _, id := range sortedKeys(s.workers) {
 			s.rosterInFlight = append(s.rosterInFlight, s.workers[id])
-			c.roster = append(c.roster, s.workers[id].registration)
+			c.roster = append(c.roster, s.workers[id].rosterEntry())
 		}
 	}
 	s.emit(c)
 }
 
+// rosterEntry returns the entry of a worker in the roster, with the incarnation that tasks were
+// placed on: the one that has reported, or else that of the earlier scheduler.
+func (w *worker) rosterEntry() *hfwork.Worker {
+	w.storedBorn = cmp.Or(w.incarnation, w.rosterBorn, w.registration.GetBorn())
+	if w.registration.GetBorn() == w.storedBorn {
+		return w.registration
+	}
+	entry := proto.Clone(w.registration).(*hfwork.Worker)
+	entry.Born = w.storedBorn
+	return entry
+}
+
 // acknowledge tells workers up to which sequence number their ends are stored.
 func (s *Scheduler) acknowledge(acks map[*worker]int64) {
 	for w, sequence := range acks {
--- a/hfplan/run.go
+++ b/hfplan/run.go
@@ -141,6 +141,7 @@
 			delete(s.jobs, id)
 		}
 	}
+	s.forgetCrashes(now)
 	s.checkRecovered(now)
 	s.stopPartialGangs(now)
 	s.advanceWaves(now)
@@ -167,6 +168,7 @@
 func (s *Scheduler) tickWorker(w *worker, now time.Time) {
 	s.updateUsable(w, now)
 	if (w.silent || !w.reported) && !now.Before(w.leaseExpiry) {
+		s.presumeLost(w, now)
 		if !w.registered {
 			s.removeWorker(w, "lease lapsed", now)
 			return
--- a/hfplan/upkeep.go
+++ b/hfplan/upkeep.go
@@ -217,6 +217,9 @@
 		}
 		if drained := worker == nil || s.drainWorker(worker, w.mustForce(u, now), now); drained && mayGoDown {
 			u.phase, u.requestedAt, u.workerBefore = upkeepRequested, now, m.GetWorker()
+			if worker != nil {
+				worker.upkeepRequested = true
+			}
 			s.emit(UpkeepCmd{machine: name, wave: w.spec.GetNumber()})
 		}
 	case upkeepRequested:
@@ -226,6 +229,9 @@
 		}
 	case upkeepDown:
 		u.seenDown = u.seenDown || !m.GetUp()
+		if worker != nil && !m.GetUp() {
+			worker.upkeepRequested = true // an earlier scheduler may have asked for it
+		}
 		if m.GetUp() && (u.seenDown || m.GetWorker() != u.workerBefore || now.Sub(u.phaseSince) > maxUpkeepTime) {
 			u.phase = upkeepFinished
 			if worker != nil {
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -14,7 +14,7 @@
 func (s *Scheduler) addRoster(roster []*hfwork.Worker) {
 	for _, registration := range roster {
 		if s.workers[registration.GetId()] == nil {
-			s.addWorker(registration)
+			s.addWorker(registration).rosterBorn = registration.GetBorn()
 		}
 	}
 }
@@ -69,7 +69,9 @@
 		}
 	}
 	s.resources.Remove(w.id())
+	isolated := w.resources.Isolated()
 	w.resources = s.addResources(registration)
+	w.resources.SetIsolated(isolated)
 	for r := range w.runs {
 		if !r.resourcesReturned {
 			w.resources.Assign(r.task.group.size)
@@ -98,6 +100,7 @@
 	if w == nil {
 		return
 	}
+	s.identifyCrashes(w, m.report.Incarnation(), now)
 	if w.incarnation != 0 && m.report.Incarnation() != w.incarnation {
 		s.handleRestart(w, m.sent, now)
 		w.lastEnd, w.failedJobs, w.quarantines = 0, map[string]bool{}, 0
@@ -108,6 +111,8 @@
 	if w.silent || !w.reported {
 		s.emit(NoteCmd{note: NoteReporting, worker: w.id(), reason: "reports"})
 	}
+	first := w.incarnation == 0
+	s.recordIncarnation(w, m.report.Incarnation())
 	w.incarnation, w.reported, w.silent = m.report.Incarnation(), true, false
 	for _, e := range m.report.Ended() {
 		if e.Sequence() <= w.lastEnd {
@@ -133,8 +138,12 @@
 		}
 	}
 	if complete {
+		if first {
+			s.blamePriorRuns(w, now)
+		}
 		s.resolvePriorRuns(w)
 	}
+	s.endIsolation(w)
 	s.handleStalls(w, now)
 	s.adjustPace(w, m.report.Running(), now)
 	s.updateUsable(w, now)
@@ -210,6 +219,9 @@
 	}
 	s.resolvePriorRun(t)
 	s.confirmRun(r, now)
+	if t.suspect() {
+		s.isolate(r)
+	}
 	return r
 }
 
@@ -266,6 +278,9 @@
 		w.resources.RemoveRunning(t.group.size)
 	}
 	delete(w.runs, r)
+	if r.isolated {
+		w.updateIsolated()
+	}
 	t.run = nil
 	t.group.active--
 	if t.done {
@@ -403,6 +418,8 @@
 // handleRestart ends the runs of the previous incarnation of a worker. Starts that
 // may have reached the new incarnation are stopped there.
 func (s *Scheduler) handleRestart(w *worker, sent, now time.Time) {
+	s.blameCrash(w.address(), w.id(), s.lostRuns(w), now)
+	w.upkeepRequested = false
 	for _, r := range sortedRuns(w.runs) {
 		if r.startUnanswered {
 			// The new incarnation does not know of a stop that the previous one confirmed.
--- a/hfplan/world_test.go
+++ b/hfplan/world_test.go
@@ -53,6 +53,11 @@
 	interrupted    int             // runs ended by an upkeep
 	lostTime       time.Duration   // accelerator time of runs without checkpoints that ended early
 	network        *network        // between the leader and the workers; nil if orders and reports arrive at once
+	deadly         map[string]bool // tasks that crash the worker that starts them
+	storeAway      bool            // a StoreCmd is carried out when the store is back
+	rename         bool            // a worker that crashed is back under another id
+	downTime       time.Duration   // of a worker that crashed
+	startCounts    map[string]int  // starts by task
 	starts         map[string]time.Time
 	noted          map[string]bool // tasks with an acknowledged end as done
 }
@@ -138,7 +143,7 @@
 	t.Helper()
 	w := &world{
 		t: t, now: time.Unix(1_000_000, 0), fleet: map[string]*fakeWorker{}, records: map[string]*hfwork.Progress{},
-		starts: map[string]time.Time{}, noted: map[string]bool{}, downUntil: map[string]time.Time{}, upkeepDone: map[string]bool{}, jobs: map[string]*hfwork.Job{}, cancelled: map[string]bool{}, durations: map[string]time.Duration{}, failingJobs: map[string]bool{},
+		deadly: map[string]bool{}, downTime: shortDown, startCounts: map[string]int{}, starts: map[string]time.Time{}, noted: map[string]bool{}, downUntil: map[string]time.Time{}, upkeepDone: map[string]bool{}, jobs: map[string]*hfwork.Job{}, cancelled: map[string]bool{}, durations: map[string]time.Duration{}, failingJobs: map[string]bool{},
 	}
 	w.policy = &hfwork.Policy{Version: 1, Pools: []*hfwork.Pool{{Name: "pool"}}, Accounts: []*hfwork.Account{{Name: "plants", Guaranteed: int64(racks * perRack * 4)}}}
 	for p, name := range []string{"urgent", "usual", "spare"} {
@@ -148,7 +153,7 @@
 		for i := range perRack {
 			id := fmt.Sprintf("w%d-%d", r, i)
 			w.fleet[id] = &fakeWorker{
-				registration: &hfwork.Worker{Id: id, Pool: "pool", Rack: fmt.Sprintf("r%d", r), Cpu: 128_000, Memory: 262_144, Accelerators: 8},
+				registration: &hfwork.Worker{Id: id, Pool: "pool", Rack: fmt.Sprintf("r%d", r), Address: "10.0." + id, Cpu: 128_000, Memory: 262_144, Accelerators: 8},
 				incarnation:  1, runs: map[string]*fakeRun{}, highestRun: map[string]int64{}, slowdown: 1,
 			}
 		}
@@ -288,10 +293,15 @@
 			reply(Stopped(c, OutcomeUnknown))
 		})
 	case StoreCmd:
-		w.at(storeDelay, func() {
+		var save func()
+		save = func() {
 			if w.term != term {
 				return
 			}
+			if w.storeAway {
+				w.at(tickInterval, save)
+				return
+			}
 			for id, p := range c.Records() {
 				w.records[id] = p
 			}
@@ -299,7 +309,8 @@
 				w.roster = c.Roster()
 			}
 			w.send(Stored(c))
-		})
+		}
+		w.at(storeDelay, save)
 	case AckCmd:
 		w.at(messageDelay, func() {
 			if f := w.fleet[c.Worker()]; f != nil && !f.partitioned {
@@ -385,6 +396,14 @@
 	}
 	require.False(w.t, w.noted[name], "%s starts again after its end as done was acknowledged", name)
 	w.starts[name] = w.now
+	w.startCounts[name]++
+	if w.deadly[name] {
+		w.at(crashDelay, func() {
+			if f.runs[name] != nil {
+				w.crash(f)
+			}
+		})
+	}
 	if w.network != nil {
 		w.trace("started %s run %d on %s", name, c.Number(), f.registration.GetId())
 	}
