Recognize crashes without comparing clocks, and excuse upkeep once

What callers would see: after a worker's clock was set back, its next life began earlier by that clock, and its crashes were not recognized: no isolation, and a task that went on. TestCrashIsRecognizedIfTheClockWasSetBack was seen failing on (crash_test.go:118: "running" for "failed", :119: "5 workers crashed under task 0.0").

Incarnations are compared for equality only; at an address, the worker that answers is the present one. A machine that is back from upkeep no longer excuses its worker. A reservation for a suspect heeds the label that its task needs.

--- a/hfplan/crash.go
+++ b/hfplan/crash.go
@@ -204,8 +204,8 @@
 	s.stopJob(j, now)
 }
 
-// presumeLost remembers the runs of a worker whose leases have expired, unless a later
-// incarnation is known already. Runs that had just begun are counted at once, so that they are
+// presumeLost remembers the runs of a worker whose leases have expired, unless another worker
+// answers at its address already. Runs that had just begun are counted at once, so that they are
 // counted before their tasks start again.
 func (s *Scheduler) presumeLost(w *worker, now time.Time) {
 	lost, incarnation := s.lostRuns(w), cmp.Or(w.incarnation, w.rosterBorn)
@@ -213,7 +213,7 @@
 		return
 	}
 	for _, id := range sortedKeys(s.workers) {
-		if o := s.workers[id]; o != w && o.address() == w.address() && o.incarnation > incarnation {
+		if o := s.workers[id]; o != w && o.address() == w.address() && o.reported && !o.silent {
 			s.blameCrash(w.address(), w.id(), lost, now)
 			return
 		}
@@ -227,19 +227,20 @@
 	s.missing[w.id()] = &missingWorker{id: w.id(), address: w.address(), incarnation: incarnation, forgetAt: now.Add(missingTime), runs: lost}
 }
 
-// identifyCrashes processes the incarnation in a report of a worker: it proves that earlier
-// incarnations at the same address are over, or that the worker was only cut off.
+// identifyCrashes processes the incarnation in a report of a worker: it proves that missing
+// incarnations at the same address are over, or that the worker was only cut off. Incarnations
+// are compared for equality only, as clocks may be set back.
 func (s *Scheduler) identifyCrashes(w *worker, incarnation int64, now time.Time) {
 	for _, id := range sortedKeys(s.missing) {
 		m := s.missing[id]
 		switch {
 		case id != w.id() && m.address != w.address():
-		case incarnation > m.incarnation:
-			delete(s.missing, id)
-			s.blameCrash(m.address, id, m.runs, now)
-		case id == w.id():
+		case id == w.id() && incarnation == m.incarnation:
 			delete(s.missing, id)
 			s.absolve(m)
+		default:
+			delete(s.missing, id)
+			s.blameCrash(m.address, id, m.runs, now)
 		}
 	}
 }
@@ -258,7 +259,7 @@
 // blamePriorRuns counts a crash against the tasks that an earlier scheduler placed on a worker,
 // if its first report shows that the incarnation in the roster is over.
 func (s *Scheduler) blamePriorRuns(w *worker, now time.Time) {
-	if w.rosterBorn == 0 || w.incarnation <= w.rosterBorn || w.registration.GetDraining() || w.upkeepPending || w.upkeepRequested {
+	if w.rosterBorn == 0 || w.incarnation == w.rosterBorn || w.registration.GetDraining() || w.upkeepPending || w.upkeepRequested {
 		return
 	}
 	s.blameCrash(w.address(), w.id(), s.lostPriorRuns(w), now)
--- a/hfplan/crash_test.go
+++ b/hfplan/crash_test.go
@@ -34,7 +34,7 @@
 			}
 		}
 	}
-	f.incarnation++
+	f.incarnation += w.bornStep
 	f.runs, f.ended, f.lastEnd, f.highestRun, f.fence = map[string]*fakeRun{}, nil, 0, map[string]int64{}, 0
 	if cut {
 		return
@@ -100,6 +100,28 @@
 	}
 }
 
+// Guards against crashes that are not recognized since the clock of a worker was set back: its next
+// life then began earlier by that clock.
+func TestCrashIsRecognizedIfTheClockWasSetBack(t *testing.T) {
+	for name, rename := range renamings {
+		for _, down := range []time.Duration{shortDown, longDown} {
+			t.Run(fmt.Sprint(name, " after ", down), func(t *testing.T) {
+				w := newWorld(t, 2, 4)
+				w.rename, w.downTime, w.bornStep = rename, down, -1
+				for _, f := range w.fleet {
+					f.incarnation = 1000
+				}
+				w.advance(time.Second)
+				w.makeDeadly("bad", 0)
+				w.submit("bad", "usual", single(1, 5*time.Second))
+				w.advance(80 * time.Second)
+				require.Equal(t, hfwork.StateFailed, w.state("bad"))
+				require.Contains(t, w.records["bad"].GetReason(), "ran alone")
+			})
+		}
+	}
+}
+
 // Guards against BUDGET for a gang: a member that crashes its worker breaks the whole gang each time.
 func TestGangWithAMemberThatCrashesItsWorkerIsGivenUp(t *testing.T) {
 	for name, rename := range renamings {
@@ -450,7 +472,12 @@
 				w.advance(100 * time.Millisecond)
 			}
 			require.Positive(t, w.crashNotes())
-			w.advance(bound + 2*tickInterval)
+			proven := w.now
+			for w.running("a") < 8 && w.now.Sub(proven) < time.Minute {
+				w.advance(50 * time.Millisecond)
+			}
+			t.Logf("all suspects run %v after the proof", w.now.Sub(proven))
+			require.LessOrEqual(t, w.now.Sub(proven), bound+2*tickInterval)
 			require.Equal(t, 8, w.running("a"))
 			w.advance(120 * time.Second)
 			require.Equal(t, hfwork.StateCompleted, w.state("a"))
@@ -474,3 +501,83 @@
 	}
 	return best
 }
+
+// Guards against tasks that are blamed for an upkeep that begins while their worker drains, since
+// an order of an earlier leader was carried out late.
+func TestEarlyUpkeepBlamesNobody(t *testing.T) {
+	w := newWorld(t, 2, 4)
+	w.advance(time.Second)
+	w.submit("a", "usual", single(20, 10*time.Second))
+	w.advance(500 * time.Millisecond)
+	w.listMachines()
+	busy := w.busyWorker()
+	w.send(Wave(&hfwork.Wave{Number: 1, Machines: []string{busy}, Most: 1, Deadline: w.now.Add(time.Minute).UnixMilli()}))
+	w.advance(3 * tickInterval)
+	require.True(t, w.s.workers[busy].upkeepPending)
+	w.beginUpkeep(busy)
+	require.Positive(t, w.interrupted)
+	w.advance(10 * time.Second)
+	w.requireNoneBlamed()
+}
+
+// Guards against tasks that are placed beside a suspect: one that crashes its worker would take
+// them down, too. Once the suspect has been at work for a while, its worker is shared again.
+func TestNothingIsPlacedBesideASuspect(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.advance(time.Second)
+	w.submit("a", "usual", single(1, 30*time.Second))
+	w.advance(100 * time.Millisecond)
+	w.crash(w.fleet[w.workerOf("a")])
+	for i := 0; i < 200 && w.crashNotes() == 0; i++ {
+		w.advance(50 * time.Millisecond)
+	}
+	w.advance(100 * time.Millisecond)
+	alone := w.fleet[w.workerOf("a")]
+	w.submit("b", "urgent", single(26, 30*time.Second))
+	w.advance(time.Second)
+	require.Len(t, alone.runs, 1)
+	require.Equal(t, 24, w.running("b"), "the rest waits for the isolated worker")
+	w.advance(isolationTime + pollInterval)
+	require.Equal(t, 26, w.running("b"))
+	require.Len(t, alone.runs, 3)
+}
+
+// Guards against a task that is blamed for a worker that crashes by itself: the second crash at one
+// address does not show that the task alone there caused it. At another address it does.
+func TestSecondCrashAtOneAddressIsNotHeldAgainstALoneTask(t *testing.T) {
+	for _, other := range []bool{false, true} {
+		d := newDesk(t, 1, "a", "b")
+		d.report("a")
+		d.report("b")
+		d.store()
+		d.startAll("j", deskStep(1))
+		group := d.s.jobs["j"].groups[0]
+		for i, address := range []string{"x", map[bool]string{false: "x", true: "y"}[other]} {
+			d.s.blameCrash(address, "a", []lostRun{{task: &group.tasks[0], number: int64(i + 1)}}, d.now)
+		}
+		require.Equal(t, other, d.s.jobs["j"].final(), "other address: %v", other)
+	}
+}
+
+// Guards against more starts than needed when the leader changes at each crash: a recorded suspect
+// had its worker to itself.
+func TestNewLeaderKnowsThatASuspectWasAlone(t *testing.T) {
+	for name, rename := range renamings {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 2, 4)
+			w.rename = rename
+			w.advance(time.Second)
+			task := w.makeDeadly("bad", 0)
+			w.submit("bad", "usual", single(1, 5*time.Second))
+			for crashes := 0; crashes < 8 && w.state("bad") != hfwork.StateFailed; crashes++ {
+				for i := 0; i < 200 && w.startCounts[task] == crashes; i++ {
+					w.advance(100 * time.Millisecond)
+				}
+				w.replaceScheduler()
+			}
+			w.advance(20 * time.Second)
+			require.LessOrEqual(t, w.startCounts[task], 3)
+			require.Contains(t, w.records["bad"].GetReason(), "ran alone")
+		})
+	}
+}
--- a/hfplan/isolation.go
+++ b/hfplan/isolation.go
@@ -1,6 +1,7 @@
 package hfplan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/heatherfront/heatherfront/hfplacement"
@@ -189,6 +190,9 @@
 		if !w.Usable() || w.Isolated() || w.Reserved() || g.avoid[w.ID()] || w.Capacity().CountFitting(g.size) == 0 {
 			return
 		}
+		if label := g.spec.GetLabel(); label != "" && !slices.Contains(s.workers[w.ID()].registration.GetLabels(), label) {
+			return
+		}
 		at := now
 		for r := range s.workers[w.ID()].runs {
 			if r.task.group.spec.GetLasting() {
--- a/hfplan/upkeep.go
+++ b/hfplan/upkeep.go
@@ -235,7 +235,7 @@
 		if m.GetUp() && (u.seenDown || m.GetWorker() != u.workerBefore || now.Sub(u.phaseSince) > maxUpkeepTime) {
 			u.phase = upkeepFinished
 			if worker != nil {
-				worker.upkeepPending = false
+				worker.upkeepPending, worker.upkeepRequested = false, false
 				s.updateUsable(worker, now)
 			}
 		}
--- a/hfplan/world_test.go
+++ b/hfplan/world_test.go
@@ -57,6 +57,7 @@
 	storeAway      bool            // a StoreCmd is carried out when the store is back
 	rename         bool            // a worker that crashed is back under another id
 	downTime       time.Duration   // of a worker that crashed
+	bornStep       int64           // difference between the starts of two incarnations
 	startCounts    map[string]int  // starts by task
 	starts         map[string]time.Time
 	noted          map[string]bool // tasks with an acknowledged end as done
@@ -143,7 +144,7 @@
 	t.Helper()
 	w := &world{
 		t: t, now: time.Unix(1_000_000, 0), fleet: map[string]*fakeWorker{}, records: map[string]*hfwork.Progress{},
-		deadly: map[string]bool{}, downTime: shortDown, startCounts: map[string]int{}, starts: map[string]time.Time{}, noted: map[string]bool{}, downUntil: map[string]time.Time{}, upkeepDone: map[string]bool{}, jobs: map[string]*hfwork.Job{}, cancelled: map[string]bool{}, durations: map[string]time.Duration{}, failingJobs: map[string]bool{},
+		deadly: map[string]bool{}, downTime: shortDown, bornStep: 1, startCounts: map[string]int{}, starts: map[string]time.Time{}, noted: map[string]bool{}, downUntil: map[string]time.Time{}, upkeepDone: map[string]bool{}, jobs: map[string]*hfwork.Job{}, cancelled: map[string]bool{}, durations: map[string]time.Duration{}, failingJobs: map[string]bool{},
 	}
 	w.policy = &hfwork.Policy{Version: 1, Pools: []*hfwork.Pool{{Name: "pool"}}, Accounts: []*hfwork.Account{{Name: "plants", Guaranteed: int64(racks * perRack * 4)}}}
 	for p, name := range []string{"urgent", "usual", "spare"} {
