Keep the crash under a gang when another of its workers was only cut off

What callers would see: a sixth start of a gang that crashes its workers (BUDGET), if one of its workers crashed while another was cut off.

Cause: the run of a gang counts once. When it was counted for the worker that was cut off, whose leases expired first, the report of that worker took the count back, and the crash of the other was not counted again, since the run number counted as included. Ruled out: a change of the leader (one leader throughout) and an early count that was lost (each other run was counted once).

The count now stays if another worker of the run has crashed or is missing, and the run can count again if one is lost later. Seen failing before: TestTaskThatCrashes…UnderRandomFaults/seed971 (crash_test.go:370: "6" is not less than or equal to "5"), TestCutWorkerDoesNotHideTheCrashOfAnother (:625).

--- a/hfplan/crash.go
+++ b/hfplan/crash.go
@@ -41,6 +41,8 @@
 	run      int64  // number of the last run that is included in total
 	aloneRun int64  // number of the last run that is included in alone
 	suspect  bool   // the last of these runs had just begun, and no run since has been at work for long
+
+	provenRun int64 // number of the last run with a proven crash; not stored
 }
 
 func crashesOf(c *hfwork.Crashes) crashes {
@@ -138,6 +140,7 @@
 	s.unstable[address] = now.Add(unstableTime)
 	for _, l := range lost {
 		s.countCrash(l, certain && l.justBegun())
+		l.task.crashes.provenRun = max(l.task.crashes.provenRun, l.number)
 		if l.justBegun() {
 			note.suspects = append(note.suspects, l.task.id())
 		}
@@ -245,17 +248,35 @@
 	}
 }
 
-// absolve takes back what was counted for a worker that has not crashed.
+// absolve takes back what was counted for a worker that has not crashed. The run of a gang still
+// counts if another of its workers has crashed or is missing.
 func (s *Scheduler) absolve(m *missingWorker) {
 	for _, l := range m.runs {
-		if t := l.task; l.counted && !t.done && !t.group.job.final() && t.crashes.run == l.number {
-			t.crashes.total--
-			s.markDirty(t.group.job)
+		t := l.task
+		if !l.counted || t.done || t.group.job.final() || t.crashes.run != l.number || t.crashes.provenRun == l.number || s.countElsewhere(l) {
+			continue
 		}
+		t.crashes.total--
+		t.crashes.run = l.number - 1 // another worker of the gang may still be lost in this run
+		s.markDirty(t.group.job)
 	}
 	s.needsPass = true
 }
 
+// countElsewhere counts a run of a gang for another missing worker that had a member of it. It
+// reports whether there is one.
+func (s *Scheduler) countElsewhere(l lostRun) bool {
+	for _, id := range sortedKeys(s.missing) {
+		for i := range s.missing[id].runs {
+			if o := &s.missing[id].runs[i]; o.task == l.task && o.number == l.number && o.justBegun() {
+				o.counted = true
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // blamePriorRuns counts a crash against the tasks that an earlier scheduler placed on a worker,
 // if its first report shows that the incarnation in the roster is over.
 func (s *Scheduler) blamePriorRuns(w *worker, now time.Time) {
--- a/hfplan/crash_test.go
+++ b/hfplan/crash_test.go
@@ -317,10 +317,22 @@
 	}
 }
 
+// failedCrashSeeds holds seeds that once failed, beyond the default ones.
+//
+//   - 971: one worker of a gang crashed, another was cut off; when that one was back, the run of the
+//     gang did not count any more
+var failedCrashSeeds = []uint64{971}
+
+var faultSeeds = flag.Uint64("faultseeds", 40, "number of worlds of TestTaskThatCrashesItsWorkersIsGivenUpUnderRandomFaults")
+
 // Guards against BUDGET when several faults meet: tasks that crash their workers, random cuts, mute
 // workers, changes of the leader and a store that is away.
 func TestTaskThatCrashesItsWorkersIsGivenUpUnderRandomFaults(t *testing.T) {
-	for seed := range uint64(40) {
+	seeds := failedCrashSeeds
+	for seed := range *faultSeeds {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, 20261208))
 			w := newWorld(t, 2, 4)
@@ -581,3 +593,46 @@
 		})
 	}
 }
+
+// Guards against a crash under a gang that is forgotten, as another worker of the gang was only cut
+// off. That one reports again before the leases of the crashed one expire, before its crash is
+// proven, or after.
+func TestCutWorkerDoesNotHideTheCrashOfAnother(t *testing.T) {
+	for back := range 3 {
+		d := newDesk(t, 1, "a", "b", "c")
+		for _, id := range []string{"a", "b", "c"} {
+			d.report(id)
+		}
+		d.store()
+		step := deskStep(2)
+		step.Gang = true
+		starts := d.startAll("j", step)
+		cut, crashed := starts[0].Worker(), starts[1].Worker() // by id: the cut one is counted first
+		crashes := &d.s.jobs["j"].groups[0].tasks[0].crashes
+		d.send(WorkerSilent(cut))
+		if back == 0 {
+			d.advance(2 * time.Second)
+		}
+		d.send(WorkerSilent(crashed))
+		for w := d.s.workers[cut]; d.now.Before(w.leaseExpiry); {
+			d.advance(tickInterval)
+		}
+		require.EqualValues(t, 1, crashes.total)
+		if back == 0 {
+			d.report(cut)
+			require.Zero(t, crashes.total)
+			d.advance(2 * time.Second)
+			require.EqualValues(t, 1, crashes.total)
+		}
+		if back == 1 {
+			d.report(cut)
+			require.EqualValues(t, 1, crashes.total)
+		}
+		d.born[crashed] = 2
+		d.report(crashed)
+		if back == 2 {
+			d.report(cut)
+		}
+		require.EqualValues(t, 1, crashes.total, "case %d", back)
+	}
+}
