--- a/hfplan/record.go
+++ b/hfplan/record.go
@@ -1,10 +1,12 @@
 package hfplan
 
 import (
+	"cmp"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/heatherfront/heatherfront/hfwire"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
 
@@ -26,6 +28,9 @@
 			t.failures = sp.GetFailures()[uint32(i)]
 			t.checkpoint = sp.GetSaved()[uint32(i)]
 			t.priorWorker = sp.GetPlaces()[uint32(i)]
+			if c := sp.GetCrashes()[uint32(i)]; c != nil {
+				t.crashes, g.crashed = crashesOf(c), true
+			}
 		}
 	}
 }
@@ -52,6 +57,12 @@
 				}
 				sp.Failures[uint32(i)], sp.Counted[uint32(i)] = t.failures, t.countedRun
 			}
+			if t.crashes.total > 0 && !t.done {
+				if sp.Crashes == nil {
+					sp.Crashes = map[uint32]*hfwork.Crashes{}
+				}
+				sp.Crashes[uint32(i)] = t.crashes.toRecord()
+			}
 			if worker := t.workerID(); worker != "" && !t.done {
 				if sp.Places == nil {
 					sp.Places = map[uint32]string{}
@@ -65,7 +76,7 @@
 				sp.Saved[uint32(i)] = t.checkpoint
 			}
 		}
-		if sp.Done != nil || sp.Failures != nil || sp.Saved != nil || sp.Places != nil {
+		if sp.Done != nil || sp.Failures != nil || sp.Saved != nil || sp.Places != nil || sp.Crashes != nil {
 			p.Steps = append(p.Steps, sp)
 		}
 	}
@@ -110,6 +121,19 @@
 	s.emit(c)
 }
 
+// rosterEntry returns the entry of a worker in the roster: with the incarnation that tasks were
+// placed on, which is the one that has reported or else that of the earlier scheduler, and the
+// address at which it answered.
+func (w *worker) rosterEntry() *hfwork.Worker {
+	w.storedBorn = cmp.Or(w.incarnation, w.rosterBorn, w.registration.GetBorn())
+	if w.registration.GetBorn() == w.storedBorn && w.registration.GetAnswered() == w.answered {
+		return w.registration
+	}
+	entry := hfwire.Copy(w.registration)
+	entry.Born, entry.Answered = w.storedBorn, w.answered
+	return entry
+}
+
 // acknowledge tells workers up to which sequence number their ends are stored.
 func (s *Scheduler) acknowledge(acks map[*worker]int64) {
 	for w, sequence := range acks {
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/heatherfront/heatherfront/hfplacement"
-	"github.com/heatherfront/heatherfront/hfwire"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
 
@@ -15,21 +14,12 @@
 func (s *Scheduler) addRoster(roster []*hfwork.Worker) {
 	for _, registration := range roster {
 		if s.workers[registration.GetId()] == nil {
-			s.addWorker(registration).answered = registration.GetAnswered()
+			w := s.addWorker(registration)
+			w.answered, w.rosterBorn = registration.GetAnswered(), registration.GetBorn()
 		}
 	}
 }
 
-// rosterEntry returns the worker as it is stored in the roster.
-func (w *worker) rosterEntry() *hfwork.Worker {
-	if w.registration.GetAnswered() == w.answered {
-		return w.registration
-	}
-	entry := hfwire.Copy(w.registration)
-	entry.Answered = w.answered
-	return entry
-}
-
 // addWorker adds a worker and schedules the roster to be stored.
 func (s *Scheduler) addWorker(registration *hfwork.Worker) *worker {
 	w := &worker{
@@ -80,7 +70,9 @@
 		}
 	}
 	s.resources.Remove(w.id())
+	isolated := w.resources.Isolated()
 	w.resources = s.addResources(registration)
+	w.resources.SetIsolated(isolated)
 	for r := range w.runs {
 		if !r.resourcesReturned {
 			w.resources.Assign(r.task.group.size)
@@ -140,6 +132,7 @@
 	if w == nil {
 		return
 	}
+	s.identifyCrashes(w, m.report.Incarnation(), now)
 	if w.incarnation != 0 && m.report.Incarnation() != w.incarnation {
 		s.handleRestart(w, m.sent, now)
 		w.lastEnd, w.failedJobs, w.quarantines = 0, map[string]bool{}, 0
@@ -150,6 +143,8 @@
 	if w.silent || !w.reported {
 		s.emit(NoteCmd{note: NoteReporting, worker: w.id(), reason: "reports"})
 	}
+	first := w.incarnation == 0
+	s.recordIncarnation(w, m.report.Incarnation())
 	w.incarnation, w.reported, w.silent = m.report.Incarnation(), true, false
 	if address := m.report.Address(); address != w.answered {
 		w.answered, w.inRoster, s.rosterChanged = address, false, true
@@ -178,8 +173,12 @@
 		}
 	}
 	if complete {
+		if first {
+			s.blamePriorRuns(w, now)
+		}
 		s.resolvePriorRuns(w)
 	}
+	s.endIsolation(w)
 	s.handleStalls(w, now)
 	s.adjustPace(w, m.report.Running(), now)
 	s.updateUsable(w, now)
@@ -255,6 +254,9 @@
 	}
 	s.resolvePriorRun(t)
 	s.confirmRun(r, now)
+	if t.suspect() {
+		s.isolate(r)
+	}
 	return r
 }
 
@@ -311,6 +313,9 @@
 		w.resources.RemoveRunning(t.group.size)
 	}
 	delete(w.runs, r)
+	if r.isolated {
+		w.updateIsolated()
+	}
 	t.run = nil
 	t.group.active--
 	if t.done {
@@ -449,6 +454,8 @@
 // runs nothing, and the orders that it held have no effect. Runs that may be on the next
 // incarnation are kept. Runs that are only assigned are placed again.
 func (s *Scheduler) endIncarnation(w *worker, kept map[*run]bool, reason string, now time.Time) {
+	s.blameCrash(w.address(), w.id(), s.lostRuns(w), now)
+	w.upkeepRequested = false
 	for _, r := range sortedRuns(w.runs) {
 		switch {
 		case kept[r]:
