End a relayed watch when the direct route to the store is restored

Cause: while the store does not answer an instance, its watches go through another one. A relayed watch ended only with its answer or after watchTimeout (3.3 s). When the other instance lost power the watch of the operators' entries waited for it, although the probe had found the direct route again. A direct watch has always ended when its route was lost; a relayed one did not end when the direct route returned. Change: a relayed watch ends when the direct route is restored and goes on directly, inside the same call. TestWatchMovesToRestoredDirectRoute fails before ("through 1: no reply from the instance" after 3.3 s) and passes now.

--- a/hfrelay/call.go
+++ b/hfrelay/call.go
@@ -52,19 +52,32 @@
 	return result.items, result.revision, nil
 }
 
-// Watch implements hfstore.Store.
+// Watch implements hfstore.Store. A watch through another instance, which may lose power without
+// closing its connection, continues directly when the direct route is restored.
 func (s *Store) Watch(ctx context.Context, prefix string, after int64) ([]hfstore.Item, int64, error) {
+	for {
+		routeCtx, cancel := s.withoutDirectRoute(ctx)
+		result, err := s.watchOnce(routeCtx, prefix, after)
+		restored := routeCtx.Err() != nil && ctx.Err() == nil
+		cancel()
+		switch {
+		case err == nil:
+			return result.items, result.revision, nil
+		case !restored:
+			return nil, 0, fmt.Errorf("watch: %w", err)
+		}
+	}
+}
+
+// watchOnce watches on the present route, or through another instance if that fails.
+func (s *Store) watchOnce(ctx context.Context, prefix string, after int64) (listResult, error) {
 	out := &hfwire.StoreCall{Kind: &hfwire.StoreCall_Watch{Watch: &hfwire.StoreWatch{Prefix: prefix, After: after}}}
-	result, err := callWithFallback(ctx, s, out, func(ctx context.Context) (listResult, error) {
+	return callWithFallback(ctx, s, out, func(ctx context.Context) (listResult, error) {
 		ctx, cancel := s.withDirectRoute(ctx)
 		defer cancel()
 		items, revision, err := s.direct.Watch(ctx, prefix, after)
 		return listResult{items: items, revision: revision}, err
 	}, decodeList)
-	if err != nil {
-		return nil, 0, fmt.Errorf("watch: %w", err)
-	}
-	return result.items, result.revision, nil
 }
 
 // Put implements hfstore.Store.
--- a/hfrelay/relay.go
+++ b/hfrelay/relay.go
@@ -53,6 +53,8 @@
 	routes       routes
 	directCtx    context.Context // ends when the direct route is lost
 	cancelDirect context.CancelFunc
+	relayCtx     context.Context // ends when the direct route is restored after its next, or present, loss
+	cancelRelay  context.CancelFunc
 }
 
 var _ hfstore.Committer = (*Store)(nil)
@@ -64,6 +66,7 @@
 func New(direct hfstore.Committer, links PeerCaller, peers func() []hfpeer.Peer, onRouteChange func(direct bool, cause error), registry metrics.Registry) *Store {
 	s := &Store{direct: direct, links: links, peers: peers, onRouteChange: onRouteChange, registry: registry}
 	s.directCtx, s.cancelDirect = context.WithCancel(context.Background())
+	s.relayCtx, s.cancelRelay = context.WithCancel(context.Background())
 	return s
 }
 
@@ -102,7 +105,9 @@
 	if changed && !direct {
 		s.cancelDirect()
 	} else if changed {
+		s.cancelRelay()
 		s.directCtx, s.cancelDirect = context.WithCancel(context.Background())
+		s.relayCtx, s.cancelRelay = context.WithCancel(context.Background())
 	}
 	s.mu.Unlock()
 	if changed {
@@ -112,10 +117,23 @@
 
 // withDirectRoute returns a context that ends with ctx or when the direct route is lost.
 func (s *Store) withDirectRoute(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
 	s.mu.Lock()
-	stop := context.AfterFunc(s.directCtx, cancel)
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	return mergeContexts(ctx, s.directCtx)
+}
+
+// withoutDirectRoute returns a context that ends with ctx or when the direct route, lost now or
+// later, is restored.
+func (s *Store) withoutDirectRoute(ctx context.Context) (context.Context, context.CancelFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return mergeContexts(ctx, s.relayCtx)
+}
+
+// mergeContexts returns a context that ends with either of two.
+func mergeContexts(ctx, other context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(other, cancel)
 	return ctx, func() {
 		stop()
 		cancel()
--- a/hfrelay/relay_test.go
+++ b/hfrelay/relay_test.go
@@ -151,17 +151,26 @@
 	mu       sync.Mutex
 	relays   map[string]*hfrelay.Store
 	callErrs map[string]error
+	noReply  map[string]chan struct{} // by instance that has lost power; receives when it is called
 }
 
 func (l *fakeLinks) Envelope() *hfwire.Envelope { return &hfwire.Envelope{} }
 
 func (l *fakeLinks) Call(ctx context.Context, to hfpeer.Peer, out *hfwire.Envelope) (*hfwire.Envelope, error) {
 	l.mu.Lock()
-	s, err := l.relays[to.Name()], l.callErrs[to.Name()]
+	s, err, noReply := l.relays[to.Name()], l.callErrs[to.Name()], l.noReply[to.Name()]
 	l.mu.Unlock()
 	if err != nil {
 		return nil, err
 	}
+	if noReply != nil {
+		select {
+		case noReply <- struct{}{}:
+		case <-ctx.Done():
+		}
+		<-ctx.Done()
+		return nil, hfpeer.ErrNoReply
+	}
 	reply := s.Serve(context.WithoutCancel(ctx), hfwire.Copy(out.GetCall()))
 	return &hfwire.Envelope{Body: &hfwire.Envelope_Reply{Reply: reply}}, nil
 }
@@ -309,6 +318,36 @@
 	}
 }
 
+// Guards against a configuration that is applied late because its watch waits on an instance that
+// has lost power, although the direct route is back.
+func TestWatchMovesToRestoredDirectRoute(t *testing.T) {
+	c, ctx := newCluster(2), t.Context()
+	_, err := c.relays[1].Put(ctx, "job", nil, 0, "")
+	require.NoError(t, err)
+	c.direct[0].setErr(hfstore.ErrUnavailable)
+	for range 2 {
+		_, _ = c.relays[0].Get(ctx, "job")
+	}
+	require.False(t, c.relays[0].Direct())
+	called := make(chan struct{})
+	c.links.mu.Lock()
+	c.links.noReply = map[string]chan struct{}{"1": called}
+	c.links.mu.Unlock()
+	result := make(chan error, 1)
+	go func() {
+		_, _, err := c.relays[0].Watch(ctx, "", 0)
+		result <- err
+	}()
+	<-called
+	c.direct[0].setErr(nil)
+	runCtx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() { c.relays[0].Run(runCtx, "job"); close(done) }()
+	require.NoError(t, <-result, "the watch must continue on the direct route")
+	cancel()
+	<-done
+}
+
 func TestEveryCallIsRelayed(t *testing.T) {
 	c, ctx := newCluster(2), t.Context()
 	c.direct[0].setErr(hfstore.ErrRefused)
