Count crashes of workers that had just announced that they leave

Cause: a worker that drains blames nobody when it goes. Ruled out: a count lost at the change of the leader (restored as stored), one taken back (none was). Change: the crash of a leaving worker counts against runs started within 1 s before it fell silent, and never as that of a task alone, as others that ran there may not be listed. A worker that leaves as planned serves for longer after its announcement. Evidence: TestCrashesOfLeavingWorkersAreCounted fails before (crash_test.go:346, 8 and 17 starts, at most 5).

--- a/hfplan/crash.go
+++ b/hfplan/crash.go
@@ -22,6 +22,9 @@
 	// crashStartWindow is how long a run must have been at work to show that its start did not
 	// crash the worker. It is longer than the wait of a poll, so that a report shows it.
 	crashStartWindow = 2 * time.Second
+	// leavingWindow is how long before the silence of a leaving worker a run must have been
+	// started to count as lost in a crash. Workers announce longer before that they leave.
+	leavingWindow = time.Second
 	// missingTime is how long the runs of a worker are kept whose leases have expired. Workers
 	// that crashed are back after some seconds; short cuts of the network have ended by then.
 	missingTime = 20 * time.Second
@@ -59,6 +62,7 @@
 	number  int64
 	worked  time.Duration // from its start to the last report that listed it
 	prior   bool          // started by an earlier scheduler: only its place is known
+	leaving bool          // the worker had announced that it leaves, so that others may not be listed
 	counted bool          // included in the crashes of the task before the crash was proven
 }
 
@@ -81,24 +85,31 @@
 func (w *worker) address() string { return cmp.Or(w.registration.GetAddress(), w.id()) }
 
 // lostRuns returns the runs that are lost if the incarnation of a worker is over: those that
-// may have started. A worker that was about to leave or to go down for upkeep has not crashed.
+// may have started. A worker that was about to go down for upkeep has not crashed. One that was
+// about to leave has, if it fell silent right after a start.
 // After a change of the scheduler, nothing is known of the recorded runs but their places.
 func (s *Scheduler) lostRuns(w *worker) []lostRun {
-	if w.registration.GetDraining() || w.upkeepPending || w.upkeepRequested {
+	if w.upkeepPending || w.upkeepRequested {
 		return nil
 	}
+	leaving := w.registration.GetDraining()
 	var lost []lostRun
 	for _, r := range sortedRuns(w.runs) {
-		if r.phase != assigned {
-			lost = append(lost, lostRun{task: r.task.group.primary(r.task), number: r.number, worked: r.worked()})
+		if r.phase != assigned && (!leaving || w.silentSoonAfter(r)) {
+			lost = append(lost, lostRun{task: r.task.group.primary(r.task), number: r.number, worked: r.worked(), leaving: leaving})
 		}
 	}
-	if w.reported {
+	if w.reported || leaving {
 		return lost // its prior tasks have orphans, which are being stopped
 	}
 	return append(lost, s.lostPriorRuns(w)...)
 }
 
+// silentSoonAfter reports whether a worker fell silent within leavingWindow of the start of a run.
+func (w *worker) silentSoonAfter(r *run) bool {
+	return w.silent && w.silentAt.Before(r.startedAt.Add(leavingWindow))
+}
+
 // lostPriorRuns returns the runs that are lost if the incarnation is over on which an earlier
 // scheduler placed tasks. They are numbered as the last ones of the earlier term.
 func (s *Scheduler) lostPriorRuns(w *worker) []lostRun {
@@ -131,7 +142,7 @@
 	if len(lost) == 0 {
 		return
 	}
-	alone := !slices.ContainsFunc(lost, func(l lostRun) bool { return l.task != lost[0].task })
+	alone := !slices.ContainsFunc(lost, func(l lostRun) bool { return l.task != lost[0].task || l.leaving })
 	note := NoteCmd{note: NoteCrash, worker: id, tasks: len(lost), alone: alone, reason: "a later incarnation answers"}
 	certain := alone && !now.Before(s.unstable[address])
 	if certain && lost[0].prior {
--- a/hfplan/crash_test.go
+++ b/hfplan/crash_test.go
@@ -17,6 +17,7 @@
 	crashDelay = 10 * time.Millisecond   // between the start of a deadly task and the crash
 	shortDown  = 3300 * time.Millisecond // of a worker that crashed, less than its lease
 	longDown   = 9 * time.Second         // more than its lease
+	noticeTime = 1500 * time.Millisecond // for which a worker serves after it announced that it leaves
 )
 
 // crash ends a worker with all that runs on it. It is back after its down time, under its id or,
@@ -317,6 +318,39 @@
 	}
 }
 
+// Guards against crashes that are not counted because the worker had just announced that it leaves:
+// a start may be sent before the announcement is known.
+func TestCrashesOfLeavingWorkersAreCounted(t *testing.T) {
+	for _, downTime := range []time.Duration{shortDown, longDown} {
+		for name, rename := range renamings {
+			t.Run(fmt.Sprint(name, " after ", downTime), func(t *testing.T) {
+				w := newWorld(t, 2, 4)
+				w.rename, w.downTime = rename, downTime
+				w.advance(time.Second)
+				task := w.makeDeadly("bad", 0)
+				w.submit("bad", "usual", single(1, 5*time.Second))
+				for range 1200 {
+					w.advance(100 * time.Millisecond)
+					for _, id := range sortedKeys(w.fleet) {
+						if f := w.fleet[id]; f.partitioned && !f.registration.GetDraining() {
+							f.registration = hfwire.Copy(f.registration)
+							f.registration.Draining = true
+							w.send(Workers(w.registered()))
+							w.at(downTime+time.Second, func() {
+								f.registration = hfwire.Copy(f.registration)
+								f.registration.Draining = false
+								w.send(Workers(w.registered()))
+							})
+						}
+					}
+				}
+				require.LessOrEqual(t, w.startCounts[task], maxStartsOfDeadly)
+				require.Equal(t, hfwork.StateFailed, w.state("bad"))
+			})
+		}
+	}
+}
+
 // failedCrashSeeds holds seeds that once failed, beyond the default ones.
 //
 //   - 971: one worker of a gang crashed, another was cut off; when that one was back, the run of the
@@ -445,6 +479,7 @@
 			f.registration = hfwire.Copy(f.registration)
 			f.registration.Draining = true
 			w.send(Workers(w.registered()))
+			w.advance(noticeTime)
 			w.crash(f)
 			w.advance(20 * time.Second)
 			w.requireNoneBlamed()
--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -145,6 +145,7 @@
 	upkeepRequested  bool                // the platform was asked to take its machine down, which ends this incarnation
 	reported         bool                // has reported to this scheduler
 	silent           bool                // did not answer the last poll
+	silentAt         time.Time           // when it first did not answer; valid while it is silent
 	registered       bool                // is in the list of registered workers
 	answered         string              // address at which it last answered this scheduler or an earlier one; starts are sent only there
 	inRoster         bool                // is in the stored roster with this address, so that a later scheduler knows of it
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -424,7 +424,7 @@
 		w.leaseExpiry = now.Add(s.timing.leaseExpiryDelay())
 		s.emit(NoteCmd{note: NoteSilent, worker: id, expires: w.leaseExpiry})
 	}
-	w.silent = true
+	w.silent, w.silentAt = true, now
 	s.updateUsable(w, now)
 }
 
