--- a/hfplan/crash.go
+++ b/hfplan/crash.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// maxCrashes is how many workers may crash under a task before its job fails. After three
-	// crashes, the platform allows two more starts.
-	maxCrashes = 5
+	// maxCrashes is how many workers may crash under a task before its job fails. The platform
+	// allows five, of which one may not be counted if a leader ends before it has stored it.
+	maxCrashes = 4
 	// maxCrashesAlone is how many workers may crash under a task that had just begun with no
 	// other on the worker. The platform allows to give a task up after two crashes.
 	maxCrashesAlone = 2
