End the isolation of every run that was isolated, not only of suspects

What callers see: a worker on which nothing else is placed for as long as a gang lasts, up to a quarter of the pool; other work waits beside room.

Cause: endIsolation passed over the runs of a task that is no suspect any more. The first member of a gang that was reported at work for two seconds clears the suspicion of the whole gang, so that the other members, on the same worker or on others, stayed isolated until they ended. On one worker, the order of a map decided which. The same held for a task that was absolved of a second crash while it ran isolated.

Evidence: TestIsolationEndsOnAllWorkersOfAGang (both cases) and TestIsolationEndsWhenTheTaskIsAbsolved failed before. Ruled out: isolation by adoptRun, which neither test uses.

--- a/hfplan/isolation.go
+++ b/hfplan/isolation.go
@@ -80,7 +80,7 @@
 // enough.
 func (s *Scheduler) endIsolation(w *worker) {
 	for r := range w.runs {
-		if !r.task.group.crashed || r.phase != running || !r.task.suspect() {
+		if !r.task.group.crashed || r.phase != running || (!r.isolated && !r.task.suspect()) {
 			continue
 		}
 		c := &r.task.group.primary(r.task).crashes
--- /dev/null
+++ b/hfplan/isolation_test.go
@@ -0,0 +1,70 @@
+package hfplan
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+// isolatedIDs returns the workers on which nothing is placed beside a suspect.
+func (w *world) isolatedIDs() []string {
+	var ids []string
+	for _, id := range sortedKeys(w.s.workers) {
+		if w.s.workers[id].resources.Isolated() {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// crashUnder ends a worker of a job, and waits until its crash is proven and the job runs again.
+func (w *world) crashUnder(job string, running int) {
+	w.t.Helper()
+	notes := w.crashNotes()
+	w.crash(w.fleet[w.workerOf(job)])
+	for i := 0; i < 200 && (w.crashNotes() == notes || w.running(job) < running); i++ {
+		w.advance(50 * time.Millisecond)
+	}
+	require.Greater(w.t, w.crashNotes(), notes)
+	require.Equal(w.t, running, w.running(job))
+}
+
+// Guards against workers that stay isolated for as long as a gang lasts: the first member that is seen
+// at work clears the whole gang, and the isolation of the other members is never ended.
+func TestIsolationEndsOnAllWorkersOfAGang(t *testing.T) {
+	for name, perWorker := range map[string]int64{"on one worker": 4, "on two workers": 8} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 2, 4)
+			w.advance(time.Second)
+			w.submit("a", "usual", gang(2, perWorker, 2*time.Minute))
+			w.advance(500 * time.Millisecond)
+			w.crashUnder("a", 2)
+			require.NotEmpty(t, w.isolatedIDs())
+			w.advance(isolationTime + 2*pollInterval)
+			require.Equal(t, 2, w.running("a"))
+			require.Empty(t, w.isolatedIDs())
+		})
+	}
+}
+
+// Guards against a worker that stays isolated for as long as a task runs: the second crash that was
+// presumed turns out to be a cut while the task, no longer a suspect, runs isolated.
+func TestIsolationEndsWhenTheTaskIsAbsolved(t *testing.T) {
+	w := newWorld(t, 2, 4)
+	w.advance(time.Second)
+	w.submit("a", "usual", single(1, 2*time.Minute))
+	w.advance(500 * time.Millisecond)
+	w.crashUnder("a", 1)
+	w.partition(w.fleet[w.workerOf("a")], 10*time.Second)
+	for i := 0; i < 200 && w.s.jobs["a"].groups[0].tasks[0].crashes.total < 2; i++ {
+		w.advance(50 * time.Millisecond)
+	}
+	w.advance(20 * time.Second)
+	require.EqualValues(t, 1, w.s.jobs["a"].groups[0].tasks[0].crashes.total)
+	require.Equal(t, 1, w.running("a"))
+	require.Empty(t, w.isolatedIDs())
+	require.NotEqual(t, hfwork.StateFailed, w.state("a"))
+}
