Keep isolated and reserved workers within the share of suspects

What callers see: after a crash under a gang with few tasks on each worker, or under many tasks that had just begun, most of a pool takes no other work for two seconds and more (6 of 8 isolated, 8 of 8 reserved in the tests).

Cause: the limit was compared with the isolated workers before a gang was placed, not with those that it adds; and each waiting suspect reserved a worker of its own without any limit. It also searched all workers and their runs for each one, in each pass.

A gang that needs more workers than may be isolated shares them at once, as in small pools: the count of five crashes holds without isolation.

Evidence: TestGangIsolatesNoMoreThanItsShare and TestWaitingSuspectsReserveNoMoreThanTheirShare failed before.

--- a/hfplan/isolation.go
+++ b/hfplan/isolation.go
@@ -110,6 +110,7 @@
 	if g.gang() {
 		size = len(g.tasks)
 	}
+	isolated := s.isolatedWorkers(g)
 	for i := 0; i < len(g.tasks); i += size {
 		t := &g.tasks[i]
 		if !t.waiting() || t.held() || !t.isolates(now) {
@@ -119,19 +120,25 @@
 			t.sharedFrom = now
 			continue
 		}
-		if unplaced == 0 && s.isolatedWorkers(g) < limit {
-			if placements, ok := s.findEmptyWorkers(g, need, size); ok {
+		if unplaced == 0 && isolated < limit {
+			placements, ok := s.findEmptyWorkers(g, need, size)
+			if ok && isolated+len(placements) <= limit {
 				t.sharedFrom = time.Time{}
+				isolated += len(placements)
 				s.assignRuns(g, placements, true, now)
 				continue
 			}
+			if ok && len(placements) > limit {
+				t.sharedFrom = now // a gang that needs more workers than may be isolated
+				continue
+			}
 		}
 		unplaced++
 		if t.sharedFrom.IsZero() {
 			t.sharedFrom = now.Add(isolationWait)
 		}
-		if !g.gang() {
-			s.reserveEmptyWorker(g, t.sharedFrom, now)
+		if pool := g.job.queue.GetPool(); !g.gang() && isolated+s.suspectReserved[pool] < limit && s.reserveEmptyWorker(g, t.sharedFrom, now) {
+			s.suspectReserved[pool]++
 		}
 	}
 }
@@ -182,8 +189,8 @@
 }
 
 // reserveEmptyWorker reserves the worker that is expected to be empty first for a suspect, if
-// that is before the suspect may share one.
-func (s *Scheduler) reserveEmptyWorker(g *group, sharedFrom, now time.Time) {
+// that is before the suspect may share one. It reports whether there is one.
+func (s *Scheduler) reserveEmptyWorker(g *group, sharedFrom, now time.Time) bool {
 	var best *hfplacement.Worker
 	emptyAt := sharedFrom
 	s.resources.EachWorker(g.job.queue.GetPool(), func(w *hfplacement.Worker) {
@@ -204,7 +211,9 @@
 			best, emptyAt = w, at
 		}
 	})
-	if best != nil {
-		best.Reserve(g, emptyAt)
+	if best == nil {
+		return false
 	}
+	best.Reserve(g, emptyAt)
+	return true
 }
--- a/hfplan/isolation_test.go
+++ b/hfplan/isolation_test.go
@@ -68,3 +68,44 @@
 	require.Empty(t, w.isolatedIDs())
 	require.NotEqual(t, hfwork.StateFailed, w.state("a"))
 }
+
+// Guards against a gang with few tasks on each worker that keeps other work off most of a pool: the limit of
+// isolated workers was checked before it was placed, not with its own workers.
+func TestGangIsolatesNoMoreThanItsShare(t *testing.T) {
+	w := newWorld(t, 2, 4)
+	w.advance(time.Second)
+	step := gang(6, 1, 2*time.Minute)
+	step.Compact, step.Apart = false, 1
+	w.submit("a", "usual", step)
+	w.advance(500 * time.Millisecond)
+	require.Equal(t, 6, w.running("a"))
+	w.crash(w.fleet[w.workerOf("a")])
+	for range 400 {
+		w.advance(50 * time.Millisecond)
+		require.LessOrEqual(t, len(w.isolatedIDs()), 2)
+	}
+	require.Equal(t, 6, w.running("a"))
+}
+
+// Guards against many suspects that reserve the whole pool: each one that found no empty worker
+// reserved another worker, beyond the share that suspects may have.
+func TestWaitingSuspectsReserveNoMoreThanTheirShare(t *testing.T) {
+	w := newWorld(t, 2, 4)
+	w.advance(time.Second)
+	w.submit("short", "usual", single(56, 5*time.Second)) // all end before the suspects may share a worker
+	w.advance(500 * time.Millisecond)
+	w.submit("a", "usual", single(8, 20*time.Second))
+	w.advance(500 * time.Millisecond)
+	require.Equal(t, 8, w.running("a"))
+	w.crash(w.fleet[w.workerOf("a")])
+	for range 200 {
+		w.advance(50 * time.Millisecond)
+		reserved := 0
+		for _, id := range sortedKeys(w.s.workers) {
+			if r := w.s.workers[id].resources; r.Reserved() || r.Isolated() {
+				reserved++
+			}
+		}
+		require.LessOrEqual(t, reserved, 2)
+	}
+}
--- a/hfplan/reservation.go
+++ b/hfplan/reservation.go
@@ -15,6 +15,7 @@
 
 // clearReservations removes the reservations of all workers.
 func (s *Scheduler) clearReservations() {
+	clear(s.suspectReserved)
 	for _, w := range s.workers {
 		w.resources.Reserve(nil, time.Time{})
 	}
