Let new urgent work use isolated workers before its time is up

What callers see: a job of priority 0 waits up to ten seconds for workers that run a suspect of less urgent work, which it may preempt; after two crashes the isolation lasts longer than the disturbance of the crash.

Cause: an isolated worker was eligible neither for placement nor for the preemption of its run. A job of which the first step waits for 1.8 s now may use it. Victims of a crash keep off suspects, as their groups are marked.

--- a/hfplacement/placement.go
+++ b/hfplacement/placement.go
@@ -8,15 +8,16 @@
 
 // Need holds the placement requirements of a group of identical tasks.
 type Need struct {
-	pool          string
-	size          Resources
-	label         string               // label that the worker must have, or ""
-	preferredRack string               // rack that is tried first, or ""
-	maxPerWorker  int                  // maximum tasks of the group on one worker, 0 for no limit
-	existingTasks func(id string) int  // tasks of the group already on a worker, may be nil
-	excluded      func(id string) bool // reports workers that must not be used, may be nil
-	group         any                  // group of the tasks, matched against worker reservations
-	expectedEnd   time.Time            // when the tasks end if they start now; zero if unknown
+	pool           string
+	size           Resources
+	label          string               // label that the worker must have, or ""
+	preferredRack  string               // rack that is tried first, or ""
+	maxPerWorker   int                  // maximum tasks of the group on one worker, 0 for no limit
+	existingTasks  func(id string) int  // tasks of the group already on a worker, may be nil
+	excluded       func(id string) bool // reports workers that must not be used, may be nil
+	group          any                  // group of the tasks, matched against worker reservations
+	expectedEnd    time.Time            // when the tasks end if they start now; zero if unknown
+	besideIsolated bool                 // workers that are isolated may be used
 }
 
 // NewNeed returns the requirements of tasks of the given size in a pool.
@@ -47,6 +48,9 @@
 	return n
 }
 
+// BesideIsolated allows workers that run a task that no other task is placed beside.
+func (n Need) BesideIsolated() Need { n.besideIsolated = true; return n }
+
 // ForGroup sets the group of the tasks and when they are expected to end if they start now.
 // Reserved workers are used if they are reserved for the group, or if the tasks end
 // before the reservation starts.
@@ -88,7 +92,7 @@
 
 // eligible reports whether the worker may be used, regardless of its free resources.
 func (n Need) eligible(w *Worker) bool {
-	if !w.usable || w.isolated || (n.excluded != nil && n.excluded(w.id)) {
+	if !w.usable || (w.isolated && !n.besideIsolated) || (n.excluded != nil && n.excluded(w.id)) {
 		return false
 	}
 	if w.reservedFor != nil && w.reservedFor != n.group && (n.expectedEnd.IsZero() || n.expectedEnd.After(w.reservedUntil)) {
--- a/hfplan/isolation.go
+++ b/hfplan/isolation.go
@@ -17,6 +17,9 @@
 	// isolationWait is how long a suspect waits for an empty worker before it is placed beside
 	// others. The platform expects a task to be started within 3 s if there is room.
 	isolationWait = 2 * time.Second
+	// maxIsolationPrecedence is how long new urgent work waits for workers that are isolated. It must
+	// start within 2.7 s.
+	maxIsolationPrecedence = 1800 * time.Millisecond
 	// suspectCrashes is the number of crashes after which a task is a suspect in any case.
 	suspectCrashes = 2
 	// maxIsolatedShare is the share of the workers of a pool that suspects may have to
@@ -57,6 +60,12 @@
 	return n
 }
 
+// ignoresIsolation reports whether a group may be placed beside suspects, or preempt them: new urgent
+// work that has waited for nearly as long as the platform allows.
+func (g *group) ignoresIsolation(now time.Time) bool {
+	return g.job.queue.GetPriority() == 0 && g.step == 0 && !g.crashed && !now.Before(g.job.learnedAt.Add(maxIsolationPrecedence))
+}
+
 // isolate keeps other tasks off the worker of a run.
 func (s *Scheduler) isolate(r *run) {
 	r.isolated = true
--- a/hfplan/isolation_test.go
+++ b/hfplan/isolation_test.go
@@ -109,3 +109,21 @@
 		require.LessOrEqual(t, reserved, 2)
 	}
 }
+
+// Guards against new urgent work that waits for a suspect of less urgent work, which is isolated for ten
+// seconds after two crashes.
+func TestUrgentWorkPreemptsASuspect(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.advance(time.Second)
+	w.submit("a", "usual", single(1, 2*time.Minute))
+	w.advance(500 * time.Millisecond)
+	w.crashUnder("a", 1)
+	require.Len(t, w.isolatedIDs(), 1)
+	w.advance(6 * time.Second)
+	w.crashUnder("a", 1)
+	w.advance(time.Second)
+	require.Len(t, w.isolatedIDs(), 1)
+	w.submit("b", "urgent", gang(4, 8, 5*time.Second))
+	w.advance(2700 * time.Millisecond)
+	require.Equal(t, 4, w.running("b"))
+}
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -165,6 +165,9 @@
 	} else {
 		need = need.ForGroup(g, now.Add(g.estimate()))
 	}
+	if g.ignoresIsolation(now) {
+		need = need.BesideIsolated()
+	}
 	if maxPerWorker := int(g.spec.GetApart()); maxPerWorker > 0 {
 		tasksOn := map[string]int{}
 		for i := range g.tasks {
