Renew the leases of workers that close their connection after each answer

What callers see: all that runs on a worker whose answers carry Connection: close ends with its first lease, again and again. Since polls that depend on an incarnation stay on its connection, such a worker gets no bound poll.

Change: once three answers of an incarnation have closed their connection, and none has kept it open, a bound poll may open a connection. An answer that keeps it open excludes that for the incarnation, so that one which closes only while it shuts down gets none; nor does one that closes without saying so. The next life of a worker that always closes may receive one poll meant for the earlier one.

--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -36,6 +36,11 @@
 // errReplaced reports that another worker has the address at which a worker answered before.
 var errReplaced = eris.New("worker was replaced")
 
+// closingAnswers is how many answers of an incarnation must have closed their connection, and none have
+// kept it open, until bound polls may open a connection. Such a worker's leases could not be renewed
+// otherwise; if it restarts under its id, its next life may receive one such poll.
+const closingAnswers = 3
+
 // dispatcher sends orders to one worker and polls its reports.
 type dispatcher struct {
 	leader *Leader
@@ -54,6 +59,8 @@
 	lastStored    int64     // sequence number of the last end whose record is stored
 	acknowledged  int64     // sequence number of the last end that an answered poll acknowledged
 	granted       Grant     // latest lease granted to this incarnation; its clock is not set
+	closed        int       // answers of this incarnation that closed their connection
+	keptOpen      bool      // an answer of this incarnation has kept its connection open
 	silent        bool      // the last poll got no answer
 	frequentPolls bool      // poll with the shorter wait of hfplan.PollCmd
 }
@@ -433,6 +440,7 @@
 	err := d.send(ctx, wait+pollTimeout, func(ctx context.Context, leaseEnd int64) error {
 		d.mu.Lock()
 		worker, incarnation, lastStored, lastReported := d.worker, d.incarnation, int64(0), d.lastReported
+		reconnects := !d.keptOpen && d.closed >= closingAnswers
 		if answered && d.lastStored > d.acknowledged {
 			lastStored = d.lastStored
 		}
@@ -443,7 +451,7 @@
 			leaseEnd = 0
 		}
 		var err error
-		request := NewPollRequest(leaseEnd, lastStored, d.leader.tenure.Epoch(), wait).WithLastReported(lastReported).WithIncarnation(incarnation)
+		request := NewPollRequest(leaseEnd, lastStored, d.leader.tenure.Epoch(), wait).WithLastReported(lastReported).WithIncarnation(incarnation).WithReconnect(reconnects)
 		report, err = d.leader.minions.Poll(ctx, worker, request)
 		if d.isReplaced(err, worker.GetAddress()) {
 			return fmt.Errorf("%w: %w", errReplaced, err)
@@ -487,7 +495,12 @@
 	defer d.mu.Unlock()
 	if r.Incarnation() != d.incarnation {
 		d.incarnation, d.lastReported, d.lastStored, d.acknowledged = r.Incarnation(), 0, 0, 0
-		d.granted = Grant{}
+		d.granted, d.closed, d.keptOpen = Grant{}, 0, false
+	}
+	if r.ConnectionClosed() {
+		d.closed++
+	} else {
+		d.keptOpen = true
 	}
 	d.workerClock, d.reportedAt, d.silent = r.Clock(), received, false
 	for _, e := range r.Ended() {
--- a/hforder/order.go
+++ b/hforder/order.go
@@ -76,6 +76,7 @@
 	lastReported int64 // sequence number of the last end that the worker reported before, or 0
 	incarnation  int64 // start time of the worker whose clock and ends leaseEnd and lastStored refer to
 	epoch        int64
+	reconnects   bool                 // it may open a connection although it is bound
 	wait         func() time.Duration // time for which the worker may delay its answer until a run ends
 }
 
@@ -98,6 +99,15 @@
 	return r
 }
 
+// WithReconnect returns a copy of the request that may open a connection although it is bound.
+func (r PollRequest) WithReconnect(allowed bool) PollRequest {
+	r.reconnects = allowed
+	return r
+}
+
+// Reconnects reports whether the request may open a connection although it is bound.
+func (r PollRequest) Reconnects() bool { return r.reconnects }
+
 // Incarnation returns the start time of the worker that the lease end and the acknowledgement are
 // meant for. It is not sent: an order names a worker by its id only.
 func (r PollRequest) Incarnation() int64 { return r.incarnation }
--- a/hfwork/task.go
+++ b/hfwork/task.go
@@ -127,6 +127,7 @@
 	incomplete  bool  // a run that is in neither list may be in progress, or have ended
 	rejected    []error
 	address     string // at which the worker answered
+	closed      bool   // the worker closed the connection with it
 }
 
 // NewReport returns a report. clock is the time on the worker's clock in milliseconds,
@@ -149,6 +150,15 @@
 	return r
 }
 
+// WithConnectionClosed returns a copy of the report with whether the worker closed its connection with it.
+func (r Report) WithConnectionClosed(closed bool) Report {
+	r.closed = closed
+	return r
+}
+
+// ConnectionClosed reports whether the worker closed its connection with the report.
+func (r Report) ConnectionClosed() bool { return r.closed }
+
 // Address returns the address at which the worker answered.
 func (r Report) Address() string { return r.address }
 
