Count a crash that an incomplete first report has shown

Cause: a new scheduler compared the incarnation in the roster with the reported one at the first report only, and only if that was complete. After an incomplete first report, the crash was never counted: one more start of a task that crashes its workers.

Evidence: TestCrashIsCountedAfterAnIncompleteReport failed before.

--- a/hfplan/crash.go
+++ b/hfplan/crash.go
@@ -278,7 +278,7 @@
 }
 
 // blamePriorRuns counts a crash against the tasks that an earlier scheduler placed on a worker,
-// if its first report shows that the incarnation in the roster is over.
+// if its first complete report shows that the incarnation in the roster is over.
 func (s *Scheduler) blamePriorRuns(w *worker, now time.Time) {
 	if w.rosterBorn == 0 || w.incarnation == w.rosterBorn || w.registration.GetDraining() || w.upkeepPending || w.upkeepRequested {
 		return
--- a/hfplan/crash_test.go
+++ b/hfplan/crash_test.go
@@ -636,3 +636,24 @@
 		require.EqualValues(t, 1, crashes.total, "case %d", back)
 	}
 }
+
+// Guards against a crash that a new scheduler does not count, since the first report of the worker's next life
+// could not be read completely.
+func TestCrashIsCountedAfterAnIncompleteReport(t *testing.T) {
+	d := newDesk(t, 2, "x")
+	worker := deskWorkers("w")["w"]
+	worker.Born = 1
+	d.send(Roster([]*hfwork.Worker{worker}))
+	progress := &hfwork.Progress{State: hfwork.StateRunning, Steps: []*hfwork.StepProgress{{Places: map[uint32]string{0: "w"}}}}
+	d.send(Job(&hfwork.Job{Id: "a", Queue: "usual", Account: "plants", Steps: []*hfwork.Step{deskStep(1)}}, progress, false))
+	d.send(Workers(deskWorkers("w", "x")))
+	crashes := &d.s.jobs["a"].groups[0].tasks[0].crashes
+	d.now = d.now.Add(messageDelay)
+	d.send(Report("w", d.now, hfwork.NewReport(0, 2, nil, nil).WithRejected(nil, true)))
+	require.Zero(t, crashes.total)
+	for range 3 {
+		d.born["w"] = 2
+		d.report("w")
+		require.EqualValues(t, 1, crashes.total)
+	}
+}
--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -141,6 +141,7 @@
 	resources        *hfplacement.Worker // free and used resources
 	incarnation      int64               // value in the last report; changes when the worker restarts
 	rosterBorn       int64               // start of the incarnation in the roster of an earlier scheduler, or 0
+	priorBlamed      bool                // a complete report has shown whether the incarnation rosterBorn is over
 	storedBorn       int64               // start of the incarnation in the roster as this scheduler stored it, or 0
 	upkeepRequested  bool                // the platform was asked to take its machine down, which ends this incarnation
 	reported         bool                // has reported to this scheduler
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -143,7 +143,6 @@
 	if w.silent || !w.reported {
 		s.emit(NoteCmd{note: NoteReporting, worker: w.id(), reason: "reports"})
 	}
-	first := w.incarnation == 0
 	s.recordIncarnation(w, m.report.Incarnation())
 	w.incarnation, w.reported, w.silent = m.report.Incarnation(), true, false
 	if address := m.report.Address(); address != w.answered {
@@ -173,7 +172,8 @@
 		}
 	}
 	if complete {
-		if first {
+		if !w.priorBlamed {
+			w.priorBlamed = true
 			s.blamePriorRuns(w, now)
 		}
 		s.resolvePriorRuns(w)
