--- a/hfplan/crash_test.go
+++ b/hfplan/crash_test.go
@@ -657,3 +657,40 @@
 		require.EqualValues(t, 1, crashes.total)
 	}
 }
+
+// Guards against tasks that run for long and are given up for crashes that lie far apart: a run that was at
+// work for a minute clears what was counted before, and counts itself.
+func TestLongRunClearsEarlierCrashes(t *testing.T) {
+	for worked, total := range map[time.Duration]uint32{crashMemory - 1: maxCrashes, crashMemory: 1} {
+		d := newDesk(t, 1, "a")
+		d.report("a")
+		d.store()
+		d.startAll("j", deskStep(1))
+		j := d.s.jobs["j"]
+		j.groups[0].tasks[0].crashes = crashes{total: maxCrashes - 1, alone: 1, run: 4, aloneRun: 4}
+		d.s.blameCrash("x", "a", []lostRun{{task: &j.groups[0].tasks[0], number: 5, worked: worked}}, d.now)
+		require.Equal(t, total, j.groups[0].tasks[0].crashes.total)
+		require.Equal(t, total == maxCrashes, j.final())
+	}
+}
+
+// Guards against a task that a new scheduler gives up after two crashes although it may have been at work for
+// long: only a recorded suspect had just begun.
+func TestRecordedPlaceAloneIsNotHeldAgainstATask(t *testing.T) {
+	for _, suspect := range []bool{false, true} {
+		d := newDesk(t, 2, "x")
+		worker := deskWorkers("w")["w"]
+		worker.Born = 1
+		d.send(Roster([]*hfwork.Worker{worker}))
+		progress := &hfwork.Progress{State: hfwork.StateRunning, Steps: []*hfwork.StepProgress{{
+			Places: map[uint32]string{0: "w"}, Crashes: map[uint32]*hfwork.Crashes{0: {Total: 1, Run: 1, Suspect: suspect}},
+		}}}
+		d.send(Job(&hfwork.Job{Id: "a", Queue: "usual", Account: "plants", Steps: []*hfwork.Step{deskStep(1)}}, progress, false))
+		d.send(Workers(deskWorkers("w", "x")))
+		d.born["w"] = 2
+		d.report("w")
+		crashes := d.s.jobs["a"].groups[0].tasks[0].crashes
+		require.EqualValues(t, 2, crashes.total)
+		require.Equal(t, suspect, crashes.alone == 1)
+	}
+}
