Hold unanswered starts against no task that was alone

What callers see: a job shown as failed after two workers lost power, or crashed behind a cut, before its starts reached them.

Cause: runs whose start got no answer were counted as those of a task that was alone on the worker and had just begun. They still count in the total of five, so that the number of starts stays bounded. A task that crashes its worker has been confirmed by then, unless the answer was lost.

Evidence: TestUnansweredStartIsNotHeldAgainstALoneTask failed before.

--- a/hfplan/crash.go
+++ b/hfplan/crash.go
@@ -55,11 +55,12 @@
 
 // lostRun is a run that was lost with its worker.
 type lostRun struct {
-	task    *task // primary task of a gang
-	number  int64
-	worked  time.Duration // from its start to the last report that listed it
-	prior   bool          // started by an earlier scheduler: only its place is known
-	counted bool          // included in the crashes of the task before the crash was proven
+	task       *task // primary task of a gang
+	number     int64
+	worked     time.Duration // from its start to the last report that listed it
+	prior      bool          // started by an earlier scheduler: only its place is known
+	unanswered bool          // its start got no answer
+	counted    bool          // included in the crashes of the task before the crash was proven
 }
 
 // justBegun reports whether the start of the run may have crashed the worker.
@@ -90,7 +91,7 @@
 	var lost []lostRun
 	for _, r := range sortedRuns(w.runs) {
 		if r.phase != assigned {
-			lost = append(lost, lostRun{task: r.task.group.primary(r.task), number: r.number, worked: r.worked()})
+			lost = append(lost, lostRun{task: r.task.group.primary(r.task), number: r.number, worked: r.worked(), unanswered: r.confirmedAt.IsZero()})
 		}
 	}
 	if w.reported {
@@ -139,7 +140,7 @@
 	}
 	s.unstable[address] = now.Add(unstableTime)
 	for _, l := range lost {
-		s.countCrash(l, certain && l.justBegun())
+		s.countCrash(l, certain && l.justBegun() && !l.unanswered)
 		l.task.crashes.provenRun = max(l.task.crashes.provenRun, l.number)
 		if l.justBegun() {
 			note.suspects = append(note.suspects, l.task.id())
--- a/hfplan/crash_test.go
+++ b/hfplan/crash_test.go
@@ -694,3 +694,22 @@
 		require.Equal(t, suspect, crashes.alone == 1)
 	}
 }
+
+// Guards against a job that fails because workers lost power before its starts reached them: a start without an
+// answer is counted, but does not show that the task, which was alone there, caused the crash.
+func TestUnansweredStartIsNotHeldAgainstALoneTask(t *testing.T) {
+	for _, outcome := range []Outcome{OutcomeUnknown, OutcomeDone} {
+		d := newDesk(t, 1, "w")
+		d.report("w")
+		d.submit("a", deskStep(1))
+		d.store()
+		starts := d.takeStarts()
+		require.Len(t, starts, 1)
+		d.send(Started(starts[0], outcome))
+		d.born["w"] = 2
+		d.report("w")
+		crashes := d.s.jobs["a"].groups[0].tasks[0].crashes
+		require.EqualValues(t, 1, crashes.total)
+		require.Equal(t, outcome == OutcomeDone, crashes.alone == 1)
+	}
+}
