Leave the suspicion of tasks unchanged until a crash is proven

Cause: a worker whose leases expired cleared the suspicion of an earlier, proven crash, also if it was only cut off; and made a gang a suspect when it was the second worker of the same run, since only the first one counts the run.

Evidence: TestPresumedCrashChangesNoSuspicion and TestCutGangIsNoSuspect failed before.

--- a/hfplan/crash.go
+++ b/hfplan/crash.go
@@ -223,10 +223,10 @@
 		}
 	}
 	for i := range lost {
+		c := &lost[i].task.crashes
+		suspect := c.suspect
 		lost[i].counted = lost[i].justBegun() && s.countCrash(lost[i], false)
-		if lost[i].counted {
-			lost[i].task.crashes.suspect = false // not before the crash is proven
-		}
+		c.suspect = suspect // unchanged before the crash is proven
 	}
 	s.missing[w.id()] = &missingWorker{id: w.id(), address: w.address(), incarnation: incarnation, forgetAt: now.Add(missingTime), runs: lost}
 }
--- a/hfplan/crash_test.go
+++ b/hfplan/crash_test.go
@@ -713,3 +713,39 @@
 		require.Equal(t, outcome == OutcomeDone, crashes.alone == 1)
 	}
 }
+
+// Guards against tasks that are isolated for a worker that was only cut off, and against a suspect that is
+// cleared by one.
+func TestPresumedCrashChangesNoSuspicion(t *testing.T) {
+	for _, suspect := range []bool{false, true} {
+		d := newDesk(t, 1, "w", "x")
+		d.report("w")
+		d.report("x")
+		d.store()
+		starts := d.startAll("a", deskStep(1))
+		task := &d.s.jobs["a"].groups[0].tasks[0]
+		task.crashes.suspect = suspect
+		d.loseWorker(starts[0].Worker())
+		require.EqualValues(t, 1, task.crashes.total)
+		require.Equal(t, suspect, task.crashes.suspect)
+		d.report(starts[0].Worker())
+		require.Zero(t, task.crashes.total)
+		require.Equal(t, suspect, task.crashes.suspect)
+	}
+}
+
+// Guards against a gang that becomes a suspect as two of its workers are cut off.
+func TestCutGangIsNoSuspect(t *testing.T) {
+	d := newDesk(t, 1, "w", "x")
+	d.report("w")
+	d.report("x")
+	d.store()
+	step := deskStep(2)
+	step.Gang = true
+	d.startAll("a", step)
+	d.send(WorkerSilent("w"))
+	d.loseWorker("x")
+	crashes := &d.s.jobs["a"].groups[0].tasks[0].crashes
+	require.EqualValues(t, 1, crashes.total)
+	require.False(t, crashes.suspect)
+}
