--- a/hfplan/crash.go
+++ b/hfplan/crash.go
@@ -58,12 +58,13 @@
 
 // lostRun is a run that was lost with its worker.
 type lostRun struct {
-	task    *task // primary task of a gang
-	number  int64
-	worked  time.Duration // from its start to the last report that listed it
-	prior   bool          // started by an earlier scheduler: only its place is known
-	leaving bool          // the worker had announced that it leaves, so that others may not be listed
-	counted bool          // included in the crashes of the task before the crash was proven
+	task       *task // primary task of a gang
+	number     int64
+	worked     time.Duration // from its start to the last report that listed it
+	prior      bool          // started by an earlier scheduler: only its place is known
+	leaving    bool          // the worker had announced that it leaves, so that others may not be listed
+	unanswered bool          // its start got no answer
+	counted    bool          // included in the crashes of the task before the crash was proven
 }
 
 // justBegun reports whether the start of the run may have crashed the worker.
@@ -96,7 +97,7 @@
 	var lost []lostRun
 	for _, r := range sortedRuns(w.runs) {
 		if r.phase != assigned && (!leaving || w.silentSoonAfter(r)) {
-			lost = append(lost, lostRun{task: r.task.group.primary(r.task), number: r.number, worked: r.worked(), leaving: leaving})
+			lost = append(lost, lostRun{task: r.task.group.primary(r.task), number: r.number, worked: r.worked(), leaving: leaving, unanswered: r.confirmedAt.IsZero()})
 		}
 	}
 	if w.reported || leaving {
@@ -150,7 +151,7 @@
 	}
 	s.unstable[address] = now.Add(unstableTime)
 	for _, l := range lost {
-		s.countCrash(l, certain && l.justBegun())
+		s.countCrash(l, certain && l.justBegun() && !l.unanswered)
 		l.task.crashes.provenRun = max(l.task.crashes.provenRun, l.number)
 		if l.justBegun() {
 			note.suspects = append(note.suspects, l.task.id())
@@ -233,10 +234,10 @@
 		}
 	}
 	for i := range lost {
+		c := &lost[i].task.crashes
+		suspect := c.suspect
 		lost[i].counted = lost[i].justBegun() && s.countCrash(lost[i], false)
-		if lost[i].counted {
-			lost[i].task.crashes.suspect = false // not before the crash is proven
-		}
+		c.suspect = suspect // unchanged before the crash is proven
 	}
 	s.missing[w.id()] = &missingWorker{id: w.id(), address: w.address(), incarnation: incarnation, forgetAt: now.Add(missingTime), runs: lost}
 }
@@ -289,7 +290,7 @@
 }
 
 // blamePriorRuns counts a crash against the tasks that an earlier scheduler placed on a worker,
-// if its first report shows that the incarnation in the roster is over.
+// if its first complete report shows that the incarnation in the roster is over.
 func (s *Scheduler) blamePriorRuns(w *worker, now time.Time) {
 	if w.rosterBorn == 0 || w.incarnation == w.rosterBorn || w.registration.GetDraining() || w.upkeepPending || w.upkeepRequested {
 		return
--- a/hfplan/crash_test.go
+++ b/hfplan/crash_test.go
@@ -671,3 +671,116 @@
 		require.EqualValues(t, 1, crashes.total, "case %d", back)
 	}
 }
+
+// Guards against a crash that a new scheduler does not count, since the first report of the worker's next life
+// could not be read completely.
+func TestCrashIsCountedAfterAnIncompleteReport(t *testing.T) {
+	d := newDesk(t, 2, "x")
+	worker := deskWorkers("w")["w"]
+	worker.Born = 1
+	d.send(Roster([]*hfwork.Worker{worker}))
+	progress := &hfwork.Progress{State: hfwork.StateRunning, Steps: []*hfwork.StepProgress{{Places: map[uint32]string{0: "w"}}}}
+	d.send(Job(&hfwork.Job{Id: "a", Queue: "usual", Account: "plants", Steps: []*hfwork.Step{deskStep(1)}}, progress, false))
+	d.send(Workers(deskWorkers("w", "x")))
+	crashes := &d.s.jobs["a"].groups[0].tasks[0].crashes
+	d.now = d.now.Add(messageDelay)
+	d.send(Report("w", d.now, hfwork.NewReport(0, 2, nil, nil).WithRejected(nil, true)))
+	require.Zero(t, crashes.total)
+	for range 3 {
+		d.born["w"] = 2
+		d.report("w")
+		require.EqualValues(t, 1, crashes.total)
+	}
+}
+
+// Guards against tasks that run for long and are given up for crashes that lie far apart: a run that was at
+// work for a minute clears what was counted before, and counts itself.
+func TestLongRunClearsEarlierCrashes(t *testing.T) {
+	for worked, total := range map[time.Duration]uint32{crashMemory - 1: maxCrashes, crashMemory: 1} {
+		d := newDesk(t, 1, "a")
+		d.report("a")
+		d.store()
+		d.startAll("j", deskStep(1))
+		j := d.s.jobs["j"]
+		j.groups[0].tasks[0].crashes = crashes{total: maxCrashes - 1, alone: 1, run: 4, aloneRun: 4}
+		d.s.blameCrash("x", "a", []lostRun{{task: &j.groups[0].tasks[0], number: 5, worked: worked}}, d.now)
+		require.Equal(t, total, j.groups[0].tasks[0].crashes.total)
+		require.Equal(t, total == maxCrashes, j.final())
+	}
+}
+
+// Guards against a task that a new scheduler gives up after two crashes although it may have been at work for
+// long: only a recorded suspect had just begun.
+func TestRecordedPlaceAloneIsNotHeldAgainstATask(t *testing.T) {
+	for _, suspect := range []bool{false, true} {
+		d := newDesk(t, 2, "x")
+		worker := deskWorkers("w")["w"]
+		worker.Born = 1
+		d.send(Roster([]*hfwork.Worker{worker}))
+		progress := &hfwork.Progress{State: hfwork.StateRunning, Steps: []*hfwork.StepProgress{{
+			Places: map[uint32]string{0: "w"}, Crashes: map[uint32]*hfwork.Crashes{0: {Total: 1, Run: 1, Suspect: suspect}},
+		}}}
+		d.send(Job(&hfwork.Job{Id: "a", Queue: "usual", Account: "plants", Steps: []*hfwork.Step{deskStep(1)}}, progress, false))
+		d.send(Workers(deskWorkers("w", "x")))
+		d.born["w"] = 2
+		d.report("w")
+		crashes := d.s.jobs["a"].groups[0].tasks[0].crashes
+		require.EqualValues(t, 2, crashes.total)
+		require.Equal(t, suspect, crashes.alone == 1)
+	}
+}
+
+// Guards against a job that fails because workers lost power before its starts reached them: a start without an
+// answer is counted, but does not show that the task, which was alone there, caused the crash.
+func TestUnansweredStartIsNotHeldAgainstALoneTask(t *testing.T) {
+	for _, outcome := range []Outcome{OutcomeUnknown, OutcomeDone} {
+		d := newDesk(t, 1, "w")
+		d.report("w")
+		d.submit("a", deskStep(1))
+		d.store()
+		starts := d.takeStarts()
+		require.Len(t, starts, 1)
+		d.send(Started(starts[0], outcome))
+		d.born["w"] = 2
+		d.report("w")
+		crashes := d.s.jobs["a"].groups[0].tasks[0].crashes
+		require.EqualValues(t, 1, crashes.total)
+		require.Equal(t, outcome == OutcomeDone, crashes.alone == 1)
+	}
+}
+
+// Guards against tasks that are isolated for a worker that was only cut off, and against a suspect that is
+// cleared by one.
+func TestPresumedCrashChangesNoSuspicion(t *testing.T) {
+	for _, suspect := range []bool{false, true} {
+		d := newDesk(t, 1, "w", "x")
+		d.report("w")
+		d.report("x")
+		d.store()
+		starts := d.startAll("a", deskStep(1))
+		task := &d.s.jobs["a"].groups[0].tasks[0]
+		task.crashes.suspect = suspect
+		d.loseWorker(starts[0].Worker())
+		require.EqualValues(t, 1, task.crashes.total)
+		require.Equal(t, suspect, task.crashes.suspect)
+		d.report(starts[0].Worker())
+		require.Zero(t, task.crashes.total)
+		require.Equal(t, suspect, task.crashes.suspect)
+	}
+}
+
+// Guards against a gang that becomes a suspect as two of its workers are cut off.
+func TestCutGangIsNoSuspect(t *testing.T) {
+	d := newDesk(t, 1, "w", "x")
+	d.report("w")
+	d.report("x")
+	d.store()
+	step := deskStep(2)
+	step.Gang = true
+	d.startAll("a", step)
+	d.send(WorkerSilent("w"))
+	d.loseWorker("x")
+	crashes := &d.s.jobs["a"].groups[0].tasks[0].crashes
+	require.EqualValues(t, 1, crashes.total)
+	require.False(t, crashes.suspect)
+}
--- a/hfplan/isolation.go
+++ b/hfplan/isolation.go
@@ -17,6 +17,9 @@
 	// isolationWait is how long a suspect waits for an empty worker before it is placed beside
 	// others. The platform expects a task to be started within 3 s if there is room.
 	isolationWait = 2 * time.Second
+	// maxIsolationPrecedence is how long new urgent work waits for workers that are isolated. It must
+	// start within 2.7 s.
+	maxIsolationPrecedence = 1800 * time.Millisecond
 	// suspectCrashes is the number of crashes after which a task is a suspect in any case.
 	suspectCrashes = 2
 	// maxIsolatedShare is the share of the workers of a pool that suspects may have to
@@ -57,6 +60,12 @@
 	return n
 }
 
+// ignoresIsolation reports whether a group may be placed beside suspects, or preempt them: new urgent
+// work that has waited for nearly as long as the platform allows.
+func (g *group) ignoresIsolation(now time.Time) bool {
+	return g.job.queue.GetPriority() == 0 && g.step == 0 && !g.crashed && !now.Before(g.job.learnedAt.Add(maxIsolationPrecedence))
+}
+
 // isolate keeps other tasks off the worker of a run.
 func (s *Scheduler) isolate(r *run) {
 	r.isolated = true
@@ -80,7 +89,7 @@
 // enough.
 func (s *Scheduler) endIsolation(w *worker) {
 	for r := range w.runs {
-		if !r.task.group.crashed || r.phase != running || !r.task.suspect() {
+		if !r.task.group.crashed || r.phase != running || (!r.isolated && !r.task.suspect()) {
 			continue
 		}
 		c := &r.task.group.primary(r.task).crashes
@@ -110,6 +119,7 @@
 	if g.gang() {
 		size = len(g.tasks)
 	}
+	isolated := s.isolatedWorkers(g)
 	for i := 0; i < len(g.tasks); i += size {
 		t := &g.tasks[i]
 		if !t.waiting() || t.held() || !t.isolates(now) {
@@ -119,19 +129,25 @@
 			t.sharedFrom = now
 			continue
 		}
-		if unplaced == 0 && s.isolatedWorkers(g) < limit {
-			if placements, ok := s.findEmptyWorkers(g, need, size); ok {
+		if unplaced == 0 && isolated < limit {
+			placements, ok := s.findEmptyWorkers(g, need, size)
+			if ok && isolated+len(placements) <= limit {
 				t.sharedFrom = time.Time{}
+				isolated += len(placements)
 				s.assignRuns(g, placements, true, now)
 				continue
 			}
+			if ok && len(placements) > limit {
+				t.sharedFrom = now // a gang that needs more workers than may be isolated
+				continue
+			}
 		}
 		unplaced++
 		if t.sharedFrom.IsZero() {
 			t.sharedFrom = now.Add(isolationWait)
 		}
-		if !g.gang() {
-			s.reserveEmptyWorker(g, t.sharedFrom, now)
+		if pool := g.job.queue.GetPool(); !g.gang() && isolated+s.suspectReserved[pool] < limit && s.reserveEmptyWorker(g, t.sharedFrom, now) {
+			s.suspectReserved[pool]++
 		}
 	}
 }
@@ -182,8 +198,8 @@
 }
 
 // reserveEmptyWorker reserves the worker that is expected to be empty first for a suspect, if
-// that is before the suspect may share one.
-func (s *Scheduler) reserveEmptyWorker(g *group, sharedFrom, now time.Time) {
+// that is before the suspect may share one. It reports whether there is one.
+func (s *Scheduler) reserveEmptyWorker(g *group, sharedFrom, now time.Time) bool {
 	var best *hfplacement.Worker
 	emptyAt := sharedFrom
 	s.resources.EachWorker(g.job.queue.GetPool(), func(w *hfplacement.Worker) {
@@ -204,7 +220,9 @@
 			best, emptyAt = w, at
 		}
 	})
-	if best != nil {
-		best.Reserve(g, emptyAt)
+	if best == nil {
+		return false
 	}
+	best.Reserve(g, emptyAt)
+	return true
 }
