Hold only crashes right after a start against a task

The backstop counted crashes at any time after the start. Change: a crash is early if the worker fell silent within 1 s of the start (a worker that crashes closes the connection of the waiting poll). Four early crashes give a task up, or five of which two were early: a start that is carried out late crashes its worker later. A run of an earlier scheduler counts as early after a crash before. Evidence: TestCrashesLongAfterTheStartFailNoJob fails before (crash_test.go:343, state "failed") and passes now; the deadly tasks of TestTaskThatCrashesItsWorkersIsGivenUpUnderRandomFaults, 400 worlds, start five times at most.

--- a/hfplan/crash.go
+++ b/hfplan/crash.go
@@ -10,9 +10,14 @@
 )
 
 const (
-	// maxCrashes is how many workers may crash under a task before its job fails. The platform
-	// allows five, of which one may not be counted if a leader ends before it has stored it.
-	maxCrashes = 4
+	// maxEarlyCrashes is how many workers may crash right after the start of a task before its job
+	// fails. The platform allows five crashes, of which one may not be counted if a leader ends
+	// before it has stored it.
+	maxEarlyCrashes = 4
+	// maxCrashes is the same for crashes at any time, if minEarlyCrashes of them were early: a start
+	// that is carried out late crashes the worker later, and innocent tasks meet other crashes.
+	maxCrashes      = 5
+	minEarlyCrashes = 2
 	// maxCrashesAlone is how many workers may crash under a task that had just begun with no
 	// other on the worker. The platform allows to give a task up after two crashes.
 	maxCrashesAlone = 2
@@ -22,9 +27,10 @@
 	// crashStartWindow is how long a run must have been at work to show that its start did not
 	// crash the worker. It is longer than the wait of a poll, so that a report shows it.
 	crashStartWindow = 2 * time.Second
-	// leavingWindow is how long before the silence of a leaving worker a run must have been
-	// started to count as lost in a crash. Workers announce longer before that they leave.
-	leavingWindow = time.Second
+	// earlyWindow is the time between a start and the silence of the worker within which the crash
+	// counts as early. A worker that crashes closes the connection of the poll that waits there.
+	// Workers that leave announce it longer before.
+	earlyWindow = time.Second
 	// missingTime is how long the runs of a worker are kept whose leases have expired. Workers
 	// that crashed are back after some seconds; short cuts of the network have ended by then.
 	missingTime = 20 * time.Second
@@ -40,6 +46,7 @@
 // and count each run once, also if several of its workers crash.
 type crashes struct {
 	total    uint32 // runs lost in a crash, or with a worker that has not come back since they began
+	early    uint32 // of these, runs that had started right before the worker fell silent
 	alone    uint32 // of these, runs that had just begun on a worker with nothing else
 	run      int64  // number of the last run that is included in total
 	aloneRun int64  // number of the last run that is included in alone
@@ -49,11 +56,11 @@
 }
 
 func crashesOf(c *hfwork.Crashes) crashes {
-	return crashes{total: c.GetTotal(), alone: c.GetAlone(), run: c.GetRun(), aloneRun: c.GetAloneRun(), suspect: c.GetSuspect()}
+	return crashes{total: c.GetTotal(), early: c.GetEarly(), alone: c.GetAlone(), run: c.GetRun(), aloneRun: c.GetAloneRun(), suspect: c.GetSuspect()}
 }
 
 func (c crashes) toRecord() *hfwork.Crashes {
-	return &hfwork.Crashes{Total: c.total, Alone: c.alone, Run: c.run, AloneRun: c.aloneRun, Suspect: c.suspect}
+	return &hfwork.Crashes{Total: c.total, Early: c.early, Alone: c.alone, Run: c.run, AloneRun: c.aloneRun, Suspect: c.suspect}
 }
 
 // lostRun is a run that was lost with its worker.
@@ -62,6 +69,7 @@
 	number     int64
 	worked     time.Duration // from its start to the last report that listed it
 	prior      bool          // started by an earlier scheduler: only its place is known
+	early      bool          // the worker fell silent right after its start
 	leaving    bool          // the worker had announced that it leaves, so that others may not be listed
 	unanswered bool          // its start got no answer
 	counted    bool          // included in the crashes of the task before the crash was proven
@@ -89,15 +97,18 @@
 // may have started. A worker that was about to go down for upkeep has not crashed. One that was
 // about to leave has, if it fell silent right after a start.
 // After a change of the scheduler, nothing is known of the recorded runs but their places.
-func (s *Scheduler) lostRuns(w *worker) []lostRun {
+func (s *Scheduler) lostRuns(w *worker, now time.Time) []lostRun {
 	if w.upkeepPending || w.upkeepRequested {
 		return nil
 	}
 	leaving := w.registration.GetDraining()
 	var lost []lostRun
 	for _, r := range sortedRuns(w.runs) {
-		if r.phase != assigned && (!leaving || w.silentSoonAfter(r)) {
-			lost = append(lost, lostRun{task: r.task.group.primary(r.task), number: r.number, worked: r.worked(), leaving: leaving, unanswered: r.confirmedAt.IsZero()})
+		early := w.silentSoonAfter(r, now)
+		if r.phase != assigned && (early || !leaving) {
+			lost = append(lost, lostRun{
+				task: r.task.group.primary(r.task), number: r.number, worked: r.worked(), early: early, leaving: leaving, unanswered: r.confirmedAt.IsZero(),
+			})
 		}
 	}
 	if w.reported || leaving {
@@ -106,9 +117,14 @@
 	return append(lost, s.lostPriorRuns(w)...)
 }
 
-// silentSoonAfter reports whether a worker fell silent within leavingWindow of the start of a run.
-func (w *worker) silentSoonAfter(r *run) bool {
-	return w.silent && w.silentAt.Before(r.startedAt.Add(leavingWindow))
+// silentSoonAfter reports whether a worker fell silent within earlyWindow of the start of a run, or
+// if it was not silent, whether that start is as recent.
+func (w *worker) silentSoonAfter(r *run, now time.Time) bool {
+	at := now
+	if w.silent {
+		at = w.silentAt
+	}
+	return at.Before(r.startedAt.Add(earlyWindow))
 }
 
 // lostPriorRuns returns the runs that are lost if the incarnation is over on which an earlier
@@ -150,7 +166,8 @@
 		certain = lost[0].task.crashes.suspect // as recorded: it was isolated and had just begun
 	}
 	s.unstable[address] = now.Add(unstableTime)
-	for _, l := range lost {
+	for i := range lost {
+		l := &lost[i]
 		s.countCrash(l, certain && l.justBegun() && !l.unanswered)
 		l.task.crashes.provenRun = max(l.task.crashes.provenRun, l.number)
 		if l.justBegun() {
@@ -166,7 +183,7 @@
 
 // countCrash includes a lost run in the crashes of its task. It reports whether the run was not
 // included before.
-func (s *Scheduler) countCrash(l lostRun, alone bool) bool {
+func (s *Scheduler) countCrash(l *lostRun, alone bool) bool {
 	t := l.task
 	if t.done || t.group.job.final() {
 		return false
@@ -178,6 +195,12 @@
 	if added {
 		c.run, t.sharedFrom = l.number, time.Time{}
 		c.total++
+		// When a run of an earlier scheduler started is not known. After a crash before, it counts
+		// as early, so that changes of the leader do not hide the crashes of a task.
+		l.early = l.early || l.prior && c.total > 1
+		if l.early {
+			c.early++
+		}
 	}
 	if l.number == c.run {
 		c.suspect = l.justBegun()
@@ -199,11 +222,17 @@
 	return maxCrashesAlone
 }
 
+// exhausted reports whether workers have crashed as often as they may, whether or not the task was
+// alone on them.
+func (c crashes) exhausted() bool {
+	return c.early >= maxEarlyCrashes || c.total >= maxCrashes && c.early >= minEarlyCrashes
+}
+
 // giveUpIfExhausted fails the job of a task under which workers have crashed as often as they
 // may.
 func (s *Scheduler) giveUpIfExhausted(t *task, now time.Time) {
 	j, c := t.group.job, t.crashes
-	if t.done || j.final() || c.alone < t.maxAlone() && c.total < maxCrashes {
+	if t.done || j.final() || c.alone < t.maxAlone() && !c.exhausted() {
 		return
 	}
 	subject := fmt.Sprintf("task %d.%d", t.group.step, t.index)
@@ -223,7 +252,7 @@
 // answers at its address already. Runs that had just begun are counted at once, so that they are
 // counted before their tasks start again.
 func (s *Scheduler) presumeLost(w *worker, now time.Time) {
-	lost, incarnation := s.lostRuns(w), cmp.Or(w.incarnation, w.rosterBorn)
+	lost, incarnation := s.lostRuns(w, now), cmp.Or(w.incarnation, w.rosterBorn)
 	if len(lost) == 0 || incarnation == 0 {
 		return
 	}
@@ -236,7 +265,7 @@
 	for i := range lost {
 		c := &lost[i].task.crashes
 		suspect := c.suspect
-		lost[i].counted = lost[i].justBegun() && s.countCrash(lost[i], false)
+		lost[i].counted = lost[i].justBegun() && s.countCrash(&lost[i], false)
 		c.suspect = suspect // unchanged before the crash is proven
 	}
 	s.missing[w.id()] = &missingWorker{id: w.id(), address: w.address(), incarnation: incarnation, forgetAt: now.Add(missingTime), runs: lost}
@@ -269,6 +298,9 @@
 			continue
 		}
 		t.crashes.total--
+		if l.early {
+			t.crashes.early--
+		}
 		t.crashes.run = l.number - 1 // another worker of the gang may still be lost in this run
 		s.markDirty(t.group.job)
 	}
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -454,7 +454,7 @@
 // runs nothing, and the orders that it held have no effect. Runs that may be on the next
 // incarnation are kept. Runs that are only assigned are placed again.
 func (s *Scheduler) endIncarnation(w *worker, kept map[*run]bool, reason string, now time.Time) {
-	s.blameCrash(w.address(), w.id(), s.lostRuns(w), now)
+	s.blameCrash(w.address(), w.id(), s.lostRuns(w, now), now)
 	w.upkeepRequested = false
 	for _, r := range sortedRuns(w.runs) {
 		switch {
