Test that a held task waits, alone, and is given up without a proof

Two mutations that no test noticed: no end of the wait for a proof, and a held task that is started in the place of another suspect of its step.

--- a/hfplan/crash_test.go
+++ b/hfplan/crash_test.go
@@ -749,3 +749,31 @@
 	require.EqualValues(t, 1, crashes.total)
 	require.False(t, crashes.suspect)
 }
+
+// Guards against a task that is started once too often beside others of its step, and against a job that waits for
+// ever: a task whose last crash is not proven is held until its worker is given up.
+func TestHeldTaskWaitsAloneAndIsGivenUp(t *testing.T) {
+	d := newDesk(t, 1, "w", "x", "y", "z")
+	for _, id := range []string{"w", "x", "y", "z"} {
+		d.report(id)
+	}
+	d.store()
+	starts := d.startAll("a", deskStep(2))
+	j := d.s.jobs["a"]
+	held := &j.groups[0].tasks[0]
+	held.crashes = crashes{total: maxCrashes - 1}
+	require.Equal(t, held.id(), starts[0].Task())
+	require.Equal(t, starts[1].Worker(), j.groups[0].tasks[1].run.worker.id())
+	d.loseWorker(starts[0].Worker())
+	require.True(t, held.held())
+	other := &j.groups[0].tasks[1]
+	other.crashes = crashes{total: suspectCrashes} // it is placed like the held one
+	d.reportEnds(starts[1].Worker(), nil, d.end(starts[1].Worker(), other.id(), starts[1].Number(), hfwork.Stopped))
+	d.store()
+	again := d.takeStarts()
+	require.Len(t, again, 1)
+	require.Equal(t, other.id(), again[0].Task())
+	require.False(t, j.final())
+	d.advance(missingTime + tickInterval)
+	require.Equal(t, hfwork.StateFailed, j.state)
+}
