Search for a group whose lost tasks are no suspects as for any other

Groups stayed marked as crashed for ever, which excluded them from the skip of groups of the same shape that cannot be placed, and counted the isolated workers for each. Now this depends on whether a waiting task may not share a worker. A group whose suspect found no worker to reserve searches no further in the same pass.

--- a/hfplan/bench_test.go
+++ b/hfplan/bench_test.go
@@ -59,3 +59,29 @@
 		w.s.Update(Report("w0-0", w.now, hfwork.NewReport(0, worker.incarnation, running, nil)), w.now)
 	}
 }
+
+// BenchmarkPassAfterCrashes measures a pass in which every waiting job had a task on a worker that crashed: as a
+// victim, or as a suspect.
+func BenchmarkPassAfterCrashes(b *testing.B) {
+	for share, name := range []string{"none", "victims", "suspects"} {
+		b.Run(name, func(b *testing.B) {
+			w := newBusyWorld(b, 44)
+			for _, g := range w.s.groups {
+				if share > 0 && g.waiting() > 0 {
+					g.crashed = true
+					for i := range g.tasks {
+						if g.tasks[i].waiting() {
+							g.tasks[i].crashes = crashes{total: 1, suspect: share == 2}
+							break
+						}
+					}
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				w.s.needsPass = true
+				w.s.Update(PassMsg{}, w.now)
+			}
+		})
+	}
+}
--- a/hfplan/isolation.go
+++ b/hfplan/isolation.go
@@ -66,6 +66,11 @@
 	return g.job.queue.GetPriority() == 0 && g.step == 0 && !g.crashed && !now.Before(g.job.learnedAt.Add(maxIsolationPrecedence))
 }
 
+// hasSuspects reports whether tasks need a worker that may not share it.
+func (g *group) hasSuspects(now time.Time) bool {
+	return g.crashed && g.waitingShared(now) < g.waiting()
+}
+
 // isolate keeps other tasks off the worker of a run.
 func (s *Scheduler) isolate(r *run) {
 	r.isolated = true
@@ -119,7 +124,7 @@
 	if g.gang() {
 		size = len(g.tasks)
 	}
-	isolated := s.isolatedWorkers(g)
+	isolated, mayReserve := s.isolatedWorkers(g), !g.gang()
 	for i := 0; i < len(g.tasks); i += size {
 		t := &g.tasks[i]
 		if !t.waiting() || t.held() || !t.isolates(now) {
@@ -146,8 +151,10 @@
 		if t.sharedFrom.IsZero() {
 			t.sharedFrom = now.Add(isolationWait)
 		}
-		if pool := g.job.queue.GetPool(); !g.gang() && isolated+s.suspectReserved[pool] < limit && s.reserveEmptyWorker(g, t.sharedFrom, now) {
-			s.suspectReserved[pool]++
+		if pool := g.job.queue.GetPool(); mayReserve && isolated+s.suspectReserved[pool] < limit {
+			if mayReserve = s.reserveEmptyWorker(g, t.sharedFrom, now); mayReserve {
+				s.suspectReserved[pool]++
+			}
 		}
 	}
 }
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -208,8 +208,8 @@
 
 // unconstrained reports whether the group can use any worker of its pool that has
 // enough room.
-func (g *group) unconstrained() bool {
-	return g.spec.GetLabel() == "" && g.spec.GetApart() == 0 && !g.job.queue.GetAdvised() && len(g.avoid) == 0 && !g.crashed
+func (g *group) unconstrained(now time.Time) bool {
+	return g.spec.GetLabel() == "" && g.spec.GetApart() == 0 && !g.job.queue.GetAdvised() && len(g.avoid) == 0 && !g.hasSuspects(now)
 }
 
 // placeGroups assigns the waiting groups to workers in scheduling order. Except for
@@ -227,7 +227,7 @@
 		if !g.gang() {
 			count = 1
 		}
-		if smallest, ok := smallestFailed[shape]; ok && count >= smallest && c.priority > 0 && g.unconstrained() {
+		if smallest, ok := smallestFailed[shape]; ok && count >= smallest && c.priority > 0 && g.unconstrained(now) {
 			continue
 		}
 		budget, budgeted := budgets[g.job.queue.GetPool()], c.priority > 0 && g.uncheckpointedGang()
@@ -244,7 +244,7 @@
 			budget.refund(g)
 		}
 		s.reserveWorkers(g, now)
-		if smallest, ok := smallestFailed[shape]; g.unconstrained() && (!ok || count < smallest) {
+		if smallest, ok := smallestFailed[shape]; g.unconstrained(now) && (!ok || count < smallest) {
 			smallestFailed[shape] = count
 		}
 	}
@@ -255,7 +255,7 @@
 // assigned.
 func (s *Scheduler) placeGroup(g *group, now time.Time) bool {
 	need := s.placementNeed(g, now)
-	if g.crashed {
+	if g.hasSuspects(now) {
 		s.placeSuspects(g, need, now)
 	}
 	count := g.waitingShared(now)
