--- a/hfplan/isolation_test.go
+++ b/hfplan/isolation_test.go
@@ -127,3 +127,28 @@
 	w.advance(2700 * time.Millisecond)
 	require.Equal(t, 4, w.running("b"))
 }
+
+// Guards against tasks that are placed beside a suspect under a new scheduler, or since its worker's resources
+// have changed.
+func TestIsolationOutlivesChanges(t *testing.T) {
+	for name, change := range map[string]func(*world){
+		"of the scheduler": func(w *world) { w.replaceScheduler() },
+		"of resources": func(w *world) {
+			worker := w.s.workers[w.workerOf("a")]
+			w.s.replaceResources(worker, worker.registration, w.now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 2, 4)
+			w.advance(time.Second)
+			w.submit("a", "usual", single(1, time.Minute))
+			w.advance(500 * time.Millisecond)
+			w.crashUnder("a", 1)
+			require.Len(t, w.isolatedIDs(), 1)
+			w.advance(100 * time.Millisecond)
+			change(w)
+			w.advance(300 * time.Millisecond)
+			require.Equal(t, []string{w.workerOf("a")}, w.isolatedIDs())
+		})
+	}
+}
