--- a/hfplan/isolation_test.go
+++ b/hfplan/isolation_test.go
@@ -152,3 +152,21 @@
 		})
 	}
 }
+
+// Guards against a task that is never known to have been alone: its next start goes to the address of its crash,
+// where a second crash does not count as certain.
+func TestSuspectIsPlacedAwayFromItsCrash(t *testing.T) {
+	w := newWorld(t, 2, 4)
+	w.advance(time.Second)
+	w.submit("a", "usual", single(1, time.Minute))
+	w.advance(500 * time.Millisecond)
+	before := w.workerOf("a")
+	f := w.fleet[before]
+	w.partition(f, 200*time.Millisecond) // back soon: it would be the first choice again
+	w.crash(f)
+	for i := 0; i < 200 && (w.crashNotes() == 0 || w.running("a") == 0); i++ {
+		w.advance(50 * time.Millisecond)
+	}
+	require.Equal(t, 1, w.running("a"))
+	require.NotEqual(t, before, w.workerOf("a"))
+}
