--- a/hfplan/isolation_test.go
+++ b/hfplan/isolation_test.go
@@ -170,3 +170,17 @@
 	require.Equal(t, 1, w.running("a"))
 	require.NotEqual(t, before, w.workerOf("a"))
 }
+
+// Guards against an innocent task that is isolated at each later start: a run at work for a while clears it.
+func TestTaskAtWorkIsNoSuspectAnyMore(t *testing.T) {
+	w := newWorld(t, 2, 4)
+	w.advance(time.Second)
+	w.submit("a", "usual", single(1, time.Minute))
+	w.advance(500 * time.Millisecond)
+	w.crashUnder("a", 1)
+	task := &w.s.jobs["a"].groups[0].tasks[0]
+	require.True(t, task.suspect())
+	w.advance(isolationTime + 2*pollInterval)
+	require.False(t, task.suspect())
+	require.False(t, w.records["a"].GetSteps()[0].GetCrashes()[0].GetSuspect(), "as recorded")
+}
