--- a/hfplan/isolation_test.go
+++ b/hfplan/isolation_test.go
@@ -127,3 +127,60 @@
 	w.advance(2700 * time.Millisecond)
 	require.Equal(t, 4, w.running("b"))
 }
+
+// Guards against tasks that are placed beside a suspect under a new scheduler, or since its worker's resources
+// have changed.
+func TestIsolationOutlivesChanges(t *testing.T) {
+	for name, change := range map[string]func(*world){
+		"of the scheduler": func(w *world) { w.replaceScheduler() },
+		"of resources": func(w *world) {
+			worker := w.s.workers[w.workerOf("a")]
+			w.s.replaceResources(worker, worker.registration, w.now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 2, 4)
+			w.advance(time.Second)
+			w.submit("a", "usual", single(1, time.Minute))
+			w.advance(500 * time.Millisecond)
+			w.crashUnder("a", 1)
+			require.Len(t, w.isolatedIDs(), 1)
+			w.advance(100 * time.Millisecond)
+			change(w)
+			w.advance(300 * time.Millisecond)
+			require.Equal(t, []string{w.workerOf("a")}, w.isolatedIDs())
+		})
+	}
+}
+
+// Guards against a task that is never known to have been alone: its next start goes to the address of its crash,
+// where a second crash does not count as certain.
+func TestSuspectIsPlacedAwayFromItsCrash(t *testing.T) {
+	w := newWorld(t, 2, 4)
+	w.advance(time.Second)
+	w.submit("a", "usual", single(1, time.Minute))
+	w.advance(500 * time.Millisecond)
+	before := w.workerOf("a")
+	f := w.fleet[before]
+	w.partition(f, 200*time.Millisecond) // back soon: it would be the first choice again
+	w.crash(f)
+	for i := 0; i < 200 && (w.crashNotes() == 0 || w.running("a") == 0); i++ {
+		w.advance(50 * time.Millisecond)
+	}
+	require.Equal(t, 1, w.running("a"))
+	require.NotEqual(t, before, w.workerOf("a"))
+}
+
+// Guards against an innocent task that is isolated at each later start: a run at work for a while clears it.
+func TestTaskAtWorkIsNoSuspectAnyMore(t *testing.T) {
+	w := newWorld(t, 2, 4)
+	w.advance(time.Second)
+	w.submit("a", "usual", single(1, time.Minute))
+	w.advance(500 * time.Millisecond)
+	w.crashUnder("a", 1)
+	task := &w.s.jobs["a"].groups[0].tasks[0]
+	require.True(t, task.suspect())
+	w.advance(isolationTime + 2*pollInterval)
+	require.False(t, task.suspect())
+	require.False(t, w.records["a"].GetSteps()[0].GetCrashes()[0].GetSuspect(), "as recorded")
+}
