Stand-in worker crashes under a task and comes back

The stand-in could restart at once, but with its connections open, and no task caused it. A task may now crash each worker that starts it: the runs there are gone without an end, the connections break, also those of polls that wait, and the worker answers nothing until Return starts the next incarnation at the same address, under the same id or another one. Restart is left as it was.

--- a/hfstand/platform_worker.go
+++ b/hfstand/platform_worker.go
@@ -1,9 +1,11 @@
 package hfstand
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"sort"
@@ -18,6 +20,7 @@
 const (
 	stopDelay   = 50 * time.Millisecond // time between a stop order and the end of the run
 	gangTimeout = 3 * time.Second       // time after which a member ends if its gang is still incomplete
+	crashDelay  = 50 * time.Millisecond // time between the start of a task that crashes its worker and the crash
 )
 
 // Start records one run of a task on a worker.
@@ -27,7 +30,7 @@
 	Run       int64
 	StartedAt time.Time
 	EndedAt   time.Time // zero while it runs
-	Outcome   string    // done, failed, stopped, lapsed, alone or restart; empty while it runs
+	Outcome   string    // done, failed, stopped, lapsed, alone, restart or crash; empty while it runs
 	Spec      string
 	noted     bool            // ended as done, and a hold order took note of that end before the lease lapsed
 	worker    *PlatformWorker // nil in tests of the log itself
@@ -99,6 +102,7 @@
 	GangSize     int   // number of members of its gang, 1 for a task without a gang
 	Fails        bool  // the task fails after half its run time
 	Accelerators int64 // accelerators in use while it runs
+	Crashes      bool  // the task crashes each worker that starts it
 }
 
 // NewRunLog returns an empty run log. profileOf is called for each task that is started.
@@ -148,6 +152,9 @@
 	wake          chan struct{}    // closed and replaced when a run ends
 	dropOrders    bool             // the connection of each order is dropped
 	accelerators  int64
+	process       int64  // number of the process, which ends with a crash
+	down          bool   // crashed and not back yet
+	onCrash       func() // called in a goroutine of its own after a crash; may be nil
 
 	leaseEndMicros atomic.Int64 // leaseEnd in Unix microseconds, for the run log
 }
@@ -191,9 +198,14 @@
 func (w *PlatformWorker) Restart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.reset("restart")
+}
+
+// reset ends all runs with an outcome and forgets all state. The caller holds mu.
+func (w *PlatformWorker) reset(outcome string) {
 	w.runLog.mu.Lock()
 	for _, active := range w.runs {
-		active.start.EndedAt, active.start.Outcome = time.Now(), "restart"
+		active.start.EndedAt, active.start.Outcome = time.Now(), outcome
 	}
 	w.runLog.mu.Unlock()
 	w.bornAt, w.fence, w.leaseEnd, w.lastEndNumber = time.Now(), 0, time.Time{}, 0
@@ -202,6 +214,78 @@
 	w.wake = make(chan struct{})
 }
 
+// OnCrash sets the function that is called after each crash. It is called before the first
+// order.
+func (w *PlatformWorker) OnCrash(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.onCrash = f
+}
+
+// Crash ends the process of the worker: its runs are gone without an end, its connections
+// break, and it answers nothing until Return.
+func (w *PlatformWorker) Crash() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.crash()
+}
+
+// crash is Crash for a caller that holds mu.
+func (w *PlatformWorker) crash() {
+	if w.down {
+		return
+	}
+	wake := w.wake
+	w.reset("crash")
+	w.down = true
+	w.process++
+	close(wake) // a poll that waits ends with the process
+	if w.onCrash != nil {
+		go w.onCrash()
+	}
+}
+
+// Return starts the next incarnation of a crashed worker at the same address, under an id.
+func (w *PlatformWorker) Return(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reset("crash")
+	w.id, w.down = id, false
+}
+
+// ID returns the id of the current incarnation, or of the crashed one.
+func (w *PlatformWorker) ID() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.id
+}
+
+// Down reports whether the worker has crashed and is not back yet.
+func (w *PlatformWorker) Down() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.down
+}
+
+// processKey is the context key of the process that accepted a connection.
+type processKey struct{}
+
+// ConnContext is the ConnContext of the worker's HTTP server. Without it, the connections
+// outlive a crash.
+func (w *PlatformWorker) ConnContext(ctx context.Context, _ net.Conn) context.Context {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return context.WithValue(ctx, processKey{}, w.process)
+}
+
+// endWithProcess drops the connection of a request if the process that accepted it has ended,
+// or if the worker is down. The caller holds mu.
+func (w *PlatformWorker) endWithProcess(ctx context.Context) {
+	if process, ok := ctx.Value(processKey{}).(int64); w.down || ok && process != w.process {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // DropOrders sets whether the worker drops the connection of each order instead of
 // answering it.
 func (w *PlatformWorker) DropOrders(drop bool) {
@@ -251,10 +335,13 @@
 	e.POST("/v1/run-start", w.handleStart)
 	e.POST("/v1/run-stop", w.handleStop)
 	e.POST("/v1/hold", w.handleHold)
-	e.POST("/v1/pace", func(c echo.Context) error { return c.JSON(http.StatusOK, w.withClock(nil)) })
+	e.POST("/v1/pace", w.handlePace)
 	return e
 }
 
+// expectedInstanceHeader carries the id of the worker that an order is meant for.
+const expectedInstanceHeader = "Heatherfront-Expected-Instance"
+
 // orderBody is the JSON body of an order. The fields in use depend on the kind of order.
 type orderBody struct {
 	Task     string `json:"task"`
@@ -276,9 +363,13 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.endWithProcess(c.Request().Context())
 	if w.dropOrders {
 		panic(http.ErrAbortHandler)
 	}
+	if id := c.Request().Header.Get(expectedInstanceHeader); id != "" && id != w.id {
+		return c.NoContent(http.StatusMisdirectedRequest)
+	}
 	if f := w.late; f.Share > 0 && f.Random.Float64() < f.Share {
 		born := w.bornAt
 		time.AfterFunc(f.MinDelay+time.Duration(f.Random.Int64N(int64(f.MaxDelay-f.MinDelay)+1)), func() {
@@ -377,6 +468,15 @@
 			w.endRun(active, "alone")
 		}
 	})
+	if active.profile.Crashes {
+		time.AfterFunc(crashDelay, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if w.runs[b.Task] == active {
+				w.crash()
+			}
+		})
+	}
 	w.startWorkWhenComplete(active)
 }
 
@@ -461,12 +561,21 @@
 			case <-c.Request().Context().Done():
 			}
 			w.mu.Lock()
+			w.endWithProcess(c.Request().Context())
 		}
 		w.endLapsedRuns()
 		return c.JSON(http.StatusOK, w.withClock(w.runLists()))
 	})
 }
 
+// handlePace answers an order that changes the pace of a run, which has no effect here.
+func (w *PlatformWorker) handlePace(c echo.Context) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.endWithProcess(c.Request().Context())
+	return c.JSON(http.StatusOK, w.withClock(nil))
+}
+
 // forgetEnds forgets the ends up to lastSeen, of which the scheduler has taken note. The caller
 // holds mu.
 func (w *PlatformWorker) forgetEnds(lastSeen int64) {
--- a/hfstand/platform_worker_test.go
+++ b/hfstand/platform_worker_test.go
@@ -1,8 +1,11 @@
 package hfstand
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -136,3 +139,77 @@
 		})
 	}
 }
+
+// Guards against a crash that an open connection, a poll or a late order of the earlier
+// incarnation outlives in the stand-in, and against an end that is reported of a run lost in it.
+func TestTaskCrashesEachWorkerThatStartsIt(t *testing.T) {
+	l := NewRunLog(func(task string) TaskProfile {
+		return TaskProfile{RunTime: time.Hour, GangSize: 1, Accelerators: 1, Crashes: task == "a.0.0.0"}
+	})
+	w := NewPlatformWorker("w", 8, l)
+	crashed := make(chan struct{}, 2)
+	w.OnCrash(func() { crashed <- struct{}{} })
+	server := httptest.NewUnstartedServer(w.Handler())
+	server.Config.ConnContext = w.ConnContext
+	server.Start()
+	defer server.Close()
+	held := make(chan error, 1)
+	require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/run-start", `{"task":"b.0.0.0","run":1,"until_ms":600000}`))
+	go func() {
+		resp, err := http.Post(server.URL+"/v1/hold", "application/json", strings.NewReader(`{"wait_ms":60000}`))
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		held <- err
+	}()
+	for run, id := range []string{"w", "w-2"} {
+		before := w.Entry("pool", "", "z", "r", 1, 1, false)["born"]
+		require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/run-start", fmt.Sprintf(`{"task":"a.0.0.0","run":%d,"until_ms":600000}`, run+1)))
+		<-crashed
+		require.True(t, w.Down())
+		require.Zero(t, postOrder(t, server, "/v1/hold", `{}`), "a crashed worker answers nothing")
+		time.Sleep(2 * time.Millisecond) // born counts in milliseconds
+		w.Return(id)
+		require.Equal(t, id, w.ID())
+		require.Greater(t, w.Entry("pool", "", "z", "r", 1, 1, false)["born"], before)
+	}
+	require.Error(t, <-held, "a poll that waits ends with the process")
+	for _, s := range l.Starts() {
+		require.Equal(t, "crash", s.Outcome, s.Task)
+	}
+	w.mu.Lock()
+	require.Empty(t, w.runLists()["running"])
+	require.Empty(t, w.runLists()["ended_runs"])
+	w.mu.Unlock()
+	require.Empty(t, l.Violations())
+}
+
+// Guards against a next incarnation in the stand-in that takes orders for the one before it.
+func TestReturnedWorkerRefusesOrdersForItsEarlierID(t *testing.T) {
+	w := NewPlatformWorker("w", 8, NewRunLog(func(string) TaskProfile { return TaskProfile{RunTime: time.Hour, GangSize: 1} }))
+	server := httptest.NewUnstartedServer(w.Handler())
+	server.Config.ConnContext = w.ConnContext
+	server.Start()
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	// poll sends a poll on the open connection, and returns the status or 0.
+	poll := func(conn net.Conn) int {
+		_, _ = fmt.Fprintf(conn, "POST /v1/hold HTTP/1.1\r\nHost: w\r\n%s: w\r\nContent-Length: 2\r\n\r\n{}", expectedInstanceHeader)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			return 0
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	require.Equal(t, http.StatusOK, poll(conn))
+	w.Crash()
+	w.Return("w-2")
+	require.Zero(t, poll(conn), "a connection ends with the process that accepted it")
+	next, err := net.Dial("tcp", server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = next.Close() }()
+	require.Equal(t, http.StatusMisdirectedRequest, poll(next))
+}
