Stand-in worker's resources shrink and grow while it runs

Its entry shows the change, what runs goes on, and the run log takes a start for a violation that brings the worker over the most that it had within contact_ms and one heartbeat before. Without a change, the check is the one of before.

--- a/hfstand/platform_worker.go
+++ b/hfstand/platform_worker.go
@@ -50,7 +50,8 @@
 	violations []string // descriptions of invalid starts
 }
 
-// Violations returns the violations: a worker with more accelerators in use than it has, a
+// Violations returns the violations: a start that brings a worker over the accelerators that it
+// has, or had until shrinkNotice before, a
 // task that runs twice at once, a task that starts again more than doneRecordTime after
 // it was done, or a task that starts after a run of it was done if the scheduler took note of
 // that end, before the start or later.
@@ -151,7 +152,8 @@
 	highestRun    map[string]int64 // by task; starts up to this run number are refused
 	wake          chan struct{}    // closed and replaced when a run ends
 	dropOrders    bool             // the connection of each order is dropped
-	accelerators  int64
+	accelerators  int64            // now; they may shrink below what is in use
+	shrunk        []shrink
 	process       int64  // number of the process, which ends with a crash
 	down          bool   // crashed and not back yet
 	onCrash       func() // called in a goroutine of its own after a crash; may be nil
@@ -168,6 +170,17 @@
 	Random   *rand.Rand
 }
 
+// shrinkNotice is the time after a shrink within which a start may still count on the
+// accelerators of before: contact_ms and one heartbeat of the platform's rules, in the soak's
+// settings.
+const shrinkNotice = 4500 * time.Millisecond
+
+// shrink is the loss of some accelerators.
+type shrink struct {
+	at     time.Time
+	before int64 // accelerators until then
+}
+
 // activeRun is a run that has not ended.
 type activeRun struct {
 	start    *Start
@@ -286,6 +299,29 @@
 	}
 }
 
+// Resize changes the number of accelerators. What runs goes on, also if it uses more. The
+// caller stores the worker's entry, which shows the change.
+func (w *PlatformWorker) Resize(accelerators int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if accelerators < w.accelerators {
+		w.shrunk = append(w.shrunk, shrink{at: time.Now(), before: w.accelerators})
+	}
+	w.accelerators = accelerators
+}
+
+// guarded returns the number of accelerators over which no start may bring the worker at a time:
+// the most that it had within shrinkNotice before. The caller holds mu.
+func (w *PlatformWorker) guarded(at time.Time) int64 {
+	most := w.accelerators
+	for _, s := range w.shrunk {
+		if at.Sub(s.at) <= shrinkNotice {
+			most = max(most, s.before)
+		}
+	}
+	return most
+}
+
 // DropOrders sets whether the worker drops the connection of each order instead of
 // answering it.
 func (w *PlatformWorker) DropOrders(drop bool) {
@@ -458,7 +494,7 @@
 		used += other.profile.Accelerators
 	}
 	l.mu.Lock()
-	l.checkStart(active.start, used, w.accelerators)
+	l.checkStart(active.start, used, w.guarded(active.start.StartedAt))
 	l.starts = append(l.starts, active.start)
 	l.mu.Unlock()
 	time.AfterFunc(gangTimeout, func() {
--- a/hfstand/platform_worker_test.go
+++ b/hfstand/platform_worker_test.go
@@ -213,3 +213,43 @@
 	defer func() { _ = next.Close() }()
 	require.Equal(t, http.StatusMisdirectedRequest, poll(next))
 }
+
+// Guards against a stand-in that takes a start over its shrunk resources for allowed, or one
+// that only the notice of the shrink allows for a violation.
+func TestStartOverShrunkResourcesIsViolation(t *testing.T) {
+	for name, c := range map[string]struct {
+		accelerators []int64       // one after the other, from 8 on
+		ago          time.Duration // of the changes
+		want         int
+	}{
+		"shrunk long ago":          {[]int64{2}, shrinkNotice + time.Second, 1},
+		"shrunk just now":          {[]int64{2}, 0, 0},
+		"shrunk and grown":         {[]int64{2, 3}, shrinkNotice + time.Second, 0},
+		"shrunk in steps":          {[]int64{4, 2}, shrinkNotice + time.Second, 1},
+		"still large enough":       {[]int64{3}, shrinkNotice + time.Second, 0},
+		"shrunk to what is in use": {[]int64{2, 8, 2}, shrinkNotice + time.Second, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := NewRunLog(func(task string) TaskProfile {
+				return TaskProfile{RunTime: time.Hour, GangSize: 1, Accelerators: int64(len(task) - len("a.0.0.0"))}
+			})
+			w := NewPlatformWorker("w", 8, l)
+			server := httptest.NewServer(w.Handler())
+			defer server.Close()
+			require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/run-start", `{"task":"aaa.0.0.0","run":1,"until_ms":600000}`))
+			for _, n := range c.accelerators {
+				w.Resize(n)
+				require.Equal(t, n, w.Entry("pool", "", "z", "r", 1, 1, false)["capacity"].(map[string]int64)["gpu"])
+			}
+			w.mu.Lock()
+			for i := range w.shrunk {
+				w.shrunk[i].at = time.Now().Add(-c.ago)
+			}
+			w.mu.Unlock()
+			require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/run-start", `{"task":"bb.0.0.0","run":2,"until_ms":600000}`))
+			require.Len(t, l.Starts(), 2)
+			require.Zero(t, l.Starts()[0].EndedAt, "what runs goes on")
+			require.Len(t, l.Violations(), c.want)
+		})
+	}
+}
