Stand-in ends a gang whose member is lost in a crash

The other members of a gang went on and ended as done, and the scheduler, by the platform's rule that one such end represents all, took the gang for done. They now end as broken.

go test -race ./hfstand: passes.

--- a/hfstand/platform_worker.go
+++ b/hfstand/platform_worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -30,7 +31,7 @@
 	Run       int64
 	StartedAt time.Time
 	EndedAt   time.Time // zero while it runs
-	Outcome   string    // done, failed, stopped, lapsed, alone, restart or crash; empty while it runs
+	Outcome   string    // done, failed, stopped, lapsed, alone, broken, restart or crash; empty while it runs
 	Spec      string
 	noted     bool            // ended as done, and a hold order took note of that end before the lease lapsed
 	worker    *PlatformWorker // nil in tests of the log itself
@@ -133,6 +134,21 @@
 	return n
 }
 
+// breakGang ends the other members of a gang after a member was lost, as they work only together.
+func (l *RunLog) breakGang(lost *activeRun) {
+	if lost.profile.GangSize < 2 {
+		return
+	}
+	step := lost.start.Task[:strings.LastIndexByte(lost.start.Task, '.')+1]
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.starts {
+		if s.EndedAt.IsZero() && s.Run == lost.start.Run && strings.HasPrefix(s.Task, step) && s.worker != nil {
+			time.AfterFunc(stopDelay, func() { s.worker.breakRun(s) })
+		}
+	}
+}
+
 // PlatformWorker is a fake worker of the operators' platform. It runs tasks on the orders
 // of a scheduler, under one lease for all of them.
 type PlatformWorker struct {
@@ -248,8 +264,11 @@
 	if w.down {
 		return
 	}
-	wake := w.wake
+	wake, lost := w.wake, slices.Collect(maps.Values(w.runs))
 	w.reset("crash")
+	for _, active := range lost {
+		w.runLog.breakGang(active)
+	}
 	w.down = true
 	w.process++
 	close(wake) // a poll that waits ends with the process
@@ -562,6 +581,15 @@
 	w.wake = make(chan struct{})
 }
 
+// breakRun ends a run whose gang has lost a member.
+func (w *PlatformWorker) breakRun(s *Start) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if active := w.runs[s.Task]; active != nil && active.start == s {
+		w.endRun(active, "broken")
+	}
+}
+
 // handleStop stops a run after stopDelay. Later starts of this run and of earlier ones of
 // the task are refused.
 func (w *PlatformWorker) handleStop(c echo.Context) error {
--- a/hfstand/platform_worker_test.go
+++ b/hfstand/platform_worker_test.go
@@ -253,3 +253,30 @@
 		})
 	}
 }
+
+// Guards against members of a gang that end as done in the stand-in after one was lost in a crash.
+func TestCrashBreaksGang(t *testing.T) {
+	l := NewRunLog(func(task string) TaskProfile {
+		return TaskProfile{RunTime: time.Hour, GangSize: 2, Crashes: task == "a.0.0.0"}
+	})
+	outcomes := func() []string {
+		list := []string{}
+		for _, s := range l.Starts() {
+			list = append(list, s.Task+" "+s.Outcome)
+		}
+		return list
+	}
+	order := `{"task":"%s","run":1,"until_ms":600000}`
+	for _, id := range []string{"w0", "w1"} {
+		server := httptest.NewServer(NewPlatformWorker(id, 8, l).Handler())
+		defer server.Close()
+		if id == "w1" {
+			require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/run-start", fmt.Sprintf(order, "a.0.0.0")))
+			break
+		}
+		require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/run-start", fmt.Sprintf(order, "a.0.0.1")))
+		require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/run-start", fmt.Sprintf(order, "b.0.0.0")))
+	}
+	require.Eventually(t, func() bool { return l.Starts()[0].Outcome != "" && l.Starts()[2].Outcome != "" }, 10*time.Second, 5*time.Millisecond)
+	require.Equal(t, []string{"a.0.0.1 broken", "b.0.0.0 ", "a.0.0.0 crash"}, outcomes())
+}
