--- a/hfstand/platform_worker.go
+++ b/hfstand/platform_worker.go
@@ -273,7 +273,7 @@
 	w.process++
 	close(wake) // a poll that waits ends with the process
 	if w.onCrash != nil {
-		go w.onCrash()
+		time.AfterFunc(0, w.onCrash) // mu is held
 	}
 }
 
