Hold only early crashes against a task that was alone

Cause: a run counted as just begun until a report showed it at work for 2 s, in which a third of the workers crashed behind a cut. Now the worker must have fallen silent within 1 s of the start, as for the other limit. Evidence: TestCrashesSoonAfterTheStartOfALoneTaskFailNoJob fails before ("failed", expected "completed"). 300 worlds of random faults start no deadly task more than five times.

--- a/hfplan/crash.go
+++ b/hfplan/crash.go
@@ -18,8 +18,8 @@
 	// that is carried out late crashes the worker later, and innocent tasks meet other crashes.
 	maxCrashes      = 5
 	minEarlyCrashes = 2
-	// maxCrashesAlone is how many workers may crash under a task that had just begun with no
-	// other on the worker. The platform allows to give a task up after two crashes.
+	// maxCrashesAlone is how many workers may crash right after the start of a task with no other
+	// on the worker. The platform allows to give a task up after two crashes.
 	maxCrashesAlone = 2
 	// maxGangCrashesAlone is the same for a gang, which more unrelated crashes meet: any of its
 	// workers may crash by chance.
@@ -47,7 +47,7 @@
 type crashes struct {
 	total    uint32 // runs lost in a crash, or with a worker that has not come back since they began
 	early    uint32 // of these, runs that had started right before the worker fell silent
-	alone    uint32 // of these, runs that had just begun on a worker with nothing else
+	alone    uint32 // of these, runs that were early on a worker with nothing else
 	run      int64  // number of the last run that is included in total
 	aloneRun int64  // number of the last run that is included in alone
 	suspect  bool   // the last of these runs had just begun, and no run since has been at work for long
@@ -168,7 +168,7 @@
 	s.unstable[address] = now.Add(unstableTime)
 	for i := range lost {
 		l := &lost[i]
-		s.countCrash(l, certain && l.justBegun() && !l.unanswered)
+		s.countCrash(l, certain && (l.early || l.prior) && !l.unanswered)
 		l.task.crashes.provenRun = max(l.task.crashes.provenRun, l.number)
 		if l.justBegun() {
 			note.suspects = append(note.suspects, l.task.id())
