Limit the orders under way and their retries over all workers

Change: one outbox over all workers. At most a window of orders is unanswered at a time, which grows while answers are fast and shrinks when the lower quartile is delayed by over 60 ms; what frees resources goes first, then the rest of a gang that has begun, then starts by priority. Orders to workers that did not answer come last and have a quarter of the window. Response timeouts follow the measured round trips with a floor of 300 ms. Retries have a budget over all workers. Two goroutines a worker are gone. Bytes sent and received are counted by purpose (traffic.*).

Tests, on a simulated link: TestBurstOfStartsOnNarrowLinkKeepsLease; the wrong variant, an unlimited window, is found by TestUnlimitedBurstIsFoundToLoseLease. The harness of queue_test.go sends through the outbox now, its checks are unchanged.

Conclusion: the leader keeps its lease.

--- a/hfentry/observe.go
+++ b/hfentry/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -105,7 +106,23 @@
 	}
 	n.log.Event(hfevent.PlanLoad, zap.Ints("waiting", waiting[:]), zap.Ints("running", running[:]), zap.Int("promised", l.Assigned()),
 		zap.Int("stopping", l.Stopping()), zap.Int64("free", l.Free().Accelerators()), zap.Int64("accelerators", l.Capacity().Accelerators()),
-		zap.Int64("cpu", l.Free().CPU()/milliPerCore), zap.Int64("memory", l.Free().Memory()))
+		zap.Int64("cpu", l.Free().CPU()/milliPerCore), zap.Int64("memory", l.Free().Memory()), zap.Any("traffic", n.traffic()))
+}
+
+// trafficPrefix is the prefix of the counters of bytes sent and received.
+const trafficPrefix = "traffic."
+
+// traffic returns the bytes sent and received since the start of the process, by purpose.
+func (n *Node) traffic() map[string]int64 {
+	bytes := map[string]int64{}
+	n.registry.Each(func(name string, metric any) {
+		if purpose, ok := strings.CutPrefix(name, trafficPrefix); ok {
+			if c, ok := metric.(metrics.Counter); ok {
+				bytes[purpose] = c.Count()
+			}
+		}
+	})
+	return bytes
 }
 
 // InvariantViolated implements hforder.Observer.
--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -16,13 +16,17 @@
 
 const (
 	sendersPerWorker = 2                      // orders that are sent to one worker at the same time
-	responseTimeout  = 300 * time.Millisecond // an unanswered order is sent again after it; workers usually answer within 20 ms
+	responseTimeout  = 300 * time.Millisecond // least time after which an unanswered order is sent again; workers usually answer within 20 ms
 	pollTimeout      = 900 * time.Millisecond // beyond the time for which the worker may delay its answer
 	pollWait         = 1500 * time.Millisecond
 	silentPollPause  = 250 * time.Millisecond // between polls of a silent worker
 	ackTimeout       = 2 * time.Second        // wait for the record of an end before the next poll
 	leaseMarginMS    = 50                     // milliseconds subtracted from a lease to allow for rounding
 
+	// maxResponseTimeout is the longest time after which an unanswered order is sent again. One try
+	// more then fits into orderTimeout.
+	maxResponseTimeout = orderTimeout - responseTimeout
+
 	// orderTimeout bounds the retries of one order. The scheduler settles an order that is
 	// unanswered by then with a stop.
 	orderTimeout = time.Second
@@ -43,12 +47,14 @@
 
 // dispatcher sends orders to one worker and polls its reports.
 type dispatcher struct {
-	leader *Leader
-	wake   chan struct{} // signals queued orders
-	acked  chan struct{} // signals that ends were stored
-	cancel context.CancelFunc
+	leader  *Leader
+	deliver func(o order) // sends an order, in a goroutine of its own
+	acked   chan struct{} // signals that ends were stored
+	cancel  context.CancelFunc
 
 	mu            sync.Mutex
+	sending       int  // orders under way, at most sendersPerWorker
+	unanswered    bool // the last try of an order was not answered
 	worker        *hfwork.Worker
 	queue         orderQueue
 	workerClock   int64     // worker's time in milliseconds in its last report
@@ -78,18 +84,33 @@
 			continue
 		}
 		workerCtx, cancel := context.WithCancel(ctx)
-		d := &dispatcher{leader: l, wake: make(chan struct{}, sendersPerWorker), acked: make(chan struct{}, 1), cancel: cancel, worker: w, reportedFrom: w.GetAnswered()}
+		d := &dispatcher{leader: l, acked: make(chan struct{}, 1), cancel: cancel, worker: w, reportedFrom: w.GetAnswered()}
+		d.deliver = func(o order) { l.deliver(workerCtx, d, o) }
 		l.dispatchers[id] = d
 		l.group.Go(func() error {
 			d.pollLoop(workerCtx)
 			return nil
 		})
-		for range sendersPerWorker {
-			l.group.Go(func() error {
-				d.sendOrders(workerCtx)
-				return nil
-			})
+	}
+}
+
+// deliver sends an order in a goroutine of its own, and then the next one.
+func (l *Leader) deliver(ctx context.Context, d *dispatcher, o order) {
+	l.group.Go(func() error {
+		d.sendOrder(ctx, o)
+		l.sendQueued()
+		return nil
+	})
+}
+
+// sendQueued sends as many queued orders as may be sent now.
+func (l *Leader) sendQueued() {
+	for {
+		d, o, ok := l.outbox.next(time.Now())
+		if !ok {
+			return
 		}
+		d.deliver(o)
 	}
 }
 
@@ -104,6 +125,7 @@
 	defer l.mu.Unlock()
 	if d := l.dispatchers[id]; d != nil {
 		d.cancel()
+		l.outbox.forget(d)
 		delete(l.dispatchers, id)
 	}
 }
@@ -113,19 +135,53 @@
 	if d == nil {
 		return // the worker was dropped, and nothing runs on it
 	}
+	o.sequence = d.leader.outbox.enqueued(d)
 	d.mu.Lock()
 	d.queue.add(o, time.Now())
 	d.mu.Unlock()
-	select {
-	case d.wake <- struct{}{}:
-	default:
+	d.leader.sendQueued()
+}
+
+// peek returns the class and the sequence number of the order that dequeue would return. sendable
+// reports whether there is one, and empty whether none is queued.
+func (d *dispatcher) peek(class func(order) orderClass) (c orderClass, sequence uint64, sendable, empty bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.queue.orders) == 0 {
+		return 0, 0, false, true
+	}
+	if d.sending >= sendersPerWorker {
+		return 0, 0, false, false
+	}
+	i, c := d.queue.first(class)
+	if i < 0 {
+		return 0, 0, false, false
+	}
+	if d.unanswered {
+		c += numClasses
 	}
+	return c, d.queue.orders[i].sequence, true, false
 }
 
-func (d *dispatcher) dequeue() (order, bool) {
+// dequeue removes and returns the first order that may be sent to the worker now.
+func (d *dispatcher) dequeue(class func(order) orderClass) (order, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.queue.next()
+	if d.sending >= sendersPerWorker {
+		return order{}, false
+	}
+	o, ok := d.queue.next(class)
+	if ok {
+		d.sending++
+	}
+	return o, ok
+}
+
+// finishOrder allows the next order to be sent to the worker.
+func (d *dispatcher) finishOrder() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.sending--
 }
 
 // finishStart allows stops of a run whose start will not be sent again.
@@ -205,29 +261,21 @@
 	d.silent = silent
 }
 
-// sendOrders sends queued orders one at a time until ctx ends.
-func (d *dispatcher) sendOrders(ctx context.Context) {
-	for ctx.Err() == nil {
-		o, ok := d.dequeue()
-		if !ok {
-			select {
-			case <-ctx.Done():
-				return
-			case <-d.wake:
-			}
-			continue
-		}
-		switch {
-		case o.withdrawn != nil:
-			d.withdraw(o)
-		case o.stop != nil:
-			d.sendStop(ctx, *o.stop)
-		case o.pace != nil:
-			d.sendPace(ctx, *o.pace)
-		default:
-			d.sendStart(ctx, *o.start, o.sendBefore)
-			d.finishStart(*o.start)
-		}
+// sendOrder sends an order that was taken from the queue.
+func (d *dispatcher) sendOrder(ctx context.Context, o order) {
+	defer d.finishOrder()
+	place := &windowPlace{outbox: &d.leader.outbox, domain: d.currentWorker().GetDomain(), doubtful: o.doubtful}
+	switch {
+	case o.withdrawn != nil:
+		d.withdraw(o)
+		place.finish(0, ErrNotSent)
+	case o.stop != nil:
+		d.sendStop(ctx, place, *o.stop)
+	case o.pace != nil:
+		d.sendPace(ctx, place, *o.pace)
+	default:
+		d.sendStart(ctx, place, *o.start, o.sendBefore)
+		d.finishStart(*o.start)
 	}
 }
 
@@ -247,26 +295,73 @@
 }
 
 // sendWithRetry sends an order until it is answered or orderTimeout has passed. It does not
-// retry once the worker is silent or the leadership is lost. Orders are idempotent, so
+// retry once the worker is silent, the leadership is lost or the budget of retries is spent; the
+// last try then waits for its answer until orderTimeout has passed. Orders are idempotent, so
 // sending one again does no harm. But the run of an unanswered start may have begun and
 // ended before the retry: a refusal of a retry therefore leaves the effect unknown, and is
 // returned as ErrUnanswered.
-func (d *dispatcher) sendWithRetry(ctx context.Context, call func(ctx context.Context, leaseEnd int64) error) error {
-	lastRetry := time.Now().Add(orderTimeout - responseTimeout)
+func (d *dispatcher) sendWithRetry(ctx context.Context, place *windowPlace, call func(ctx context.Context, leaseEnd int64) error) error {
+	outbox, sent := &d.leader.outbox, time.Now()
+	deadline := sent.Add(orderTimeout)
 	for tries := 1; ; tries++ {
-		sent := time.Now()
-		err := d.send(ctx, responseTimeout, call)
+		timeout, retry := outbox.reserveRetry(deadline.Sub(sent))
+		var err error
+		if retry {
+			err = d.send(ctx, timeout, call)
+		} else {
+			err = d.sendLastTry(ctx, place, timeout, deadline.Sub(sent), call)
+		}
+		d.recordResult(err)
+		if place.finish(time.Since(sent), err) {
+			d.leader.sendQueued()
+		}
+		if retry && errors.Is(err, ErrUnanswered) && hfloop.Sleep(ctx, timeout-time.Since(sent)) && !d.isSilent() {
+			sent = time.Now()
+			continue
+		}
+		if retry {
+			outbox.returnRetry()
+		}
 		switch {
 		case err == nil:
 			return nil
-		case !errors.Is(err, ErrUnanswered) && (tries == 1 || errors.Is(err, ErrFenced) || errors.Is(err, ErrNotLeading)):
-			return fmt.Errorf("order: %w", err)
-		case !errors.Is(err, ErrUnanswered):
-			return fmt.Errorf("order, try %d: %w: %s", tries, ErrUnanswered, err)
-		case time.Now().After(lastRetry), !hfloop.Sleep(ctx, responseTimeout-time.Since(sent)), d.isSilent():
+		case errors.Is(err, ErrUnanswered):
 			return fmt.Errorf("order, try %d: %w", tries, err)
+		case tries == 1 || errors.Is(err, ErrFenced) || errors.Is(err, ErrNotLeading):
+			return fmt.Errorf("order: %w", err)
 		}
+		return fmt.Errorf("order, try %d: %w: %s", tries, ErrUnanswered, err)
+	}
+}
+
+// recordResult records whether the worker answered a try.
+func (d *dispatcher) recordResult(err error) {
+	if errors.Is(err, ErrNotSent) || errors.Is(err, ErrNotLeading) {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.unanswered = errors.Is(err, ErrUnanswered)
+}
+
+// sendLastTry sends an order that is not retried, and waits for its answer for the remaining time.
+// The order gives up its place in the window after the timeout, as it is then no longer on the way.
+func (d *dispatcher) sendLastTry(ctx context.Context, place *windowPlace, timeout, remaining time.Duration, call func(ctx context.Context, leaseEnd int64) error) error {
+	answered := make(chan struct{})
+	defer close(answered)
+	if !place.isFree() && timeout < remaining {
+		d.leader.group.Go(func() error {
+			select {
+			case <-answered:
+			case <-time.After(timeout):
+				if place.finish(timeout, ErrUnanswered) {
+					d.leader.sendQueued()
+				}
+			}
+			return nil
+		})
 	}
+	return d.send(ctx, remaining, call)
 }
 
 // withdraw answers a stop whose run was never started, and its start.
@@ -276,9 +371,9 @@
 	d.leader.Send(hfplan.Started(*o.withdrawn, hfplan.OutcomeRefused))
 }
 
-func (d *dispatcher) sendStart(ctx context.Context, c hfplan.StartCmd, sendBefore time.Time) {
+func (d *dispatcher) sendStart(ctx context.Context, place *windowPlace, c hfplan.StartCmd, sendBefore time.Time) {
 	worker, sent := d.currentWorker(), time.Now()
-	err := d.sendWithRetry(ctx, func(ctx context.Context, leaseEnd int64) error {
+	err := d.sendWithRetry(ctx, place, func(ctx context.Context, leaseEnd int64) error {
 		if !sent.Before(sendBefore) {
 			return fmt.Errorf("%w: it was queued for too long", ErrNotSent)
 		}
@@ -295,18 +390,18 @@
 	d.leader.Send(hfplan.Started(c, d.outcome(err)))
 }
 
-func (d *dispatcher) sendStop(ctx context.Context, c hfplan.StopCmd) {
+func (d *dispatcher) sendStop(ctx context.Context, place *windowPlace, c hfplan.StopCmd) {
 	sent, worker := time.Now(), d.currentWorker()
-	err := d.sendWithRetry(ctx, func(ctx context.Context, _ int64) error {
+	err := d.sendWithRetry(ctx, place, func(ctx context.Context, _ int64) error {
 		return d.leader.minions.Stop(ctx, worker, c.Task(), c.Number(), d.leader.tenure.Epoch())
 	})
 	d.leader.observer.OrderFinished("stop", c.Task(), c.Number(), worker.GetId(), sent, err)
 	d.leader.Send(hfplan.Stopped(c, d.stopOutcome(err, worker.GetAddress())))
 }
 
-func (d *dispatcher) sendPace(ctx context.Context, c hfplan.PaceCmd) {
+func (d *dispatcher) sendPace(ctx context.Context, place *windowPlace, c hfplan.PaceCmd) {
 	sent, worker := time.Now(), d.currentWorker()
-	err := d.sendWithRetry(ctx, func(ctx context.Context, _ int64) error {
+	err := d.sendWithRetry(ctx, place, func(ctx context.Context, _ int64) error {
 		return d.leader.minions.Pace(ctx, worker, c.Task(), c.Number(), c.Percent(), d.leader.tenure.Epoch())
 	})
 	d.leader.observer.OrderFinished("pace", c.Task(), c.Number(), worker.GetId(), sent, err)
--- a/hforder/leader.go
+++ b/hforder/leader.go
@@ -81,6 +81,8 @@
 	group     *errgroup.Group
 	fail      context.CancelCauseFunc // ends the leadership
 
+	outbox outbox // orders to all workers
+
 	mu          sync.Mutex
 	dispatchers map[string]*dispatcher // by worker id
 	done        chan struct{}          // closed when messages are no longer received
--- a/hforder/leader_test.go
+++ b/hforder/leader_test.go
@@ -174,14 +174,14 @@
 func TestRefusedRetryLeavesEffectUnknown(t *testing.T) {
 	d := &dispatcher{leader: &Leader{tenure: hflease.NewTenure(5, hflease.Now(), time.Minute)}}
 	answers := []error{ErrUnanswered, ErrStaleRun}
-	err := d.sendWithRetry(t.Context(), func(context.Context, int64) error {
+	err := d.sendWithRetry(t.Context(), &windowPlace{outbox: &d.leader.outbox}, func(context.Context, int64) error {
 		answer := answers[0]
 		answers = answers[1:]
 		return answer
 	})
 	require.ErrorIs(t, err, ErrUnanswered)
 	require.NotErrorIs(t, err, ErrStaleRun)
-	require.ErrorIs(t, d.sendWithRetry(t.Context(), func(context.Context, int64) error { return ErrStaleRun }), ErrStaleRun)
+	require.ErrorIs(t, d.sendWithRetry(t.Context(), &windowPlace{outbox: &d.leader.outbox}, func(context.Context, int64) error { return ErrStaleRun }), ErrStaleRun)
 }
 
 // Connections to a worker whose process has ended are reset at once. Retries must not become
@@ -189,7 +189,7 @@
 func TestImmediateFailuresAreRetriedAtIntervals(t *testing.T) {
 	d := &dispatcher{leader: &Leader{tenure: hflease.NewTenure(5, hflease.Now(), time.Minute)}}
 	tries := 0
-	err := d.sendWithRetry(t.Context(), func(context.Context, int64) error {
+	err := d.sendWithRetry(t.Context(), &windowPlace{outbox: &d.leader.outbox}, func(context.Context, int64) error {
 		tries++
 		return ErrUnanswered
 	})
--- /dev/null
+++ b/hforder/outbox_test.go
@@ -0,0 +1,301 @@
+package hforder
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/heatherfront/heatherfront/hflease"
+	"github.com/heatherfront/heatherfront/hfplan"
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+const (
+	narrowLink   = 250_000 // bytes a second, as of 2 Mbit/s
+	startBytes   = 1000    // of a start with its headers and a command of usual length
+	renewalBytes = 300
+	taskDuration = time.Minute
+	workerDelay  = 20 * time.Millisecond // until a worker's answer is back
+	leadLease    = 1600 * time.Millisecond
+	leadRenewal  = leadLease / 4 // between two renewals
+)
+
+// narrowMinions are workers behind one narrow link. What is written to the link is sent, one
+// message after the other, also if the caller has given up.
+type narrowMinions struct {
+	fakeMinions
+	mute map[string]bool // workers that do not answer
+
+	mu             sync.Mutex
+	idleAt         time.Time // when the link has sent all that was written to it
+	sent, answered int
+	tried          map[string]bool
+	retries        int                     // orders that were sent before
+	runs           map[string][]hfwork.Run // that have started, by worker
+	at             map[string]time.Time    // when they started, by task
+}
+
+// send writes a message to the link and waits until it is answered.
+func (m *narrowMinions) send(ctx context.Context, bytes int) error {
+	m.mu.Lock()
+	m.idleAt = latest(m.idleAt, time.Now()).Add(time.Duration(bytes) * time.Second / narrowLink)
+	wait := time.Until(m.idleAt) + workerDelay
+	m.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return ErrUnanswered
+	case <-time.After(wait):
+		return nil
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// receive sends an order to a worker, which may be mute.
+func (m *narrowMinions) receive(ctx context.Context, w *hfwork.Worker, name string, bytes int) error {
+	m.mu.Lock()
+	m.sent++
+	if m.tried[name] && bytes == startBytes { // the scheduler itself repeats stops
+		m.retries++
+	}
+	m.tried[name] = true
+	mute := m.mute[w.GetId()]
+	m.mu.Unlock()
+	err := m.send(ctx, bytes)
+	if mute {
+		<-ctx.Done()
+		return ErrUnanswered
+	}
+	if err == nil {
+		m.mu.Lock()
+		m.answered++
+		m.mu.Unlock()
+	}
+	return err
+}
+
+func (m *narrowMinions) Start(ctx context.Context, w *hfwork.Worker, s Start) error {
+	if err := m.receive(ctx, w, fmt.Sprint("start", s.Task(), s.Run()), startBytes); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if name := fmt.Sprint(s.Task().Job(), s.Task().Index()); m.at[name].IsZero() {
+		m.at[name] = time.Now()
+		m.runs[w.GetId()] = append(m.runs[w.GetId()], hfwork.NewRun(s.Task(), s.Run(), "", 0, 0))
+	}
+	return nil
+}
+
+func (m *narrowMinions) Stop(ctx context.Context, w *hfwork.Worker, task hfwork.TaskID, run, _ int64) error {
+	if err := m.receive(ctx, w, fmt.Sprint("stop", task, run), renewalBytes); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.runs[w.GetId()] = slices.DeleteFunc(m.runs[w.GetId()], func(r hfwork.Run) bool { return r.Task() == task && r.Number() == run })
+	return nil
+}
+
+// Poll reports the runs of a worker.
+func (m *narrowMinions) Poll(ctx context.Context, w *hfwork.Worker, r PollRequest) (hfwork.Report, error) {
+	select {
+	case <-ctx.Done():
+		return hfwork.Report{}, ErrUnanswered
+	case <-time.After(r.Wait() + workerDelay):
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var running []hfwork.Run
+	for _, r := range m.runs[w.GetId()] {
+		percent := time.Since(m.at[fmt.Sprint(r.Task().Job(), r.Task().Index())]) * 100 / taskDuration
+		running = append(running, hfwork.NewRun(r.Task(), r.Number(), "", int64(percent), 0))
+	}
+	return hfwork.NewReport(1000, 7, running, nil), nil
+}
+
+// widePool returns the messages with a pool of workers of eight accelerators, eight to a rack, that
+// have all reported.
+func widePool(workers int) []hfplan.Msg {
+	registered := map[string]*hfwork.Worker{}
+	for i := range workers {
+		id := fmt.Sprintf("w%04d", i)
+		registered[id] = &hfwork.Worker{Id: id, Pool: "p", Domain: fmt.Sprint("d", i%6), Rack: fmt.Sprint("r", i/8), Cpu: 128_000, Memory: 512_000, Accelerators: 8}
+	}
+	queues := []*hfwork.Queue{{Name: "urgent", Pool: "p", Attempts: 3}, {Name: "bulk", Pool: "p", Attempts: 3, Priority: 2}}
+	return []hfplan.Msg{hfplan.Policy(&hfwork.Policy{Queues: queues}), hfplan.Workers(registered)}
+}
+
+// burstResult is what happened while a burst of starts left over a narrow link.
+type burstResult struct {
+	longestRenewal time.Duration
+	minions        *narrowMinions
+}
+
+// runBurst lets a leader start the tasks of a job of each queue at the same moment, while the lease
+// is renewed over the same link.
+func runBurst(t *testing.T, muteWorkers int, bulkTasks, urgentTasks uint32, prepare func(l *Leader)) burstResult {
+	t.Helper()
+	m := &narrowMinions{mute: map[string]bool{}, tried: map[string]bool{}, runs: map[string][]hfwork.Run{}, at: map[string]time.Time{}}
+	for i := range muteWorkers {
+		m.mute[fmt.Sprintf("w%04d", i)] = true
+	}
+	timing := hfplan.NewTiming(testLease)
+	l := NewLeader(hfplan.New(1, timing, time.Now()), hflease.NewTenure(5, hflease.Now(), time.Hour), m, fakeServices{}, fakeServices{}, "one", &fakeRecords{}, fakeServices{}, timing)
+	prepare(l)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() { _ = l.Run(ctx, widePool(720)) })
+	time.Sleep(time.Second)
+	bulk := &hfwork.Job{Id: "bulk", Queue: "bulk", Command: "c", Steps: []*hfwork.Step{{Count: bulkTasks, Accelerators: 8, Cpu: 1000, Estimate: taskDuration.Milliseconds()}}}
+	l.Send(hfplan.Job(bulk, nil, false))
+	time.Sleep(2 * passInterval)
+	urgent := &hfwork.Job{Id: "urgent", Queue: "urgent", Command: "c", Steps: []*hfwork.Step{{Count: urgentTasks, Accelerators: 8, Cpu: 1000, Estimate: taskDuration.Milliseconds(), Gang: true}}}
+	l.Send(hfplan.Job(urgent, nil, false))
+	r := burstResult{minions: m}
+	for begin := time.Now(); time.Since(begin) < 6*time.Second; {
+		renewed := time.Now()
+		require.NoError(t, m.send(t.Context(), renewalBytes))
+		r.longestRenewal = max(r.longestRenewal, time.Since(renewed))
+		time.Sleep(leadRenewal)
+	}
+	cancel()
+	group.Wait()
+	return r
+}
+
+// Guards against a burst of starts on a narrow link that delays the renewal of the leader's lease
+// until it expires, and whose retries keep the link busy: 123 starts at once ended the leadership 13
+// times on a quiet day.
+func TestBurstOfStartsOnNarrowLinkKeepsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := runBurst(t, 0, 500, 16, func(*Leader) {})
+		require.Less(t, r.longestRenewal, leadLease-leadRenewal)
+		require.Equal(t, 516, len(r.minions.at), "tasks started")
+		require.LessOrEqual(t, r.minions.sent, 516+516/2, "orders")
+	})
+}
+
+// The check of TestBurstOfStartsOnNarrowLinkKeepsLease has to find orders that are not limited.
+func TestUnlimitedBurstIsFoundToLoseLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := runBurst(t, 0, 500, 16, func(l *Leader) { l.outbox.window.size = 1 << 20 })
+		require.Greater(t, r.longestRenewal, leadLease-leadRenewal)
+	})
+}
+
+// Guards against urgent starts that wait behind a burst of others, and against gangs whose members
+// wait for each other beyond the time that workers allow.
+func TestUrgentGangPassesBurstOfBulkStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := runBurst(t, 0, 640, 40, func(*Leader) {})
+		var first, last, lastBulk time.Time
+		for name, at := range r.minions.at {
+			if strings.HasPrefix(name, "urgent") {
+				if first.IsZero() || at.Before(first) {
+					first = at
+				}
+				last = latest(last, at)
+				continue
+			}
+			lastBulk = latest(lastBulk, at)
+		}
+		require.False(t, first.IsZero())
+		require.Less(t, last.Sub(first), gangTimeout)
+		require.True(t, last.Before(lastBulk), "the urgent gang waited for all others")
+	})
+}
+
+// Guards against retries for workers that do not answer taking the link from all others.
+func TestRetriesForMuteWorkersStayWithinBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := runBurst(t, 200, 500, 16, func(*Leader) {})
+		require.Less(t, r.longestRenewal, leadLease-leadRenewal)
+		require.LessOrEqual(t, r.minions.retries, int(retryReserve+retryShare*float64(r.minions.answered)))
+		require.GreaterOrEqual(t, len(r.minions.at), 300, "tasks started")
+	})
+}
+
+func TestWindowFollowsDelay(t *testing.T) {
+	var w window
+	require.False(t, w.full())
+	fill := func(delay time.Duration, rounds int) {
+		for range rounds {
+			sent := 0
+			for !w.full() {
+				w.add()
+				sent++
+			}
+			for range sent {
+				w.finish(delay, delay < responseTimeout)
+			}
+		}
+	}
+	fill(time.Millisecond, 20)
+	grown := w.size
+	require.Greater(t, grown, initialWindow)
+	fill(responseTimeout-1, 40)
+	require.InDelta(t, minWindow, w.size, 0.1)
+	fill(time.Millisecond, 20)
+	require.Greater(t, w.size, minWindow)
+	require.Zero(t, w.inFlight)
+}
+
+// Guards against a few slow or silent workers that hold back the orders to all others.
+func TestWindowIgnoresSomeSilentWorkers(t *testing.T) {
+	var w window
+	for i := range 4000 {
+		for !w.full() {
+			w.add()
+		}
+		delay := time.Millisecond
+		if i%5 < 2 {
+			delay = time.Second
+		}
+		w.finish(delay, delay < responseTimeout)
+	}
+	require.GreaterOrEqual(t, w.size, initialWindow)
+}
+
+func TestTimeoutFollowsRoundTrips(t *testing.T) {
+	var r roundTrips
+	require.Equal(t, responseTimeout, r.timeout())
+	for range 50 {
+		r.add("d", 10*time.Millisecond)
+	}
+	require.Equal(t, responseTimeout, r.timeout(), "a floor")
+	for i := range 50 {
+		r.add("d", time.Duration(200+i%5*60)*time.Millisecond)
+	}
+	require.Greater(t, r.timeout(), responseTimeout)
+	require.LessOrEqual(t, r.timeout(), maxResponseTimeout)
+	require.Equal(t, 30*time.Millisecond, r.add("other", 50*time.Millisecond)+r.add("other", 80*time.Millisecond))
+}
+
+func TestRetryBudgetEndsAndIsEarnedAgain(t *testing.T) {
+	var b retryBudget
+	taken := 0
+	for b.take() {
+		taken++
+	}
+	require.Equal(t, int(retryReserve), taken)
+	for range 20 {
+		b.earn()
+	}
+	for b.take() {
+		taken++
+	}
+	require.Equal(t, int(retryReserve)+int(20*retryShare), taken)
+}
--- a/hforder/queue.go
+++ b/hforder/queue.go
@@ -27,6 +27,8 @@
 
 	withdrawn  *hfplan.StartCmd // for a stop: the start of its run, which was queued and is not sent
 	sendBefore time.Time        // for a start: when it is refused
+	doubtful   bool             // its worker did not answer the last order; set when it is sent
+	sequence   uint64           // position in which it was queued, over all workers
 }
 
 // runID identifies a run on a worker.
@@ -75,16 +77,30 @@
 	q.orders = slices.Insert(q.orders, 0, o)
 }
 
-// next removes and returns the first order that may be sent. A start must be finished with
-// finish.
-func (q *orderQueue) next() (order, bool) {
-	i := slices.IndexFunc(q.orders, func(o order) bool {
-		if o.stop == nil {
-			return true
+// first returns the index and class of the order that is to be sent next: the first one of the
+// lowest class that may be sent. The index is -1 if there is none.
+func (q *orderQueue) first(class func(order) orderClass) (int, orderClass) {
+	best, bestClass := -1, orderClass(0)
+	for i, o := range q.orders {
+		if o.stop != nil {
+			if _, sending := q.starting[stopID(*o.stop)]; sending {
+				continue
+			}
+		}
+		if c := class(o); best < 0 || c < bestClass {
+			best, bestClass = i, c
 		}
-		_, sending := q.starting[stopID(*o.stop)]
-		return !sending
-	})
+		if bestClass == classRelease {
+			break
+		}
+	}
+	return best, bestClass
+}
+
+// next removes and returns the order that is to be sent next. A start must be finished with
+// finish.
+func (q *orderQueue) next(class func(order) orderClass) (order, bool) {
+	i, _ := q.first(class)
 	if i < 0 {
 		return order{}, false
 	}
--- a/hforder/queue_test.go
+++ b/hforder/queue_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/heatherfront/heatherfront/hflease"
 	"github.com/heatherfront/heatherfront/hfplan"
@@ -115,16 +116,14 @@
 func runDispatcher(t *testing.T, m Minions, test func(d *dispatcher)) []hfplan.Msg {
 	t.Helper()
 	l := NewLeader(nil, hflease.NewTenure(5, hflease.Now(), time.Hour), m, fakeServices{}, fakeServices{}, "one", &fakeRecords{}, fakeServices{}, hfplan.NewTiming(testLease))
-	d := &dispatcher{leader: l, wake: make(chan struct{}, sendersPerWorker), worker: &hfwork.Worker{Id: "w"}, workerClock: 1000, reportedAt: time.Now()}
+	l.group = &errgroup.Group{}
+	d := &dispatcher{leader: l, worker: &hfwork.Worker{Id: "w"}, workerClock: 1000, reportedAt: time.Now()}
 	ctx, cancel := context.WithCancel(t.Context())
-	var group sync.WaitGroup
-	for range sendersPerWorker {
-		group.Go(func() { d.sendOrders(ctx) })
-	}
+	d.deliver = func(o order) { l.deliver(ctx, d, o) }
 	test(d)
 	time.Sleep(time.Minute)
 	cancel()
-	group.Wait()
+	require.NoError(t, l.group.Wait())
 	var messages []hfplan.Msg
 	for len(l.inbox) > 0 {
 		messages = append(messages, <-l.inbox)
--- a/hfplan/message.go
+++ b/hfplan/message.go
@@ -154,8 +154,16 @@
 	command    string
 	checkpoint string
 	ticket     string
+	priority   uint32
+	gang       bool
 }
 
+// Priority returns the priority of the job, 0 for the most urgent ones.
+func (c StartCmd) Priority() uint32 { return c.priority }
+
+// Gang reports whether the run is that of a member of a gang. All members have the same number.
+func (c StartCmd) Gang() bool { return c.gang }
+
 // Ticket returns the ticket for a start from an advised queue, or "".
 func (c StartCmd) Ticket() string { return c.ticket }
 
--- a/hfplan/run.go
+++ b/hfplan/run.go
@@ -41,6 +41,7 @@
 	s.emit(StartCmd{
 		worker: r.worker.id(), task: t.id(), number: r.number, command: t.group.job.spec.GetCommand(),
 		checkpoint: t.group.primary(t).checkpoint, ticket: ticket,
+		priority: t.group.job.queue.GetPriority(), gang: t.group.gang(),
 	})
 }
 
