Write what only a new leader needs as split records, and follow workers at few instances

Cause: every instance watches hf/ and the workers' entries.

Change: the progress of tasks is stored in blocks of 32, and each worker of the roster by itself, under hfd/, which nobody watches; of these only what has changed is written. A new leader lists them once its term is stored, when no earlier one can change them. hf/state/ID keeps state, end and reason. Besides the leader four instances follow the workers' entries, the best suited ones, at first one of each failure domain; any other lists them when it claims the leadership, and lets the followers go first. After lost history, lists are spread by 4 ms an instance. While an instance of an earlier release is known, records are written whole, and split ones are made whole again. Orders may be delayed by a tenth of the lease.

Ruled out: compressing the records (the bytes are a third, the readers are the same 147).

--- a/hfentry/fenced_writer.go
+++ b/hfentry/fenced_writer.go
@@ -5,10 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
-	"slices"
-
-	"google.golang.org/protobuf/proto"
 
 	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hfplan"
@@ -27,6 +23,11 @@
 	head     *hfwork.Lead // value of termKey; its nonce differs for every batch
 	sequence int64        // number of batches, which serves as the nonce
 	version  int64        // store revision of the last batch that took effect
+	layout   *recordLayout
+	splits   func() bool // whether all instances read split records
+	// split is whether the records of the command that is being saved are split. It is decided
+	// once for a command, as an unanswered batch may take effect before the next try.
+	split, decided bool
 }
 
 // openWriter returns the writer of a new leadership, after storing the next term.
@@ -34,7 +35,9 @@
 	head := hfloop.With(n.mirror, func(m *Mirror) *hfwork.Lead {
 		return &hfwork.Lead{Instance: fmt.Sprintf("%s/%d", n.name, epoch), Term: m.term + 1}
 	})
-	f := &fencedWriter{store: n.store, formats: n.formats, head: head}
+	f := &fencedWriter{store: n.store, formats: n.formats, head: head, layout: newRecordLayout(), splits: func() bool {
+		return hfloop.With(n.mirror, (*Mirror).readsSplit)
+	}}
 	for {
 		item, err := n.store.Get(ctx, termKey)
 		if err == nil || errors.Is(err, hfstore.ErrNotFound) {
@@ -63,55 +66,83 @@
 // Save implements hforder.RecordStore. After a failure it may be called again with the same
 // records.
 func (f *fencedWriter) Save(ctx context.Context, c hfplan.StoreCmd) error {
-	changes := &hfstore.Batch{}
-	if err := f.addChanges(c, changes); err != nil {
+	if !f.decided {
+		f.split, f.decided = f.splits(), true
+	}
+	groups, err := f.layout.changes(c, f.split)
+	if err != nil {
 		return fmt.Errorf("save: %w", err)
 	}
-	for chunk := range slices.Chunk(changes.Writes(), hfstore.MaxBatch-writerEntries) {
-		batch := &hfstore.Batch{}
-		for _, w := range chunk {
-			batch.Put(w.Key(), w.Value(), w.Lease())
-		}
-		if err := f.write(ctx, batch); err != nil {
+	waves, err := f.waveChanges(c)
+	if err != nil {
+		return fmt.Errorf("save: %w", err)
+	}
+	for _, batch := range packGroups(append(waves, groups...), hfstore.MaxBatch-writerEntries) {
+		if err := f.writeChanges(ctx, batch); err != nil {
 			return fmt.Errorf("save: %w", err)
 		}
 	}
+	f.layout.saved(c, f.split)
+	f.decided = false
 	return nil
 }
 
-// addChanges adds the changes of a StoreCmd to a batch: first the roster, then the waves of
-// upkeep, each as a record for the next scheduler and as a status for the operator, and last
-// the progress of jobs.
-func (f *fencedWriter) addChanges(c hfplan.StoreCmd, batch *hfstore.Batch) error {
-	add := func(key string, m proto.Message) error {
-		value, err := hfwire.Encode(m)
-		if err != nil {
-			return fmt.Errorf("%s: %w", key, err)
+// writeChanges writes changes in one batch.
+func (f *fencedWriter) writeChanges(ctx context.Context, changes []keyChange) error {
+	batch := &hfstore.Batch{}
+	for _, c := range changes {
+		if c.value == nil {
+			batch.Remove(c.key)
+		} else {
+			batch.Put(c.key, c.value, "")
 		}
-		batch.Put(key, value, "")
-		return nil
 	}
-	if c.Roster() != nil {
-		if err := add(rosterKey, &hfwork.Roster{Workers: c.Roster()}); err != nil {
-			return fmt.Errorf("roster: %w", err)
+	if err := f.write(ctx, batch); err != nil {
+		return fmt.Errorf("batch: %w", err)
+	}
+	for _, c := range changes {
+		f.layout.committed(c)
+	}
+	return nil
+}
+
+// packGroups distributes changes over batches of at most the given size. The changes of a group are
+// in one batch if they fit into one, and in order otherwise.
+func packGroups(groups [][]keyChange, size int) [][]keyChange {
+	var batches [][]keyChange
+	var current []keyChange
+	for _, group := range groups {
+		for len(current)+len(group) > size {
+			if len(current) > 0 {
+				batches, current = append(batches, current), nil
+				continue
+			}
+			batches, group = append(batches, group[:size]), group[size:]
 		}
+		current = append(current, group...)
+	}
+	if len(current) > 0 {
+		batches = append(batches, current)
 	}
+	return batches
+}
+
+// waveChanges returns the changes that store the waves of upkeep of a command, each as a record for
+// the next scheduler and as a status for the operator.
+func (f *fencedWriter) waveChanges(c hfplan.StoreCmd) ([][]keyChange, error) {
+	var groups [][]keyChange
 	for _, w := range c.Waves() {
-		if err := add(fmt.Sprintf("%s%d", wavePrefix, w.GetNumber()), w); err != nil {
-			return fmt.Errorf("wave: %w", err)
+		value, err := hfwire.Encode(w)
+		if err != nil {
+			return nil, fmt.Errorf("wave: %w", err)
 		}
 		key, status, err := f.formats.WaveStatus(w)
 		if err != nil {
-			return fmt.Errorf("status of wave: %w", err)
+			return nil, fmt.Errorf("status of wave: %w", err)
 		}
-		batch.Put(key, status, "")
+		groups = append(groups, []keyChange{{key: fmt.Sprintf("%s%d", wavePrefix, w.GetNumber()), value: value}, {key: key, value: status}})
 	}
-	for _, id := range slices.Sorted(maps.Keys(c.Records())) {
-		if err := add(progressPrefix+id, c.Records()[id]); err != nil {
-			return fmt.Errorf("record: %w", err)
-		}
-	}
-	return nil
+	return groups, nil
 }
 
 // writerEntries is the number of entries that write adds to a batch: a condition and a put.
--- a/hfentry/fenced_writer_test.go
+++ b/hfentry/fenced_writer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -38,12 +39,14 @@
 	return hfstore.Item{}, hfstore.ErrNotFound
 }
 
-func (s *fakeStore) List(context.Context, string) ([]hfstore.Item, int64, error) {
+func (s *fakeStore) List(_ context.Context, prefix string) ([]hfstore.Item, int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var list []hfstore.Item
-	for _, i := range s.items {
-		list = append(list, i)
+	for key, i := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, i)
+		}
 	}
 	return list, s.revision, nil
 }
--- a/hfentry/instance.go
+++ b/hfentry/instance.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -59,6 +60,7 @@
 		}
 		value, err := hfwire.Encode(&hfwork.Instance{
 			Name: n.name, Address: n.peerAddress, Domain: n.settings.Domain(), Region: n.settings.Region(), Noted: time.Now().UnixMilli(),
+			Suitability: n.settings.LeaderSuitability(), Format: splitFormat,
 		})
 		if err == nil {
 			_, err = n.commit(ctx, (&hfstore.Batch{}).Put(peerPrefix+n.name, value, ""))
@@ -86,6 +88,41 @@
 	}
 }
 
+// maxFollowers is how many instances follow the workers' entries besides the leader. Each entry
+// changes with every heartbeat, so that their cost grows with both workers and followers.
+const maxFollowers = 4
+
+// followsWorkers reports whether this instance has to follow the workers' entries: as the leader, or
+// as one of those that are best suited to be the next one.
+func (n *Node) followsWorkers() bool {
+	if n.claiming.Load() || n.leader.Load() != nil {
+		return true
+	}
+	return slices.Contains(hfloop.With(n.mirror, (*Mirror).followers), n.name)
+}
+
+// followers lists the instances that are best suited to be the next leader: at first one of each
+// failure domain.
+func (m *Mirror) followers() []string {
+	list := slices.SortedFunc(maps.Values(m.instances), func(a, b *hfwork.Instance) int {
+		return cmp.Or(
+			cmp.Compare(b.GetSuitability(), a.GetSuitability()), cmp.Compare(xxhash.Sum64String(a.GetName()), xxhash.Sum64String(b.GetName())),
+		)
+	})
+	inDomain := map[string]int{}
+	rank := map[string]int{} // position of an instance within its domain
+	for _, inst := range list {
+		rank[inst.GetName()] = inDomain[inst.GetDomain()]
+		inDomain[inst.GetDomain()]++
+	}
+	slices.SortStableFunc(list, func(a, b *hfwork.Instance) int { return cmp.Compare(rank[a.GetName()], rank[b.GetName()]) })
+	var names []string
+	for _, inst := range list[:min(len(list), maxFollowers)] {
+		names = append(names, inst.GetName())
+	}
+	return names
+}
+
 // otherInstances returns the other instances: first those of this failure domain, then those of
 // this region, then the rest. Within these groups, the order differs from instance to
 // instance.
--- a/hfentry/leader.go
+++ b/hfentry/leader.go
@@ -31,6 +31,7 @@
 	campaignJitter   = 120 * time.Millisecond // candidates wait a random part of it, so that usually just one tries
 	weakDelay        = 500 * time.Millisecond // by which the weakest instance waits longer than the strongest
 	relayedDelay     = 600 * time.Millisecond // further delay of an instance that reaches the store only through others
+	listDelay        = 250 * time.Millisecond // further delay of an instance that would have to list the workers first
 	campaignInterval = 500 * time.Millisecond
 	catchUpTimeout   = 2 * time.Second // a new leader gives up if its mirror is not current by then
 	catchUpPause     = 5 * time.Millisecond
@@ -87,12 +88,15 @@
 	if !n.relay.Direct() {
 		delay += relayedDelay
 	}
+	if !n.workerWatch.synced.Load() {
+		delay += listDelay
+	}
 	return delay
 }
 
 // eligible reports whether this instance may try to become the leader.
 func (n *Node) eligible() bool {
-	return n.recordWatch.synced.Load() && n.policyWatch.synced.Load() && n.workerWatch.synced.Load() && !n.stopping.Load() && !n.health.Down() &&
+	return n.recordWatch.synced.Load() && n.policyWatch.synced.Load() && !n.stopping.Load() && !n.health.Down() &&
 		hfloop.With(n.mirror, func(m *Mirror) bool { return m.lead == nil && m.policy != nil })
 }
 
@@ -104,6 +108,7 @@
 	ttl := max(leaderTTL, n.settings.MinLease())
 	n.claiming.Store(true)
 	defer n.claiming.Store(false)
+	n.follow()
 	tenure, lease, err := hflease.Acquire(ctx, n.store, leadKey, value, ttl)
 	if err != nil {
 		return fmt.Errorf("claim leadership: %w", err)
@@ -125,6 +130,18 @@
 	if err != nil {
 		return fmt.Errorf("prepare records: %w", err)
 	}
+	loaded, err := n.loadDetails(ctx)
+	if err != nil {
+		return fmt.Errorf("prepare records: %w", err)
+	}
+	if err := n.awaitWorkers(ctx); err != nil {
+		return fmt.Errorf("prepare workers: %w", err)
+	}
+	n.details.Store(loaded)
+	hfloop.With(n.mirror, func(m *Mirror) struct{} {
+		writer.layout.restore(loaded, m.splitJobs(loaded), m.splitRoster(loaded), m.hasEnded)
+		return struct{}{}
+	})
 	timing := hfplan.NewTiming(n.settings.TaskLease())
 	scheduler := hfplan.New(writer.Term(), timing, time.Now())
 	leader := hforder.NewLeader(scheduler, tenure, n.minions, n.adviser, n.machines, n.name, writer, n, timing)
@@ -192,10 +209,72 @@
 	return nil
 }
 
+// awaitWorkers waits until the workers' entries were read.
+func (n *Node) awaitWorkers(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	for !n.workerWatch.synced.Load() {
+		if !hfloop.Sleep(ctx, catchUpPause) {
+			return fmt.Errorf("await workers: %w", ctx.Err())
+		}
+	}
+	return nil
+}
+
+// jobMsg returns the message that tells the scheduler of a job. It reports false if the job must
+// wait, as a part of what is known of it cannot be read.
+func (n *Node) jobMsg(r *jobRecord) (hfplan.Msg, bool) {
+	if !r.schedulable() {
+		return nil, false
+	}
+	progress := r.progress
+	if loaded := n.details.Load(); loaded != nil {
+		var readable bool
+		if progress, readable = loaded.progress(r.job.GetId(), r.progress); !readable {
+			return nil, false
+		}
+	}
+	return hfplan.Job(r.job, progress, r.cancelled), true
+}
+
+// splitJobs returns the progress of the jobs that have not ended and whose records are split.
+func (m *Mirror) splitJobs(d *details) map[string]*hfwork.Progress {
+	jobs := map[string]*hfwork.Progress{}
+	for id, r := range m.jobs {
+		if m.hasEnded(id) || r.unreadable {
+			continue
+		}
+		if r.progress.GetSplit() || len(d.blocks[id]) > 0 && r.progress == nil {
+			if p, readable := d.progress(id, r.progress); readable {
+				jobs[id] = p
+			}
+		}
+	}
+	return jobs
+}
+
+// hasEnded reports whether a job has ended or does not exist.
+func (m *Mirror) hasEnded(id string) bool {
+	r := m.jobs[id]
+	return r == nil || hfwork.IsFinal(r.progress.GetState())
+}
+
+// splitRoster returns the workers of the roster if it is split, and nil otherwise.
+func (m *Mirror) splitRoster(d *details) []*hfwork.Worker {
+	if m.roster.GetSplit() {
+		return d.members
+	}
+	return nil
+}
+
 // initialMessages returns the messages with the state from which a new scheduler starts.
 func (n *Node) initialMessages() []hfplan.Msg {
 	return hfloop.With(n.mirror, func(m *Mirror) []hfplan.Msg {
-		msgs := []hfplan.Msg{hfplan.Policy(m.policy.config), hfplan.Roster(m.roster.GetWorkers())}
+		roster := m.roster.GetWorkers()
+		if m.roster.GetSplit() {
+			roster = n.details.Load().members
+		}
+		msgs := []hfplan.Msg{hfplan.Policy(m.policy.config), hfplan.Roster(roster)}
 		msgs = append(msgs, hfplan.Workers(maps.Clone(m.workers)))
 		for _, c := range m.departures() {
 			msgs = append(msgs, hfplan.WorkerLeft(c.leftWorker))
@@ -205,8 +284,8 @@
 		}
 		for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
 			r := m.jobs[id]
-			if r.schedulable() && !hfwork.IsFinal(r.progress.GetState()) {
-				msgs = append(msgs, hfplan.Job(r.job, r.progress, r.cancelled))
+			if msg, ok := n.jobMsg(r); ok && !hfwork.IsFinal(r.progress.GetState()) {
+				msgs = append(msgs, msg)
 			}
 		}
 		return msgs
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -65,6 +65,8 @@
 	stopping     atomic.Bool
 	claiming     atomic.Bool                    // this instance tries to become the leader, or is the leader
 	leader       atomic.Pointer[hforder.Leader] // nil unless this instance is the leader
+	details      atomic.Pointer[details]        // loaded at the start of the last leadership, nil before the first
+	followNow    chan struct{}                  // receives a value when this instance has to follow the workers' entries
 	leaderless   chan struct{}                  // receives a value when there is no leader
 	stopStarted  chan struct{}                  // closed when a planned stop begins
 	links        *hfpeer.Links
@@ -86,6 +88,7 @@
 		rejectedRows: hfloop.NewGuarded(hfevent.NewRejections(maxKeyBytes + hfevent.MaxReasonBytes)),
 		leaderless:   make(chan struct{}, 1), stopStarted: make(chan struct{}),
 		links: hfpeer.NewLinks(s.Name(), uuid.NewString(), dialer, registry), hints: make(chan hfstore.Item, hintQueueSize),
+		followNow: make(chan struct{}, 1),
 	}
 	n.relay = hfrelay.New(store, n.links, n.otherInstances, func(direct bool, cause error) {
 		if direct {
@@ -97,7 +100,7 @@
 	n.store = n.relay
 	n.recordWatch = prefixWatch{prefix: recordPrefix, pause: n.recordWatchPause}
 	n.policyWatch = prefixWatch{prefix: f.PolicyPrefix(), pause: func() time.Duration { return policyPause }}
-	n.workerWatch = prefixWatch{prefix: f.WorkerPrefix(), pause: n.workerWatchPause}
+	n.workerWatch = prefixWatch{prefix: f.WorkerPrefix(), pause: n.workerWatchPause, needed: n.followsWorkers}
 	return n
 }
 
@@ -192,8 +195,10 @@
 			l.Send(hfplan.Wave(c.wave))
 		}
 		if l := n.leader.Load(); l != nil && c.job != "" {
-			if r := n.cachedJob(c.job); r != nil && r.schedulable() {
-				l.Send(hfplan.Job(r.job, r.progress, r.cancelled))
+			if r := n.cachedJob(c.job); r != nil {
+				if msg, ok := n.jobMsg(r); ok {
+					l.Send(msg)
+				}
 			}
 		}
 	}
--- /dev/null
+++ b/hfentry/split.go
@@ -0,0 +1,400 @@
+package hfentry
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/heatherfront/heatherfront/hfevent"
+	"github.com/heatherfront/heatherfront/hfloop"
+	"github.com/heatherfront/heatherfront/hfplan"
+	"github.com/heatherfront/heatherfront/hfstore"
+	"github.com/heatherfront/heatherfront/hfwire"
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+// Split records. Every instance watches the keys under recordPrefix, so what is written there
+// costs bytes and processor time at all of them. Only a new leader needs to know where tasks run and
+// which workers are in the roster. These details have keys of their own, which nobody watches:
+// a new leader lists them once its term is stored, when no earlier leader can change them.
+const (
+	detailPrefix = "hfd/"        // all keys below
+	blockPrefix  = "hfd/block/"  // a hfwork.StepProgress of blockTasks tasks: ID/OCCURRENCE.STEP.BLOCK
+	memberPrefix = "hfd/roster/" // a worker of the roster, by id
+
+	// blockTasks is the number of tasks in a block, which is written whole when one of them
+	// changes. It is a multiple of 8.
+	blockTasks = 32
+
+	// splitFormat is the format of records from which an instance reads split ones.
+	splitFormat = 2
+)
+
+// errIncompleteDetails reports a list of details with an item of which not even the key is known.
+var errIncompleteDetails = eris.New("an item of the list cannot be read")
+
+// keyChange is a change of one key in the store: a value to write, or a removal.
+type keyChange struct {
+	key   string
+	value []byte // nil for a removal
+}
+
+// details is what is stored under detailPrefix.
+type details struct {
+	blocks     map[string][]*hfwork.StepProgress // steps of jobs, by job
+	unreadable map[string]bool                   // jobs with a block that cannot be read
+	members    []*hfwork.Worker                  // of the roster
+	stored     map[string][]byte                 // values by key
+}
+
+// parseDetails returns the details in a list of the keys under detailPrefix.
+func parseDetails(items []hfstore.Item) (*details, error) {
+	d := &details{blocks: map[string][]*hfwork.StepProgress{}, unreadable: map[string]bool{}, stored: map[string][]byte{}}
+	slices.SortFunc(items, func(a, b hfstore.Item) int { return strings.Compare(a.Key(), b.Key()) })
+	for _, i := range items {
+		if i.Key() == "" {
+			return nil, fmt.Errorf("details: %w: %w", errIncompleteDetails, i.Err())
+		}
+		d.stored[i.Key()] = i.Value()
+		if id, ok := strings.CutPrefix(i.Key(), memberPrefix); ok {
+			w, err := hfwire.Decode(i.Value(), &hfwork.Worker{})
+			if i.Err() == nil && err == nil && w.GetId() == id {
+				d.members = append(d.members, w)
+			}
+			continue
+		}
+		if rest, ok := strings.CutPrefix(i.Key(), blockPrefix); ok {
+			id, _, _ := strings.Cut(rest, "/")
+			if err := d.addBlock(id, rest, i); err != nil {
+				d.unreadable[id] = true
+			}
+		}
+	}
+	return d, nil
+}
+
+// addBlock adds a block of tasks to the steps of a job.
+func (d *details) addBlock(job, name string, i hfstore.Item) error {
+	if i.Err() != nil {
+		return fmt.Errorf("block %s: %w", name, i.Err())
+	}
+	block, err := hfwire.Decode(i.Value(), &hfwork.StepProgress{})
+	if err != nil {
+		return fmt.Errorf("block %s: %w", name, err)
+	}
+	number, err := strconv.ParseUint(name[strings.LastIndexByte(name, '.')+1:], 10, 16)
+	if err != nil {
+		return fmt.Errorf("block %s: %w", name, err)
+	}
+	steps := d.blocks[job]
+	at := slices.IndexFunc(steps, func(s *hfwork.StepProgress) bool {
+		return s.GetOccurrence() == block.GetOccurrence() && s.GetStep() == block.GetStep()
+	})
+	if at < 0 {
+		at = len(steps)
+		steps = append(steps, &hfwork.StepProgress{Occurrence: block.GetOccurrence(), Step: block.GetStep()})
+		d.blocks[job] = steps
+	}
+	mergeBlock(steps[at], block, int(number))
+	return nil
+}
+
+// mergeBlock adds a block of tasks to the progress of its step.
+func mergeBlock(step, block *hfwork.StepProgress, number int) {
+	if done := block.GetDone(); len(done) > 0 {
+		from := number * blockTasks / 8
+		for len(step.Done) < from+len(done) {
+			step.Done = append(step.Done, 0)
+		}
+		copy(step.Done[from:], done)
+	}
+	step.Failures = mergeMaps(step.Failures, block.Failures)
+	step.Places = mergeMaps(step.Places, block.Places)
+	step.Counted = mergeMaps(step.Counted, block.Counted)
+	step.Saved = mergeMaps(step.Saved, block.Saved)
+	step.Crashes = mergeMaps(step.Crashes, block.Crashes)
+}
+
+func mergeMaps[V any](into, from map[uint32]V) map[uint32]V {
+	if into == nil {
+		return from
+	}
+	maps.Copy(into, from)
+	return into
+}
+
+// splitStep returns the blocks of a step that are not empty, by number.
+func splitStep(step *hfwork.StepProgress) map[int]*hfwork.StepProgress {
+	blocks := map[int]*hfwork.StepProgress{}
+	block := func(number int) *hfwork.StepProgress {
+		b := blocks[number]
+		if b == nil {
+			b = &hfwork.StepProgress{Occurrence: step.GetOccurrence(), Step: step.GetStep()}
+			blocks[number] = b
+		}
+		return b
+	}
+	for number, done := range slices.Collect(slices.Chunk(step.GetDone(), blockTasks/8)) {
+		if slices.ContainsFunc(done, func(b byte) bool { return b != 0 }) {
+			block(number).Done = done
+		}
+	}
+	splitMap(step.GetFailures(), block, func(b *hfwork.StepProgress) *map[uint32]uint32 { return &b.Failures })
+	splitMap(step.GetPlaces(), block, func(b *hfwork.StepProgress) *map[uint32]string { return &b.Places })
+	splitMap(step.GetCounted(), block, func(b *hfwork.StepProgress) *map[uint32]int64 { return &b.Counted })
+	splitMap(step.GetSaved(), block, func(b *hfwork.StepProgress) *map[uint32]string { return &b.Saved })
+	splitMap(step.GetCrashes(), block, func(b *hfwork.StepProgress) *map[uint32]*hfwork.Crashes { return &b.Crashes })
+	return blocks
+}
+
+// splitMap adds each entry of a map by task index to the same map of its block.
+func splitMap[V any](from map[uint32]V, block func(number int) *hfwork.StepProgress, field func(b *hfwork.StepProgress) *map[uint32]V) {
+	for index, value := range from {
+		into := field(block(int(index) / blockTasks))
+		if *into == nil {
+			*into = map[uint32]V{}
+		}
+		(*into)[index] = value
+	}
+}
+
+// progress returns the progress of a job with its steps, from its own record and its blocks. It
+// reports false if a part of it cannot be read.
+func (d *details) progress(id string, p *hfwork.Progress) (*hfwork.Progress, bool) {
+	if p != nil && !p.GetSplit() || hfwork.IsFinal(p.GetState()) {
+		return p, true
+	}
+	if d.unreadable[id] {
+		return nil, false
+	}
+	if p == nil && len(d.blocks[id]) == 0 {
+		return nil, true
+	}
+	whole := &hfwork.Progress{State: p.GetState(), Ended: p.GetEnded(), Reason: p.GetReason(), Steps: d.blocks[id]}
+	return whole, checkProgress(whole) == nil
+}
+
+// recordLayout turns the records of a leader into changes of the store. It writes split records if
+// all instances read them, and of these only what has changed.
+type recordLayout struct {
+	records map[string][]byte            // stored records of jobs and of the roster, by key, as far as they are known
+	blocks  map[string]map[string][]byte // stored blocks, by job and key
+	members map[string][]byte            // stored workers of a split roster, by key
+	jobs    map[string]*hfwork.Progress  // last saved progress of the jobs whose records are split
+	roster  []*hfwork.Worker             // last saved roster, if it is split
+	stale   []string                     // keys of blocks that no record needs
+}
+
+// newRecordLayout returns a layout that knows of no stored record.
+func newRecordLayout() *recordLayout {
+	return &recordLayout{
+		records: map[string][]byte{}, blocks: map[string]map[string][]byte{}, members: map[string][]byte{}, jobs: map[string]*hfwork.Progress{},
+	}
+}
+
+// restore sets what is stored at the start of a leadership. jobs are the jobs whose records are split
+// and can be read, with their steps. roster is nil unless it is split. hasEnded reports whether a job
+// has ended or does not exist.
+func (l *recordLayout) restore(d *details, jobs map[string]*hfwork.Progress, roster []*hfwork.Worker, hasEnded func(job string) bool) {
+	l.jobs, l.roster = jobs, roster
+	for _, key := range slices.Sorted(maps.Keys(d.stored)) {
+		if id, isBlock := blockJob(key); isBlock && hasEnded(id) {
+			l.stale = append(l.stale, key)
+			continue
+		}
+		l.committed(keyChange{key: key, value: d.stored[key]})
+	}
+}
+
+// blockJob returns the job of a block's key.
+func blockJob(key string) (string, bool) {
+	rest, ok := strings.CutPrefix(key, blockPrefix)
+	id, _, _ := strings.Cut(rest, "/")
+	return id, ok
+}
+
+// appendChanged appends the change that stores a record, unless it is stored already.
+func appendChanged(changes []keyChange, stored map[string][]byte, key string, m proto.Message) ([]keyChange, error) {
+	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode %s: %w", key, err)
+	}
+	if known, ok := stored[key]; ok && bytes.Equal(known, value) {
+		return changes, nil
+	}
+	return append(changes, keyChange{key: key, value: value}), nil
+}
+
+// appendRemovals appends the removals of the stored keys that are not wanted.
+func appendRemovals[V any](changes []keyChange, stored map[string][]byte, wanted map[string]V) []keyChange {
+	for _, key := range slices.Sorted(maps.Keys(stored)) {
+		if _, ok := wanted[key]; !ok {
+			changes = append(changes, keyChange{key: key})
+		}
+	}
+	return changes
+}
+
+// jobChanges returns the changes that store the progress of a job: first those of its blocks, then
+// that of its record.
+func (l *recordLayout) jobChanges(id string, p *hfwork.Progress, split bool) ([]keyChange, error) {
+	record, blocks := p, map[string]*hfwork.StepProgress{}
+	if split {
+		ended := hfwork.IsFinal(p.GetState())
+		record = &hfwork.Progress{State: p.GetState(), Ended: p.GetEnded(), Reason: p.GetReason(), Split: !ended}
+		for _, step := range p.GetSteps() {
+			for number, block := range splitStep(step) {
+				if !ended { // nobody needs the steps of a job that has ended
+					blocks[fmt.Sprintf("%s%s/%d.%d.%d", blockPrefix, id, step.GetOccurrence(), step.GetStep(), number)] = block
+				}
+			}
+		}
+	}
+	var changes []keyChange
+	var err error
+	for _, key := range slices.Sorted(maps.Keys(blocks)) {
+		if changes, err = appendChanged(changes, l.blocks[id], key, blocks[key]); err != nil {
+			return nil, fmt.Errorf("block: %w", err)
+		}
+	}
+	if changes, err = appendChanged(changes, l.records, progressPrefix+id, record); err != nil {
+		return nil, fmt.Errorf("record: %w", err)
+	}
+	return appendRemovals(changes, l.blocks[id], blocks), nil
+}
+
+// rosterChanges returns the changes that store a roster.
+func (l *recordLayout) rosterChanges(roster []*hfwork.Worker, split bool) ([]keyChange, error) {
+	whole, members := &hfwork.Roster{Workers: roster}, map[string]*hfwork.Worker{}
+	if split {
+		whole = &hfwork.Roster{Split: true}
+		for _, w := range roster {
+			members[memberPrefix+w.GetId()] = w
+		}
+	}
+	var changes []keyChange
+	var err error
+	for _, key := range slices.Sorted(maps.Keys(members)) {
+		if changes, err = appendChanged(changes, l.members, key, members[key]); err != nil {
+			return nil, fmt.Errorf("worker: %w", err)
+		}
+	}
+	if changes, err = appendChanged(changes, l.records, rosterKey, whole); err != nil {
+		return nil, fmt.Errorf("roster: %w", err)
+	}
+	return appendRemovals(changes, l.members, members), nil
+}
+
+// changes returns the changes that store the records of a command, in groups that belong together.
+func (l *recordLayout) changes(c hfplan.StoreCmd, split bool) ([][]keyChange, error) {
+	var groups [][]keyChange
+	roster := c.Roster()
+	if roster == nil && !split {
+		roster = l.roster // it has to be whole again
+	}
+	if roster != nil {
+		changes, err := l.rosterChanges(roster, split)
+		if err != nil {
+			return nil, fmt.Errorf("roster: %w", err)
+		}
+		groups = append(groups, changes)
+	}
+	records := c.Records()
+	if !split && len(l.jobs) > 0 {
+		records = maps.Clone(l.jobs)
+		maps.Copy(records, c.Records())
+	}
+	for _, id := range slices.Sorted(maps.Keys(records)) {
+		changes, err := l.jobChanges(id, records[id], split)
+		if err != nil {
+			return nil, fmt.Errorf("job %s: %w", id, err)
+		}
+		groups = append(groups, changes)
+	}
+	for _, key := range l.stale {
+		groups = append(groups, []keyChange{{key: key}})
+	}
+	return groups, nil
+}
+
+// committed records that a change is stored.
+func (l *recordLayout) committed(c keyChange) {
+	stored := l.records
+	if strings.HasPrefix(c.key, memberPrefix) {
+		stored = l.members
+	}
+	if id, ok := blockJob(c.key); ok {
+		if l.blocks[id] == nil {
+			l.blocks[id] = map[string][]byte{}
+		}
+		if stored = l.blocks[id]; c.value == nil && len(stored) == 1 {
+			delete(l.blocks, id)
+		}
+	}
+	if c.value == nil {
+		delete(stored, c.key)
+		return
+	}
+	stored[c.key] = c.value
+}
+
+// saved records that all changes of a command are stored.
+func (l *recordLayout) saved(c hfplan.StoreCmd, split bool) {
+	l.stale = nil
+	if c.Roster() != nil {
+		l.roster = c.Roster()
+	}
+	if !split {
+		l.roster = nil
+		clear(l.jobs)
+	}
+	for id, p := range c.Records() {
+		switch {
+		case hfwork.IsFinal(p.GetState()):
+			delete(l.jobs, id)
+			delete(l.records, progressPrefix+id)
+		case split:
+			l.jobs[id] = p
+		}
+	}
+}
+
+// readsSplit reports whether all instances read split records. Those of an earlier release do not,
+// and entries of instances that have ended count for some hours.
+func (m *Mirror) readsSplit() bool {
+	for _, inst := range m.instances {
+		if inst.GetFormat() < splitFormat {
+			return false
+		}
+	}
+	return len(m.instances) > 0
+}
+
+// loadDetails lists the details for a new leader, whose term is stored.
+func (n *Node) loadDetails(ctx context.Context) (*details, error) {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	for {
+		begun := time.Now()
+		items, _, err := n.store.List(ctx, detailPrefix)
+		if err == nil {
+			var d *details
+			if d, err = parseDetails(items); err == nil {
+				n.log.Event(hfevent.DetailsLoaded, zap.Int("items", len(items)), zap.Int("unreadable", len(d.unreadable)), zap.Duration("took", time.Since(begun)))
+				return d, nil
+			}
+		}
+		if !hfloop.Sleep(ctx, retryPause) {
+			return nil, fmt.Errorf("load details: %w", err)
+		}
+	}
+}
--- a/hfentry/takeover_test.go
+++ b/hfentry/takeover_test.go
@@ -98,6 +98,7 @@
 	n.stopStarted, n.leaderless = make(chan struct{}), make(chan struct{}, 1)
 	n.recordWatch, n.policyWatch, n.workerWatch = prefixWatch{prefix: recordPrefix}, prefixWatch{prefix: "op/"}, prefixWatch{prefix: "workers/"}
 	n.recordWatch.synced.Store(true)
+	n.workerWatch.synced.Store(true)
 	batch := &hfstore.Batch{}
 	put := func(i hfstore.Item) { batch.Put(i.Key(), i.Value(), "") }
 	put(newItem(t, "op/policy", 0, &hfwork.Policy{Version: 1, Queues: []*hfwork.Queue{{Name: "q", Pool: "p", Attempts: 1}}}))
--- a/hfentry/watch.go
+++ b/hfentry/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -24,10 +25,14 @@
 	leaderRecordPause  = 10 * time.Millisecond  // for our records, on the leader and while it waits for them to take over
 	policyPause        = 20 * time.Millisecond
 
-	// Workers rewrite their entries all the time. Instances that are not the leader watch
-	// them as well, so that they know which workers left as planned when they take over.
-	leaderWorkerPause  = 600 * time.Millisecond
-	standbyWorkerPause = 1200 * time.Millisecond
+	// Workers rewrite their entries all the time. Besides the leader, some instances follow
+	// them, so that they know which workers left as planned when they take over.
+	leaderWorkerPause   = 600 * time.Millisecond
+	standbyWorkerPause  = 1200 * time.Millisecond
+	followCheckInterval = 500 * time.Millisecond // between two checks whether an instance has to follow them
+
+	// relistSpread is the time for which the store is to be busy with one instance's list.
+	relistSpread = 4 * time.Millisecond
 )
 
 // The store returns about 500 events or 1 MB at most. More events are likely to be waiting
@@ -51,6 +56,7 @@
 type prefixWatch struct {
 	prefix   string
 	pause    func() time.Duration
+	needed   func() bool // whether this instance needs the prefix at the moment; nil if it always does
 	synced   atomic.Bool // the prefix was listed, and the watch continues from there
 	revision int64       // the watch continues from here; used only by its own goroutine
 	// completeUntil is a time until which all events are applied, on the clock of hflease.Now:
@@ -75,6 +81,10 @@
 // watch keeps one prefix of the mirror current until ctx ends.
 func (n *Node) watch(ctx context.Context, w *prefixWatch) {
 	for ctx.Err() == nil {
+		if w.needed != nil && !w.needed() {
+			n.leave(ctx, w)
+			continue
+		}
 		if !w.synced.Load() {
 			if !n.list(ctx, w) {
 				hfloop.Sleep(ctx, retryPause)
@@ -89,6 +99,7 @@
 		n.health.Record(err, time.Now())
 		if errors.Is(err, hfstore.ErrCompacted) {
 			w.synced.Store(false)
+			hfloop.Sleep(ctx, n.relistDelay())
 			continue
 		}
 		if err != nil {
@@ -102,6 +113,36 @@
 	}
 }
 
+// leave drops the items of a prefix that is not needed, and waits until it may be needed.
+func (n *Node) leave(ctx context.Context, w *prefixWatch) {
+	if w.synced.Swap(false) {
+		hfloop.With(n.mirror, func(m *Mirror) []change { return m.Reset(w.prefix, nil, 0) })
+	}
+	select {
+	case <-ctx.Done():
+	case <-n.followNow:
+	case <-time.After(followCheckInterval):
+	}
+}
+
+// follow makes the watch of the workers' entries begin at once.
+func (n *Node) follow() {
+	select {
+	case n.followNow <- struct{}{}:
+	default:
+	}
+}
+
+// relistDelay returns a random time by which to delay a list of a prefix. When the store drops its
+// history, all instances list at the same moment.
+func (n *Node) relistDelay() time.Duration {
+	if n.claiming.Load() {
+		return 0
+	}
+	instances := hfloop.With(n.mirror, func(m *Mirror) int { return len(m.instances) })
+	return rand.N(time.Duration(max(instances, 1)) * relistSpread)
+}
+
 // list reads a whole prefix from the store into the mirror. It reports whether it succeeded.
 func (n *Node) list(ctx context.Context, w *prefixWatch) bool {
 	sent := hflease.Now()
--- a/hfevent/catalogue.go
+++ b/hfevent/catalogue.go
@@ -70,12 +70,13 @@
 	SettingsRead     = Event{816, "settings-read", zapcore.InfoLevel, "The settings file was read again."}
 	SettingsInvalid  = Event{817, "settings-bad", zapcore.ErrorLevel, "The settings file cannot be used; the settings in force stay."}
 	LinesDropped     = Event{818, "lines-dropped", zapcore.WarnLevel, "The reader of the log was too slow; lines were dropped."}
-	PlanLoad         = Event{819, "plan-load", zapcore.InfoLevel, "Waiting and running tasks and free resources at the scheduling instance, once a second."}
+	PlanLoad         = Event{819, "plan-load", zapcore.InfoLevel, "Waiting and running tasks and free resources at the scheduling instance, and the bytes it has sent and received by purpose (`store`, `orders`, `polls`), once a second."}
 	HintsUnavailable = Event{820, "hints-deaf", zapcore.ErrorLevel, "Other instances can no longer send hints about stored items to this one; it learns of them from its watch."}
 	AnnounceFailed   = Event{821, "announce-failed", zapcore.WarnLevel, "The entry with this instance's address could not be written; the write is retried."}
 	LeaseRevoked     = Event{822, "lease-ended", zapcore.InfoLevel, "The scheduling lease of an earlier process of this instance was revoked, or the attempt failed."}
 	LeaseState       = Event{823, "lease-state", zapcore.InfoLevel, "A worker stopped answering, or answers again; the fields hold the latest lease that was granted to it and the clock from which that lease was calculated."}
 	EndLate          = Event{824, "end-late", zapcore.WarnLevel, "A worker reported the end of a run after the run was given up; the fields tell which run the task has now."}
+	DetailsLoaded    = Event{825, "details-loaded", zapcore.InfoLevel, "A new scheduling instance has read where tasks run and which workers may run them."}
 	WorkerCrashed    = Event{830, "worker-crashed", zapcore.WarnLevel, "A worker crashed under runs; the fields name the tasks that had just been started there, and tell whether one task or gang was alone."}
 	TaskIsolated     = Event{831, "task-isolated", zapcore.InfoLevel, "A worker crashed under a task before; it got a worker on which no other task is placed."}
 	TaskGivenUp      = Event{832, "task-given-up", zapcore.WarnLevel, "Workers crashed under a task as often as they may; its job has failed."}
@@ -95,6 +96,6 @@
 		JobAccepted, JobRefused, JobCancelled, JobUnknown, JobState, TasksPlaced, TasksPreempted, TaskRetried,
 		OrderFailed, PlanRecovered, WorkerSilent, WorkerReporting, WorkerRemoved, EntryRejected, PolicyApplied, MirrorReset,
 		SettingsRead, SettingsInvalid, LinesDropped, PlanLoad, HintsUnavailable, AnnounceFailed, LeaseRevoked,
-		LeaseState, EndLate, WorkerCrashed, TaskIsolated, TaskGivenUp,
+		LeaseState, EndLate, DetailsLoaded, WorkerCrashed, TaskIsolated, TaskGivenUp,
 	}
 }
--- a/hforder/window.go
+++ b/hforder/window.go
@@ -7,12 +7,12 @@
 
 const (
 	// targetDelay is how much longer than the fastest answer of their failure domain most orders
-	// may take. Beyond it they wait for each other on a link, or for a processor, and what shares
-	// these waits with them: the renewals of the leader's lease, which has 1.6 s.
-	targetDelay = 60 * time.Millisecond
+	// may take. Beyond it they wait for each other on a link, or for a processor, and so do the
+	// renewals of the leader's lease: a tenth of that lease's 1.6 s.
+	targetDelay = 160 * time.Millisecond
 
 	initialWindow = 32.0 // orders
-	minWindow     = 8.0
+	minWindow     = 16.0
 	maxWindow     = 1024.0
 	windowSamples = 16  // results after which the window is adjusted
 	windowShrink  = 0.7 // factor by which the window shrinks
