--- a/hfentry/hint.go
+++ b/hfentry/hint.go
@@ -79,7 +79,7 @@
 
 // servePeers serves the calls of other instances on ln until ctx ends.
 func (n *Node) servePeers(ctx context.Context, ln net.Listener) {
-	if err := hfpeer.Serve(ctx, ln, n.handleCall); err != nil {
+	if err := hfpeer.Serve(ctx, ln, hfpeer.Guard(n.handleCall, n.Panicked)); err != nil {
 		n.log.Event(hfevent.HintsUnavailable, zap.String("error", err.Error()))
 	}
 }
--- a/hfentry/observe.go
+++ b/hfentry/observe.go
@@ -129,3 +129,8 @@
 func (n *Node) InvariantViolated(err error) {
 	n.log.Event(hfevent.InvariantViolated, zap.String("error", err.Error()))
 }
+
+// Panicked implements hforder.Observer. It also reports panics in calls of other instances.
+func (n *Node) Panicked(cause any, stack []byte) {
+	n.log.Event(hfevent.CallPanicked, zap.Any("cause", cause), zap.ByteString("stack", stack))
+}
--- a/hfentry/watch.go
+++ b/hfentry/watch.go
@@ -62,6 +62,17 @@
 	// completeUntil is a time until which all events are applied, on the clock of hflease.Now:
 	// when the last call was sent whose answer left none out. Used only by its own goroutine.
 	completeUntil time.Time
+	// confirmedAt is when the last call was sent that was answered, in nanoseconds of the clock of
+	// hflease.Now.
+	confirmedAt atomic.Int64
+}
+
+// confirm records that a call that was sent at the given time was answered.
+func (w *prefixWatch) confirm(sent time.Time) { w.confirmedAt.Store(sent.UnixNano()) }
+
+// age returns how long ago the last call was sent that was answered.
+func (w *prefixWatch) age(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, w.confirmedAt.Load()))
 }
 
 func (n *Node) recordWatchPause() time.Duration {
@@ -107,6 +118,7 @@
 			continue
 		}
 		backlog := n.applyEvents(w, items, revision, sent)
+		w.confirm(sent)
 		if len(items) > 0 && !backlog {
 			hfloop.Sleep(ctx, w.pause())
 		}
@@ -158,6 +170,7 @@
 	})
 	n.log.Event(hfevent.MirrorReset, zap.String("prefix", w.prefix), zap.Int("items", len(items)), zap.Int64("revision", revision))
 	w.revision, w.completeUntil = revision, sent
+	w.confirm(sent)
 	w.synced.Store(true)
 	n.notify(changes)
 	return true
--- a/hfevent/catalogue.go
+++ b/hfevent/catalogue.go
@@ -10,6 +10,7 @@
 	Stopped           = Event{102, "stopped", zapcore.InfoLevel, "The instance has ended."}
 	StopForced        = Event{103, "stop-forced", zapcore.WarnLevel, "Requests were still running at the stop deadline."}
 	InvariantViolated = Event{104, "invariant-lost", zapcore.ErrorLevel, "A decision violated an invariant; report it with the fields."}
+	CallPanicked      = Event{105, "call-panicked", zapcore.ErrorLevel, "A call or a decision failed in an unexpected way; only the call, or this instance's leadership, ended. Report it with the fields."}
 
 	PeerUp         = Event{200, "peer-up", zapcore.InfoLevel, "Another instance was heard under a new incarnation."}
 	PeerSuspect    = Event{201, "peer-suspect", zapcore.WarnLevel, "An instance was not heard for the suspicion time; its work moves to other instances."}
@@ -85,7 +86,7 @@
 // Catalogue returns every event.
 func Catalogue() []Event {
 	return []Event{
-		Started, Stopping, Stopped, StopForced, InvariantViolated,
+		Started, Stopping, Stopped, StopForced, InvariantViolated, CallPanicked,
 		PeerUp, PeerSuspect, PeerGone, ListFailed, MessageUnknown, SelfPaused, MemberRejected,
 		ConfigApplied, ConfigRejected, StoreReverted, StoreDown, StoreUp, ConfigAccepted, StoreRelayed, StoreDirect,
 		MergeStep, MergeDone, MergeFailed,
--- a/hforder/leader.go
+++ b/hforder/leader.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,6 +49,8 @@
 	LoadSampled(load hfplan.Load)
 	// InvariantViolated is called when the scheduler violates one of its invariants.
 	InvariantViolated(err error)
+	// Panicked is called when the scheduler has panicked, with the cause and the stack.
+	Panicked(cause any, stack []byte)
 }
 
 // RecordStore stores the scheduler's records.
@@ -126,7 +129,7 @@
 	if err := g.Wait(); err != nil {
 		return fmt.Errorf("lead: %w", err)
 	}
-	if cause := context.Cause(ctx); errors.Is(cause, ErrFenced) || errors.Is(cause, ErrNotLeading) {
+	if cause := context.Cause(ctx); errors.Is(cause, ErrFenced) || errors.Is(cause, ErrNotLeading) || errors.Is(cause, ErrPanicked) {
 		return fmt.Errorf("lead: %w", cause)
 	}
 	return nil
@@ -145,8 +148,16 @@
 
 // runScheduler passes messages to the scheduler until ctx ends. Messages that are queued
 // together are followed by one scheduling pass.
+//
+// A panic ends the leadership, not the process: its other calls do not depend on the scheduler.
 func (l *Leader) runScheduler(ctx context.Context, initial []hfplan.Msg) {
 	defer close(l.done)
+	defer func() {
+		if cause := recover(); cause != nil {
+			l.observer.Panicked(cause, debug.Stack())
+			l.fail(ErrPanicked)
+		}
+	}()
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	lastLoad, lastPass := time.Now(), time.Now()
--- a/hforder/leader_test.go
+++ b/hforder/leader_test.go
@@ -117,6 +117,7 @@
 func (fakeServices) LeaseObserved(string, Grant, bool)                                    {}
 func (fakeServices) LoadSampled(hfplan.Load)                                              {}
 func (fakeServices) InvariantViolated(error)                                              {}
+func (fakeServices) Panicked(any, []byte)                                                 {}
 func (fakeServices) Advise(context.Context, hfwork.TaskID, []string) (map[string]string, time.Time, error) {
 	return nil, time.Time{}, ErrRefused
 }
@@ -376,3 +377,23 @@
 	require.False(t, d.isSilent())
 	require.Equal(t, int64(1000+6000-leaseMarginMS), d.leaseEnd(now))
 }
+
+// panickingObserver panics at the first decision.
+type panickingObserver struct {
+	fakeServices
+	panics *int
+}
+
+func (panickingObserver) Decided(hfplan.NoteCmd) { panic("unexpected") }
+func (o panickingObserver) Panicked(any, []byte) { *o.panics++ }
+
+// Guards against one unexpected job or report that takes down the process, and with it the calls of
+// all callers: only the leadership ends.
+func TestPanicEndsLeadershipOnly(t *testing.T) {
+	panics, timing := 0, hfplan.NewTiming(testLease)
+	l := NewLeader(hfplan.New(1, timing, time.Now()), hflease.NewTenure(5, hflease.Now(), time.Minute), &fakeMinions{}, fakeServices{}, fakeServices{}, "one", &fakeRecords{}, panickingObserver{panics: &panics}, timing)
+	err := l.Run(t.Context(), append(testPool("w"), hfplan.Job(&hfwork.Job{Id: "a", Queue: "q", Steps: []*hfwork.Step{{Count: 1, Accelerators: 1, Estimate: 10}}}, nil, false)))
+	require.ErrorIs(t, err, ErrPanicked)
+	require.Equal(t, 1, panics)
+	require.False(t, l.Send(hfplan.TickMsg{}), "nobody waits for a scheduler that has ended")
+}
--- a/hforder/order.go
+++ b/hforder/order.go
@@ -33,6 +33,8 @@
 	// ErrDisconnected reports that a poll for one incarnation of a worker was not sent, as no open
 	// connection certainly leads to that incarnation.
 	ErrDisconnected = eris.New("no connection to this incarnation of the worker")
+	// ErrPanicked reports that the scheduler failed in an unexpected way.
+	ErrPanicked = eris.New("scheduler panicked")
 	// ErrNotLeading reports that an order was not sent because the leadership may have ended.
 	ErrNotLeading = eris.New("leadership may have ended")
 )
--- a/hfpeer/links.go
+++ b/hfpeer/links.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -33,9 +35,10 @@
 	writeTimeout      = 2 * time.Second
 	keepAliveInterval = 10 * time.Second
 	redialDelay       = 200 * time.Millisecond
-	maxIdleStreams    = 16   // kept open per link for later calls
-	readBufferSize    = 512  // bytes; most messages are smaller
-	maxServedStreams  = 1024 // streams of one connection that are served at once, idle ones included
+	maxIdleStreams    = 16                     // kept open per link for later calls
+	readBufferSize    = 512                    // bytes; most messages are smaller
+	maxServedStreams  = 1024                   // streams of one connection that are served at once, idle ones included
+	acceptPause       = 100 * time.Millisecond // after a connection that could not be accepted
 )
 
 // Dialer opens connections to other instances.
@@ -47,6 +50,20 @@
 // the stream without a reply.
 type Handler func(ctx context.Context, in *hfwire.Envelope) *hfwire.Envelope
 
+// Guard returns a handler that serves calls with handle. A panic in it ends the call only, without a
+// reply, and is passed to report with the stack.
+func Guard(handle Handler, report func(cause any, stack []byte)) Handler {
+	return func(ctx context.Context, in *hfwire.Envelope) (out *hfwire.Envelope) {
+		defer func() {
+			if cause := recover(); cause != nil {
+				report(cause, debug.Stack())
+				out = nil
+			}
+		}()
+		return handle(ctx, in)
+	}
+}
+
 // Links holds one multiplexed connection to each peer that has been called.
 type Links struct {
 	self        string
@@ -221,9 +238,18 @@
 			if ctx.Err() != nil {
 				return nil
 			}
-			if err != nil {
+			if errors.Is(err, net.ErrClosed) {
 				return fmt.Errorf("accept instance: %w", err)
 			}
+			if err != nil {
+				// Descriptors may be short, or the peer may have gone. This must not end the
+				// calls of all others.
+				select {
+				case <-ctx.Done():
+				case <-time.After(acceptPause):
+				}
+				continue
+			}
 			g.Go(func() error {
 				serveSession(ctx, conn, handle)
 				return nil
--- a/hfpeer/peer_test.go
+++ b/hfpeer/peer_test.go
@@ -1,11 +1,17 @@
 package hfpeer
 
 import (
+	"context"
 	"fmt"
+	"net"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/heatherfront/heatherfront/hfwire"
 )
@@ -94,3 +100,51 @@
 	_, ok := Owner("x", nil, "", "")
 	require.False(t, ok)
 }
+
+// failingListener fails to accept a few times, as without free descriptors.
+type failingListener struct {
+	net.Listener
+	failures atomic.Int64
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, syscall.EMFILE
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against an instance that ends, or is deaf for good, when one connection cannot be accepted,
+// and against one call that takes the whole instance down.
+func TestInstanceServesOnAfterUnexpectedErrors(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ln := &failingListener{Listener: inner}
+	ln.failures.Store(2)
+	var panics atomic.Int64
+	handler := Guard(func(_ context.Context, in *hfwire.Envelope) *hfwire.Envelope {
+		if in.GetHint() != nil {
+			panic("unexpected")
+		}
+		return in
+	}, func(any, []byte) { panics.Add(1) })
+	ctx, cancel := context.WithCancel(t.Context())
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return Serve(ctx, ln, handler) })
+	links := NewLinks("a", "a", &net.Dialer{}, metrics.NewRegistry())
+	defer links.Close()
+	peer := NewPeer("b", inner.Addr().String())
+	call := func(body *hfwire.Envelope) error {
+		out := links.Envelope()
+		out.Body = body.Body
+		deadline, stop := context.WithTimeout(ctx, 10*time.Second)
+		defer stop()
+		_, err := links.Call(deadline, peer, out)
+		return err
+	}
+	require.ErrorIs(t, call(&hfwire.Envelope{Body: &hfwire.Envelope_Hint{Hint: &hfwire.Hint{Key: "k"}}}), ErrNoReply)
+	require.NoError(t, call(&hfwire.Envelope{Body: &hfwire.Envelope_Ack{Ack: &hfwire.Ack{}}}))
+	require.Equal(t, int64(1), panics.Load())
+	cancel()
+	require.NoError(t, group.Wait())
+}
--- a/hfserve/server.go
+++ b/hfserve/server.go
@@ -134,6 +134,11 @@
 	return 1
 }
 
+// reportPanic logs a panic in a call of another instance.
+func (s *Server) reportPanic(cause any, stack []byte) {
+	s.log.Event(hfevent.CallPanicked, zap.Any("cause", cause), zap.ByteString("stack", stack))
+}
+
 // recordViolation logs the violation of an invariant.
 func (s *Server) recordViolation(err error) {
 	s.log.Event(hfevent.InvariantViolated, zap.Error(err))
@@ -155,7 +160,7 @@
 		g.Go(func() error { return loop(ctx) })
 	}
 	g.Go(func() error {
-		if err := hfpeer.Serve(ctx, ln, s.handle); err != nil {
+		if err := hfpeer.Serve(ctx, ln, hfpeer.Guard(s.handle, s.reportPanic)); err != nil {
 			return fmt.Errorf("serve instances: %w", err)
 		}
 		return nil
