Keep urgent gangs off slow workers

From its log, the time from the start to the end is 1.14 times the declared run time for gangs on one worker (median of 156), 1.25 to 1.43 on three and more: a gang takes as long as on its slowest worker, and they differ by a quarter each way. Urgent jobs may take 1.5 times.

Change: from single tasks that ended, the scheduler learns how long tasks take on a worker compared with others; the factor by which a step's declared run time is off is taken out once four fifths of its tasks have ended. Urgent work gets workers that are 12% slower than others only if no other has room or can be freed in the same way. A restart forgets what was learned.

Ruled out: learning at once from each end (the first ends of a step are those on fast workers, so that others looked slow; TestWrongEstimatesMakeNoWorkerSlow and TestUrgentGangAvoidsSlowWorkers failed).

Tests: speed_test.go; with the choice switched off, TestUrgentGangAvoidsSlowWorkers and TestUrgentGangPreemptsOnFastWorkers fail.

--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -49,6 +49,8 @@
 	refusedWorkers   map[string]bool   // workers that may not run the step
 	reservedRack     string            // rack reserved for a compact gang, or ""
 	crashed          bool              // a worker has crashed under one of its tasks
+	durations        []durationSample  // of its ended tasks
+	durationsUsed    int               // number of durations from which workers' speeds were learned
 }
 
 // gang reports whether the tasks of the group must run together.
@@ -133,6 +135,7 @@
 	isolated          bool  // a run of a suspect: no other group is placed on its worker
 	pace              int64 // percentage confirmed by the worker, or unknownPace
 	requestedPace     int64 // percentage in the PaceCmd in flight, or unknownPace
+	fromStart         bool  // this scheduler started it, and not from a checkpoint
 }
 
 // worker is the scheduler's view of one worker.
@@ -160,6 +163,8 @@
 	failedJobs       map[string]bool                  // jobs with a failure here since the last success
 	quarantines      int                              // number of quarantines since the last success
 	refusedUntil     time.Time                        // no tasks are assigned before this time, after it refused a start
+	durationLog      float64                          // logarithm of how many times longer than on others tasks take here
+	durationSamples  int                              // ended tasks from which durationLog is estimated
 	colocated        bool                             // runs both serving and filler tasks
 	fillerPace       int64                            // pace of its filler tasks in percent
 	paceChangedAt    time.Time                        // last change of fillerPace
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -218,6 +218,7 @@
 func (s *Scheduler) placeGroups(now time.Time) {
 	smallestFailed := map[placementShape]int{} // smallest task count that was not placed
 	s.clearReservations()
+	s.listSlowWorkers()
 	s.assignGuarantees()
 	budgets := s.gangBudgets(now)
 	for _, c := range s.candidates(now) {
@@ -251,13 +252,22 @@
 }
 
 // placeGroup assigns the waiting tasks of a group to free workers: all members of a
-// gang or none, and as many single tasks as fit. It reports whether every task was
-// assigned.
+// gang or none, and as many single tasks as fit. Urgent tasks get slow workers only if there is no
+// room on others. It reports whether every task was assigned.
 func (s *Scheduler) placeGroup(g *group, now time.Time) bool {
 	need := s.placementNeed(g, now)
 	if g.hasSuspects(now) {
 		s.placeSuspects(g, need, now)
 	}
+	if fast, ok := s.withoutSlow(g, need); ok && s.placeOn(g, fast, now) {
+		return true
+	}
+	return s.placeOn(g, need, now)
+}
+
+// placeOn assigns the waiting tasks of a group that need not be isolated to workers that meet the
+// given requirements.
+func (s *Scheduler) placeOn(g *group, need hfplacement.Need, now time.Time) bool {
 	count := g.waitingShared(now)
 	if !g.gang() {
 		placements, placed := s.resources.PlaceAcrossRacks(need, count)
--- a/hfplan/preempt.go
+++ b/hfplan/preempt.go
@@ -13,8 +13,8 @@
 }
 
 // preempt stops runs that the group may preempt, preferring those that lose the
-// least work, and assigns the freed resources to the group. It reports whether every
-// waiting task was assigned.
+// least work, and assigns the freed resources to the group. Urgent tasks get slow workers only if there
+// is not enough on others. It reports whether every waiting task was assigned.
 func (s *Scheduler) preempt(g *group, now time.Time) bool {
 	if now.Before(g.preemptNotBefore) {
 		return false
@@ -27,16 +27,35 @@
 	if len(victims) == 0 {
 		return false
 	}
-	compact := g.gang() && g.spec.GetCompact()
-	chosen, ok := hfplacement.SelectVictims(s.resources, need, count, compact, victims)
-	if !ok && compact && !g.waitsForRack(now) {
-		chosen, ok = hfplacement.SelectVictims(s.resources, need, count, false, victims)
-		compact = false
+	needs := []hfplacement.Need{need}
+	if fast, ok := s.withoutSlow(g, need); ok {
+		needs = []hfplacement.Need{fast, need}
 	}
-	if !ok {
-		g.preemptNotBefore = now.Add(preemptRetryInterval)
-		return false
+	for _, compact := range g.preemptedShapes(now) {
+		for _, n := range needs {
+			if chosen, ok := hfplacement.SelectVictims(s.resources, n, count, compact, victims); ok {
+				return s.preemptFor(g, n, count, compact, chosen, now)
+			}
+		}
+	}
+	g.preemptNotBefore = now.Add(preemptRetryInterval)
+	return false
+}
+
+// preemptedShapes returns whether the room for a group may be freed in one rack (true) or anywhere
+// (false), in the order in which to try.
+func (g *group) preemptedShapes(now time.Time) []bool {
+	switch {
+	case !g.gang() || !g.spec.GetCompact():
+		return []bool{false}
+	case g.waitsForRack(now):
+		return []bool{true}
 	}
+	return []bool{true, false}
+}
+
+// preemptFor stops the chosen victims and assigns the freed resources to a group.
+func (s *Scheduler) preemptFor(g *group, need hfplacement.Need, count int, compact bool, chosen []hfplacement.Victim[victim], now time.Time) bool {
 	for _, v := range chosen {
 		for _, r := range v.Value().runs {
 			s.stopRun(r, now)
--- a/hfplan/run.go
+++ b/hfplan/run.go
@@ -37,6 +37,7 @@
 	t := r.task
 	r.phase, r.orderedAt, r.startedAt = starting, now, now
 	t.group.assigned--
+	r.fromStart = t.group.primary(t).checkpoint == ""
 	ticket, _ := t.group.ticketFor(r.worker, now)
 	s.emit(StartCmd{
 		worker: r.worker.id(), task: t.id(), number: r.number, command: t.group.job.spec.GetCommand(),
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -136,6 +136,7 @@
 	if w.incarnation != 0 && m.report.Incarnation() != w.incarnation {
 		s.handleRestart(w, m.sent, now)
 		w.lastEnd, w.failedJobs, w.quarantines = 0, map[string]bool{}, 0
+		w.durationLog, w.durationSamples = 0, 0
 		delete(s.pendingAcks, w)
 		delete(s.acksInFlight, w)
 		s.emit(NoteCmd{note: NoteReporting, worker: w.id(), reason: "restarted"})
@@ -271,6 +272,9 @@
 		s.resolvePriorRun(t)
 	}
 	if t.run != nil && t.run.worker == w && t.run.number == end.Number() {
+		if end.Reason() == hfwork.Done {
+			s.learnSpeed(t.run, now)
+		}
 		s.finishRun(t.run, end.Reason(), end.Checkpoint(), string(end.Reason()), now)
 		return
 	}
