List the expected ends of a worker's runs once a pass

Change: the expected ends of a worker's runs are listed once a pass, unless its runs change, and rooms are a slice instead of a map. Decisions stay as they were.

--- a/hfplan/bench_test.go
+++ b/hfplan/bench_test.go
@@ -11,7 +11,7 @@
 // BenchmarkPass measures a scheduling pass on fully used workers with a long queue,
 // for different numbers of workers.
 func BenchmarkPass(b *testing.B) {
-	for _, racks := range []int{6, 44} {
+	for _, racks := range []int{6, 44, 138} {
 		b.Run(fmt.Sprintf("workers-%d", racks*8), func(b *testing.B) {
 			w := newBusyWorld(b, racks)
 			b.ReportAllocs()
--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -163,6 +163,8 @@
 	failedJobs       map[string]bool                  // jobs with a failure here since the last success
 	quarantines      int                              // number of quarantines since the last success
 	refusedUntil     time.Time                        // no tasks are assigned before this time, after it refused a start
+	releases         []expectedRelease                // expected ends of its runs as of releasesAt
+	releasesAt       time.Time                        // time of the pass that listed releases; zero if runs have changed since
 	durationLog      float64                          // logarithm of how many times longer than on others tasks take here
 	durationSamples  int                              // ended tasks from which durationLog is estimated
 	colocated        bool                             // runs both serving and filler tasks
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -330,6 +330,7 @@
 			t.lastRun = runNumber
 			t.run = &run{task: t, worker: w, number: runNumber, phase: assigned, pace: fullPace, requestedPace: unknownPace}
 			w.runs[t.run] = struct{}{}
+			w.forgetReleases()
 			w.resources.Assign(g.size)
 			if isolated {
 				s.isolate(t.run)
--- a/hfplan/reservation.go
+++ b/hfplan/reservation.go
@@ -80,25 +80,51 @@
 	}
 }
 
+// expectedRelease is the expected end of a run, which frees its resources.
+type expectedRelease struct {
+	at   time.Time
+	size hfplacement.Resources
+}
+
+// expectedReleases returns the expected ends of the runs on a worker whose resources are not free yet.
+// The list is kept for the rest of the pass, unless the worker's runs change.
+func (w *worker) expectedReleases(now time.Time) []expectedRelease {
+	if !w.releasesAt.Equal(now) {
+		w.releases, w.releasesAt = w.releases[:0], now
+		for _, r := range sortedRuns(w.runs) {
+			if !r.resourcesReturned && !r.task.group.spec.GetLasting() {
+				w.releases = append(w.releases, expectedRelease{at: r.expectedEnd(now), size: r.task.group.size})
+			}
+		}
+	}
+	return w.releases
+}
+
+// forgetReleases drops the expected ends, as the worker's runs change.
+func (w *worker) forgetReleases() { w.releasesAt = time.Time{} }
+
 // findReservation returns the earliest expected time at which the given workers have
 // room for a whole gang, and the workers that the gang uses then. It reports false
 // if they never do.
 func (s *Scheduler) findReservation(g *group, workers []*hfplacement.Worker, now time.Time) (reservation, bool) {
-	type expectedRelease struct {
-		at     time.Time
+	type room struct {
 		worker *hfplacement.Worker
-		size   hfplacement.Resources
+		free   hfplacement.Resources
 	}
-	var releases []expectedRelease
-	free := map[*hfplacement.Worker]hfplacement.Resources{}
+	type release struct {
+		expectedRelease
+		room int // index of the worker's room
+	}
+	rooms := make([]room, 0, len(workers))
+	var releases []release
 	taskSlots := 0
-	var usable []*hfplacement.Worker // in the order in which they can take a task of the group
-	addFree := func(w *hfplacement.Worker, size hfplacement.Resources) {
-		slotsBefore := free[w].CountFitting(g.size)
-		free[w] = free[w].Plus(size, 1)
-		slotsAfter := free[w].CountFitting(g.size)
+	var usable []int // rooms in the order in which they can take a task of the group
+	addFree := func(i int, size hfplacement.Resources) {
+		slotsBefore := rooms[i].free.CountFitting(g.size)
+		rooms[i].free = rooms[i].free.Plus(size, 1)
+		slotsAfter := rooms[i].free.CountFitting(g.size)
 		if slotsBefore == 0 && slotsAfter > 0 {
-			usable = append(usable, w)
+			usable = append(usable, i)
 		}
 		taskSlots += slotsAfter - slotsBefore
 	}
@@ -106,18 +132,17 @@
 		if !w.Usable() || g.avoid[w.ID()] {
 			continue
 		}
-		addFree(w, w.Free())
-		for _, r := range sortedRuns(s.workers[w.ID()].runs) {
-			if !r.resourcesReturned && !r.task.group.spec.GetLasting() {
-				releases = append(releases, expectedRelease{at: r.expectedEnd(now), worker: w, size: r.task.group.size})
-			}
+		rooms = append(rooms, room{worker: w})
+		addFree(len(rooms)-1, w.Free())
+		for _, e := range s.workers[w.ID()].expectedReleases(now) {
+			releases = append(releases, release{expectedRelease: e, room: len(rooms) - 1})
 		}
 	}
 	startsAt := now
 	if taskSlots < len(g.tasks) {
-		slices.SortStableFunc(releases, func(a, b expectedRelease) int { return a.at.Compare(b.at) })
+		slices.SortStableFunc(releases, func(a, b release) int { return a.at.Compare(b.at) })
 		for _, r := range releases {
-			addFree(r.worker, r.size)
+			addFree(r.room, r.size)
 			if taskSlots >= len(g.tasks) {
 				startsAt = r.at
 				break
@@ -128,12 +153,12 @@
 		return reservation{}, false
 	}
 	found, remaining := reservation{startsAt: startsAt}, len(g.tasks)
-	for _, w := range usable {
+	for _, i := range usable {
 		if remaining <= 0 {
 			break
 		}
-		found.workers = append(found.workers, w)
-		remaining -= free[w].CountFitting(g.size)
+		found.workers = append(found.workers, rooms[i].worker)
+		remaining -= rooms[i].free.CountFitting(g.size)
 	}
 	return found, true
 }
--- a/hfplan/run.go
+++ b/hfplan/run.go
@@ -24,6 +24,7 @@
 		r.confirmedAt = time.Time{}
 	}
 	r.phase, r.orderedAt = stopping, now
+	r.worker.forgetReleases()
 	if !r.resourcesReturned {
 		r.resourcesReturned = true
 		r.worker.resources.Unassign(r.task.group.size)
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -248,6 +248,7 @@
 	t.run, t.lastRun = r, max(t.lastRun, reported.Number())
 	t.group.active++
 	w.runs[r] = struct{}{}
+	w.forgetReleases()
 	w.resources.Assign(t.group.size)
 	w.resources.AddRunning(t.group.size)
 	if reported.Checkpoint() != "" {
@@ -317,6 +318,7 @@
 		w.resources.RemoveRunning(t.group.size)
 	}
 	delete(w.runs, r)
+	w.forgetReleases()
 	if r.isolated {
 		w.updateIsolated()
 	}
