Mark a queue after its order was added

Found by the last read of the change: enqueue marked the worker's queue, and added the order after that. Another sender that looked in between found the queue empty and dropped the mark, so that the order stayed until the next one for that worker; a start has no repetition.

Change: the order first. TestNoQueuedOrderIsPassedOver fails with the order of before within 20,000 orders, and passes with this one, also with the race detector.

--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -121,10 +121,11 @@
 	if d == nil {
 		return // the worker was dropped, and nothing runs on it
 	}
-	o.sequence = d.leader.outbox.enqueued(d)
+	o.sequence = d.leader.outbox.nextSequence()
 	d.mu.Lock()
 	d.queue.add(o, time.Now())
 	d.mu.Unlock()
+	d.leader.outbox.enqueued(d) // not before: an empty queue would be passed over from then on
 	d.leader.sendQueued()
 }
 
--- a/hforder/outbox.go
+++ b/hforder/outbox.go
@@ -64,16 +64,22 @@
 	return classStart + orderClass(min(o.start.Priority(), numStartClasses-1))
 }
 
-// enqueued records that a dispatcher has a new order. It returns the order's sequence number.
-func (b *outbox) enqueued(d *dispatcher) uint64 {
+// nextSequence returns the sequence number of a new order.
+func (b *outbox) nextSequence() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sequence++
+	return b.sequence
+}
+
+// enqueued records that a dispatcher has a new order in its queue.
+func (b *outbox) enqueued(d *dispatcher) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.queued == nil {
 		b.queued = map[*dispatcher]struct{}{}
 	}
 	b.queued[d] = struct{}{}
-	b.sequence++
-	return b.sequence
 }
 
 // forget drops the orders of a dispatcher that has stopped.
--- a/hforder/outbox_test.go
+++ b/hforder/outbox_test.go
@@ -299,3 +299,40 @@
 	}
 	require.Equal(t, int(retryReserve)+int(20*retryShare), taken)
 }
+
+// Guards against an order that stays in its queue for good: another sender looked for orders while this
+// one was being queued, and found the queue still empty.
+func TestNoQueuedOrderIsPassedOver(t *testing.T) {
+	const rounds = 20_000
+	l := NewLeader(nil, hflease.NewTenure(5, hflease.Now(), time.Hour), &fakeMinions{}, fakeServices{}, fakeServices{}, "one", &fakeRecords{}, fakeServices{}, hfplan.NewTiming(testLease))
+	delivered, done := make(chan struct{}, 1), make(chan struct{})
+	d := &dispatcher{leader: l, worker: &hfwork.Worker{}}
+	d.deliver = func(order) {
+		(&windowPlace{outbox: &l.outbox}).finish(0, nil)
+		d.finishOrder()
+		delivered <- struct{}{}
+	}
+	var others sync.WaitGroup
+	for range 2 {
+		others.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					l.sendQueued()
+				}
+			}
+		})
+	}
+	defer others.Wait()
+	defer close(done)
+	for range rounds {
+		d.enqueue(order{pace: &hfplan.PaceCmd{}})
+		select {
+		case <-delivered:
+		case <-time.After(20 * time.Second):
+			t.Fatal("the order was passed over")
+		}
+	}
+}
