Send no order after the leadership has ended

Cause: when a leadership ends, the calls under way are broken off, their runs count as unanswered, and the scheduler may still stop them before it sees the end. Since the outbox, such an order was sent by a goroutine of its own, where the senders of before had ended with the context. Over HTTP the call would have failed at once with the context that had ended.

Change: an order whose worker's context has ended is dropped. TestNoOrderIsSentAfterTheLeadershipEnded fails without it.

--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -248,11 +248,14 @@
 	d.silent = silent
 }
 
-// sendOrder sends an order that was taken from the queue.
+// sendOrder sends an order that was taken from the queue, unless the leadership has ended or the worker
+// was dropped.
 func (d *dispatcher) sendOrder(ctx context.Context, o order) {
 	defer d.finishOrder()
 	place := &windowPlace{outbox: &d.leader.outbox, domain: d.currentWorker().GetDomain(), doubtful: o.doubtful}
 	switch {
+	case ctx.Err() != nil:
+		place.finish(0, ErrNotSent)
 	case o.withdrawn != nil:
 		d.withdraw(o)
 		place.finish(0, ErrNotSent)
--- a/hforder/outbox_test.go
+++ b/hforder/outbox_test.go
@@ -336,3 +336,27 @@
 		}
 	}
 }
+
+// Guards against orders that are sent after the leadership has ended: those that were under way are
+// broken off, which makes the scheduler stop their runs.
+func TestNoOrderIsSentAfterTheLeadershipEnded(t *testing.T) {
+	for range 100 {
+		synctest.Test(t, func(t *testing.T) {
+			m := &orderedWorker{answer: unanswered}
+			timing := hfplan.NewTiming(testLease)
+			l := NewLeader(hfplan.New(1, timing, time.Now()), hflease.NewTenure(5, hflease.Now(), time.Hour), m, fakeServices{}, fakeServices{}, "one", &fakeRecords{}, fakeServices{}, timing)
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan error, 1)
+			job := &hfwork.Job{Id: "a", Queue: "q", Steps: []*hfwork.Step{{Count: 8, Accelerators: 8, Estimate: 60_000}}}
+			go func() { ended <- l.Run(ctx, append(testPool("w"), hfplan.Job(job, nil, false))) }()
+			time.Sleep(responseTimeout / 2)
+			end := time.Now()
+			cancel()
+			require.NoError(t, <-ended)
+			for _, o := range m.orders {
+				require.True(t, o.sent.Before(end), "an order was sent after the end")
+			}
+			require.NotEmpty(t, m.orders)
+		})
+	}
+}
