Reuse what exists: one wait of a new leader, one encoder, one parser of block keys

Found by reading the change once more. - awaitMirror and awaitWorkers were one loop twice; hfpeer.Serve had hfloop.Sleep written out; the job of a block's key was cut out of it in two ways; what makes a record split was decided in two places. - The layout encoded records with its own options, since equal records have to have equal bytes. hfwire.Encode does that for all now; what is decoded from them is the same. - ConfirmPolicy held a lock while it read the store, so that calls which came together in the first second of an outage waited for each other's timeouts.

No check or bound is touched.

--- a/hfentry/details.go
+++ b/hfentry/details.go
@@ -63,9 +63,8 @@
 			}
 			continue
 		}
-		if rest, ok := strings.CutPrefix(i.Key(), blockPrefix); ok {
-			id, _, _ := strings.Cut(rest, "/")
-			if err := d.addBlock(id, rest, i); err != nil {
+		if id, ok := blockJob(i.Key()); ok {
+			if err := d.addBlock(id, i); err != nil {
 				d.unreadable[id] = true
 			}
 		}
@@ -74,17 +73,17 @@
 }
 
 // addBlock adds a block of tasks to the steps of a job.
-func (d *details) addBlock(job, name string, i hfstore.Item) error {
+func (d *details) addBlock(job string, i hfstore.Item) error {
 	if i.Err() != nil {
-		return fmt.Errorf("block %s: %w", name, i.Err())
+		return fmt.Errorf("block %s: %w", i.Key(), i.Err())
 	}
 	block, err := hfwire.Decode(i.Value(), &hfwork.StepProgress{})
 	if err != nil {
-		return fmt.Errorf("block %s: %w", name, err)
+		return fmt.Errorf("block %s: %w", i.Key(), err)
 	}
-	number, err := strconv.ParseUint(name[strings.LastIndexByte(name, '.')+1:], 10, 16)
+	number, err := strconv.ParseUint(i.Key()[strings.LastIndexByte(i.Key(), '.')+1:], 10, 16)
 	if err != nil {
-		return fmt.Errorf("block %s: %w", name, err)
+		return fmt.Errorf("block %s: %w", i.Key(), err)
 	}
 	steps := d.blocks[job]
 	at := slices.IndexFunc(steps, func(s *hfwork.StepProgress) bool {
@@ -158,18 +157,21 @@
 	}
 }
 
+// hasSteps reports whether the steps of a job with the given record are in blocks. If its first save
+// was broken off, it has blocks and no record yet.
+func (d *details) hasSteps(id string, p *hfwork.Progress) bool {
+	return p.GetSplit() || p == nil && (len(d.blocks[id]) > 0 || d.unreadable[id])
+}
+
 // progress returns the progress of a job with its steps, from its own record and its blocks. It
 // reports false if a part of it cannot be read.
 func (d *details) progress(id string, p *hfwork.Progress) (*hfwork.Progress, bool) {
-	if p != nil && !p.GetSplit() || hfwork.IsFinal(p.GetState()) {
+	if !d.hasSteps(id, p) || hfwork.IsFinal(p.GetState()) {
 		return p, true
 	}
 	if d.unreadable[id] {
 		return nil, false
 	}
-	if p == nil && len(d.blocks[id]) == 0 {
-		return nil, true
-	}
 	whole := &hfwork.Progress{State: p.GetState(), Ended: p.GetEnded(), Reason: p.GetReason(), Steps: d.blocks[id]}
 	return whole, checkProgress(whole) == nil
 }
--- a/hfentry/layout.go
+++ b/hfentry/layout.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/heatherfront/heatherfront/hfplan"
+	"github.com/heatherfront/heatherfront/hfwire"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
 
@@ -60,7 +61,7 @@
 
 // appendChanged appends the change that stores a record, unless it is stored already.
 func appendChanged(changes []keyChange, stored map[string][]byte, key string, m proto.Message) ([]keyChange, error) {
-	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	value, err := hfwire.Encode(m)
 	if err != nil {
 		return nil, fmt.Errorf("encode %s: %w", key, err)
 	}
--- a/hfentry/leader.go
+++ b/hfentry/leader.go
@@ -199,23 +199,23 @@
 
 // awaitMirror waits until the mirror holds all records up to a store revision.
 func (n *Node) awaitMirror(ctx context.Context, revision int64) error {
-	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
-	defer cancel()
-	for hfloop.With(n.mirror, func(m *Mirror) bool { return m.appliedRevision < revision }) || !n.recordWatch.synced.Load() {
-		if !hfloop.Sleep(ctx, catchUpPause) {
-			return fmt.Errorf("await mirror: %w", ctx.Err())
-		}
-	}
-	return nil
+	return await(ctx, "mirror", func() bool {
+		return hfloop.With(n.mirror, func(m *Mirror) bool { return m.appliedRevision >= revision }) && n.recordWatch.synced.Load()
+	})
 }
 
 // awaitWorkers waits until the workers' entries were read.
 func (n *Node) awaitWorkers(ctx context.Context) error {
+	return await(ctx, "workers", n.workerWatch.synced.Load)
+}
+
+// await waits for what a new leader needs, at most for catchUpTimeout.
+func await(ctx context.Context, what string, ready func() bool) error {
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	for !n.workerWatch.synced.Load() {
+	for !ready() {
 		if !hfloop.Sleep(ctx, catchUpPause) {
-			return fmt.Errorf("await workers: %w", ctx.Err())
+			return fmt.Errorf("await %s: %w", what, ctx.Err())
 		}
 	}
 	return nil
@@ -244,7 +244,7 @@
 		if m.hasEnded(id) || r.unreadable {
 			continue
 		}
-		if r.progress.GetSplit() || len(d.blocks[id]) > 0 && r.progress == nil {
+		if d.hasSteps(id, r.progress) {
 			if p, readable := d.progress(id, r.progress); readable {
 				jobs[id] = p
 			}
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"maps"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -63,7 +62,6 @@
 	recordWatch  prefixWatch // watches our own records
 	policyWatch  prefixWatch // watches what operators write
 	workerWatch  prefixWatch // watches the workers' entries
-	policyReads  sync.Mutex  // held while the configuration is read for a call
 	stopping     atomic.Bool
 	claiming     atomic.Bool                    // this instance tries to become the leader, or is the leader
 	leader       atomic.Pointer[hforder.Leader] // nil unless this instance is the leader
--- a/hfentry/policy.go
+++ b/hfentry/policy.go
@@ -132,11 +132,6 @@
 	if n.policyWatch.age(hflease.Now()) <= maxPolicyAge {
 		return nil
 	}
-	n.policyReads.Lock()
-	defer n.policyReads.Unlock()
-	if n.policyWatch.age(hflease.Now()) <= maxPolicyAge {
-		return nil // another call has read it meanwhile
-	}
 	if !n.health.Allow(time.Now()) {
 		return fmt.Errorf("confirm configuration: %w", ErrNotDone)
 	}
--- a/hfpeer/links.go
+++ b/hfpeer/links.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hfwire"
 )
 
@@ -244,10 +245,7 @@
 			if err != nil {
 				// Descriptors may be short, or the peer may have gone. This must not end the
 				// calls of all others.
-				select {
-				case <-ctx.Done():
-				case <-time.After(acceptPause):
-				}
+				hfloop.Sleep(ctx, acceptPause)
 				continue
 			}
 			g.Go(func() error {
--- a/hfwire/codec.go
+++ b/hfwire/codec.go
@@ -39,9 +39,9 @@
 	return into, nil
 }
 
-// Encode returns the bytes of a record for storage.
+// Encode returns the bytes of a record for storage. Those of equal records are equal.
 func Encode(m proto.Message) ([]byte, error) {
-	b, err := proto.Marshal(m)
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
 	if err != nil {
 		return nil, fmt.Errorf("encode record: %w", err)
 	}
