--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -131,7 +131,7 @@
 
 // peek returns the class and the sequence number of the order that dequeue would return. sendable
 // reports whether there is one, and empty whether none is queued.
-func (d *dispatcher) peek(class func(order) orderClass) (c orderClass, sequence uint64, sendable, empty bool) {
+func (d *dispatcher) peek(class func(*order) orderClass) (c orderClass, sequence uint64, sendable, empty bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.queue.orders) == 0 {
@@ -151,7 +151,7 @@
 }
 
 // dequeue removes and returns the first order that may be sent to the worker now.
-func (d *dispatcher) dequeue(class func(order) orderClass) (order, bool) {
+func (d *dispatcher) dequeue(class func(*order) orderClass) (order, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.sending >= sendersPerWorker {
--- a/hforder/outbox.go
+++ b/hforder/outbox.go
@@ -52,7 +52,7 @@
 )
 
 // class returns the precedence of an order.
-func (b *outbox) class(o order) orderClass {
+func (b *outbox) class(o *order) orderClass {
 	if o.start == nil {
 		return classRelease
 	}
--- a/hforder/queue.go
+++ b/hforder/queue.go
@@ -79,9 +79,10 @@
 
 // first returns the index and class of the order that is to be sent next: the first one of the
 // lowest class that may be sent. The index is -1 if there is none.
-func (q *orderQueue) first(class func(order) orderClass) (int, orderClass) {
+func (q *orderQueue) first(class func(*order) orderClass) (int, orderClass) {
 	best, bestClass := -1, orderClass(0)
-	for i, o := range q.orders {
+	for i := range q.orders {
+		o := &q.orders[i]
 		if o.stop != nil {
 			if _, sending := q.starting[stopID(*o.stop)]; sending {
 				continue
@@ -99,7 +100,7 @@
 
 // next removes and returns the order that is to be sent next. A start must be finished with
 // finish.
-func (q *orderQueue) next(class func(order) orderClass) (order, bool) {
+func (q *orderQueue) next(class func(*order) orderClass) (order, bool) {
 	i, _ := q.first(class)
 	if i < 0 {
 		return order{}, false
