Send a start only on a connection that leads to its incarnation

Cause: a worker may start again under its id, and an order names a worker by its id only. The leader sent a start on any connection, or opened one. After a restart that it did not know of, the start reached the next life; the lease end, on the clock of the earlier life, passed there for a time far ahead, so that the start, carried out late, gave that life a full lease beyond the calculated expiry.

Change: a connection ends with the process that accepted it. One that was open before an answered poll was sent leads to the incarnation that answered, or to none. Each poll marks the idle connections so; a start takes only a marked one, and without one opens one and polls on it first. The lease end and the incarnation of its clock are read together. If no try of a start was sent, the scheduler is told that it was refused, and need not settle it by a stop.

--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -211,17 +211,22 @@
 	}
 }
 
-// leaseEnd returns the end of a full lease that begins now, in milliseconds on the worker's
-// clock, or 0 while that clock is not known. The worker's time is taken as if it had been
+// lease is the end of a lease, on the clock of one incarnation of a worker.
+type lease struct {
+	end         int64 // in milliseconds, 0 while the clock is not known
+	incarnation int64 // start time of the worker that the clock belongs to
+}
+
+// fullLease returns a full lease that begins now. The worker's time is taken as if it had been
 // read when the report was received and had run at minClockRate since, so that the lease is
 // never longer than a full one.
-func (d *dispatcher) leaseEnd(now time.Time) int64 {
+func (d *dispatcher) fullLease(now time.Time) lease {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.reportedAt.IsZero() {
-		return 0
+		return lease{}
 	}
-	return d.clockAt(now) + d.leader.timing.Lease().Milliseconds() - leaseMarginMS
+	return lease{end: d.clockAt(now) + d.leader.timing.Lease().Milliseconds() - leaseMarginMS, incarnation: d.incarnation}
 }
 
 // clockAt returns a lower bound of the worker's time in milliseconds. d.mu is held, and
@@ -273,26 +278,27 @@
 // leadership. All orders and polls pass through it. The end of a lease is calculated before the
 // tenure is checked: whenever the process is paused, a lease that it sends counts from a time at
 // which no later leadership had begun, and has expired when a later leader takes it to have.
-func (d *dispatcher) send(ctx context.Context, timeout time.Duration, call func(ctx context.Context, leaseEnd int64) error) error {
-	leaseEnd := d.leaseEnd(time.Now())
+func (d *dispatcher) send(ctx context.Context, timeout time.Duration, call func(ctx context.Context, granted lease) error) error {
+	granted := d.fullLease(time.Now())
 	if !d.leader.isLeading() {
 		d.leader.fail(ErrNotLeading)
 		return ErrNotLeading
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return call(ctx, leaseEnd)
+	return call(ctx, granted)
 }
 
 // sendWithRetry sends an order until it is answered or orderTimeout has passed. It does not
 // retry once the worker is silent, the leadership is lost or the budget of retries is spent; the
 // last try then waits for its answer until orderTimeout has passed. Orders are idempotent, so
 // sending one again does no harm. But the run of an unanswered start may have begun and
-// ended before the retry: a refusal of a retry therefore leaves the effect unknown, and is
-// returned as ErrUnanswered.
-func (d *dispatcher) sendWithRetry(ctx context.Context, place *windowPlace, call func(ctx context.Context, leaseEnd int64) error) error {
+// ended before the retry: a refusal after a try that was sent without an answer therefore leaves the
+// effect unknown, and is returned as ErrUnanswered.
+func (d *dispatcher) sendWithRetry(ctx context.Context, place *windowPlace, call func(ctx context.Context, granted lease) error) error {
 	outbox, sent := &d.leader.outbox, time.Now()
 	deadline := sent.Add(orderTimeout)
+	effective := false // an unanswered try may have taken effect
 	for tries := 1; ; tries++ {
 		timeout, retry := outbox.reserveRetry(deadline.Sub(sent))
 		var err error
@@ -305,8 +311,9 @@
 		if place.finish(time.Since(sent), err) {
 			d.leader.sendQueued()
 		}
+		lost := errors.Is(err, ErrUnanswered) && !errors.Is(err, ErrNotSent)
 		if retry && errors.Is(err, ErrUnanswered) && hfloop.Sleep(ctx, timeout-time.Since(sent)) && !d.isSilent() {
-			sent = time.Now()
+			sent, effective = time.Now(), effective || lost
 			continue
 		}
 		if retry {
@@ -315,9 +322,9 @@
 		switch {
 		case err == nil:
 			return nil
-		case errors.Is(err, ErrUnanswered):
+		case lost:
 			return fmt.Errorf("order, try %d: %w", tries, err)
-		case tries == 1 || errors.Is(err, ErrFenced) || errors.Is(err, ErrNotLeading):
+		case !effective || errors.Is(err, ErrFenced) || errors.Is(err, ErrNotLeading):
 			return fmt.Errorf("order: %w", err)
 		}
 		return fmt.Errorf("order, try %d: %w: %s", tries, ErrUnanswered, err)
@@ -326,17 +333,18 @@
 
 // recordResult records whether the worker answered a try.
 func (d *dispatcher) recordResult(err error) {
-	if errors.Is(err, ErrNotSent) || errors.Is(err, ErrNotLeading) {
+	unanswered := errors.Is(err, ErrUnanswered)
+	if !unanswered && (errors.Is(err, ErrNotSent) || errors.Is(err, ErrNotLeading)) {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.unanswered = errors.Is(err, ErrUnanswered)
+	d.unanswered = unanswered
 }
 
 // sendLastTry sends an order that is not retried, and waits for its answer for the remaining time.
 // The order gives up its place in the window after the timeout, as it is then no longer on the way.
-func (d *dispatcher) sendLastTry(ctx context.Context, place *windowPlace, timeout, remaining time.Duration, call func(ctx context.Context, leaseEnd int64) error) error {
+func (d *dispatcher) sendLastTry(ctx context.Context, place *windowPlace, timeout, remaining time.Duration, call func(ctx context.Context, granted lease) error) error {
 	answered := make(chan struct{})
 	defer close(answered)
 	if !place.isFree() && timeout < remaining {
@@ -363,17 +371,17 @@
 
 func (d *dispatcher) sendStart(ctx context.Context, place *windowPlace, c hfplan.StartCmd, sendBefore time.Time) {
 	worker, sent := d.currentWorker(), time.Now()
-	err := d.sendWithRetry(ctx, place, func(ctx context.Context, leaseEnd int64) error {
+	err := d.sendWithRetry(ctx, place, func(ctx context.Context, granted lease) error {
 		if !sent.Before(sendBefore) {
 			return fmt.Errorf("%w: it was queued for too long", ErrNotSent)
 		}
 		if err := d.checkStart(c, worker.GetAddress()); err != nil {
 			return fmt.Errorf("check: %w", err)
 		}
-		d.recordGrant("start", leaseEnd)
+		d.recordGrant("start", granted.end)
 		return d.leader.minions.Start(ctx, worker, Start{
 			task: c.Task(), run: c.Number(), command: c.Command(), checkpoint: c.Checkpoint(), ticket: c.Ticket(),
-			leaseEnd: leaseEnd, epoch: d.leader.tenure.Epoch(),
+			leaseEnd: granted.end, incarnation: granted.incarnation, epoch: d.leader.tenure.Epoch(),
 		})
 	})
 	d.leader.observer.OrderFinished("start", c.Task(), c.Number(), worker.GetId(), sent, err)
@@ -382,7 +390,7 @@
 
 func (d *dispatcher) sendStop(ctx context.Context, place *windowPlace, c hfplan.StopCmd) {
 	sent, worker := time.Now(), d.currentWorker()
-	err := d.sendWithRetry(ctx, place, func(ctx context.Context, _ int64) error {
+	err := d.sendWithRetry(ctx, place, func(ctx context.Context, _ lease) error {
 		return d.leader.minions.Stop(ctx, worker, c.Task(), c.Number(), d.leader.tenure.Epoch())
 	})
 	d.leader.observer.OrderFinished("stop", c.Task(), c.Number(), worker.GetId(), sent, err)
@@ -391,7 +399,7 @@
 
 func (d *dispatcher) sendPace(ctx context.Context, place *windowPlace, c hfplan.PaceCmd) {
 	sent, worker := time.Now(), d.currentWorker()
-	err := d.sendWithRetry(ctx, place, func(ctx context.Context, _ int64) error {
+	err := d.sendWithRetry(ctx, place, func(ctx context.Context, _ lease) error {
 		return d.leader.minions.Pace(ctx, worker, c.Task(), c.Number(), c.Percent(), d.leader.tenure.Epoch())
 	})
 	d.leader.observer.OrderFinished("pace", c.Task(), c.Number(), worker.GetId(), sent, err)
--- a/hforder/leader_test.go
+++ b/hforder/leader_test.go
@@ -175,14 +175,14 @@
 func TestRefusedRetryLeavesEffectUnknown(t *testing.T) {
 	d := &dispatcher{leader: &Leader{tenure: hflease.NewTenure(5, hflease.Now(), time.Minute)}}
 	answers := []error{ErrUnanswered, ErrStaleRun}
-	err := d.sendWithRetry(t.Context(), &windowPlace{outbox: &d.leader.outbox}, func(context.Context, int64) error {
+	err := d.sendWithRetry(t.Context(), &windowPlace{outbox: &d.leader.outbox}, func(context.Context, lease) error {
 		answer := answers[0]
 		answers = answers[1:]
 		return answer
 	})
 	require.ErrorIs(t, err, ErrUnanswered)
 	require.NotErrorIs(t, err, ErrStaleRun)
-	require.ErrorIs(t, d.sendWithRetry(t.Context(), &windowPlace{outbox: &d.leader.outbox}, func(context.Context, int64) error { return ErrStaleRun }), ErrStaleRun)
+	require.ErrorIs(t, d.sendWithRetry(t.Context(), &windowPlace{outbox: &d.leader.outbox}, func(context.Context, lease) error { return ErrStaleRun }), ErrStaleRun)
 }
 
 // Connections to a worker whose process has ended are reset at once. Retries must not become
@@ -190,7 +190,7 @@
 func TestImmediateFailuresAreRetriedAtIntervals(t *testing.T) {
 	d := &dispatcher{leader: &Leader{tenure: hflease.NewTenure(5, hflease.Now(), time.Minute)}}
 	tries := 0
-	err := d.sendWithRetry(t.Context(), &windowPlace{outbox: &d.leader.outbox}, func(context.Context, int64) error {
+	err := d.sendWithRetry(t.Context(), &windowPlace{outbox: &d.leader.outbox}, func(context.Context, lease) error {
 		tries++
 		return ErrUnanswered
 	})
@@ -375,7 +375,7 @@
 	now := time.Now()
 	d.recordReport(hfwork.NewReport(1000, 7, nil, nil), now)
 	require.False(t, d.isSilent())
-	require.Equal(t, int64(1000+6000-leaseMarginMS), d.leaseEnd(now))
+	require.Equal(t, int64(1000+6000-leaseMarginMS), d.fullLease(now).end)
 }
 
 // panickingObserver panics at the first decision.
--- a/hforder/order.go
+++ b/hforder/order.go
@@ -30,7 +30,7 @@
 	// ErrNotSent reports that a start was not sent, as it is out of date, or its worker is silent or
 	// has not answered at its address.
 	ErrNotSent = eris.New("start was not sent")
-	// ErrDisconnected reports that a poll for one incarnation of a worker was not sent, as no open
+	// ErrDisconnected reports that an order for one incarnation of a worker was not sent, as no open
 	// connection certainly leads to that incarnation.
 	ErrDisconnected = eris.New("no connection to this incarnation of the worker")
 	// ErrPanicked reports that the scheduler failed in an unexpected way.
@@ -41,13 +41,26 @@
 
 // Start is the order to start a run.
 type Start struct {
-	task       hfwork.TaskID
-	run        int64
-	command    string
-	checkpoint string
-	ticket     string
-	leaseEnd   int64 // in milliseconds on the worker's clock
-	epoch      int64
+	task        hfwork.TaskID
+	run         int64
+	command     string
+	checkpoint  string
+	ticket      string
+	leaseEnd    int64 // in milliseconds on the clock of the incarnation
+	incarnation int64 // start time of the worker that the order is meant for
+	epoch       int64
+}
+
+// NewStart returns a Start without a command, whose lease has ended.
+func NewStart(task hfwork.TaskID, run, epoch int64) Start {
+	return Start{task: task, run: run, epoch: epoch}
+}
+
+// WithLease returns a copy of the order with the end of the lease, on the clock of the incarnation of
+// the worker that started at the given time.
+func (s Start) WithLease(end, incarnation int64) Start {
+	s.leaseEnd, s.incarnation = end, incarnation
+	return s
 }
 
 // Task returns the id of the task.
@@ -65,9 +78,13 @@
 // Ticket returns the adviser's permission to start the run, or "" if the queue needs none.
 func (s Start) Ticket() string { return s.ticket }
 
-// LeaseEnd returns the end of the lease in milliseconds on the worker's clock.
+// LeaseEnd returns the end of the lease in milliseconds on the clock of the incarnation.
 func (s Start) LeaseEnd() int64 { return s.leaseEnd }
 
+// Incarnation returns the start time of the worker that the order is meant for. It is not sent: an
+// order names a worker by its id only.
+func (s Start) Incarnation() int64 { return s.incarnation }
+
 // Epoch returns the epoch of the leadership that sends the order.
 func (s Start) Epoch() int64 { return s.epoch }
 
@@ -137,16 +154,17 @@
 
 // Minions sends orders to workers. Every error it returns wraps an error of this package.
 type Minions interface {
-	// Start starts a run.
+	// Start starts a run. It is sent only on a connection that was open when the incarnation that it is
+	// meant for answered: a connection ends with the process that accepted it, so that no later incarnation
+	// can receive the start, however late. Without such a connection, Start opens one and polls the worker
+	// first. An error that wraps ErrNotSent tells that the start was not sent.
 	Start(ctx context.Context, w *hfwork.Worker, s Start) error
 	// Stop ends a run. A run that has not started yet never starts.
 	Stop(ctx context.Context, w *hfwork.Worker, task hfwork.TaskID, run, epoch int64) error
 	// Pace limits a run to a percentage of its full speed.
 	Pace(ctx context.Context, w *hfwork.Worker, task hfwork.TaskID, run, percent, epoch int64) error
-	// Poll renews leases as asked and returns the worker's report. A bound request is sent only on a
-	// connection on which its incarnation has answered a poll: a connection ends with the process that
-	// accepted it, so that no other incarnation can receive the request, however late. Without such a
-	// connection Poll sends nothing and returns ErrDisconnected. It never does so for other requests.
+	// Poll renews leases as asked and returns the worker's report. A bound request is sent, like a start,
+	// only on a connection that leads to its incarnation. Without such a connection Poll sends nothing and returns ErrDisconnected. It never does so for other requests.
 	Poll(ctx context.Context, w *hfwork.Worker, r PollRequest) (hfwork.Report, error)
 }
 
--- a/hforder/poll.go
+++ b/hforder/poll.go
@@ -100,21 +100,21 @@
 // that sent the last report. No end is acknowledged twice.
 func (d *dispatcher) poll(ctx context.Context, wait time.Duration, answered bool) (hfwork.Report, error) {
 	var report hfwork.Report
-	err := d.send(ctx, wait+pollTimeout, func(ctx context.Context, leaseEnd int64) error {
+	err := d.send(ctx, wait+pollTimeout, func(ctx context.Context, granted lease) error {
 		d.mu.Lock()
-		worker, incarnation, lastStored, lastReported := d.worker, d.incarnation, int64(0), d.lastReported
+		worker, lastStored, lastReported := d.worker, int64(0), d.lastReported
 		reconnects := !d.keptOpen && d.closed >= closingAnswers
 		if answered && d.lastStored > d.acknowledged {
 			lastStored = d.lastStored
 		}
 		d.mu.Unlock()
 		if answered {
-			d.recordGrant("poll", leaseEnd)
+			d.recordGrant("poll", granted.end)
 		} else {
-			leaseEnd = 0
+			granted.end = 0
 		}
 		var err error
-		request := NewPollRequest(leaseEnd, lastStored, d.leader.tenure.Epoch(), wait).WithLastReported(lastReported).WithIncarnation(incarnation).WithReconnect(reconnects)
+		request := NewPollRequest(granted.end, lastStored, d.leader.tenure.Epoch(), wait).WithLastReported(lastReported).WithIncarnation(granted.incarnation).WithReconnect(reconnects)
 		report, err = d.leader.minions.Poll(ctx, worker, request)
 		if d.isReplaced(err, worker.GetAddress()) {
 			return fmt.Errorf("%w: %w", errReplaced, err)
@@ -122,7 +122,7 @@
 		if err != nil {
 			return fmt.Errorf("request: %w", err)
 		}
-		if incarnation != 0 && report.Incarnation() == 0 {
+		if granted.incarnation != 0 && report.Incarnation() == 0 {
 			// It would be taken as the report of a worker that was restarted and has lost its runs.
 			return fmt.Errorf("%w: the report does not tell the worker's incarnation", ErrUnanswered)
 		}
--- a/hfplan/network_test.go
+++ b/hfplan/network_test.go
@@ -30,20 +30,22 @@
 
 // network carries orders and polls between the leader and the workers as package hforder
 // sends them. It leaves some of them unanswered and carries them out late, and it can be cut
-// in each direction. Leases end as the orders say, on the clock of the worker. The next
-// incarnation of a worker takes the lease end of a start for a time on its own clock, and limits
-// it to a full lease. A poll that renews leases or acknowledges ends belongs to a connection on
-// which the worker has answered, which ends with that incarnation
-// (TestBoundPollReachesItsIncarnationOnly of package hfplatform).
+// in each direction. Leases end as the orders say, on the clock of the worker. A start, and a poll
+// that renews leases or acknowledges ends, belongs to a connection that leads to the incarnation
+// that it is meant for, and ends with it (TestStartReachesItsIncarnationOnly and
+// TestBoundPollReachesItsIncarnationOnly of package hfplatform).
 type network struct {
-	w      *world
-	random *rand.Rand
-	late   float64 // share of the orders and polls that are carried out late and not answered
-	slow   float64 // share of the starts that wait in the queue of the leader
-	refuse float64 // share of the starts and stops that an unhealthy worker refuses
-	cutTo  map[*fakeWorker]bool
-	cutOff map[*fakeWorker]bool // what the worker sends is lost
-	links  map[string]*link     // of the present leader, by worker id
+	w *world
+	// unbound lets a start reach whichever incarnation of its worker answers. The next incarnation
+	// takes the lease end for a time on its own clock, and limits it to a full lease.
+	unbound bool
+	random  *rand.Rand
+	late    float64 // share of the orders and polls that are carried out late and not answered
+	slow    float64 // share of the starts that wait in the queue of the leader
+	refuse  float64 // share of the starts and stops that an unhealthy worker refuses
+	cutTo   map[*fakeWorker]bool
+	cutOff  map[*fakeWorker]bool // what the worker sends is lost
+	links   map[string]*link     // of the present leader, by worker id
 
 	replaced     map[string]string // addresses at which another worker answers, by the id of the earlier one
 	lives        int               // number of workers that have crashed
@@ -398,8 +400,9 @@
 	}
 	require.False(n.w.t, n.acknowledged[fmt.Sprint(c.Task())], "the start of %v is sent after its end as done was acknowledged", c.Task())
 	l.starting[stop] = true
-	maySend := func() bool { return !l.withdrawn[stop] }
-	n.try(l, n.w.now, 1, maySend, func(f *fakeWorker, sent time.Time, incarnation int64) Outcome {
+	o := &sending{l: l, begun: n.w.now, bound: !n.unbound}
+	o.maySend = func() bool { return !l.withdrawn[stop] }
+	o.carryOut = func(f *fakeWorker, sent time.Time, incarnation int64) Outcome {
 		if f.incarnation != incarnation {
 			// The end of the lease is on the clock of an earlier incarnation, which was far ahead.
 			sent = n.w.now
@@ -415,60 +418,86 @@
 			return OutcomeStale
 		}
 		return n.w.start(f, c)
-	}, func(o Outcome) {
+	}
+	o.finish = func(outcome Outcome) {
 		delete(l.starting, stop)
-		n.tell(l, Started(c, o))
+		n.tell(l, Started(c, outcome))
 		if l.held[stop] && n.current(l) {
 			delete(l.held, stop)
 			n.sendStop(l, stop)
 		}
-	})
+	}
+	n.try(o)
 }
 
 func (n *network) sendStop(l *link, c StopCmd) {
-	n.try(l, n.w.now, 1, func() bool { return true }, func(f *fakeWorker, _ time.Time, _ int64) Outcome {
-		n.w.stop(f, c.Task(), c.Number())
-		return OutcomeDone
-	}, func(o Outcome) { n.tell(l, Stopped(c, o)) })
+	n.try(&sending{
+		l: l, begun: n.w.now,
+		maySend: func() bool { return true },
+		carryOut: func(f *fakeWorker, _ time.Time, _ int64) Outcome {
+			n.w.stop(f, c.Task(), c.Number())
+			return OutcomeDone
+		},
+		finish: func(o Outcome) { n.tell(l, Stopped(c, o)) },
+	})
+}
+
+// sending is an order that is sent until it is answered.
+type sending struct {
+	l         *link
+	begun     time.Time
+	bound     bool // it goes only to the incarnation that had sent the last report
+	effective bool // an unanswered try may have taken effect
+	maySend   func() bool
+	// carryOut gets the time at which the order was sent, and the incarnation that had sent the last
+	// report by then.
+	carryOut func(f *fakeWorker, sent time.Time, incarnation int64) Outcome
+	finish   func(Outcome)
+}
+
+// result returns the outcome of an order whose last try ended with the given one.
+func (o *sending) result(last Outcome) Outcome {
+	if o.effective && last != OutcomeDone {
+		return OutcomeUnknown
+	}
+	return last
 }
 
 // try sends an order until it is answered, orderTimeout has passed, the worker is silent or it may
-// not be sent again. carryOut gets the time at which the order was sent, and the incarnation that had
-// sent the last report by then.
-func (n *network) try(l *link, begun time.Time, tries int, maySend func() bool, carryOut func(f *fakeWorker, sent time.Time, incarnation int64) Outcome, finish func(Outcome)) {
-	if !n.current(l) || n.w.fleet[l.id] == nil {
+// not be sent again.
+func (n *network) try(o *sending) {
+	l, f := o.l, n.w.fleet[o.l.id]
+	if !n.current(l) || f == nil {
 		return
 	}
 	if n.replaced[l.id] != "" {
-		if tries == 1 {
-			finish(OutcomeRefused)
-			return
-		}
-		finish(OutcomeUnknown)
+		o.finish(o.result(OutcomeRefused))
 		return
 	}
 	sent, incarnation, answered := n.w.now, l.incarnation, false
+	// No connection leads to another incarnation. The leader opens one and polls the worker on it,
+	// which shows that, and does not send the order.
+	foreign := o.bound && f.incarnation != incarnation
 	n.order(l, responseTimeout, func(f *fakeWorker, answer func(func())) {
 		outcome := OutcomeRefused
-		if n.random.Float64() >= n.refuse {
-			outcome = carryOut(f, sent, incarnation)
+		if !foreign && n.random.Float64() >= n.refuse {
+			outcome = o.carryOut(f, sent, incarnation)
 		}
 		answer(func() {
 			answered = true
-			if outcome != OutcomeDone && tries > 1 {
-				outcome = OutcomeUnknown // an earlier try may have taken effect
-			}
-			finish(outcome)
+			o.finish(o.result(outcome))
 		})
 	})
 	n.w.at(responseTimeout+messageDelay, func() {
-		switch {
-		case answered || !n.current(l):
-		case n.w.now.Sub(begun) > orderTimeout-responseTimeout || l.silent || !maySend():
-			finish(OutcomeUnknown)
-		default:
-			n.try(l, begun, tries+1, maySend, carryOut, finish)
+		if answered || !n.current(l) {
+			return
 		}
+		o.effective = o.effective || !foreign
+		if n.w.now.Sub(o.begun) > orderTimeout-responseTimeout || l.silent || !o.maySend() {
+			o.finish(o.result(OutcomeRefused))
+			return
+		}
+		n.try(o)
 	})
 }
 
@@ -484,7 +513,7 @@
 		seeds = append(seeds, seed)
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { playLateNetwork(t, seed, false) })
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { playLateNetwork(t, seed, lateNetwork{}) })
 	}
 }
 
@@ -492,7 +521,18 @@
 // other ids amid the same faults.
 func TestNoTaskRunsTwiceAmongReplacedWorkers(t *testing.T) {
 	for seed := range *networkSeeds {
-		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { playLateNetwork(t, seed, true) })
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { playLateNetwork(t, seed, lateNetwork{crashes: true}) })
+	}
+}
+
+// TestUnboundStartsAreFoundToRunTasksTwice shows that the world finds a start that reaches the next
+// incarnation of its worker.
+func TestUnboundStartsAreFoundToRunTasksTwice(t *testing.T) {
+	for _, seed := range []uint64{993, 2187, 2738} {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			failure := failureOf(func(f *failureRecorder) { playLateNetwork(f, seed, lateNetwork{unbound: true}) })
+			require.Regexp(t, `was started after its end as done|runs on .* already`, failure)
+		})
 	}
 }
 
@@ -507,9 +547,16 @@
 
 var networkSeeds = flag.Uint64("networkseeds", 100, "number of worlds of TestNoTaskRunsTwiceBehindALateNetwork")
 
-// playLateNetwork plays one world. Workers crash in it if crashes is set.
-func playLateNetwork(t *testing.T, seed uint64, crashes bool) {
+// lateNetwork says how one world differs from the usual ones.
+type lateNetwork struct {
+	crashes bool // workers crash
+	unbound bool // starts reach whichever incarnation of their worker answers
+}
+
+// playLateNetwork plays one world.
+func playLateNetwork(t worldTest, seed uint64, variant lateNetwork) {
 	t.Helper()
+	crashes := variant.crashes
 	random, crashRandom := rand.New(rand.NewPCG(seed, 20261205)), rand.New(rand.NewPCG(seed, 20261206))
 	w := newWorld(t, 2, 4)
 	if crashes {
@@ -518,6 +565,7 @@
 		}
 	}
 	n := w.useNetwork(random)
+	n.unbound = variant.unbound
 	w.advance(time.Second)
 	after := func(least, most time.Duration, do func()) {
 		w.at(least+time.Duration(random.Int64N(int64(most-least))), do)
--- a/hfplan/world_test.go
+++ b/hfplan/world_test.go
@@ -4,7 +4,6 @@
 	"container/heap"
 	"fmt"
 	"slices"
-	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -29,7 +28,7 @@
 // world simulates workers, the store and the platform on a virtual clock. It drives
 // one scheduler at a time and checks each start.
 type world struct {
-	t              *testing.T
+	t              worldTest
 	now            time.Time
 	events         eventHeap
 	lastSequence   int // sequence number of the last event; breaks ties
@@ -152,7 +151,7 @@
 }
 
 // newWorld returns a world with perRack idle workers of eight accelerators in each rack.
-func newWorld(t *testing.T, racks, perRack int) *world {
+func newWorld(t worldTest, racks, perRack int) *world {
 	t.Helper()
 	w := &world{
 		t: t, now: time.Unix(1_000_000, 0), fleet: map[string]*fakeWorker{}, records: map[string]*hfwork.Progress{},
@@ -175,6 +174,42 @@
 	return w
 }
 
+// worldTest is the test that a world belongs to.
+type worldTest interface {
+	require.TestingT
+	Helper()
+	Logf(format string, values ...any)
+	Fatal(values ...any)
+}
+
+// failureRecorder stands for the test of a world that has to fail. Its first failure ends the world.
+type failureRecorder struct{ failure string }
+
+func (f *failureRecorder) Helper()             {}
+func (f *failureRecorder) Logf(string, ...any) {}
+func (f *failureRecorder) Errorf(format string, values ...any) {
+	f.failure = fmt.Sprintf(format, values...)
+}
+func (f *failureRecorder) FailNow() { panic(f) }
+
+func (f *failureRecorder) Fatal(values ...any) {
+	f.failure = fmt.Sprint(values...)
+	f.FailNow()
+}
+
+// failureOf returns the failure of a world, or "".
+func failureOf(play func(f *failureRecorder)) (failure string) {
+	f := &failureRecorder{}
+	defer func() {
+		if r := recover(); r != nil && r != any(f) {
+			panic(r)
+		}
+		failure = f.failure
+	}()
+	play(f)
+	return ""
+}
+
 // trace logs an event, which is printed if the test fails.
 func (w *world) trace(format string, values ...any) {
 	w.t.Logf("%9.3f term %d: %s", w.now.Sub(time.Unix(1_000_000, 0)).Seconds(), w.term, fmt.Sprintf(format, values...))
