Stop the runs of a draining worker before it may end

Cause: a worker that drains goes on until it exits, and so do its runs. A run that ends in the last milliseconds is in an answer that never arrives: the poll ends with the connection, the entry is deleted, and the scheduler gives the run up with its worker. Nobody can know that end any more. The same happens to a worker that is taken away at short notice.

Ruled out: leases, late orders, reborn workers, a change of the leader (one leader throughout, worker-silent 16 ms after the end with "unexpected EOF" before any byte); an acknowledgement of an end that was not processed (a trial that logged each end and each acknowledgement on draining workers showed none).

Change: a draining worker's entries tell how long it still runs at least. The mirror keeps the earliest time at which it may end, counted from when the entry was written; one second before it, which a stop with one repetition and its record need, the scheduler stops what runs there. The ends are read, checkpoints of the last moment are kept, and the tasks go on elsewhere a little sooner than before.

--- a/hfentry/departure_test.go
+++ b/hfentry/departure_test.go
@@ -124,3 +124,43 @@
 	m.Reset("workers/", nil, 9)
 	require.Empty(t, m.leftWorkers)
 }
+
+// Guards against runs that are left on a worker until it ends, as its time to drain was counted from
+// when its entry was read, and against those that are stopped although its entries do not tell the time.
+func TestDrainingEntriesTellWhenTheirWorkerMayEnd(t *testing.T) {
+	const heartbeat = 2 * time.Second
+	start := time.Unix(1000, 0)
+	second := func(n time.Duration) time.Time { return start.Add(n * time.Second) }
+	m := NewMirror(fakeFormats{}, heartbeat)
+	version := int64(0)
+	apply := func(after, received time.Time, w *hfwork.Worker) {
+		version++
+		m.setWriteTimes(after, received)
+		m.Apply(newItem(t, "workers/w", version, w))
+	}
+	ends := func() map[string]time.Time { return m.drainEnds(start, start) }
+	draining := func(remaining time.Duration) *hfwork.Worker {
+		return &hfwork.Worker{Id: "w", Draining: true, Remaining: remaining.Milliseconds()}
+	}
+
+	apply(start, second(1), &hfwork.Worker{Id: "w", Remaining: 5000})
+	require.Empty(t, ends(), "it does not drain")
+	apply(second(1), second(2), draining(0))
+	require.Empty(t, ends(), "it does not tell the time")
+	apply(second(2), second(3), draining(9*time.Second))
+	require.Equal(t, second(11), ends()["w"], "from the earliest time at which the entry was written")
+	apply(second(3), second(4), draining(7*time.Second))
+	require.Equal(t, second(11), ends()["w"], "the later bound holds")
+	apply(second(4), second(5), draining(8*time.Second))
+	require.Equal(t, second(12), ends()["w"])
+	apply(time.Time{}, second(6), draining(10*time.Second))
+	require.Equal(t, second(14), ends()["w"], "a listed entry is up to a heartbeat old")
+	apply(second(14), second(15), draining(0))
+	require.Equal(t, second(14), ends()["w"])
+	require.Equal(t, start.Add(-time.Second), m.drainEnds(second(15), start)["w"], "on the clock of the scheduler")
+	apply(second(15), second(16), &hfwork.Worker{Id: "w"})
+	require.Empty(t, ends(), "it no longer drains")
+	apply(second(16), second(17), draining(3*time.Second))
+	m.Apply(deletedItem("workers/w", version+1))
+	require.Empty(t, ends())
+}
--- a/hfentry/details_test.go
+++ b/hfentry/details_test.go
@@ -362,11 +362,11 @@
 		close(ended)
 	}()
 	time.Sleep(50 * time.Millisecond)
-	require.Empty(t, n.registeredWorkers())
+	require.Empty(t, n.workersMsg().Nodes())
 	n.claiming.Store(true)
 	n.follow()
 	require.NoError(t, n.awaitWorkers(t.Context()))
-	require.Contains(t, n.registeredWorkers(), "w")
+	require.Contains(t, n.workersMsg().Nodes(), "w")
 	cancel()
 	<-ended
 }
--- a/hfentry/entries_test.go
+++ b/hfentry/entries_test.go
@@ -106,7 +106,7 @@
 		unreadableItem(""), newItem(t, "workers/c", 4, &hfwork.Worker{Id: "c"}),
 	}, 4, hflease.Now())
 	require.Equal(t, int64(4), w.revision)
-	require.Len(t, n.registeredWorkers(), 2)
+	require.Len(t, n.workersMsg().Nodes(), 2)
 	require.Len(t, rejections(logs), 2)
 }
 
--- a/hfentry/leader.go
+++ b/hfentry/leader.go
@@ -275,7 +275,7 @@
 			roster = members
 		}
 		msgs := []hfplan.Msg{hfplan.Policy(m.policy.config), hfplan.Roster(roster)}
-		msgs = append(msgs, hfplan.Workers(maps.Clone(m.workers)))
+		msgs = append(msgs, m.workersMsg())
 		for _, c := range m.departures() {
 			msgs = append(msgs, hfplan.WorkerLeft(c.leftWorker))
 		}
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -78,6 +78,7 @@
 type entryWrite struct {
 	version int64     // store revision of the write
 	after   time.Time // the entry was written after this time; zero if unknown
+	mayEnd  time.Time // earliest time at which its worker may end as it drains; zero if unknown
 }
 
 // Mirror is a copy of the store in memory, kept current by watches.
@@ -340,6 +341,7 @@
 		delete(m.lastWrites, id)
 		return c
 	}
+	previous := m.lastWrites[id].mayEnd
 	m.lastWrites[id] = entryWrite{version: i.Version(), after: m.writtenAfter}
 	delete(m.leftWorkers, id)
 	w, err := m.formats.Worker(id, i.Value())
@@ -348,9 +350,40 @@
 		return change{workers: true, err: err}
 	}
 	m.workers[id] = w
+	m.recordDrain(w, previous)
 	return change{workers: true}
 }
 
+// recordDrain records the earliest time at which a draining worker may end: each of its entries tells
+// how long it still runs, at least, from when it was written.
+func (m *Mirror) recordDrain(w *hfwork.Worker, previous time.Time) {
+	if !w.GetDraining() || w.GetRemaining() <= 0 && previous.IsZero() {
+		return
+	}
+	written := m.writtenAfter
+	if written.IsZero() {
+		written = m.receivedAt.Add(-m.heartbeatInterval())
+	}
+	write := m.lastWrites[w.GetId()]
+	write.mayEnd = written.Add(time.Duration(w.GetRemaining()) * time.Millisecond)
+	if write.mayEnd.Before(previous) {
+		write.mayEnd = previous
+	}
+	m.lastWrites[w.GetId()] = write
+}
+
+// drainEnds returns the earliest times at which draining workers may end, by worker, on the clock of
+// now; current is the same time on the clock of receivedAt.
+func (m *Mirror) drainEnds(current, now time.Time) map[string]time.Time {
+	ends := map[string]time.Time{}
+	for id, write := range m.lastWrites {
+		if !write.mayEnd.IsZero() {
+			ends[id] = now.Add(write.mayEnd.Sub(current))
+		}
+	}
+	return ends
+}
+
 // maxRemovalIntervals is the number of heartbeat intervals within which an entry must have
 // been written and deleted to be known as removed by its worker. An entry expires three
 // intervals after its last write; the third is a margin for writes that the store delays.
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -21,7 +21,6 @@
 	"github.com/heatherfront/heatherfront/hfplan"
 	"github.com/heatherfront/heatherfront/hfrelay"
 	"github.com/heatherfront/heatherfront/hfstore"
-	"github.com/heatherfront/heatherfront/hfwork"
 )
 
 // Settings describes an entry instance and the platform on which it runs.
@@ -203,7 +202,7 @@
 		}
 	}
 	if l := n.leader.Load(); l != nil && workersChanged {
-		l.Send(hfplan.Workers(n.registeredWorkers()))
+		l.Send(n.workersMsg())
 	}
 }
 
@@ -216,9 +215,10 @@
 	}
 }
 
-// registeredWorkers returns a copy of the registered workers.
-func (n *Node) registeredWorkers() map[string]*hfwork.Worker {
-	return hfloop.With(n.mirror, func(m *Mirror) map[string]*hfwork.Worker {
-		return maps.Clone(m.workers)
-	})
+// workersMsg returns the message with the registered workers.
+func (n *Node) workersMsg() hfplan.WorkersMsg { return hfloop.With(n.mirror, (*Mirror).workersMsg) }
+
+// workersMsg returns the message with the registered workers.
+func (m *Mirror) workersMsg() hfplan.WorkersMsg {
+	return hfplan.Workers(maps.Clone(m.workers)).WithEnds(m.drainEnds(hflease.Now(), time.Now()))
 }
--- a/hfplan/message.go
+++ b/hfplan/message.go
@@ -19,11 +19,21 @@
 func Policy(p *hfwork.Policy) PolicyMsg { return PolicyMsg{policy: p} }
 
 // WorkersMsg carries the registered workers by id.
-type WorkersMsg struct{ workers map[string]*hfwork.Worker }
+type WorkersMsg struct {
+	workers map[string]*hfwork.Worker
+	mayEnd  map[string]time.Time // earliest times at which draining workers may end, by worker
+}
 
 // Workers returns a WorkersMsg.
 func Workers(workers map[string]*hfwork.Worker) WorkersMsg { return WorkersMsg{workers: workers} }
 
+// WithEnds returns a copy of the message with the earliest times at which draining workers may end,
+// by worker.
+func (m WorkersMsg) WithEnds(earliest map[string]time.Time) WorkersMsg {
+	m.mayEnd = earliest
+	return m
+}
+
 // WorkerLeftMsg reports that a worker has shut down in an orderly way. Nothing runs on it.
 type WorkerLeftMsg struct{ worker string }
 
--- a/hfplan/run.go
+++ b/hfplan/run.go
@@ -166,8 +166,8 @@
 	return true
 }
 
-// tickWorker expires the runs of a worker that has not reported within its lease,
-// and repeats stops that have had no effect.
+// tickWorker expires the runs of a worker that has not reported within its lease, stops those of
+// one that is about to end, and repeats stops that have had no effect.
 func (s *Scheduler) tickWorker(w *worker, now time.Time) {
 	s.updateUsable(w, now)
 	if (w.silent || !w.reported) && !now.Before(w.leaseExpiry) {
@@ -181,6 +181,7 @@
 	if w.silent {
 		return
 	}
+	s.evacuate(w, now)
 	for _, r := range sortedRuns(w.runs) {
 		if r.phase == stopping && now.Sub(r.orderedAt) >= orderRetryInterval {
 			r.orderedAt = now
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -108,7 +108,7 @@
 	case RosterMsg:
 		s.addRoster(m.workers)
 	case WorkersMsg:
-		s.setWorkers(m.workers, now)
+		s.setWorkers(m, now)
 	case JobMsg:
 		s.addJob(m, now)
 	case ReportMsg:
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -37,7 +37,8 @@
 }
 
 // setWorkers updates the list of registered workers.
-func (s *Scheduler) setWorkers(registered map[string]*hfwork.Worker, now time.Time) {
+func (s *Scheduler) setWorkers(m WorkersMsg, now time.Time) {
+	registered := m.workers
 	for _, id := range sortedKeys(registered) {
 		w, registration := s.workers[id], registered[id]
 		if w == nil {
@@ -48,7 +49,7 @@
 			w.registration.GetCpu() != registration.GetCpu() || w.registration.GetMemory() != registration.GetMemory() {
 			s.replaceResources(w, registration, now)
 		}
-		w.registration, w.registered = registration, true
+		w.registration, w.registered, w.mayEndAt = registration, true, m.mayEnd[id]
 		s.updateUsable(w, now)
 	}
 	for id, w := range s.workers {
--- a/hfplan/world_test.go
+++ b/hfplan/world_test.go
@@ -47,17 +47,18 @@
 	gangTimeouts   int                  // gang members that waited in vain for the others
 	downUntil      map[string]time.Time // end of the upkeep, by machine that is down
 	upkeepDone     map[string]bool
-	allowedWorkers map[string]bool // workers that may run the steps of advised queues
-	adviceRequests int             // number of AdviceCmds
-	interrupted    int             // runs ended by an upkeep
-	lostTime       time.Duration   // accelerator time of runs without checkpoints that ended early
-	network        *network        // between the leader and the workers; nil if orders and reports arrive at once
-	deadly         map[string]bool // tasks that crash the worker that starts them
-	storeAway      bool            // a StoreCmd is carried out when the store is back
-	rename         bool            // a worker that crashed is back under another id
-	downTime       time.Duration   // of a worker that crashed
-	bornStep       int64           // difference between the starts of two incarnations
-	startCounts    map[string]int  // starts by task
+	allowedWorkers map[string]bool      // workers that may run the steps of advised queues
+	adviceRequests int                  // number of AdviceCmds
+	interrupted    int                  // runs ended by an upkeep
+	lostTime       time.Duration        // accelerator time of runs without checkpoints that ended early
+	network        *network             // between the leader and the workers; nil if orders and reports arrive at once
+	deadly         map[string]bool      // tasks that crash the worker that starts them
+	storeAway      bool                 // a StoreCmd is carried out when the store is back
+	mayEnd         map[string]time.Time // earliest times at which draining workers may end
+	rename         bool                 // a worker that crashed is back under another id
+	downTime       time.Duration        // of a worker that crashed
+	bornStep       int64                // difference between the starts of two incarnations
+	startCounts    map[string]int       // starts by task
 	starts         map[string]time.Time
 	noted          map[string]bool // tasks with an acknowledged end as done
 }
@@ -244,7 +245,7 @@
 	}
 	w.send(Policy(w.policy))
 	w.send(Roster(w.roster))
-	w.send(Workers(w.registered()))
+	w.send(Workers(w.registered()).WithEnds(w.mayEnd))
 	for _, id := range sortedKeys(w.jobs) {
 		if p := w.records[id]; !hfwork.IsFinal(p.GetState()) {
 			w.send(Job(w.jobs[id], p, w.cancelled[id]))
