Send a start only to the incarnation that it was decided for

What callers would see: a start over a worker's capacity, or on a worker without the required label, after the worker was restarted under its id as another kind; and a run of a task on the next incarnation that the scheduler takes to be the run of the earlier one.

Cause: the dispatcher takes note of a restart when it receives the report, the scheduler when it processes it from the inbox. A queued start, or the retry of an unanswered one, that is sent in between was decided on the report of the earlier incarnation, but goes to the next one with a full lease on its clock. Binding starts to connections does not prevent it: the lease, and with it the incarnation that the start names, is that of the last report.

Ruled out: that the scheduler's stop suffices. It withdraws a queued start and ends the retries once the restart was processed (handleRestart), not before.

Why it works: StartCmd names the incarnation on whose report it was decided, and checkStart compares it with that of the last report before each try. The dispatcher never knows less than the scheduler, so a start that passes has a lease on the clock of the incarnation that it was decided for. A start that was sent before is reported as unanswered, as its effect is not known.

runDispatcher of the tests names the incarnation on whose report its starts were decided (7), which it left at 0.

--- a/hforder/bound_test.go
+++ b/hforder/bound_test.go
@@ -96,3 +96,29 @@
 		}
 	})
 }
+
+// Guards against a start that was decided on the report of an earlier incarnation and is sent, or sent
+// again, to the next one before the scheduler knows of the restart: that one may have less room and other
+// labels.
+func TestStartForEarlierIncarnationIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		starts, _ := startsAndStops(t, sendersPerWorker+1)
+		m, last := &orderedWorker{answer: unanswered}, sendersPerWorker
+		var restarted time.Time
+		messages := runDispatcher(t, m, func(d *dispatcher) {
+			for i := range starts {
+				d.enqueue(order{start: &starts[i]})
+			}
+			time.Sleep(responseTimeout / 2)
+			d.recordReport(hfwork.NewReport(10, 8, nil, nil), time.Now())
+			restarted = time.Now()
+		})
+		require.Len(t, m.orders, sendersPerWorker)
+		for _, o := range m.orders {
+			require.True(t, o.sent.Before(restarted), "the start of %s was sent %s after the report of the next incarnation", o.run, o.sent.Sub(restarted))
+		}
+		require.Len(t, messages, len(starts))
+		require.Contains(t, messages, hfplan.Started(starts[0], hfplan.OutcomeUnknown))
+		require.Contains(t, messages, hfplan.Started(starts[last], hfplan.OutcomeRefused))
+	})
+}
--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -181,13 +181,17 @@
 // checkStart returns ErrNotSent if a start must not be sent to an address. Starts are not sent to a
 // silent worker: they would postpone the time from which nothing can run there, as that time
 // counts from when the silence was noticed. Nor are they sent to an address at which the worker
-// has not answered: whoever answers at the last one then shows whether a run can be active.
+// has not answered: whoever answers at the last one then shows whether a run can be active. Nor are
+// they sent to another incarnation than they were decided for, which may have less room or other
+// labels.
 func (d *dispatcher) checkStart(c hfplan.StartCmd, address string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
 	case address != d.reportedFrom:
 		return fmt.Errorf("%w: the worker has not answered at this address", ErrNotSent)
+	case c.Incarnation() != d.incarnation:
+		return fmt.Errorf("%w: it is for the incarnation of %d, the worker's is that of %d", ErrNotSent, c.Incarnation(), d.incarnation)
 	case d.silent:
 		return fmt.Errorf("%w: the worker is silent", ErrNotSent)
 	case !d.queue.maySend(c):
--- a/hforder/queue_test.go
+++ b/hforder/queue_test.go
@@ -117,7 +117,7 @@
 	t.Helper()
 	l := NewLeader(nil, hflease.NewTenure(5, hflease.Now(), time.Hour), m, fakeServices{}, fakeServices{}, "one", &fakeRecords{}, fakeServices{}, hfplan.NewTiming(testLease))
 	l.group = &errgroup.Group{}
-	d := &dispatcher{leader: l, worker: &hfwork.Worker{Id: "w"}, workerClock: 1000, reportedAt: time.Now()}
+	d := &dispatcher{leader: l, worker: &hfwork.Worker{Id: "w"}, incarnation: 7, workerClock: 1000, reportedAt: time.Now()}
 	ctx, cancel := context.WithCancel(t.Context())
 	d.deliver = func(o order) { l.deliver(ctx, d, o) }
 	test(d)
--- a/hfplan/message.go
+++ b/hfplan/message.go
@@ -148,14 +148,15 @@
 
 // StartCmd asks a worker to start a run of a task.
 type StartCmd struct {
-	worker     string
-	task       hfwork.TaskID
-	number     int64
-	command    string
-	checkpoint string
-	ticket     string
-	priority   uint32
-	gang       bool
+	worker      string
+	incarnation int64
+	task        hfwork.TaskID
+	number      int64
+	command     string
+	checkpoint  string
+	ticket      string
+	priority    uint32
+	gang        bool
 }
 
 // Priority returns the priority of the job, 0 for the most urgent ones.
@@ -170,6 +171,9 @@
 // Worker returns the worker's id.
 func (c StartCmd) Worker() string { return c.worker }
 
+// Incarnation returns the incarnation of the worker on whose report the start was decided.
+func (c StartCmd) Incarnation() int64 { return c.incarnation }
+
 // Task returns the task.
 func (c StartCmd) Task() hfwork.TaskID { return c.task }
 
--- a/hfplan/run.go
+++ b/hfplan/run.go
@@ -41,7 +41,7 @@
 	r.fromStart = t.group.primary(t).checkpoint == ""
 	ticket, _ := t.group.ticketFor(r.worker, now)
 	s.emit(StartCmd{
-		worker: r.worker.id(), task: t.id(), number: r.number, command: t.group.job.spec.GetCommand(),
+		worker: r.worker.id(), incarnation: r.worker.incarnation, task: t.id(), number: r.number, command: t.group.job.spec.GetCommand(),
 		checkpoint: t.group.primary(t).checkpoint, ticket: ticket,
 		priority: t.group.job.queue.GetPriority(), gang: t.group.gang(),
 	})
