Wait for the leases of a worker whose roster entry cannot be read

What callers would see: after a takeover, a task runs a second time while its first run goes on.

Cause: parseDetails left a worker out whose entry in the split roster cannot be read. A task whose place is a worker that the scheduler does not know is free to start at once (awaitPriorRun), as that worker is taken to be gone. A block that cannot be read makes its job wait; the roster had no such rule since it was split. Before, the one record of the roster was kept as it was last read.

Ruled out: to give the leadership up, as with an item without a key. One bad entry would then leave the fleet without a leader.

Why it works: the key names the worker, so it is in the roster by its id alone, and is polled where it is registered. If it is not, its tasks wait until its leases have expired, like those of any worker that does not answer.

--- a/hfentry/details.go
+++ b/hfentry/details.go
@@ -58,9 +58,10 @@
 		d.stored[i.Key()] = i.Value()
 		if id, ok := strings.CutPrefix(i.Key(), memberPrefix); ok {
 			w, err := hfwire.Decode(i.Value(), &hfwork.Worker{})
-			if i.Err() == nil && err == nil && w.GetId() == id {
-				d.members = append(d.members, w)
+			if i.Err() != nil || err != nil || w.GetId() != id {
+				w = &hfwork.Worker{Id: id} // tasks may run there until its leases have expired
 			}
+			d.members = append(d.members, w)
 			continue
 		}
 		if id, ok := blockJob(i.Key()); ok {
--- a/hfentry/details_test.go
+++ b/hfentry/details_test.go
@@ -297,6 +297,41 @@
 	})
 }
 
+// Guards against a task that runs twice after a takeover because the roster's entry of its worker cannot
+// be read: the new leader would take the worker to be gone.
+func TestWorkerWithUnreadableEntryIsNotTakenToBeGone(t *testing.T) {
+	for name, value := range map[string][]byte{"no message": {0xff}, "another worker": encoded(t, newTakeoverWorker("v")), "empty": {}} {
+		t.Run(name, func(t *testing.T) {
+			s, m := newFakeStore(), newIdleMinions("w")
+			n := newTakeoverNode(t, s, m, "v")
+			earlier := newSplitWriter(t, s)
+			require.NoError(t, earlier.Save(t.Context(), newProgressCmd(&hfwork.StepProgress{Places: map[uint32]string{0: "w"}}, "v", "w")))
+			_, err := s.Commit(t.Context(), (&hfstore.Batch{}).Put(memberPrefix+"w", value, ""))
+			require.NoError(t, err)
+			takeOver(t, n, s, func(ctx context.Context) {
+				for begun := time.Now(); time.Since(begun) < time.Second; {
+					select {
+					case start := <-m.starts:
+						require.Equal(t, uint32(1), start.Task().Index(), "task 0 may run on the silent worker")
+					case <-ctx.Done():
+						t.Error("the leadership ended")
+						return
+					case <-time.After(20 * time.Millisecond):
+						catchUp(t, n, s, &n.recordWatch)
+					}
+				}
+			})
+		})
+	}
+}
+
+func encoded(t *testing.T, m proto.Message) []byte {
+	t.Helper()
+	value, err := hfwire.Encode(m)
+	require.NoError(t, err)
+	return value
+}
+
 func TestGroupsStayTogetherInBatches(t *testing.T) {
 	group := func(n int) []keyChange { return make([]keyChange, n) }
 	var sizes []int
