Take a gang as done if any of its members is stored as done

What callers would see: after a takeover, some members of a gang that has ended start again, without the others, and fail to meet them; their step never ends.

The changes of a job go into one batch if there are at most 30, and otherwise into several. If the leader ends between two of these, the next one reads that the members of one block are done and those of another are not. One end represents the whole gang (completeTask), but restore took each task by itself.

Evidence: TestGangThatIsStoredAsDoneInPartIsDone, in which the scheduler violated its invariant ErrPartialGang before this change, with and without a place of the other member.

Ruled out: a gang whose places are stored in part. Nothing was started then, as starts wait for the whole command, and a gang without any run is placed as a whole.

Why it works: members end together, so a stored end of one is the end of all, whatever else is stored. Ends are acknowledged only when all is stored; a worker that reports one again is answered as for any task that is done.

--- a/hfplan/record.go
+++ b/hfplan/record.go
@@ -32,6 +32,13 @@
 				t.crashes, g.crashed = crashesOf(c), true
 			}
 		}
+		if g.gang() && g.open < len(g.tasks) {
+			// Its members end together, but are not stored all at once.
+			for i := range g.tasks {
+				g.tasks[i].done, g.tasks[i].priorWorker = true, ""
+			}
+			g.open = 0
+		}
 	}
 }
 
--- a/hfplan/single_run_test.go
+++ b/hfplan/single_run_test.go
@@ -399,3 +399,27 @@
 	d.store()
 	require.Len(t, d.takeStarts(), 1)
 }
+
+// Guards against members of a gang that start again, alone, because the earlier leader ended between two
+// batches that tell that the gang is done: the blocks of a large job are not stored all at once.
+func TestGangThatIsStoredAsDoneInPartIsDone(t *testing.T) {
+	for name, places := range map[string]map[uint32]string{"its other member is on a worker that has left": {1: "c"}, "its other member has no place": nil} {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t, 2, "a", "b")
+			d.report("a")
+			d.report("b")
+			d.store()
+			step, next := deskStep(2), deskStep(1)
+			step.Gang, next.After = true, []uint32{0}
+			spec := &hfwork.Job{Id: "x", Queue: "usual", Account: "plants", Steps: []*hfwork.Step{step, next}}
+			progress := &hfwork.Progress{State: hfwork.StateRunning, Steps: []*hfwork.StepProgress{{Done: []byte{1}, Places: places}}}
+			d.send(Job(spec, progress, false))
+			d.store()
+			starts := d.takeStarts()
+			require.Len(t, starts, 1)
+			require.Equal(t, uint32(1), starts[0].Task().Step(), "the gang has ended")
+			d.reportEnds("a", nil, d.end("a", hfwork.NewTaskID("x", 0, 0, 1), 1, hfwork.Done))
+			require.Zero(t, d.s.jobs["x"].groups[0].open)
+		})
+	}
+}
