Check the age of a start at each try

What callers would see: a member of a gang that starts seconds after the others have given up waiting for it, after the leader's process was paused.

Cause: startQueueTimeout states that a start is sent with its retries within gangTimeout or not at all. The check used the time at which the sender took the start from the queue, for all tries. A pause between that moment and the send, also between the check of the tenure and the send, was not seen.

Ruled out: that the tenure suffices. It is checked before the pause, and one that goes on after the pause passes every later check.

Why it works: each try compares the present time with the end of the last retry of a start that left the queue in time. A start of which no try was sent is refused; one with an unanswered try stays unknown, and is stopped.

--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -376,7 +376,7 @@
 func (d *dispatcher) sendStart(ctx context.Context, place *windowPlace, c hfplan.StartCmd, sendBefore time.Time) {
 	worker, sent := d.currentWorker(), time.Now()
 	err := d.sendWithRetry(ctx, place, func(ctx context.Context, granted lease) error {
-		if !sent.Before(sendBefore) {
+		if !sent.Before(sendBefore) || !time.Now().Before(sendBefore.Add(orderTimeout)) { // the process may have been paused
 			return fmt.Errorf("%w: it was queued for too long", ErrNotSent)
 		}
 		if err := d.checkStart(c, worker.GetAddress()); err != nil {
--- a/hforder/outbox_test.go
+++ b/hforder/outbox_test.go
@@ -360,3 +360,34 @@
 		})
 	}
 }
+
+// Guards against a start that is sent after the other members of its gang have given up, because the
+// process was paused between the check of the tenure and the send, at the first try or at a retry.
+func TestPausedLeaderSendsNoLateStart(t *testing.T) {
+	for name, c := range map[string]struct {
+		pausedFrom time.Duration // after the start was queued
+		sent       int
+		outcome    hfplan.Outcome
+	}{
+		"at the first try": {0, 0, hfplan.OutcomeRefused},
+		"at a retry":       {responseTimeout / 2, 1, hfplan.OutcomeUnknown},
+		"at the last try":  {responseTimeout + responseTimeout/2, 2, hfplan.OutcomeUnknown},
+		"not paused":       {time.Hour, 3, hfplan.OutcomeUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				starts, _ := startsAndStops(t, 1)
+				m, begun := &orderedWorker{answer: unanswered}, time.Now()
+				messages := runDispatcher(t, m, func(d *dispatcher) {
+					d.leader.tenure = pausingTenure{validUntil: begun.Add(time.Hour), pausedFrom: begun.Add(c.pausedFrom)}
+					d.enqueue(order{start: &starts[0]})
+				})
+				for _, o := range m.orders {
+					require.LessOrEqual(t, o.sent.Sub(begun), gangTimeout)
+				}
+				require.Len(t, m.orders, c.sent)
+				require.Equal(t, []hfplan.Msg{hfplan.Started(starts[0], c.outcome)}, messages)
+			})
+		})
+	}
+}
