Keep departures when a split roster is read again

What callers would see: after the store has dropped its history and a takeover, the tasks of a worker that had left as planned wait for its leases, some 6 s, although the new leader had followed its departure.

Cause: the mirror drops the departures of workers that are not in the roster. A split roster names nobody in its own record, so each time that the record was read all departures were dropped: at the first split save, and at each list of our records.

Evidence: TestDepartureBeforeTakeoverIsReported with split records, which did not end before this change, as the test reads the record again. It is no cause of the incident: a departure that is not known makes a leader wait longer.

Ruled out: to look the workers up in the details, which only a new leader reads.

Why it works: departures are kept while it is not known who is in the roster. They are dropped when the worker returns, and with each list of the workers' entries, as before; in between, a follower keeps the id of each worker that has left.

--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -268,8 +268,12 @@
 	return change{}
 }
 
-// pruneLeftWorkers removes workers from leftWorkers that are no longer in the roster.
+// pruneLeftWorkers removes workers from leftWorkers that are no longer in the roster. Who is in a split
+// roster is not known.
 func (m *Mirror) pruneLeftWorkers() {
+	if m.roster.GetSplit() {
+		return
+	}
 	listed := map[string]bool{}
 	for _, w := range m.roster.GetWorkers() {
 		listed[w.GetId()] = true
--- a/hfentry/takeover_test.go
+++ b/hfentry/takeover_test.go
@@ -225,10 +225,18 @@
 
 // Guards against waiting for the leases of a worker that has left before the takeover.
 func TestDepartureBeforeTakeoverIsReported(t *testing.T) {
+	for name, open := range map[string]func(*testing.T, *fakeStore) *fencedWriter{"whole records": openTestWriter, "split records": newSplitWriter} {
+		t.Run(name, func(t *testing.T) { departBeforeTakeover(t, open) })
+	}
+}
+
+func departBeforeTakeover(t *testing.T, open func(*testing.T, *fakeStore) *fencedWriter) {
+	t.Helper()
 	s, m := newFakeStore(), newIdleMinions("w")
 	n := newTakeoverNode(t, s, m, "v1", "v2", "w")
 	progress := newProgressCmd(&hfwork.StepProgress{Places: map[uint32]string{0: "w"}}, "v1", "v2", "w")
-	require.NoError(t, openTestWriter(t, s).Save(t.Context(), progress))
+	require.NoError(t, open(t, s).Save(t.Context(), progress))
+	catchUp(t, n, s, &n.recordWatch)
 	letLeave(t, n, s, "w")
 	takeOver(t, n, s, func(ctx context.Context) {
 		for {
