Test takeovers by an instance that did not follow the workers

Can one that did not take a worker as gone, and start a task again?

Three cases, each a worker that does not answer and has no entry any more: its departure was seen while this instance still followed and it has returned since; it drains, and the entry that was listed expires; it has no entry when the leader lists the workers for the first time. In all of them its task waits, and the other task of the job is started.

Found nothing on today's code. Each test failed once with a wrong variant: departures that outlive a list, listed entries that count as just written, and workers without an entry that count as gone.

--- a/hfentry/takeover_test.go
+++ b/hfentry/takeover_test.go
@@ -255,6 +255,82 @@
 	})
 }
 
+// requireNoStartOf lets a node take over, which has to list the workers first, and then applies events of
+// theirs. It requires that task 0 is not started while its worker does not answer.
+func requireNoStartOf(t *testing.T, n *Node, s *fakeStore, afterList func()) {
+	t.Helper()
+	takeOver(t, n, s, func(ctx context.Context) {
+		time.Sleep(20 * time.Millisecond)
+		require.True(t, n.list(ctx, &n.workerWatch))
+		afterList()
+		others := 0
+		for begun := time.Now(); time.Since(begun) < time.Second; {
+			select {
+			case start := <-n.minions.(*idleMinions).starts:
+				require.Equal(t, uint32(1), start.Task().Index(), "task 0 may run on the silent worker")
+				others++
+			case <-ctx.Done():
+				t.Error("the leadership ended")
+				return
+			case <-time.After(20 * time.Millisecond):
+				catchUp(t, n, s, &n.recordWatch)
+			}
+		}
+		require.Positive(t, others, "the leader starts what may be started")
+	})
+}
+
+// newStandby returns a node that does not follow the workers any more, and whose store has two workers
+// and a job whose task 0 was started on w, which does not answer.
+func newStandby(t *testing.T, s *fakeStore, before func(n *Node)) *Node {
+	t.Helper()
+	n := newTakeoverNode(t, s, newIdleMinions("w"), "v", "w")
+	n.health, n.followNow = NewStoreHealth(func(bool, time.Duration) {}), make(chan struct{}, 1)
+	before(n)
+	n.follow()
+	n.leave(t.Context(), &n.workerWatch)
+	require.Empty(t, n.registeredWorkers())
+	progress := newProgressCmd(&hfwork.StepProgress{Places: map[uint32]string{0: "w"}}, "v", "w")
+	require.NoError(t, newSplitWriter(t, s).Save(t.Context(), progress))
+	return n
+}
+
+// Guards against a new leader that takes a worker to have left because it did so while this instance
+// followed the workers: it has returned since, got a task, and lost its entry as it cannot reach the store.
+func TestDepartureSeenBeforeFollowingEndedIsForgotten(t *testing.T) {
+	s := newFakeStore()
+	n := newStandby(t, s, func(n *Node) { letLeave(t, n, s, "w") })
+	putWorker(t, s, newTakeoverWorker("w"))
+	_, err := s.Commit(t.Context(), (&hfstore.Batch{}).Remove("workers/w"))
+	require.NoError(t, err)
+	requireNoStartOf(t, n, s, func() {})
+}
+
+// Guards against a new leader that takes a worker to have left because the entry that it listed, of which
+// the age is not known, expires at once: the worker drains, cannot reach the store and goes on.
+func TestListedEntryThatExpiresIsNoDeparture(t *testing.T) {
+	s := newFakeStore()
+	n := newStandby(t, s, func(*Node) {})
+	draining := newTakeoverWorker("w")
+	draining.Draining = true
+	putWorker(t, s, draining)
+	requireNoStartOf(t, n, s, func() {
+		revision, err := s.Commit(t.Context(), (&hfstore.Batch{}).Remove("workers/w"))
+		require.NoError(t, err)
+		n.applyEvents(&n.workerWatch, []hfstore.Item{deletedItem("workers/w", revision)}, revision, hflease.Now())
+	})
+}
+
+// Guards against a new leader that takes a worker to be gone because it has no entry when the leader
+// lists the workers for the first time.
+func TestWorkerWithoutEntryIsNotTakenToBeGone(t *testing.T) {
+	s := newFakeStore()
+	n := newStandby(t, s, func(*Node) {})
+	_, err := s.Commit(t.Context(), (&hfstore.Batch{}).Remove("workers/w"))
+	require.NoError(t, err)
+	requireNoStartOf(t, n, s, func() {})
+}
+
 // lateBatchStore is a store that applies the delayed batches right before the next batch.
 type lateBatchStore struct{ *fakeStore }
 
