Test stops beside a last try, and starts to silent workers

Without the rule that a stop waits for the start of its run, and without the check of silence, each new test failed. No test of this package failed without the check of silence before: TestReportEndsSilence expects a refusal that an unknown start gets in any case.

--- a/hforder/outbox_test.go
+++ b/hforder/outbox_test.go
@@ -391,3 +391,70 @@
 		})
 	}
 }
+
+// Guards against a stop that overtakes the last try of the start of its run, which waits for its answer
+// longer than the others and has given up its place in the window, and against a further try.
+func TestStopWaitsForTheLastTryOfItsStart(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer  func(ctx context.Context) error
+		outcome hfplan.Outcome
+	}{
+		"answered late": {func(context.Context) error { time.Sleep(orderTimeout - responseTimeout/2); return nil }, hfplan.OutcomeDone},
+		"unanswered":    {func(ctx context.Context) error { <-ctx.Done(); return ErrUnanswered }, hfplan.OutcomeUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				starts, stops := startsAndStops(t, 1)
+				m := &orderedWorker{answer: func(ctx context.Context, start bool, _ string) error {
+					if start {
+						return c.answer(ctx)
+					}
+					return nil
+				}}
+				messages := runDispatcher(t, m, func(d *dispatcher) {
+					d.leader.outbox.retries.spent = retryReserve
+					d.enqueue(order{start: &starts[0]})
+					time.Sleep(responseTimeout + responseTimeout/2)
+					require.Zero(t, d.leader.outbox.window.inFlight, "the last try has given up its place")
+					d.enqueue(order{stop: &stops[0]})
+				})
+				require.Len(t, m.orders, 2)
+				require.True(t, m.orders[0].start)
+				require.LessOrEqual(t, m.orders[0].finished.Sub(m.orders[0].sent), orderTimeout)
+				require.False(t, m.orders[1].sent.Before(m.orders[0].finished), "the stop was sent beside the start and may overtake it")
+				require.Equal(t, []hfplan.Msg{hfplan.Started(starts[0], c.outcome), hfplan.Stopped(stops[0], hfplan.OutcomeDone)}, messages)
+			})
+		})
+	}
+}
+
+// Guards against a start that is sent, or sent again, to a worker whose silence was noticed: its lease
+// would end after the time at which the scheduler takes all leases of the worker to have expired.
+func TestNoStartIsSentToSilentWorker(t *testing.T) {
+	for name, c := range map[string]struct {
+		silentFrom time.Duration // after the start was queued
+		sent       int
+		outcome    hfplan.Outcome
+	}{
+		"silent before the start":  {0, 0, hfplan.OutcomeRefused},
+		"silent before the retry":  {responseTimeout / 2, 1, hfplan.OutcomeUnknown},
+		"silent after all retries": {time.Minute, 3, hfplan.OutcomeUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				starts, _ := startsAndStops(t, 1)
+				m := &orderedWorker{answer: unanswered}
+				messages := runDispatcher(t, m, func(d *dispatcher) {
+					if c.silentFrom == 0 {
+						d.setSilent(true)
+					}
+					d.enqueue(order{start: &starts[0]})
+					time.Sleep(c.silentFrom)
+					d.setSilent(true)
+				})
+				require.Len(t, m.orders, c.sent)
+				require.Equal(t, []hfplan.Msg{hfplan.Started(starts[0], c.outcome)}, messages)
+			})
+		})
+	}
+}
