--- a/hforder/outbox_test.go
+++ b/hforder/outbox_test.go
@@ -415,7 +415,9 @@
 					d.leader.outbox.retries.spent = retryReserve
 					d.enqueue(order{start: &starts[0]})
 					time.Sleep(responseTimeout + responseTimeout/2)
+					d.leader.outbox.mu.Lock()
 					require.Zero(t, d.leader.outbox.window.inFlight, "the last try has given up its place")
+					d.leader.outbox.mu.Unlock()
 					d.enqueue(order{stop: &stops[0]})
 				})
 				require.Len(t, m.orders, 2)
