Play restarts as another kind on the fleet of the dispatcher's tests

The fleet's workers now have an incarnation and room for some tasks, restart as another kind, also behind a short cut, and register later. Orders for one incarnation reach no other one.

TestNoTaskRunsTwiceOnMuteWorkers plays the same as before: its workers do not restart.

--- a/hforder/fleet_test.go
+++ b/hforder/fleet_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -21,10 +23,14 @@
 	fleetTransit  = 20 * time.Millisecond // longest transit of an order or answer
 	fleetMaxDelay = 7 * time.Second       // of an order that is carried out late
 	fleetSeeds    = 20
+	fleetTasks    = 4                      // for which the largest workers have room
+	fleetSize     = 16                     // accelerators of a task
+	fleetPass     = 200 * time.Millisecond // longest time that a decision takes a slow scheduler
 )
 
-// fleet stands for workers that fall mute for seconds and carry orders out late. It checks that
-// no task runs twice at the same time, or again after an end that was acknowledged.
+// fleet stands for workers that fall mute for seconds, carry orders out late and restart as another kind.
+// It checks that no task runs twice at the same time, or again after an end that was acknowledged, and
+// that no start brings a worker over its capacity.
 type fleet struct {
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -33,6 +39,8 @@
 	broken  []string // what was found
 	lapsed  int      // leases that expired with runs
 	late    int      // orders carried out late
+	foreign int      // starts for an earlier incarnation, which do not reach the worker
+	unbound bool     // such starts reach it; a wrong variant
 }
 
 type fleetTask struct {
@@ -44,6 +52,8 @@
 
 type fleetWorker struct {
 	id         string
+	born       int64     // start time that identifies the incarnation
+	tasks      int       // for which it has room
 	started    time.Time // of its clock
 	rate       int64     // of its clock, in percent
 	mutedUntil time.Time
@@ -71,7 +81,7 @@
 	for i := range workers {
 		id := fmt.Sprint("w", i)
 		f.workers[id] = &fleetWorker{
-			id: id, started: time.Now().Add(-time.Hour), rate: 98 + int64(i%3)*2, runs: map[hfwork.TaskID]*fleetRun{},
+			id: id, born: 7, tasks: fleetTasks, started: time.Now().Add(-time.Hour), rate: 98 + int64(i%3)*2, runs: map[hfwork.TaskID]*fleetRun{},
 			refused: map[hfwork.TaskID]int64{}, ended: make(chan struct{}),
 		}
 	}
@@ -115,9 +125,37 @@
 	}
 }
 
+// restart ends the incarnation of a worker. The next one knows nothing of it and may have another size.
+func (f *fleet) restart(w *fleetWorker) {
+	f.expire(w)
+	for task, r := range w.runs {
+		r.timer.Stop()
+		delete(w.runs, task)
+	}
+	w.born++
+	w.tasks = 1 + f.random.IntN(fleetTasks)
+	w.started, w.leaseEnd, w.refused, w.ends, w.lastEnd = time.Now(), 0, map[hfwork.TaskID]int64{}, nil, 0
+	w.lapses++
+	close(w.ended)
+	w.ended = make(chan struct{})
+}
+
+// registered returns the workers as they have registered.
+func (f *fleet) registered() map[string]*hfwork.Worker {
+	byID := map[string]*hfwork.Worker{}
+	for id, w := range f.workers {
+		byID[id] = &hfwork.Worker{Id: id, Pool: "p", Rack: "r", Cpu: 1000, Memory: 1000, Accelerators: int64(w.tasks) * fleetSize, Born: w.born}
+	}
+	return byID
+}
+
+// errForeign reports that an order for one incarnation does not reach another one.
+var errForeign = fmt.Errorf("%w: %w", ErrNotSent, ErrWorkerRestarted)
+
 // carryOut carries out an order, unless the worker is mute: then the order is carried out late
-// or never, and is not answered.
-func (f *fleet) carryOut(ctx context.Context, worker string, order func(w *fleetWorker) error) error {
+// or never, and is not answered. An order for one incarnation reaches no other one; born is 0 for
+// orders that do.
+func (f *fleet) carryOut(ctx context.Context, worker string, born int64, order func(w *fleetWorker) error) error {
 	f.mu.Lock()
 	w := f.workers[worker]
 	transit, delay := f.below(fleetTransit), f.below(fleetMaxDelay)
@@ -132,6 +170,9 @@
 				f.mu.Lock()
 				defer f.mu.Unlock()
 				f.expire(w)
+				if born != 0 && born != w.born {
+					return // its connection has ended
+				}
 				f.late++
 				_ = order(w) // nobody gets the answer
 			})
@@ -141,11 +182,18 @@
 		f.mu.Lock()
 		return ErrUnanswered
 	}
+	if born != 0 && born != w.born {
+		return errForeign
+	}
 	return order(w)
 }
 
 func (f *fleet) Start(ctx context.Context, worker *hfwork.Worker, s Start) error {
-	return f.carryOut(ctx, worker.GetId(), func(w *fleetWorker) error {
+	born := s.Incarnation()
+	if f.unbound {
+		born = 0
+	}
+	err := f.carryOut(ctx, worker.GetId(), born, func(w *fleetWorker) error {
 		if r := w.runs[s.Task()]; r != nil && r.number == s.Run() {
 			w.extend(s.LeaseEnd())
 			return nil
@@ -161,6 +209,12 @@
 		f.begin(w, s.Task(), s.Run())
 		return nil
 	})
+	if errors.Is(err, ErrWorkerRestarted) {
+		f.mu.Lock()
+		f.foreign++
+		f.mu.Unlock()
+	}
+	return err
 }
 
 // begin begins a run, and checks that its task neither runs nor has ended.
@@ -171,6 +225,9 @@
 			f.broken = append(f.broken, fmt.Sprintf("run %d of %v began on %s beside run %d on %s", number, id, w.id, r.number, other.id))
 		}
 	}
+	if len(w.runs) >= w.tasks {
+		f.broken = append(f.broken, fmt.Sprintf("run %d of %v began on %s, which has room for %d and runs %d", number, id, w.id, w.tasks, len(w.runs)))
+	}
 	task := f.tasks[id]
 	if task.noted {
 		f.broken = append(f.broken, fmt.Sprintf("run %d of %v began on %s after its end was acknowledged", number, id, w.id))
@@ -189,7 +246,7 @@
 }
 
 func (f *fleet) Stop(ctx context.Context, worker *hfwork.Worker, task hfwork.TaskID, run, _ int64) error {
-	return f.carryOut(ctx, worker.GetId(), func(w *fleetWorker) error {
+	return f.carryOut(ctx, worker.GetId(), 0, func(w *fleetWorker) error {
 		w.refused[task] = max(w.refused[task], run)
 		if r := w.runs[task]; r != nil && r.number == run {
 			f.end(w, task, r, hfwork.Stopped)
@@ -204,7 +261,12 @@
 
 func (f *fleet) Poll(ctx context.Context, worker *hfwork.Worker, request PollRequest) (hfwork.Report, error) {
 	var ended chan struct{}
-	err := f.carryOut(ctx, worker.GetId(), func(w *fleetWorker) error {
+	var born, bound int64
+	if request.Bound() {
+		bound = request.Incarnation()
+	}
+	err := f.carryOut(ctx, worker.GetId(), bound, func(w *fleetWorker) error {
+		born = w.born
 		f.acknowledge(w, request.LastStored())
 		w.extend(request.LeaseEnd())
 		if ended = w.ended; len(w.ends) > 0 {
@@ -212,6 +274,9 @@
 		}
 		return nil
 	})
+	if errors.Is(err, ErrWorkerRestarted) {
+		return hfwork.Report{}, ErrDisconnected
+	}
 	if err != nil {
 		return hfwork.Report{}, err
 	}
@@ -224,7 +289,7 @@
 		}
 	}
 	var report hfwork.Report
-	err = f.carryOut(ctx, worker.GetId(), func(w *fleetWorker) error {
+	err = f.carryOut(ctx, worker.GetId(), born, func(w *fleetWorker) error {
 		var running []hfwork.Run
 		for task, r := range w.runs {
 			running = append(running, hfwork.NewRun(task, r.number, "", int64(f.random.IntN(100)), 0))
@@ -233,9 +298,12 @@
 		for _, e := range w.ends {
 			ends = append(ends, e.End)
 		}
-		report = hfwork.NewReport(w.clock(), 7, running, ends)
+		report = hfwork.NewReport(w.clock(), w.born, running, ends)
 		return nil
 	})
+	if errors.Is(err, ErrWorkerRestarted) {
+		return hfwork.Report{}, ErrUnanswered // the connection broke while the poll waited
+	}
 	if err != nil {
 		return hfwork.Report{}, err
 	}
@@ -261,6 +329,65 @@
 	})
 }
 
+// slowServices makes the decisions of a scheduler take some time, in which its inbox waits.
+type slowServices struct {
+	fakeServices
+	fleet *fleet
+}
+
+func (o slowServices) Decided(hfplan.NoteCmd) {
+	o.fleet.mu.Lock()
+	took := o.fleet.below(fleetPass)
+	o.fleet.mu.Unlock()
+	time.Sleep(took)
+}
+
+// restartAndRegister restarts a worker, which registers some time later.
+func (f *fleet) restartAndRegister(l *Leader, w *fleetWorker) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.restart(w)
+	if f.random.IntN(2) == 0 {
+		w.mutedUntil = time.Now().Add(f.below(time.Second)) // behind a short cut
+	}
+	registered := f.registered()
+	time.AfterFunc(f.below(2*time.Second), func() { l.Send(hfplan.Workers(registered)) })
+}
+
+// playFleet plays jobs on a fleet whose workers fall mute and, if restarts is set, restart.
+func playFleet(t *testing.T, f *fleet, o Observer, restarts bool) {
+	t.Helper()
+	ids := slices.Sorted(maps.Keys(f.workers))
+	timing := hfplan.NewTiming(testLease)
+	l := NewLeader(hfplan.New(1, timing, time.Now()), hflease.NewTenure(5, hflease.Now(), time.Hour), f, fakeServices{}, fakeServices{}, "one", &fakeRecords{}, o, timing)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run(ctx, []hfplan.Msg{testPool()[0], hfplan.Workers(f.registered())}) }()
+	for i := range 150 {
+		time.Sleep(400 * time.Millisecond)
+		f.mu.Lock()
+		job := &hfwork.Job{Id: fmt.Sprint("job", i), Queue: "q", Steps: []*hfwork.Step{{Count: 1 + uint32(f.random.IntN(2)), Accelerators: fleetSize, Estimate: 2000}}}
+		for index := range job.GetSteps()[0].GetCount() {
+			f.tasks[hfwork.NewTaskID(job.GetId(), 0, 0, index)] = &fleetTask{duration: 2*time.Second + f.below(10*time.Second)}
+		}
+		if f.random.IntN(2) == 0 {
+			f.workers[ids[f.random.IntN(len(ids))]].mutedUntil = time.Now().Add(2*time.Second + f.below(12*time.Second))
+		}
+		f.mu.Unlock()
+		l.Send(hfplan.Job(job, nil, false))
+		if restarts {
+			f.mu.Lock()
+			w, after := f.workers[ids[f.random.IntN(len(ids))]], f.below(2*fleetPass) // as starts are sent
+			time.AfterFunc(after, func() { f.restartAndRegister(l, w) })
+			f.mu.Unlock()
+		}
+	}
+	time.Sleep(time.Minute)
+	cancel()
+	require.NoError(t, <-ended)
+	time.Sleep(time.Minute) // late orders
+}
+
 // Guards against a task that runs twice while its workers leave orders and polls unanswered and
 // carry them out late. The order of goroutines is not part of a seed.
 func TestNoTaskRunsTwiceOnMuteWorkers(t *testing.T) {
@@ -268,33 +395,7 @@
 	for seed := range uint64(fleetSeeds) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet(seed, 12)
-			var ids []string
-			for id := range f.workers {
-				ids = append(ids, id)
-			}
-			slices.Sort(ids)
-			timing := hfplan.NewTiming(testLease)
-			l := NewLeader(hfplan.New(1, timing, time.Now()), hflease.NewTenure(5, hflease.Now(), time.Hour), f, fakeServices{}, fakeServices{}, "one", &fakeRecords{}, fakeServices{}, timing)
-			ctx, cancel := context.WithCancel(t.Context())
-			ended := make(chan error, 1)
-			go func() { ended <- l.Run(ctx, testPool(ids...)) }()
-			for i := range 150 {
-				time.Sleep(400 * time.Millisecond)
-				f.mu.Lock()
-				job := &hfwork.Job{Id: fmt.Sprint("job", i), Queue: "q", Steps: []*hfwork.Step{{Count: 1 + uint32(f.random.IntN(2)), Accelerators: 16, Estimate: 2000}}}
-				for index := range job.GetSteps()[0].GetCount() {
-					f.tasks[hfwork.NewTaskID(job.GetId(), 0, 0, index)] = &fleetTask{duration: 2*time.Second + f.below(10*time.Second)}
-				}
-				if f.random.IntN(2) == 0 {
-					f.workers[ids[f.random.IntN(len(ids))]].mutedUntil = time.Now().Add(2*time.Second + f.below(12*time.Second))
-				}
-				f.mu.Unlock()
-				l.Send(hfplan.Job(job, nil, false))
-			}
-			time.Sleep(time.Minute)
-			cancel()
-			require.NoError(t, <-ended)
-			time.Sleep(time.Minute) // late orders
+			playFleet(t, f, fakeServices{}, false)
 			require.Empty(t, f.broken, "seed %d", seed)
 			lapsed, late = lapsed+f.lapsed, late+f.late
 		})
@@ -302,3 +403,34 @@
 	require.Greater(t, lapsed, fleetSeeds, "runs whose lease expired")
 	require.Greater(t, late, 10*fleetSeeds, "orders carried out late")
 }
+
+// Guards against a task that runs twice, and a worker over its capacity, while mute workers restart under
+// their ids as other kinds and the scheduler hears of it late.
+func TestNoTaskRunsTwiceOnRestartingWorkers(t *testing.T) {
+	foreign, late := 0, 0
+	for seed := range uint64(fleetSeeds) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(seed, 12)
+			playFleet(t, f, slowServices{fleet: f}, true)
+			require.Empty(t, f.broken, "seed %d", seed)
+			foreign, late = foreign+f.foreign, late+f.late
+		})
+	}
+	require.Greater(t, foreign, fleetSeeds/4, "starts for an earlier incarnation")
+	require.Greater(t, late, 10*fleetSeeds, "orders carried out late")
+}
+
+// The property is proved only if starts that reach the next incarnation of their worker violate it.
+func TestUnboundStartsAreFoundOnRestartingWorkers(t *testing.T) {
+	var found []string
+	for seed := uint64(0); len(found) == 0 && seed < 20*fleetSeeds; seed++ { // one in 20 seeds shows it
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(seed, 12)
+			f.unbound = true
+			playFleet(t, f, slowServices{fleet: f}, true)
+			found = f.broken
+		})
+	}
+	require.NotEmpty(t, found)
+	t.Log(found)
+}
