Play leaders that are paused between the check and the send

Eight leaders in turn on one fleet, with the real dispatcher, outbox and scheduler, each with the records of the earlier ones.

--- a/hforder/fleet_test.go
+++ b/hforder/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/heatherfront/heatherfront/hflease"
 	"github.com/heatherfront/heatherfront/hfplan"
+	"github.com/heatherfront/heatherfront/hfstore"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
 
@@ -58,6 +59,8 @@
 	rate       int64     // of its clock, in percent
 	mutedUntil time.Time
 	leaseEnd   int64 // on its clock
+	fence      int64 // highest epoch of the orders that it has carried out
+	cutFrom    int64 // epoch of the leader that does not reach it
 	lapses     int   // of its lease
 	runs       map[hfwork.TaskID]*fleetRun
 	refused    map[hfwork.TaskID]int64 // runs up to this one are refused
@@ -118,6 +121,13 @@
 	w.ended = make(chan struct{})
 }
 
+// isFenced reports whether an order is of an earlier leadership than the worker has seen.
+func (w *fleetWorker) isFenced(epoch int64) bool {
+	fenced := epoch < w.fence
+	w.fence = max(w.fence, epoch)
+	return fenced
+}
+
 // extend extends the lease of a worker, by a full one at most.
 func (w *fleetWorker) extend(leaseEnd int64) {
 	if limited := min(leaseEnd, w.clock()+testLease.Milliseconds()); limited > w.clock() {
@@ -134,6 +144,7 @@
 	}
 	w.born++
 	w.tasks = 1 + f.random.IntN(fleetTasks)
+	w.fence = 0
 	w.started, w.leaseEnd, w.refused, w.ends, w.lastEnd = time.Now(), 0, map[hfwork.TaskID]int64{}, nil, 0
 	w.lapses++
 	close(w.ended)
@@ -155,7 +166,7 @@
 // carryOut carries out an order, unless the worker is mute: then the order is carried out late
 // or never, and is not answered. An order for one incarnation reaches no other one; born is 0 for
 // orders that do.
-func (f *fleet) carryOut(ctx context.Context, worker string, born int64, order func(w *fleetWorker) error) error {
+func (f *fleet) carryOut(ctx context.Context, worker string, epoch, born int64, order func(w *fleetWorker) error) error {
 	f.mu.Lock()
 	w := f.workers[worker]
 	transit, delay := f.below(fleetTransit), f.below(fleetMaxDelay)
@@ -164,6 +175,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.expire(w)
+	if epoch == w.cutFrom {
+		f.mu.Unlock()
+		<-ctx.Done()
+		f.mu.Lock()
+		return ErrUnanswered
+	}
 	if time.Now().Before(w.mutedUntil) {
 		if f.random.IntN(4) > 0 {
 			time.AfterFunc(delay, func() {
@@ -193,7 +210,10 @@
 	if f.unbound {
 		born = 0
 	}
-	err := f.carryOut(ctx, worker.GetId(), born, func(w *fleetWorker) error {
+	err := f.carryOut(ctx, worker.GetId(), s.Epoch(), born, func(w *fleetWorker) error {
+		if w.isFenced(s.Epoch()) {
+			return ErrFenced
+		}
 		if r := w.runs[s.Task()]; r != nil && r.number == s.Run() {
 			w.extend(s.LeaseEnd())
 			return nil
@@ -245,8 +265,11 @@
 	w.runs[id] = r
 }
 
-func (f *fleet) Stop(ctx context.Context, worker *hfwork.Worker, task hfwork.TaskID, run, _ int64) error {
-	return f.carryOut(ctx, worker.GetId(), 0, func(w *fleetWorker) error {
+func (f *fleet) Stop(ctx context.Context, worker *hfwork.Worker, task hfwork.TaskID, run, epoch int64) error {
+	return f.carryOut(ctx, worker.GetId(), epoch, 0, func(w *fleetWorker) error {
+		if w.isFenced(epoch) {
+			return ErrFenced
+		}
 		w.refused[task] = max(w.refused[task], run)
 		if r := w.runs[task]; r != nil && r.number == run {
 			f.end(w, task, r, hfwork.Stopped)
@@ -265,7 +288,10 @@
 	if request.Bound() {
 		bound = request.Incarnation()
 	}
-	err := f.carryOut(ctx, worker.GetId(), bound, func(w *fleetWorker) error {
+	err := f.carryOut(ctx, worker.GetId(), request.Epoch(), bound, func(w *fleetWorker) error {
+		if w.isFenced(request.Epoch()) {
+			return ErrFenced
+		}
 		born = w.born
 		f.acknowledge(w, request.LastStored())
 		w.extend(request.LeaseEnd())
@@ -289,7 +315,7 @@
 		}
 	}
 	var report hfwork.Report
-	err = f.carryOut(ctx, worker.GetId(), born, func(w *fleetWorker) error {
+	err = f.carryOut(ctx, worker.GetId(), request.Epoch(), born, func(w *fleetWorker) error {
 		var running []hfwork.Run
 		for task, r := range w.runs {
 			running = append(running, hfwork.NewRun(task, r.number, "", int64(f.random.IntN(100)), 0))
@@ -434,3 +460,174 @@
 	require.NotEmpty(t, found)
 	t.Log(found)
 }
+
+const (
+	fleetTenure  = 8 * time.Second // of a leader that is not replaced earlier
+	fleetLeaders = 8
+)
+
+// fleetRecords is what the leaders of a fleet have stored.
+type fleetRecords struct {
+	mu     sync.Mutex
+	term   int64
+	jobs   map[string]*hfwork.Progress
+	roster []*hfwork.Worker
+}
+
+// termRecords stores the records of one leader until the next one begins.
+type termRecords struct {
+	*fleetRecords
+	term    int64
+	ignored bool // that the next one has begun; a wrong variant
+}
+
+func (r termRecords) Save(_ context.Context, c hfplan.StoreCmd) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.term != r.fleetRecords.term {
+		if r.ignored {
+			return nil
+		}
+		return hfstore.ErrConflict
+	}
+	maps.Copy(r.jobs, c.Records())
+	if c.Roster() != nil {
+		r.roster = c.Roster()
+	}
+	return nil
+}
+
+// begin begins the next term, and returns the messages with which its scheduler starts.
+func (r *fleetRecords) begin(jobs []*hfwork.Job, workers map[string]*hfwork.Worker) (termRecords, []hfplan.Msg) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.term++
+	msgs := []hfplan.Msg{testPool()[0], hfplan.Roster(r.roster), hfplan.Workers(workers)}
+	for _, job := range jobs {
+		if p := r.jobs[job.GetId()]; !hfwork.IsFinal(p.GetState()) {
+			msgs = append(msgs, hfplan.Job(job, p, false))
+		}
+	}
+	return termRecords{fleetRecords: r, term: r.term}, msgs
+}
+
+// fleetLeadership is a tenure after whose check some orders are paused, for testPause at most.
+type fleetLeadership struct {
+	epoch                  int64
+	pausedFrom, validUntil time.Time
+	ignored                bool // the end is; a wrong variant
+	fleet                  *fleet
+}
+
+func (l fleetLeadership) Epoch() int64 { return l.epoch }
+
+func (l fleetLeadership) Valid(time.Time) bool {
+	now := time.Now()
+	l.fleet.mu.Lock()
+	paused, pause := l.fleet.random.IntN(2) == 0, l.fleet.below(testPause)
+	l.fleet.mu.Unlock()
+	if valid := now.Before(l.validUntil) || l.ignored; !valid || !paused || now.Before(l.pausedFrom) {
+		return valid
+	}
+	time.Sleep(pause)
+	return true
+}
+
+// cut cuts a new leader off from some workers for a while.
+func (f *fleet) cut(ids []string, epoch int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range ids {
+		if f.random.IntN(3) == 0 {
+			w := f.workers[id]
+			w.cutFrom = epoch
+			time.AfterFunc(f.below(2*fleetTenure), func() {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				if w.cutFrom == epoch {
+					w.cutFrom = 0
+				}
+			})
+		}
+	}
+}
+
+// playLeaders plays jobs on a fleet whose leaders are replaced again and again.
+func playLeaders(t *testing.T, f *fleet, ignored bool) {
+	t.Helper()
+	ids, timing := slices.Sorted(maps.Keys(f.workers)), hfplan.NewTiming(testLease)
+	records := &fleetRecords{jobs: map[string]*hfwork.Progress{}}
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	var jobs []*hfwork.Job
+	for epoch := range int64(fleetLeaders) {
+		f.mu.Lock()
+		registered, validUntil := f.registered(), time.Now().Add(fleetTenure/2+f.below(fleetTenure))
+		tenure := fleetLeadership{epoch: epoch + 1, validUntil: validUntil, pausedFrom: validUntil.Add(-f.below(fleetTenure / 4)), ignored: ignored, fleet: f}
+		if f.mu.Unlock(); epoch == fleetLeaders-1 {
+			tenure.validUntil, tenure.pausedFrom = validUntil.Add(time.Hour), validUntil.Add(time.Hour)
+		}
+		store, initial := records.begin(jobs, registered)
+		store.ignored = ignored
+		f.cut(ids, epoch+1)
+		l := NewLeader(hfplan.New(epoch+1, timing, time.Now()), tenure, f, fakeServices{}, fakeServices{}, "one", store, fakeServices{}, timing)
+		group.Go(func() { _ = l.Run(ctx, initial) })
+		for time.Now().Before(validUntil) {
+			time.Sleep(300 * time.Millisecond)
+			f.mu.Lock()
+			job := &hfwork.Job{Id: fmt.Sprint("job", len(jobs)), Queue: "q", Steps: []*hfwork.Step{{Count: 1, Accelerators: fleetSize, Estimate: 2000}}}
+			jobs = append(jobs, job)
+			f.tasks[hfwork.NewTaskID(job.GetId(), 0, 0, 0)] = &fleetTask{duration: 2*time.Second + f.below(10*time.Second)}
+			w := f.workers[ids[f.random.IntN(len(ids))]]
+			switch f.random.IntN(4) {
+			case 0:
+				w.mutedUntil = time.Now().Add(time.Second + f.below(12*time.Second))
+			case 1:
+				time.AfterFunc(f.below(2*fleetPass), func() { f.restartAndRegister(l, w) })
+			}
+			f.mu.Unlock()
+			l.Send(hfplan.Job(job, nil, false))
+		}
+	}
+	time.Sleep(time.Minute)
+	cancel()
+	group.Wait()
+	time.Sleep(time.Minute) // late orders
+}
+
+// Guards against a task that runs twice because an order of a leader is sent after its leadership, which
+// was paused between the check and the send, while the workers are mute, restart and do not all reach the
+// next leader.
+func TestNoTaskRunsTwiceUnderPausedLeaders(t *testing.T) {
+	noted, lapsed, late := 0, 0, 0
+	for seed := range uint64(fleetSeeds) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(seed, 12)
+			playLeaders(t, f, false)
+			require.Empty(t, f.broken, "seed %d", seed)
+			for _, task := range f.tasks {
+				if task.noted {
+					noted++
+				}
+			}
+			lapsed, late = lapsed+f.lapsed, late+f.late
+		})
+	}
+	require.Greater(t, noted, 50*fleetSeeds, "tasks done")
+	require.Greater(t, lapsed, fleetSeeds, "runs whose lease expired")
+	require.Greater(t, late, 10*fleetSeeds, "orders carried out late")
+}
+
+// The property is proved only if leaders that go on after the end of their leadership violate it.
+func TestLeadersWithoutTenureAreFound(t *testing.T) {
+	var found []string
+	for seed := uint64(0); len(found) == 0 && seed < 20*fleetSeeds; seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(seed, 12)
+			playLeaders(t, f, true)
+			found = f.broken
+		})
+	}
+	require.NotEmpty(t, found)
+	t.Log(found)
+}
