--- a/hfentry/takeover_test.go
+++ b/hfentry/takeover_test.go
@@ -289,7 +289,7 @@
 	before(n)
 	n.follow()
 	n.leave(t.Context(), &n.workerWatch)
-	require.Empty(t, n.registeredWorkers())
+	require.Empty(t, n.workersMsg().Nodes())
 	progress := newProgressCmd(&hfwork.StepProgress{Places: map[uint32]string{0: "w"}}, "v", "w")
 	require.NoError(t, newSplitWriter(t, s).Save(t.Context(), progress))
 	return n
