--- a/hforder/lease_test.go
+++ b/hforder/lease_test.go
@@ -454,3 +454,20 @@
 		}
 	})
 }
+
+// Guards against an end that is lost with a leaving worker because it is not polled while the record of
+// an earlier end is stored.
+func TestDrainingWorkerIsPolledBeforeItsEndsAreStored(t *testing.T) {
+	for draining, longest := range map[bool]time.Duration{false: ackTimeout, true: drainAckTimeout} {
+		t.Run(fmt.Sprint(draining), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				runDispatcher(t, &orderedWorker{}, func(d *dispatcher) {
+					d.worker, d.lastReported = &hfwork.Worker{Id: "w", Draining: draining}, 1
+					began := time.Now()
+					d.awaitEndsStored(t.Context())
+					require.Equal(t, longest, time.Since(began))
+				})
+			})
+		})
+	}
+}
--- a/hfplan/leaving.go
+++ b/hfplan/leaving.go
@@ -10,7 +10,7 @@
 // evacuate stops the runs of a worker that may soon end. An end that it cannot report any more would
 // be lost, and its task would run again.
 func (s *Scheduler) evacuate(w *worker, now time.Time) {
-	if w.mayEndAt.IsZero() || now.Before(w.mayEndAt.Add(-evacuationLead)) {
+	if w.silent || w.mayEndAt.IsZero() || now.Before(w.mayEndAt.Add(-evacuationLead)) {
 		return
 	}
 	for _, r := range sortedRuns(w.runs) {
--- a/hfplan/leaving_test.go
+++ b/hfplan/leaving_test.go
@@ -93,3 +93,28 @@
 		})
 	}
 }
+
+// Guards against ends that are lost because the stops of a worker that leaves at short notice wait for
+// the next tick.
+func TestShortNoticeStopsRunsAtOnce(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.advance(time.Second)
+	w.submit("a", "usual", single(8, 20*time.Second))
+	w.advance(tickInterval + tickInterval/4)
+	f := w.fleet[w.busyWorker()]
+	f.registration = hfwire.Copy(f.registration)
+	f.registration.Draining = true
+	w.send(Workers(w.registered()).WithEnds(map[string]time.Time{f.registration.GetId(): w.now.Add(evacuationLead / 2)}))
+	w.advance(tickInterval / 2)
+	require.True(t, w.stopsRuns(f))
+}
+
+// stopsRuns reports whether all runs of a worker have been stopped, or are being.
+func (w *world) stopsRuns(f *fakeWorker) bool {
+	for _, r := range f.runs {
+		if !r.stopped {
+			return false
+		}
+	}
+	return true
+}
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -51,6 +51,7 @@
 		}
 		w.registration, w.registered, w.mayEndAt = registration, true, m.mayEnd[id]
 		s.updateUsable(w, now)
+		s.evacuate(w, now)
 	}
 	for id, w := range s.workers {
 		if registered[id] == nil {
