Ask for no upkeep before the worker's runs are known

A new leader knew no runs of a worker that had not answered it yet, took it as drained, and asked for its upkeep at the second tick. The runs of the earlier leader ended with the worker, and their ends were lost. A worker counts as drained once it has reported or the earlier leader's leases have expired.

TestNewLeaderAwaitsReportBeforeUpkeep fails without the check: 8 of 8 runs are ended by the upkeep.

--- a/hfplan/upkeep.go
+++ b/hfplan/upkeep.go
@@ -215,7 +215,7 @@
 			worker.upkeepPending = true
 			s.updateUsable(worker, now)
 		}
-		if drained := worker == nil || s.drainWorker(worker, w.mustForce(u, now), now); drained && mayGoDown {
+		if drained := worker == nil || worker.runsKnown(now) && s.drainWorker(worker, w.mustForce(u, now), now); drained && mayGoDown {
 			u.phase, u.requestedAt, u.workerBefore = upkeepRequested, now, m.GetWorker()
 			if worker != nil {
 				worker.upkeepRequested = true
@@ -275,6 +275,10 @@
 	return len(w.runs) == 0
 }
 
+// runsKnown reports whether the scheduler knows all runs of a worker: it has reported, or the leases
+// that an earlier scheduler gave have expired.
+func (w *worker) runsKnown(now time.Time) bool { return w.reported || !now.Before(w.leaseExpiry) }
+
 // handleUpkeepStarted processes the answer to an UpkeepCmd.
 func (s *Scheduler) handleUpkeepStarted(m UpkeepStartedMsg, now time.Time) {
 	w := s.waves[m.wave]
