Take a listed worker without time left as one that may end

An instance that lists the workers' entries late in a drain, as after a change of the leader, found entries without remaining_ms: a time of 0 is not written, and the worker may go on for seconds. Its runs were left there until it ended. An entry that is listed so is now that of a worker that may end at any time; one that is watched is as before.

TestListedWorkerWithoutTimeLeftMayEnd fails without it.

--- a/hfentry/departure_test.go
+++ b/hfentry/departure_test.go
@@ -164,3 +164,17 @@
 	m.Apply(deletedItem("workers/w", version+1))
 	require.Empty(t, ends())
 }
+
+// Guards against runs that are left on a worker until it ends because an instance lists its entry only
+// when its time to drain is over: a time of 0 is not written, and the worker may go on for seconds.
+func TestListedWorkerWithoutTimeLeftMayEnd(t *testing.T) {
+	const heartbeat = 2 * time.Second
+	now := time.Unix(1000, 0)
+	m := NewMirror(fakeFormats{}, heartbeat)
+	m.setWriteTimes(time.Time{}, now)
+	m.Reset("workers/", []hfstore.Item{
+		newItem(t, "workers/drained", 1, &hfwork.Worker{Id: "drained", Draining: true}),
+		newItem(t, "workers/ready", 2, &hfwork.Worker{Id: "ready"}),
+	}, 2)
+	require.Equal(t, map[string]time.Time{"drained": now.Add(-heartbeat)}, m.drainEnds(now, now))
+}
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -355,9 +355,10 @@
 }
 
 // recordDrain records the earliest time at which a draining worker may end: each of its entries tells
-// how long it still runs, at least, from when it was written.
+// how long it still runs, at least, from when it was written. A time of 0 is not written, so that a
+// listed entry without one is that of a worker that may end at any time.
 func (m *Mirror) recordDrain(w *hfwork.Worker, previous time.Time) {
-	if !w.GetDraining() || w.GetRemaining() <= 0 && previous.IsZero() {
+	if !w.GetDraining() || w.GetRemaining() <= 0 && previous.IsZero() && !m.writtenAfter.IsZero() {
 		return
 	}
 	written := m.writtenAfter
