Poll a draining worker again before the records of its ends are stored

While the record of an end is stored, no poll is open, for up to 2 s. A draining worker may end meanwhile, with the ends that it listed since. It is polled again after 100 ms now; ends are acknowledged as before, once they are stored.

TestEndsOfDrainingWorkerAreReadBeforeRecordsAreStored fails without it.

--- a/hforder/poll.go
+++ b/hforder/poll.go
@@ -18,6 +18,7 @@
 	pollWait        = 1500 * time.Millisecond
 	silentPollPause = 250 * time.Millisecond // between polls of a silent worker
 	ackTimeout      = 2 * time.Second        // wait for the record of an end before the next poll
+	drainAckTimeout = 100 * time.Millisecond // likewise on a draining worker, whose next ends may be lost with it
 )
 
 // errReplaced reports that another worker has the address at which a worker answered before.
@@ -172,9 +173,14 @@
 }
 
 // awaitEndsStored waits until all reported ends are stored, because the worker answers a
-// poll at once while it has ends that are not acknowledged. It gives up after ackTimeout.
+// poll at once while it has ends that are not acknowledged. It gives up after ackTimeout, or
+// drainAckTimeout on a draining worker.
 func (d *dispatcher) awaitEndsStored(ctx context.Context) {
-	timeout := time.NewTimer(ackTimeout)
+	wait := ackTimeout
+	if d.currentWorker().GetDraining() {
+		wait = drainAckTimeout
+	}
+	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
 		d.mu.Lock()
