Let a restart of the stand-in's worker end its connections

An incarnation that began by Restart went on with the connections of the one before it: only Crash ended a process. An order that the earlier incarnation had accepted, or a poll that waited there, was carried out or answered by the next one. On the platform a connection ends with the process that accepted it, so the stand-in could show an order at the next incarnation that can't get there, and could not show that a start bound to a connection stays away from it.

Restart and Crash now end the process alike: a poll and a late order that wait lose their connections at once, every other connection with its next order. Servers without ConnContext keep their connections, as before.

Ruled out: that the late order itself was carried out by the next incarnation; it compared the start time already, and the test confirms it.

--- a/hfstand/platform_worker.go
+++ b/hfstand/platform_worker.go
@@ -170,9 +170,9 @@
 	dropOrders    bool             // the connection of each order is dropped
 	accelerators  int64            // now; they may shrink below what is in use
 	shrunk        []shrink
-	process       int64  // number of the process, which ends with a crash
-	down          bool   // crashed and not back yet
-	onCrash       func() // called in a goroutine of its own after a crash; may be nil
+	process       chan struct{} // closed and replaced when the process ends, by a crash or a restart
+	down          bool          // crashed and not back yet
+	onCrash       func()        // called in a goroutine of its own after a crash; may be nil
 
 	leaseEndMicros atomic.Int64 // leaseEnd in Unix microseconds, for the run log
 }
@@ -217,17 +217,27 @@
 
 // NewPlatformWorker returns a worker with a number of accelerators and without runs.
 func NewPlatformWorker(id string, accelerators int64, l *RunLog) *PlatformWorker {
-	w := &PlatformWorker{id: id, accelerators: accelerators, runLog: l, clockRate: 1}
-	w.Restart()
+	w := &PlatformWorker{id: id, accelerators: accelerators, runLog: l, clockRate: 1, process: make(chan struct{})}
+	w.reset("")
 	return w
 }
 
-// Restart ends all runs and starts a new incarnation without any state of the previous
-// one.
+// Restart ends all runs, the connections and the orders that wait, and starts a new incarnation
+// without any state of the previous one.
 func (w *PlatformWorker) Restart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.reset("restart")
+	w.endProcess("restart")
+}
+
+// endProcess ends the process with an outcome of its runs. Its connections and the orders that
+// wait end with it. The caller holds mu.
+func (w *PlatformWorker) endProcess(outcome string) {
+	wake, process := w.wake, w.process
+	w.reset(outcome)
+	w.process = make(chan struct{})
+	close(process)
+	close(wake) // a poll that waits ends, also without ConnContext
 }
 
 // reset ends all runs with an outcome and forgets all state. The caller holds mu.
@@ -264,14 +274,12 @@
 	if w.down {
 		return
 	}
-	wake, lost := w.wake, slices.Collect(maps.Values(w.runs))
-	w.reset("crash")
+	lost := slices.Collect(maps.Values(w.runs))
+	w.endProcess("crash")
 	for _, active := range lost {
 		w.runLog.breakGang(active)
 	}
 	w.down = true
-	w.process++
-	close(wake) // a poll that waits ends with the process
 	if w.onCrash != nil {
 		time.AfterFunc(0, w.onCrash) // mu is held
 	}
@@ -303,7 +311,7 @@
 type processKey struct{}
 
 // ConnContext is the ConnContext of the worker's HTTP server. Without it, the connections
-// outlive a crash.
+// outlive a crash and a restart. With it, one without an order under way ends with the next order.
 func (w *PlatformWorker) ConnContext(ctx context.Context, _ net.Conn) context.Context {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -313,11 +321,17 @@
 // endWithProcess drops the connection of a request if the process that accepted it has ended,
 // or if the worker is down. The caller holds mu.
 func (w *PlatformWorker) endWithProcess(ctx context.Context) {
-	if process, ok := ctx.Value(processKey{}).(int64); w.down || ok && process != w.process {
+	if process := processOf(ctx); w.down || process != nil && process != w.process {
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// processOf returns the process that accepted the connection of a request, or nil without ConnContext.
+func processOf(ctx context.Context) chan struct{} {
+	process, _ := ctx.Value(processKey{}).(chan struct{})
+	return process
+}
+
 // Resize changes the number of accelerators. What runs goes on, also if it uses more. The
 // caller stores the worker's entry, which shows the change.
 func (w *PlatformWorker) Resize(accelerators int64) {
@@ -435,7 +449,10 @@
 			}
 		})
 		w.mu.Unlock()
-		<-c.Request().Context().Done()
+		select {
+		case <-c.Request().Context().Done():
+		case <-processOf(c.Request().Context()):
+		}
 		w.mu.Lock()
 		panic(http.ErrAbortHandler)
 	}
--- a/hfstand/platform_worker_test.go
+++ b/hfstand/platform_worker_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -280,3 +281,50 @@
 	require.Eventually(t, func() bool { return l.Starts()[0].Outcome != "" && l.Starts()[2].Outcome != "" }, 10*time.Second, 5*time.Millisecond)
 	require.Equal(t, []string{"a.0.0.1 broken", "b.0.0.0 ", "a.0.0.0 crash"}, outcomes())
 }
+
+// Guards against a restart in the stand-in that an open connection, a poll or a late order of the
+// earlier incarnation outlives: an order that it accepted would reach the next one, which it cannot.
+func TestRestartEndsConnections(t *testing.T) {
+	l := NewRunLog(func(string) TaskProfile { return TaskProfile{RunTime: time.Hour, GangSize: 1} })
+	w := NewPlatformWorker("w", 8, l)
+	server := httptest.NewUnstartedServer(w.Handler())
+	server.Config.ConnContext = w.ConnContext
+	server.Start()
+	defer func() { server.CloseClientConnections(); server.Close() }()
+	// send sends an order on a new connection; receive returns the status of its answer, or 0.
+	send := func(path, body string) net.Conn {
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: w\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+		require.NoError(t, err)
+		return conn
+	}
+	receive := func(conn net.Conn) int {
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the connection is open")
+			return 0
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	start := `{"task":"a.0.0.0","run":1,"until_ms":600000}`
+	idle := send("/v1/hold", `{}`)
+	require.Equal(t, http.StatusOK, receive(idle))
+	poll := send("/v1/hold", `{"wait_ms":60000}`)
+	w.SetLateOrders(LateOrders{Share: 1, MinDelay: time.Second, MaxDelay: time.Second, Random: rand.New(rand.NewPCG(1, 1))})
+	late := send("/v1/run-start", start)
+	time.Sleep(100 * time.Millisecond) // both orders wait now
+	w.SetLateOrders(LateOrders{})
+	w.Restart()
+	require.Zero(t, receive(poll), "a poll that waits ends with the process")
+	require.Zero(t, receive(late), "a late order ends with the process")
+	_, err := fmt.Fprintf(idle, "POST /v1/run-start HTTP/1.1\r\nHost: w\r\nContent-Length: %d\r\n\r\n%s", len(start), start)
+	require.NoError(t, err)
+	require.Zero(t, receive(idle), "a connection ends with the process that accepted it")
+	time.Sleep(1200 * time.Millisecond) // beyond the delay of the late order
+	require.Empty(t, l.Starts())
+	require.Equal(t, http.StatusOK, receive(send("/v1/run-start", start)), "a new connection leads to the next incarnation")
+}
