Allow a run after an end that its worker forgot in a restart

The run log of the stand-ins took each start over 15 s after an end as done for a violation. An end that its worker forgot in a restart, before any hold order took note of it, is known to nobody: the task has to run again, and on a full fleet that may be later than 15 s.

Replaced by a check that is as strict wherever the end can be known: an end that was not lost is held to 15 s as before, and one that was taken note of before the restart still allows no later start at all. TestEndOfEarlierIncarnationIsLostUnlessNoted and a row of TestLedgerReportsInvalidStarts show both.

--- a/hfsoak/soak_test.go
+++ b/hfsoak/soak_test.go
@@ -83,15 +83,18 @@
 	return &soakRun{testEnv: newTestEnv(t), random: rand.New(rand.NewPCG(seed, 1)), workerRandom: rand.New(rand.NewPCG(seed, 2)), runTimeRandom: rand.New(rand.NewPCG(seed, 4)), jobs: map[string]*jobRecord{}, startedAt: time.Now()}
 }
 
-// saveLogs logs the faults of a failed seed and copies the logs of its instances to logDir.
+// saveLogs logs the faults of a failed seed, and copies them, the runs and the logs of its instances to
+// logDir.
 func (s *soakRun) saveLogs(seed uint64) {
 	if !s.t.Failed() {
 		return
 	}
-	s.t.Log("faults:\n" + strings.Join(s.faultLog, "\n"))
+	faults := "faults:\n" + strings.Join(s.faultLog, "\n")
+	s.t.Log(faults)
 	if *logDir == "" {
 		return
 	}
+	_ = os.WriteFile(filepath.Join(*logDir, fmt.Sprintf("%d-runs.log", seed)), []byte(faults+"\nruns:"+s.runsOf("")), 0o600)
 	for _, n := range s.instances {
 		raw, err := os.ReadFile(filepath.Join(s.dir, n.name+".log"))
 		if err == nil {
@@ -401,11 +404,11 @@
 	return most
 }
 
-// runsOf lists the runs of a job, one a line.
+// runsOf lists the runs of a job, or of all jobs if id is empty, one a line.
 func (s *soakRun) runsOf(id string) string {
 	b := strings.Builder{}
 	for _, start := range s.runLog.Starts() {
-		if strings.HasPrefix(start.Task, id+".") {
+		if id == "" || strings.HasPrefix(start.Task, id+".") {
 			_, _ = fmt.Fprintf(&b, "\n%6.2f to %6.2f %s run %d on %s %s", start.StartedAt.Sub(s.startedAt).Seconds(), start.EndedAt.Sub(s.startedAt).Seconds(), start.Task, start.Run, start.Worker, start.Outcome)
 		}
 	}
--- a/hfstand/platform_worker.go
+++ b/hfstand/platform_worker.go
@@ -34,6 +34,7 @@
 	Outcome   string    // done, failed, stopped, lapsed, alone, broken, restart or crash; empty while it runs
 	Spec      string
 	noted     bool            // ended as done, and a hold order took note of that end before the lease lapsed
+	lost      bool            // ended, and the worker's process ended before a hold order took note of that
 	worker    *PlatformWorker // nil in tests of the log itself
 }
 
@@ -54,7 +55,7 @@
 // Violations returns the violations: a start that brings a worker over the accelerators that it
 // has, or had until shrinkNotice before, a
 // task that runs twice at once, a task that starts again more than doneRecordTime after
-// it was done, or a task that starts after a run of it was done if the scheduler took note of
+// it was done unless that end was lost, or a task that starts after a run of it was done if the scheduler took note of
 // that end, before the start or later.
 func (l *RunLog) Violations() []string {
 	l.mu.Lock()
@@ -84,7 +85,7 @@
 		if other.EndedAt.IsZero() && !other.lapsed(s.StartedAt) {
 			l.violations = append(l.violations, fmt.Sprintf("%s run %d on %s while run %d is on %s", s.Task, s.Run, s.Worker, other.Run, other.Worker))
 		}
-		if other.Outcome == "done" && s.StartedAt.Sub(other.EndedAt) > doneRecordTime {
+		if other.Outcome == "done" && !other.lost && s.StartedAt.Sub(other.EndedAt) > doneRecordTime {
 			l.violations = append(l.violations, fmt.Sprintf("%s run %d %v after it was done", s.Task, s.Run, s.StartedAt.Sub(other.EndedAt)))
 		}
 	}
@@ -95,7 +96,7 @@
 
 // doneRecordTime is the time within which a scheduler must record that a task is done. This
 // includes a new scheduler that has not learned of the end yet. Until then it may start the
-// task again.
+// task again, and at any time if the worker has forgotten the end before it was taken note of.
 const doneRecordTime = 15 * time.Second
 
 // TaskProfile describes how a task behaves on a worker.
@@ -246,6 +247,9 @@
 	for _, active := range w.runs {
 		active.start.EndedAt, active.start.Outcome = time.Now(), outcome
 	}
+	for _, e := range w.ended {
+		e.start.lost = true
+	}
 	w.runLog.mu.Unlock()
 	w.bornAt, w.fence, w.leaseEnd, w.lastEndNumber = time.Now(), 0, time.Time{}, 0
 	w.leaseEndMicros.Store(0)
--- a/hfstand/platform_worker_test.go
+++ b/hfstand/platform_worker_test.go
@@ -28,6 +28,7 @@
 		"first start":        {nil, 8, 0},
 		"concurrent run":     {&Start{Task: "a.0.0.0", Run: 1}, 8, 1},
 		"long after its end": {&Start{Task: "a.0.0.0", Run: 1, EndedAt: now.Add(-time.Minute), Outcome: "done"}, 8, 1},
+		"after a lost end":   {&Start{Task: "a.0.0.0", Run: 1, EndedAt: now.Add(-time.Minute), Outcome: "done", lost: true}, 8, 0},
 		"after a failure":    {&Start{Task: "a.0.0.0", Run: 1, EndedAt: now.Add(-time.Minute), Outcome: "failed"}, 8, 0},
 		"over its capacity":  {nil, 9, 1},
 	} {
@@ -328,3 +329,31 @@
 	require.Empty(t, l.Starts())
 	require.Equal(t, http.StatusOK, receive(send("/v1/run-start", start)), "a new connection leads to the next incarnation")
 }
+
+// Guards against a soak that demands what no scheduler can know, an end which its worker forgot in a
+// restart, or that overlooks a start after an end which was taken note of before the restart.
+func TestEndOfEarlierIncarnationIsLostUnlessNoted(t *testing.T) {
+	for name, c := range map[string]struct {
+		lastSeen, want int
+	}{
+		"taken note of":     {1, 2},
+		"not taken note of": {0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := NewRunLog(func(string) TaskProfile { return TaskProfile{RunTime: time.Millisecond, GangSize: 1} })
+			w := NewPlatformWorker("w", 8, l)
+			server := httptest.NewServer(w.Handler())
+			defer server.Close()
+			require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/run-start", `{"task":"a.0.0.0","run":1,"until_ms":600000}`))
+			require.Eventually(t, func() bool { return l.Starts()[0].Outcome == "done" }, 10*time.Second, time.Millisecond)
+			require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/hold", fmt.Sprintf(`{"last_seen":%d,"until_ms":600000}`, c.lastSeen)))
+			w.Restart()
+			l.mu.Lock()
+			l.starts[0].EndedAt = time.Now().Add(-doneRecordTime - time.Second)
+			l.starts[0].StartedAt = l.starts[0].EndedAt.Add(-time.Millisecond)
+			l.mu.Unlock()
+			require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/run-start", `{"task":"a.0.0.0","run":2,"until_ms":600000}`))
+			require.Len(t, l.Violations(), c.want)
+		})
+	}
+}
