Close the idle connections of a restarted worker at once

In the stand-in an idle connection of the earlier incarnation ended with its next order only. On a restart the machine goes on and closes the connections of the process; the sender opens new ones, which lead to the next incarnation. That is the way on which a start for an earlier life reaches the next one, so the stand-in has to offer it. A crashed machine closes nothing, as before.

Evidence: TestRestartEndsConnections now asks that an idle connection is closed without an order on it.

--- a/hfstand/platform_worker.go
+++ b/hfstand/platform_worker.go
@@ -172,6 +172,7 @@
 	accelerators  int64            // now; they may shrink below what is in use
 	shrunk        []shrink
 	process       chan struct{} // closed and replaced when the process ends, by a crash or a restart
+	conns         []net.Conn    // that the process accepted, also closed ones
 	down          bool          // crashed and not back yet
 	onCrash       func()        // called in a goroutine of its own after a crash; may be nil
 
@@ -229,6 +230,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.endProcess("restart")
+	for _, c := range w.conns { // the machine goes on and closes them; a crashed one would not
+		_ = c.Close()
+	}
+	w.conns = nil
 }
 
 // endProcess ends the process with an outcome of its runs. Its connections and the orders that
@@ -315,10 +320,12 @@
 type processKey struct{}
 
 // ConnContext is the ConnContext of the worker's HTTP server. Without it, the connections
-// outlive a crash and a restart. With it, one without an order under way ends with the next order.
-func (w *PlatformWorker) ConnContext(ctx context.Context, _ net.Conn) context.Context {
+// outlive a crash and a restart. With it, one without an order under way ends at a restart, and after
+// a crash with the next order.
+func (w *PlatformWorker) ConnContext(ctx context.Context, c net.Conn) context.Context {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.conns = append(w.conns, c)
 	return context.WithValue(ctx, processKey{}, w.process)
 }
 
--- a/hfstand/platform_worker_test.go
+++ b/hfstand/platform_worker_test.go
@@ -322,9 +322,7 @@
 	w.Restart()
 	require.Zero(t, receive(poll), "a poll that waits ends with the process")
 	require.Zero(t, receive(late), "a late order ends with the process")
-	_, err := fmt.Fprintf(idle, "POST /v1/run-start HTTP/1.1\r\nHost: w\r\nContent-Length: %d\r\n\r\n%s", len(start), start)
-	require.NoError(t, err)
-	require.Zero(t, receive(idle), "a connection ends with the process that accepted it")
+	require.Zero(t, receive(idle), "an idle connection ends with the process that accepted it, too")
 	time.Sleep(1200 * time.Millisecond) // beyond the delay of the late order
 	require.Empty(t, l.Starts())
 	require.Equal(t, http.StatusOK, receive(send("/v1/run-start", start)), "a new connection leads to the next incarnation")
