Let the stand-in's worker refuse orders with 429 or 503

SetRefusals lets a worker refuse a share of its orders without any effect, as an unhealthy minion of the platform does.

Evidence: TestRefusedOrderHasNoEffect.

--- a/hfstand/platform_worker.go
+++ b/hfstand/platform_worker.go
@@ -163,6 +163,7 @@
 	clockRate     float64       // of the worker's clock, relative to the local one
 	maxLease      time.Duration // on the worker's clock, from when an order is carried out; 0 for no limit
 	late          LateOrders
+	refusals      Refusals
 	runs          map[string]*activeRun
 	ended         []endedRun
 	lastEndNumber int64
@@ -188,6 +189,13 @@
 	Random   *rand.Rand
 }
 
+// Refusals describes a fault: orders are refused with 429 or 503 and have no effect, as by an unhealthy
+// worker.
+type Refusals struct {
+	Share  float64 // of the orders, from 0 to 1
+	Random *rand.Rand
+}
+
 // shrinkNotice is the time after a shrink within which a start may still count on the
 // accelerators of before: contact_ms and one heartbeat of the platform's rules, in the soak's
 // settings.
@@ -389,6 +397,13 @@
 	w.late = f
 }
 
+// SetRefusals sets which orders are refused.
+func (w *PlatformWorker) SetRefusals(f Refusals) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.refusals = f
+}
+
 // clock returns the time on the worker's clock in milliseconds. The caller holds mu.
 func (w *PlatformWorker) clock() int64 {
 	return int64(float64(time.Since(w.bornAt)) * w.clockRate / float64(time.Millisecond))
@@ -450,6 +465,9 @@
 	if id := c.Request().Header.Get(expectedInstanceHeader); id != "" && id != w.id {
 		return c.NoContent(http.StatusMisdirectedRequest)
 	}
+	if f := w.refusals; f.Share > 0 && f.Random.Float64() < f.Share {
+		return c.NoContent([]int{http.StatusTooManyRequests, http.StatusServiceUnavailable}[f.Random.IntN(2)])
+	}
 	if f := w.late; f.Share > 0 && f.Random.Float64() < f.Share {
 		born := w.bornAt
 		time.AfterFunc(f.MinDelay+time.Duration(f.Random.Int64N(int64(f.MaxDelay-f.MinDelay)+1)), func() {
--- a/hfstand/platform_worker_test.go
+++ b/hfstand/platform_worker_test.go
@@ -355,3 +355,26 @@
 		})
 	}
 }
+
+// Guards against a refused order in the stand-in that has an effect: a stop that was refused left its
+// run at work, and the scheduler took it for ended.
+func TestRefusedOrderHasNoEffect(t *testing.T) {
+	l := NewRunLog(func(string) TaskProfile { return TaskProfile{RunTime: time.Hour, GangSize: 1} })
+	w := NewPlatformWorker("w", 8, l)
+	server := httptest.NewServer(w.Handler())
+	defer server.Close()
+	require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/run-start", `{"task":"a.0.0.0","run":1,"until_ms":600000}`))
+	w.SetRefusals(Refusals{Share: 1, Random: rand.New(rand.NewPCG(1, 1))})
+	statuses := map[int]bool{}
+	for range 20 {
+		statuses[postOrder(t, server, "/v1/run-stop", `{"task":"a.0.0.0","run":1}`)] = true
+		statuses[postOrder(t, server, "/v1/run-start", `{"task":"b.0.0.0","run":1,"until_ms":600000}`)] = true
+	}
+	require.Equal(t, map[int]bool{http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true}, statuses)
+	time.Sleep(2 * stopDelay)
+	require.Len(t, l.Starts(), 1)
+	require.Empty(t, l.Starts()[0].Outcome)
+	w.SetRefusals(Refusals{})
+	require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/run-stop", `{"task":"a.0.0.0","run":1}`))
+	require.Eventually(t, func() bool { return l.Starts()[0].Outcome == "stopped" }, 10*time.Second, 5*time.Millisecond)
+}
