Freeze the leader beside late writes and refuse orders in the soak

The soak froze any instance and delayed any writes, seldom both at once: a write that a frozen leader had sent, and that takes effect in its absence or after a takeover, needs both. No worker of the soak refused an order.

They draw from a source of their own, so that the seeds keep their other faults. What sees a fault: the run log's violations, and the answers that are compared with the runs.

Not run against a wrong variant.

--- a/hfsoak/soak_test.go
+++ b/hfsoak/soak_test.go
@@ -15,6 +15,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/heatherfront/heatherfront/hfstand"
+	"github.com/heatherfront/heatherfront/hfwire"
+	"github.com/heatherfront/heatherfront/hfwork"
 )
 
 var (
@@ -52,6 +54,7 @@
 	random        *rand.Rand
 	workerRandom  *rand.Rand            // for the faults of workers, which came later: the seeds keep their other faults
 	runTimeRandom *rand.Rand            // for the runs that are longer than a lease, likewise
+	laterRandom   *rand.Rand            // for the frozen leaders and the refusals, likewise
 	jobs          map[string]*jobRecord // by id
 	faultLog      []string
 	startedAt     time.Time
@@ -80,7 +83,7 @@
 
 // newSoakRun starts the environment of a seed.
 func newSoakRun(t *testing.T, seed uint64) *soakRun {
-	return &soakRun{testEnv: newTestEnv(t), random: rand.New(rand.NewPCG(seed, 1)), workerRandom: rand.New(rand.NewPCG(seed, 2)), runTimeRandom: rand.New(rand.NewPCG(seed, 4)), jobs: map[string]*jobRecord{}, startedAt: time.Now()}
+	return &soakRun{testEnv: newTestEnv(t), random: rand.New(rand.NewPCG(seed, 1)), workerRandom: rand.New(rand.NewPCG(seed, 2)), runTimeRandom: rand.New(rand.NewPCG(seed, 4)), laterRandom: rand.New(rand.NewPCG(seed, 7)), jobs: map[string]*jobRecord{}, startedAt: time.Now()}
 }
 
 // saveLogs logs the faults of a failed seed, and copies them, the runs and the logs of its instances to
@@ -113,7 +116,7 @@
 func (s *soakRun) runFaults() {
 	s.waitReady()
 	end := time.Now().Add(faultDuration)
-	nextFault, nextWorkerFault := time.Now(), time.Now()
+	nextFault, nextWorkerFault, nextLaterFault := time.Now(), time.Now(), time.Now().Add(time.Second)
 	for time.Now().Before(end) {
 		if s.random.IntN(2) == 0 {
 			s.submitJob()
@@ -129,6 +132,14 @@
 			s.injectWorkerFault()
 			nextWorkerFault = time.Now().Add(time.Duration(500+s.workerRandom.IntN(1500)) * time.Millisecond)
 		}
+		if time.Now().After(nextLaterFault) {
+			if s.laterRandom.IntN(2) == 0 {
+				s.freezeLeader()
+			} else {
+				s.refuseOrders()
+			}
+			nextLaterFault = time.Now().Add(time.Duration(1000+s.laterRandom.IntN(2500)) * time.Millisecond)
+		}
 		time.Sleep(time.Duration(20+s.random.IntN(120)) * time.Millisecond)
 	}
 }
@@ -173,9 +184,10 @@
 	s.mu.Unlock()
 	j := &jobRecord{queue: queue}
 	s.jobs[id] = j
+	body := map[string]any{"spec": "soak", "steps": []any{step}}
 	for range 3 {
 		n := s.instances[s.random.IntN(len(s.instances))]
-		status, _ := call(n, "POST", "/"+queue+"/"+id, map[string]any{"spec": "soak", "steps": []any{step}})
+		status, _ := call(n, "POST", "/"+queue+"/"+id, body)
 		switch status {
 		case 200:
 			j.accepted = true
@@ -267,6 +279,34 @@
 	}
 }
 
+// refuseOrders lets a worker refuse a share of its orders.
+func (s *soakRun) refuseOrders() {
+	i, share := s.laterRandom.IntN(len(s.workers)), []float64{0.3, 0.7, 1}[s.laterRandom.IntN(3)]
+	s.logFault("worker %d refuses a share of %.1f of its orders", i, share)
+	s.workers[i].SetRefusals(hfstand.Refusals{Share: share, Random: rand.New(rand.NewPCG(s.laterRandom.Uint64(), 3))})
+	undoLater(s.laterRandom, func() { s.workers[i].SetRefusals(hfstand.Refusals{}) })
+}
+
+// freezeLeader freezes the leader while the store loses answers and carries writes out late, so that
+// a write of the leader takes effect in its absence, or after another one has taken over.
+func (s *soakRun) freezeLeader() {
+	lead, err := hfwire.Decode(s.store.Value("hf/lead"), &hfwork.Lead{})
+	if err != nil {
+		return
+	}
+	for _, n := range s.instances {
+		if n.name != lead.GetInstance() {
+			continue
+		}
+		lost, delay := 1+s.laterRandom.IntN(6), int64(200+s.laterRandom.IntN(5000))
+		s.logFault("freeze leader %s, after the store loses %d answers and delays their writes by %d ms", n.name, lost, delay)
+		s.store.Fault(hfstand.StoreFault{LostAnswers: lost, WriteDelay: delay})
+		process, begins := n.cmd.Process, time.Duration(s.laterRandom.IntN(300))*time.Millisecond
+		time.AfterFunc(begins, func() { _ = process.Signal(syscall.SIGSTOP) })
+		time.AfterFunc(begins+time.Duration(500+s.laterRandom.IntN(3000))*time.Millisecond, func() { _ = process.Signal(syscall.SIGCONT) })
+	}
+}
+
 // oddEntries are workers' entries that another writer may leave.
 var oddEntries = []string{
 	"\xff\x00", "", "5", strings.Repeat("[", 200_000), `{"service":"pool","address":"127.0.0.1:99999","zone":"z","state":"ready","capacity":{"cpu":1,"mem_mb":1}}`,
--- a/hfstand/kv.go
+++ b/hfstand/kv.go
@@ -210,6 +210,13 @@
 	s.appendEvent(item)
 }
 
+// Value returns the value of a key, or nil.
+func (s *Store) Value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Value
+}
+
 // Delete deletes a key without a condition, as the platform does.
 func (s *Store) Delete(key string) {
 	s.mu.Lock()
