Lose answers of callers and repeat their calls late in the soak

Every caller of the soak waited 3 s for its answer and never repeated a call that had been accepted. On the platform answers are lost, the call comes again at another instance, and at times seconds after the first answer; a job that is taken for a new one then runs twice.

A fifth of the submissions is given up after 4 ms first and then repeated, and a fifth of the accepted ones arrives again up to 6 s later at any instance, also after a cancellation. What sees a fault: the run log's violations and the limit on starts after a cancellation.

Not run against a wrong variant.

--- a/hfsoak/env_test.go
+++ b/hfsoak/env_test.go
@@ -305,9 +305,16 @@
 // caller is the HTTP client of all seeds.
 var caller = hfstand.NewCaller("jobs.example", callerKey, 3*time.Second)
 
+// hastyCaller gives most calls up before their answers arrive, while the instances carry them out.
+var hastyCaller = hfstand.NewCaller("jobs.example", callerKey, 4*time.Millisecond)
+
 // call sends a request to an instance and returns the status and body of the answer. The
 // status is 0 if there was no answer.
 func call(n *instance, method, path string, body any) (int, string) {
+	return callWith(caller, n, method, path, body)
+}
+
+func callWith(caller *hfstand.Caller, n *instance, method, path string, body any) (int, string) {
 	var content io.Reader
 	if body != nil {
 		raw, err := json.Marshal(body)
--- a/hfsoak/soak_test.go
+++ b/hfsoak/soak_test.go
@@ -55,6 +55,7 @@
 	workerRandom  *rand.Rand            // for the faults of workers, which came later: the seeds keep their other faults
 	runTimeRandom *rand.Rand            // for the runs that are longer than a lease, likewise
 	laterRandom   *rand.Rand            // for the frozen leaders and the refusals, likewise
+	callerRandom  *rand.Rand            // for the answers that callers lose, likewise
 	jobs          map[string]*jobRecord // by id
 	faultLog      []string
 	startedAt     time.Time
@@ -83,7 +84,7 @@
 
 // newSoakRun starts the environment of a seed.
 func newSoakRun(t *testing.T, seed uint64) *soakRun {
-	return &soakRun{testEnv: newTestEnv(t), random: rand.New(rand.NewPCG(seed, 1)), workerRandom: rand.New(rand.NewPCG(seed, 2)), runTimeRandom: rand.New(rand.NewPCG(seed, 4)), laterRandom: rand.New(rand.NewPCG(seed, 7)), jobs: map[string]*jobRecord{}, startedAt: time.Now()}
+	return &soakRun{testEnv: newTestEnv(t), random: rand.New(rand.NewPCG(seed, 1)), workerRandom: rand.New(rand.NewPCG(seed, 2)), runTimeRandom: rand.New(rand.NewPCG(seed, 4)), laterRandom: rand.New(rand.NewPCG(seed, 7)), callerRandom: rand.New(rand.NewPCG(seed, 8)), jobs: map[string]*jobRecord{}, startedAt: time.Now()}
 }
 
 // saveLogs logs the faults of a failed seed, and copies them, the runs and the logs of its instances to
@@ -185,12 +186,19 @@
 	j := &jobRecord{queue: queue}
 	s.jobs[id] = j
 	body := map[string]any{"spec": "soak", "steps": []any{step}}
+	if s.callerRandom.IntN(5) == 0 { // the answer is lost, and the caller repeats the call
+		_, _ = callWith(hastyCaller, s.anyInstance(s.callerRandom), "POST", "/"+queue+"/"+id, body)
+		j.uncertain = true
+	}
 	for range 3 {
 		n := s.instances[s.random.IntN(len(s.instances))]
 		status, _ := call(n, "POST", "/"+queue+"/"+id, body)
 		switch status {
 		case 200:
 			j.accepted = true
+			if again := s.anyInstance(s.callerRandom); s.callerRandom.IntN(5) == 0 { // a call of before arrives late
+				time.AfterFunc(time.Duration(s.callerRandom.IntN(6000))*time.Millisecond, func() { _, _ = call(again, "POST", "/"+queue+"/"+id, body) })
+			}
 			return
 		case 503, 429: // refused: this submission must have no effect
 		default:
@@ -199,6 +207,11 @@
 	}
 }
 
+// anyInstance returns a random instance.
+func (s *soakRun) anyInstance(random *rand.Rand) *instance {
+	return s.instances[random.IntN(len(s.instances))]
+}
+
 // cancelJob cancels one accepted job.
 func (s *soakRun) cancelJob() {
 	for id, j := range s.jobs {
