See orders at the next life of a worker in the run log

A task that runs twice after a restart needs a start for an earlier life, a late one, and room for the next run at the right moment: the soak of restarts behind cuts never met all three. The cause itself is simple to see on the worker: a lease end that is further ahead of its clock than the longest lease was calculated on the clock of an earlier incarnation. The run log counts such an order as a violation.

leaseSlack allows for a clock that is 2% slow. A connection ends with the process that accepted it in the stand-in as on the platform, so that nothing that the network does brings such an order there by itself.

--- a/hfstand/platform_worker.go
+++ b/hfstand/platform_worker.go
@@ -55,8 +55,9 @@
 // Violations returns the violations: a start that brings a worker over the accelerators that it
 // has, or had until shrinkNotice before, a
 // task that runs twice at once, a task that starts again more than doneRecordTime after
-// it was done unless that end was lost, or a task that starts after a run of it was done if the scheduler took note of
-// that end, before the start or later.
+// it was done unless that end was lost, a lease end on the clock of an earlier incarnation, or a
+// task that starts after a run of it was done if the scheduler took note of that end, before the
+// start or later.
 func (l *RunLog) Violations() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -196,6 +197,10 @@
 	Random *rand.Rand
 }
 
+// leaseSlack is how far beyond maxLease a lease end may be on the clock of its worker, as the sender
+// extrapolates that clock, which may be 2% slow.
+const leaseSlack = 500 * time.Millisecond
+
 // shrinkNotice is the time after a shrink within which a start may still count on the
 // accelerators of before: contact_ms and one heartbeat of the platform's rules, in the soak's
 // settings.
@@ -520,6 +525,11 @@
 // most, and never shortens it. The caller holds mu.
 func (w *PlatformWorker) extendLeases(untilMS int64) {
 	if w.maxLease > 0 {
+		if ahead := time.Duration(untilMS-w.clock()) * time.Millisecond; ahead > w.maxLease+leaseSlack {
+			w.runLog.mu.Lock()
+			w.runLog.violations = append(w.runLog.violations, fmt.Sprintf("%s, which started %v ago, got a lease end %v ahead: it is on the clock of an earlier incarnation", w.id, time.Since(w.bornAt), ahead))
+			w.runLog.mu.Unlock()
+		}
 		untilMS = min(untilMS, w.clock()+w.maxLease.Milliseconds())
 	}
 	end := w.bornAt.Add(time.Duration(float64(untilMS) / w.clockRate * float64(time.Millisecond)))
--- a/hfstand/platform_worker_test.go
+++ b/hfstand/platform_worker_test.go
@@ -378,3 +378,20 @@
 	require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/run-stop", `{"task":"a.0.0.0","run":1}`))
 	require.Eventually(t, func() bool { return l.Starts()[0].Outcome == "stopped" }, 10*time.Second, 5*time.Millisecond)
 }
+
+// Guards against a soak that overlooks an order for an earlier incarnation: its lease end, on the clock
+// of that one, is far ahead of the clock of the next one.
+func TestLeaseEndOnClockOfEarlierIncarnationIsViolation(t *testing.T) {
+	const maxLease = 4000 // milliseconds
+	for _, path := range []string{"/v1/run-start", "/v1/hold"} {
+		for untilMS, want := range map[int64]int{maxLease: 0, maxLease + 300: 0, maxLease + 3000: 1, 60_000: 1} {
+			l := NewRunLog(func(string) TaskProfile { return TaskProfile{RunTime: time.Hour, GangSize: 1} })
+			w := NewPlatformWorker("w", 8, l)
+			w.SetClock(1, maxLease*time.Millisecond)
+			server := httptest.NewServer(w.Handler())
+			require.Equal(t, http.StatusOK, postOrder(t, server, path, fmt.Sprintf(`{"task":"a.0.0.0","run":1,"until_ms":%d}`, untilMS)))
+			server.Close()
+			require.Len(t, l.Violations(), want, "%s %d", path, untilMS)
+		}
+	}
+}
