--- a/hfsoak/env_test.go
+++ b/hfsoak/env_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http/httptest"
 	"os"
@@ -29,6 +30,8 @@
 	callerKey             = "soak-key"
 	maxLeaseMS            = 4000 // longest lease of a task in milliseconds
 	maxClockError         = 0.02 // by which the clock of a worker may be slow
+
+	maxHoldUp = 5 * time.Second // of what is read from a connection of a proxy in mode "late"
 )
 
 // testEnv holds the fakes of the platform and the entry instances of one seed.
@@ -67,7 +70,8 @@
 	target   string
 	mu       sync.Mutex
 	// mode is "" for no fault, "delay", "cut" (blocked in both directions), "inbound"
-	// (blocked towards the client) or "outbound" (blocked towards the target).
+	// (blocked towards the client), "outbound" (blocked towards the target) or "late" (some of what is
+	// read from a connection is held up, while the other connections go on).
 	mode  string
 	conns map[net.Conn]bool
 }
@@ -144,6 +148,9 @@
 		for p.hasMode("cut", direction) {
 			time.Sleep(10 * time.Millisecond)
 		}
+		if p.hasMode("late") && rand.IntN(2) == 0 {
+			time.Sleep(rand.N(maxHoldUp))
+		}
 		if p.hasMode("delay") {
 			time.Sleep(150 * time.Millisecond)
 		}
