--- a/hfsoak/env_test.go
+++ b/hfsoak/env_test.go
@@ -203,7 +203,7 @@
 		e.registerWorker(i, false)
 	}
 	envNumber := envCount.Add(1)
-	e.instanceIP = fmt.Sprintf("127.20.%d.%d", envNumber/200, envNumber%200+1)
+	e.instanceIP = fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, envNumber/200, envNumber%200+1)
 	for i := range instanceCount {
 		n := &instance{name: fmt.Sprintf("e%d", i), front: freePort(t, e.instanceIP), readiness: freePort(t, e.instanceIP), storeProxy: newFaultProxy(t, storeServer.Listener.Addr().String())}
 		e.writeSettings(n)
@@ -221,7 +221,7 @@
 
 // envCount is the number of test environments in this process. Each one gets a different
 // loopback address, so that an instance of one seed cannot take a port that freePort found
-// for another seed that runs in parallel.
+// for another seed that runs in parallel, most likely also in another process.
 var envCount atomic.Int64
 
 // freePort returns an address with a port that was free at the time of the call.
