--- a/hfstand/platform_worker.go
+++ b/hfstand/platform_worker.go
@@ -34,6 +34,7 @@
 	Outcome   string    // done, failed, stopped, lapsed, alone, broken, restart or crash; empty while it runs
 	Spec      string
 	noted     bool            // ended as done, and a hold order took note of that end before the lease lapsed
+	lost      bool            // ended, and the worker's process ended before a hold order took note of that
 	worker    *PlatformWorker // nil in tests of the log itself
 }
 
@@ -54,8 +55,9 @@
 // Violations returns the violations: a start that brings a worker over the accelerators that it
 // has, or had until shrinkNotice before, a
 // task that runs twice at once, a task that starts again more than doneRecordTime after
-// it was done, or a task that starts after a run of it was done if the scheduler took note of
-// that end, before the start or later.
+// it was done unless that end was lost, a lease end on the clock of an earlier incarnation, or a
+// task that starts after a run of it was done if the scheduler took note of that end, before the
+// start or later.
 func (l *RunLog) Violations() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -84,7 +86,7 @@
 		if other.EndedAt.IsZero() && !other.lapsed(s.StartedAt) {
 			l.violations = append(l.violations, fmt.Sprintf("%s run %d on %s while run %d is on %s", s.Task, s.Run, s.Worker, other.Run, other.Worker))
 		}
-		if other.Outcome == "done" && s.StartedAt.Sub(other.EndedAt) > doneRecordTime {
+		if other.Outcome == "done" && !other.lost && s.StartedAt.Sub(other.EndedAt) > doneRecordTime {
 			l.violations = append(l.violations, fmt.Sprintf("%s run %d %v after it was done", s.Task, s.Run, s.StartedAt.Sub(other.EndedAt)))
 		}
 	}
@@ -95,7 +97,7 @@
 
 // doneRecordTime is the time within which a scheduler must record that a task is done. This
 // includes a new scheduler that has not learned of the end yet. Until then it may start the
-// task again.
+// task again, and at any time if the worker has forgotten the end before it was taken note of.
 const doneRecordTime = 15 * time.Second
 
 // TaskProfile describes how a task behaves on a worker.
@@ -162,6 +164,7 @@
 	clockRate     float64       // of the worker's clock, relative to the local one
 	maxLease      time.Duration // on the worker's clock, from when an order is carried out; 0 for no limit
 	late          LateOrders
+	refusals      Refusals
 	runs          map[string]*activeRun
 	ended         []endedRun
 	lastEndNumber int64
@@ -170,9 +173,10 @@
 	dropOrders    bool             // the connection of each order is dropped
 	accelerators  int64            // now; they may shrink below what is in use
 	shrunk        []shrink
-	process       int64  // number of the process, which ends with a crash
-	down          bool   // crashed and not back yet
-	onCrash       func() // called in a goroutine of its own after a crash; may be nil
+	process       chan struct{} // closed and replaced when the process ends, by a crash or a restart
+	conns         []net.Conn    // that the process accepted, also closed ones
+	down          bool          // crashed and not back yet
+	onCrash       func()        // called in a goroutine of its own after a crash; may be nil
 
 	leaseEndMicros atomic.Int64 // leaseEnd in Unix microseconds, for the run log
 }
@@ -186,6 +190,17 @@
 	Random   *rand.Rand
 }
 
+// Refusals describes a fault: orders are refused with 429 or 503 and have no effect, as by an unhealthy
+// worker.
+type Refusals struct {
+	Share  float64 // of the orders, from 0 to 1
+	Random *rand.Rand
+}
+
+// leaseSlack is how far beyond maxLease a lease end may be on the clock of its worker, as the sender
+// extrapolates that clock, which may be 2% slow.
+const leaseSlack = 500 * time.Millisecond
+
 // shrinkNotice is the time after a shrink within which a start may still count on the
 // accelerators of before: contact_ms and one heartbeat of the platform's rules, in the soak's
 // settings.
@@ -217,17 +232,31 @@
 
 // NewPlatformWorker returns a worker with a number of accelerators and without runs.
 func NewPlatformWorker(id string, accelerators int64, l *RunLog) *PlatformWorker {
-	w := &PlatformWorker{id: id, accelerators: accelerators, runLog: l, clockRate: 1}
-	w.Restart()
+	w := &PlatformWorker{id: id, accelerators: accelerators, runLog: l, clockRate: 1, process: make(chan struct{})}
+	w.reset("")
 	return w
 }
 
-// Restart ends all runs and starts a new incarnation without any state of the previous
-// one.
+// Restart ends all runs, the connections and the orders that wait, and starts a new incarnation
+// without any state of the previous one.
 func (w *PlatformWorker) Restart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.reset("restart")
+	w.endProcess("restart")
+	for _, c := range w.conns { // the machine goes on and closes them; a crashed one would not
+		_ = c.Close()
+	}
+	w.conns = nil
+}
+
+// endProcess ends the process with an outcome of its runs. Its connections and the orders that
+// wait end with it. The caller holds mu.
+func (w *PlatformWorker) endProcess(outcome string) {
+	wake, process := w.wake, w.process
+	w.reset(outcome)
+	w.process = make(chan struct{})
+	close(process)
+	close(wake) // a poll that waits ends, also without ConnContext
 }
 
 // reset ends all runs with an outcome and forgets all state. The caller holds mu.
@@ -236,6 +265,9 @@
 	for _, active := range w.runs {
 		active.start.EndedAt, active.start.Outcome = time.Now(), outcome
 	}
+	for _, e := range w.ended {
+		e.start.lost = true
+	}
 	w.runLog.mu.Unlock()
 	w.bornAt, w.fence, w.leaseEnd, w.lastEndNumber = time.Now(), 0, time.Time{}, 0
 	w.leaseEndMicros.Store(0)
@@ -264,14 +296,12 @@
 	if w.down {
 		return
 	}
-	wake, lost := w.wake, slices.Collect(maps.Values(w.runs))
-	w.reset("crash")
+	lost := slices.Collect(maps.Values(w.runs))
+	w.endProcess("crash")
 	for _, active := range lost {
 		w.runLog.breakGang(active)
 	}
 	w.down = true
-	w.process++
-	close(wake) // a poll that waits ends with the process
 	if w.onCrash != nil {
 		time.AfterFunc(0, w.onCrash) // mu is held
 	}
@@ -303,21 +333,29 @@
 type processKey struct{}
 
 // ConnContext is the ConnContext of the worker's HTTP server. Without it, the connections
-// outlive a crash.
-func (w *PlatformWorker) ConnContext(ctx context.Context, _ net.Conn) context.Context {
+// outlive a crash and a restart. With it, one without an order under way ends at a restart, and after
+// a crash with the next order.
+func (w *PlatformWorker) ConnContext(ctx context.Context, c net.Conn) context.Context {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.conns = append(w.conns, c)
 	return context.WithValue(ctx, processKey{}, w.process)
 }
 
 // endWithProcess drops the connection of a request if the process that accepted it has ended,
 // or if the worker is down. The caller holds mu.
 func (w *PlatformWorker) endWithProcess(ctx context.Context) {
-	if process, ok := ctx.Value(processKey{}).(int64); w.down || ok && process != w.process {
+	if process := processOf(ctx); w.down || process != nil && process != w.process {
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// processOf returns the process that accepted the connection of a request, or nil without ConnContext.
+func processOf(ctx context.Context) chan struct{} {
+	process, _ := ctx.Value(processKey{}).(chan struct{})
+	return process
+}
+
 // Resize changes the number of accelerators. What runs goes on, also if it uses more. The
 // caller stores the worker's entry, which shows the change.
 func (w *PlatformWorker) Resize(accelerators int64) {
@@ -364,6 +402,13 @@
 	w.late = f
 }
 
+// SetRefusals sets which orders are refused.
+func (w *PlatformWorker) SetRefusals(f Refusals) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.refusals = f
+}
+
 // clock returns the time on the worker's clock in milliseconds. The caller holds mu.
 func (w *PlatformWorker) clock() int64 {
 	return int64(float64(time.Since(w.bornAt)) * w.clockRate / float64(time.Millisecond))
@@ -425,6 +470,9 @@
 	if id := c.Request().Header.Get(expectedInstanceHeader); id != "" && id != w.id {
 		return c.NoContent(http.StatusMisdirectedRequest)
 	}
+	if f := w.refusals; f.Share > 0 && f.Random.Float64() < f.Share {
+		return c.NoContent([]int{http.StatusTooManyRequests, http.StatusServiceUnavailable}[f.Random.IntN(2)])
+	}
 	if f := w.late; f.Share > 0 && f.Random.Float64() < f.Share {
 		born := w.bornAt
 		time.AfterFunc(f.MinDelay+time.Duration(f.Random.Int64N(int64(f.MaxDelay-f.MinDelay)+1)), func() {
@@ -435,7 +483,10 @@
 			}
 		})
 		w.mu.Unlock()
-		<-c.Request().Context().Done()
+		select {
+		case <-c.Request().Context().Done():
+		case <-processOf(c.Request().Context()):
+		}
 		w.mu.Lock()
 		panic(http.ErrAbortHandler)
 	}
@@ -474,6 +525,11 @@
 // most, and never shortens it. The caller holds mu.
 func (w *PlatformWorker) extendLeases(untilMS int64) {
 	if w.maxLease > 0 {
+		if ahead := time.Duration(untilMS-w.clock()) * time.Millisecond; ahead > w.maxLease+leaseSlack {
+			w.runLog.mu.Lock()
+			w.runLog.violations = append(w.runLog.violations, fmt.Sprintf("%s, which started %v ago, got a lease end %v ahead: it is on the clock of an earlier incarnation", w.id, time.Since(w.bornAt), ahead))
+			w.runLog.mu.Unlock()
+		}
 		untilMS = min(untilMS, w.clock()+w.maxLease.Milliseconds())
 	}
 	end := w.bornAt.Add(time.Duration(float64(untilMS) / w.clockRate * float64(time.Millisecond)))
--- a/hfstand/platform_worker_test.go
+++ b/hfstand/platform_worker_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -27,6 +28,7 @@
 		"first start":        {nil, 8, 0},
 		"concurrent run":     {&Start{Task: "a.0.0.0", Run: 1}, 8, 1},
 		"long after its end": {&Start{Task: "a.0.0.0", Run: 1, EndedAt: now.Add(-time.Minute), Outcome: "done"}, 8, 1},
+		"after a lost end":   {&Start{Task: "a.0.0.0", Run: 1, EndedAt: now.Add(-time.Minute), Outcome: "done", lost: true}, 8, 0},
 		"after a failure":    {&Start{Task: "a.0.0.0", Run: 1, EndedAt: now.Add(-time.Minute), Outcome: "failed"}, 8, 0},
 		"over its capacity":  {nil, 9, 1},
 	} {
@@ -280,3 +282,116 @@
 	require.Eventually(t, func() bool { return l.Starts()[0].Outcome != "" && l.Starts()[2].Outcome != "" }, 10*time.Second, 5*time.Millisecond)
 	require.Equal(t, []string{"a.0.0.1 broken", "b.0.0.0 ", "a.0.0.0 crash"}, outcomes())
 }
+
+// Guards against a restart in the stand-in that an open connection, a poll or a late order of the
+// earlier incarnation outlives: an order that it accepted would reach the next one, which it cannot.
+func TestRestartEndsConnections(t *testing.T) {
+	l := NewRunLog(func(string) TaskProfile { return TaskProfile{RunTime: time.Hour, GangSize: 1} })
+	w := NewPlatformWorker("w", 8, l)
+	server := httptest.NewUnstartedServer(w.Handler())
+	server.Config.ConnContext = w.ConnContext
+	server.Start()
+	defer func() { server.CloseClientConnections(); server.Close() }()
+	// send sends an order on a new connection; receive returns the status of its answer, or 0.
+	send := func(path, body string) net.Conn {
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: w\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+		require.NoError(t, err)
+		return conn
+	}
+	receive := func(conn net.Conn) int {
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the connection is open")
+			return 0
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	start := `{"task":"a.0.0.0","run":1,"until_ms":600000}`
+	idle := send("/v1/hold", `{}`)
+	require.Equal(t, http.StatusOK, receive(idle))
+	poll := send("/v1/hold", `{"wait_ms":60000}`)
+	w.SetLateOrders(LateOrders{Share: 1, MinDelay: time.Second, MaxDelay: time.Second, Random: rand.New(rand.NewPCG(1, 1))})
+	late := send("/v1/run-start", start)
+	time.Sleep(100 * time.Millisecond) // both orders wait now
+	w.SetLateOrders(LateOrders{})
+	w.Restart()
+	require.Zero(t, receive(poll), "a poll that waits ends with the process")
+	require.Zero(t, receive(late), "a late order ends with the process")
+	require.Zero(t, receive(idle), "an idle connection ends with the process that accepted it, too")
+	time.Sleep(1200 * time.Millisecond) // beyond the delay of the late order
+	require.Empty(t, l.Starts())
+	require.Equal(t, http.StatusOK, receive(send("/v1/run-start", start)), "a new connection leads to the next incarnation")
+}
+
+// Guards against a soak that demands what no scheduler can know, an end which its worker forgot in a
+// restart, or that overlooks a start after an end which was taken note of before the restart.
+func TestEndOfEarlierIncarnationIsLostUnlessNoted(t *testing.T) {
+	for name, c := range map[string]struct {
+		lastSeen, want int
+	}{
+		"taken note of":     {1, 2},
+		"not taken note of": {0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := NewRunLog(func(string) TaskProfile { return TaskProfile{RunTime: time.Millisecond, GangSize: 1} })
+			w := NewPlatformWorker("w", 8, l)
+			server := httptest.NewServer(w.Handler())
+			defer server.Close()
+			require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/run-start", `{"task":"a.0.0.0","run":1,"until_ms":600000}`))
+			require.Eventually(t, func() bool { return l.Starts()[0].Outcome == "done" }, 10*time.Second, time.Millisecond)
+			require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/hold", fmt.Sprintf(`{"last_seen":%d,"until_ms":600000}`, c.lastSeen)))
+			w.Restart()
+			l.mu.Lock()
+			l.starts[0].EndedAt = time.Now().Add(-doneRecordTime - time.Second)
+			l.starts[0].StartedAt = l.starts[0].EndedAt.Add(-time.Millisecond)
+			l.mu.Unlock()
+			require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/run-start", `{"task":"a.0.0.0","run":2,"until_ms":600000}`))
+			require.Len(t, l.Violations(), c.want)
+		})
+	}
+}
+
+// Guards against a refused order in the stand-in that has an effect: a stop that was refused left its
+// run at work, and the scheduler took it for ended.
+func TestRefusedOrderHasNoEffect(t *testing.T) {
+	l := NewRunLog(func(string) TaskProfile { return TaskProfile{RunTime: time.Hour, GangSize: 1} })
+	w := NewPlatformWorker("w", 8, l)
+	server := httptest.NewServer(w.Handler())
+	defer server.Close()
+	require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/run-start", `{"task":"a.0.0.0","run":1,"until_ms":600000}`))
+	w.SetRefusals(Refusals{Share: 1, Random: rand.New(rand.NewPCG(1, 1))})
+	statuses := map[int]bool{}
+	for range 20 {
+		statuses[postOrder(t, server, "/v1/run-stop", `{"task":"a.0.0.0","run":1}`)] = true
+		statuses[postOrder(t, server, "/v1/run-start", `{"task":"b.0.0.0","run":1,"until_ms":600000}`)] = true
+	}
+	require.Equal(t, map[int]bool{http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true}, statuses)
+	time.Sleep(2 * stopDelay)
+	require.Len(t, l.Starts(), 1)
+	require.Empty(t, l.Starts()[0].Outcome)
+	w.SetRefusals(Refusals{})
+	require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/run-stop", `{"task":"a.0.0.0","run":1}`))
+	require.Eventually(t, func() bool { return l.Starts()[0].Outcome == "stopped" }, 10*time.Second, 5*time.Millisecond)
+}
+
+// Guards against a soak that overlooks an order for an earlier incarnation: its lease end, on the clock
+// of that one, is far ahead of the clock of the next one.
+func TestLeaseEndOnClockOfEarlierIncarnationIsViolation(t *testing.T) {
+	const maxLease = 4000 // milliseconds
+	for _, path := range []string{"/v1/run-start", "/v1/hold"} {
+		for untilMS, want := range map[int64]int{maxLease: 0, maxLease + 300: 0, maxLease + 3000: 1, 60_000: 1} {
+			l := NewRunLog(func(string) TaskProfile { return TaskProfile{RunTime: time.Hour, GangSize: 1} })
+			w := NewPlatformWorker("w", 8, l)
+			w.SetClock(1, maxLease*time.Millisecond)
+			server := httptest.NewServer(w.Handler())
+			require.Equal(t, http.StatusOK, postOrder(t, server, path, fmt.Sprintf(`{"task":"a.0.0.0","run":1,"until_ms":%d}`, untilMS)))
+			server.Close()
+			require.Len(t, l.Violations(), want, "%s %d", path, untilMS)
+		}
+	}
+}
