Move the budget of crashes out of hfplan, so that serve can use it

The rule which `entry` has for that (how many crashes, early or alone, end a job; what clears them) moves from hfplan/crash.go to the package hfcrash, with its constants. What proves a crash stays with each scheduler: `entry` compares the incarnations in reports, and the workers of `serve` report none.

No decision of hfplan changes.

--- a/hfplan/bench_test.go
+++ b/hfplan/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/heatherfront/heatherfront/hfcrash"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
 
@@ -71,7 +72,7 @@
 					g.crashed = true
 					for i := range g.tasks {
 						if g.tasks[i].waiting() {
-							g.tasks[i].crashes = crashes{total: 1, suspect: share == 2}
+							g.tasks[i].crashes = crashes{Count: hfcrash.New(1, 0, 0, 0, 0), suspect: share == 2}
 							break
 						}
 					}
--- a/hfplan/crash.go
+++ b/hfplan/crash.go
@@ -6,27 +6,11 @@
 	"slices"
 	"time"
 
+	"github.com/heatherfront/heatherfront/hfcrash"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
 
 const (
-	// maxEarlyCrashes is how many workers may crash right after the start of a task before its job
-	// fails. The platform allows five crashes, of which one may not be counted if a leader ends
-	// before it has stored it.
-	maxEarlyCrashes = 4
-	// maxCrashes is the same for crashes at any time, if minEarlyCrashes of them were early: a start
-	// that is carried out late crashes the worker later, and innocent tasks meet other crashes.
-	maxCrashes      = 5
-	minEarlyCrashes = 2
-	// maxCrashesAlone is how many workers may crash right after the start of a task with no other
-	// on the worker. The platform allows to give a task up after two crashes.
-	maxCrashesAlone = 2
-	// maxGangCrashesAlone is the same for a gang, which more unrelated crashes meet: any of its
-	// workers may crash by chance.
-	maxGangCrashesAlone = 3
-	// crashStartWindow is how long a run must have been at work to show that its start did not
-	// crash the worker. It is longer than the wait of a poll, so that a report shows it.
-	crashStartWindow = 2 * time.Second
 	// earlyWindow is the time between a start and the silence of the worker within which the crash
 	// counts as early. A worker that crashes closes the connection of the poll that waits there.
 	// Workers that leave announce it longer before.
@@ -37,30 +21,23 @@
 	// unstableTime is how long the next crash at an address is not counted as that of a task
 	// that ran alone: the worker may crash by itself.
 	unstableTime = 30 * time.Second
-	// crashMemory is how long a task must have been at work in one run for earlier crashes to
-	// be forgotten, so that tasks that run for weeks do not collect unrelated ones.
-	crashMemory = time.Minute
 )
 
-// crashes counts the workers that crashed under a task. Gangs keep it in their primary task,
-// and count each run once, also if several of its workers crash.
+// crashes counts the workers that crashed under a task. Gangs keep it in their primary task.
 type crashes struct {
-	total    uint32 // runs lost in a crash, or with a worker that has not come back since they began
-	early    uint32 // of these, runs that had started right before the worker fell silent
-	alone    uint32 // of these, runs that were early on a worker with nothing else
-	run      int64  // number of the last run that is included in total
-	aloneRun int64  // number of the last run that is included in alone
-	suspect  bool   // the last of these runs had just begun, and no run since has been at work for long
+	hfcrash.Count
 
+	suspect   bool  // the last of the counted runs had just begun, and no run since has been at work for long
 	provenRun int64 // number of the last run with a proven crash; not stored
 }
 
 func crashesOf(c *hfwork.Crashes) crashes {
-	return crashes{total: c.GetTotal(), early: c.GetEarly(), alone: c.GetAlone(), run: c.GetRun(), aloneRun: c.GetAloneRun(), suspect: c.GetSuspect()}
+	count := hfcrash.New(c.GetTotal(), c.GetEarly(), c.GetAlone(), c.GetRun(), c.GetAloneRun())
+	return crashes{Count: count, suspect: c.GetSuspect()}
 }
 
 func (c crashes) toRecord() *hfwork.Crashes {
-	return &hfwork.Crashes{Total: c.total, Early: c.early, Alone: c.alone, Run: c.run, AloneRun: c.aloneRun, Suspect: c.suspect}
+	return &hfwork.Crashes{Total: c.Total(), Early: c.Early(), Alone: c.Alone(), Run: c.Run(), AloneRun: c.AloneRun(), Suspect: c.suspect}
 }
 
 // lostRun is a run that was lost with its worker.
@@ -76,7 +53,7 @@
 }
 
 // justBegun reports whether the start of the run may have crashed the worker.
-func (l lostRun) justBegun() bool { return l.worked < crashStartWindow }
+func (l lostRun) justBegun() bool { return l.worked < hfcrash.StartWindow }
 
 // missingWorker holds what ran on an incarnation of a worker when its leases expired. Either
 // a later incarnation proves that it crashed, or it was only cut off and reports again.
@@ -188,60 +165,43 @@
 	if t.done || t.group.job.final() {
 		return false
 	}
-	c, added := &t.crashes, l.number > t.crashes.run
-	if added && l.worked >= crashMemory {
-		*c = crashes{}
-	}
+	c := &t.crashes
+	added := c.Add(l.number, l.worked)
 	if added {
-		c.run, t.sharedFrom = l.number, time.Time{}
-		c.total++
+		t.sharedFrom = time.Time{}
 		// When a run of an earlier scheduler started is not known. After a crash before, it counts
 		// as early, so that changes of the leader do not hide the crashes of a task.
-		l.early = l.early || l.prior && c.total > 1
+		l.early = l.early || l.prior && c.Total() > 1
 		if l.early {
-			c.early++
+			c.AddEarly()
 		}
 	}
-	if l.number == c.run {
+	if l.number == c.Run() {
 		c.suspect = l.justBegun()
 	}
-	if alone && l.number > c.aloneRun {
-		c.aloneRun = l.number
-		c.alone++
+	if alone {
+		c.AddAlone(l.number)
 	}
 	t.group.crashed = true
 	s.markDirty(t.group.job)
 	return added
 }
 
-// maxAlone returns how many workers may crash under a task, or its gang, that was alone.
-func (t *task) maxAlone() uint32 {
-	if t.group.gang() {
-		return maxGangCrashesAlone
-	}
-	return maxCrashesAlone
-}
-
-// exhausted reports whether workers have crashed as often as they may, whether or not the task was
-// alone on them.
-func (c crashes) exhausted() bool {
-	return c.early >= maxEarlyCrashes || c.total >= maxCrashes && c.early >= minEarlyCrashes
-}
-
 // giveUpIfExhausted fails the job of a task under which workers have crashed as often as they
 // may.
 func (s *Scheduler) giveUpIfExhausted(t *task, now time.Time) {
 	j, c := t.group.job, t.crashes
-	if t.done || j.final() || c.alone < t.maxAlone() && !c.exhausted() {
+	exhaustedAlone := c.ExhaustedAlone(t.group.gang())
+	if t.done || j.final() || !exhaustedAlone && !c.Exhausted() {
 		return
 	}
 	subject := fmt.Sprintf("task %d.%d", t.group.step, t.index)
 	if t.group.gang() {
 		subject = fmt.Sprintf("the gang of step %d", t.group.step)
 	}
-	reason := fmt.Sprintf("%d workers crashed while %s ran alone on them", c.alone, subject)
-	if c.alone < t.maxAlone() {
-		reason = fmt.Sprintf("%d workers crashed under %s", c.total, subject)
+	reason := fmt.Sprintf("%d workers crashed while %s ran alone on them", c.Alone(), subject)
+	if !exhaustedAlone {
+		reason = fmt.Sprintf("%d workers crashed under %s", c.Total(), subject)
 	}
 	s.emit(NoteCmd{note: NoteGaveUp, job: j.id(), step: t.group.step, task: t.index, reason: reason})
 	s.endJob(j, hfwork.StateFailed, reason, now)
@@ -294,14 +254,10 @@
 func (s *Scheduler) absolve(m *missingWorker) {
 	for _, l := range m.runs {
 		t := l.task
-		if !l.counted || t.done || t.group.job.final() || t.crashes.run != l.number || t.crashes.provenRun == l.number || s.countElsewhere(l) {
+		if !l.counted || t.done || t.group.job.final() || t.crashes.Run() != l.number || t.crashes.provenRun == l.number || s.countElsewhere(l) {
 			continue
 		}
-		t.crashes.total--
-		if l.early {
-			t.crashes.early--
-		}
-		t.crashes.run = l.number - 1 // another worker of the gang may still be lost in this run
+		t.crashes.Remove(l.early) // another worker of the gang may still be lost in this run
 		s.markDirty(t.group.job)
 	}
 	s.needsPass = true
--- a/hfplan/crash_test.go
+++ b/hfplan/crash_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/heatherfront/heatherfront/hfcrash"
 	"github.com/heatherfront/heatherfront/hfwire"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
@@ -333,7 +334,7 @@
 			w.rename = rename
 			w.advance(time.Second)
 			w.submit("a", "usual", single(1, 6*time.Second))
-			for range 2 * maxCrashes {
+			for range 2 * hfcrash.MaxTotal {
 				for range 200 {
 					if w.running("a") > 0 {
 						break
@@ -358,7 +359,7 @@
 	w.rename = true
 	w.advance(time.Second)
 	w.submit("a", "usual", single(1, 6*time.Second))
-	for range maxCrashesAlone {
+	for range hfcrash.MaxAlone {
 		for range 200 {
 			if w.running("a") > 0 {
 				break
@@ -484,7 +485,7 @@
 	for _, j := range w.s.jobs {
 		for _, g := range j.groups {
 			for i := range g.tasks {
-				require.Zero(w.t, g.tasks[i].crashes.total, "%v", g.tasks[i].id())
+				require.Zero(w.t, g.tasks[i].crashes.Total(), "%v", g.tasks[i].id())
 			}
 		}
 	}
@@ -707,23 +708,23 @@
 		for w := d.s.workers[cut]; d.now.Before(w.leaseExpiry); {
 			d.advance(tickInterval)
 		}
-		require.EqualValues(t, 1, crashes.total)
+		require.EqualValues(t, 1, crashes.Total())
 		if back == 0 {
 			d.report(cut)
-			require.Zero(t, crashes.total)
+			require.Zero(t, crashes.Total())
 			d.advance(2 * time.Second)
-			require.EqualValues(t, 1, crashes.total)
+			require.EqualValues(t, 1, crashes.Total())
 		}
 		if back == 1 {
 			d.report(cut)
-			require.EqualValues(t, 1, crashes.total)
+			require.EqualValues(t, 1, crashes.Total())
 		}
 		d.born[crashed] = 2
 		d.report(crashed)
 		if back == 2 {
 			d.report(cut)
 		}
-		require.EqualValues(t, 1, crashes.total, "case %d", back)
+		require.EqualValues(t, 1, crashes.Total(), "case %d", back)
 	}
 }
 
@@ -740,27 +741,27 @@
 	crashes := &d.s.jobs["a"].groups[0].tasks[0].crashes
 	d.now = d.now.Add(messageDelay)
 	d.send(Report("w", d.now, hfwork.NewReport(0, 2, nil, nil).WithRejected(nil, true)))
-	require.Zero(t, crashes.total)
+	require.Zero(t, crashes.Total())
 	for range 3 {
 		d.born["w"] = 2
 		d.report("w")
-		require.EqualValues(t, 1, crashes.total)
+		require.EqualValues(t, 1, crashes.Total())
 	}
 }
 
 // Guards against tasks that run for long and are given up for crashes that lie far apart: a run that was at
 // work for a minute clears what was counted before, and counts itself.
 func TestLongRunClearsEarlierCrashes(t *testing.T) {
-	for worked, total := range map[time.Duration]uint32{crashMemory - 1: maxCrashes, crashMemory: 1} {
+	for worked, total := range map[time.Duration]uint32{hfcrash.Memory - 1: hfcrash.MaxTotal, hfcrash.Memory: 1} {
 		d := newDesk(t, 1, "a")
 		d.report("a")
 		d.store()
 		d.startAll("j", deskStep(1))
 		j := d.s.jobs["j"]
-		j.groups[0].tasks[0].crashes = crashes{total: maxCrashes - 1, early: minEarlyCrashes, alone: 1, run: 4, aloneRun: 4}
+		j.groups[0].tasks[0].crashes = crashes{Count: hfcrash.New(hfcrash.MaxTotal-1, hfcrash.MinEarly, 1, 4, 4)}
 		d.s.blameCrash("x", "a", []lostRun{{task: &j.groups[0].tasks[0], number: 5, worked: worked}}, d.now)
-		require.Equal(t, total, j.groups[0].tasks[0].crashes.total)
-		require.Equal(t, total == maxCrashes, j.final())
+		require.Equal(t, total, j.groups[0].tasks[0].crashes.Total())
+		require.Equal(t, total == hfcrash.MaxTotal, j.final())
 	}
 }
 
@@ -780,8 +781,8 @@
 		d.born["w"] = 2
 		d.report("w")
 		crashes := d.s.jobs["a"].groups[0].tasks[0].crashes
-		require.EqualValues(t, 2, crashes.total)
-		require.Equal(t, suspect, crashes.alone == 1)
+		require.EqualValues(t, 2, crashes.Total())
+		require.Equal(t, suspect, crashes.Alone() == 1)
 	}
 }
 
@@ -799,8 +800,8 @@
 		d.born["w"] = 2
 		d.report("w")
 		crashes := d.s.jobs["a"].groups[0].tasks[0].crashes
-		require.EqualValues(t, 1, crashes.total)
-		require.Equal(t, outcome == OutcomeDone, crashes.alone == 1)
+		require.EqualValues(t, 1, crashes.Total())
+		require.Equal(t, outcome == OutcomeDone, crashes.Alone() == 1)
 	}
 }
 
@@ -816,10 +817,10 @@
 		task := &d.s.jobs["a"].groups[0].tasks[0]
 		task.crashes.suspect = suspect
 		d.loseWorker(starts[0].Worker())
-		require.EqualValues(t, 1, task.crashes.total)
+		require.EqualValues(t, 1, task.crashes.Total())
 		require.Equal(t, suspect, task.crashes.suspect)
 		d.report(starts[0].Worker())
-		require.Zero(t, task.crashes.total)
+		require.Zero(t, task.crashes.Total())
 		require.Equal(t, suspect, task.crashes.suspect)
 	}
 }
@@ -836,7 +837,7 @@
 	d.send(WorkerSilent("w"))
 	d.loseWorker("x")
 	crashes := &d.s.jobs["a"].groups[0].tasks[0].crashes
-	require.EqualValues(t, 1, crashes.total)
+	require.EqualValues(t, 1, crashes.Total())
 	require.False(t, crashes.suspect)
 }
 
@@ -851,13 +852,13 @@
 	starts := d.startAll("a", deskStep(2))
 	j := d.s.jobs["a"]
 	held := &j.groups[0].tasks[0]
-	held.crashes = crashes{total: maxCrashes - 1, early: minEarlyCrashes}
+	held.crashes = crashes{Count: hfcrash.New(hfcrash.MaxTotal-1, hfcrash.MinEarly, 0, 0, 0)}
 	require.Equal(t, held.id(), starts[0].Task())
 	require.Equal(t, starts[1].Worker(), j.groups[0].tasks[1].run.worker.id())
 	d.loseWorker(starts[0].Worker())
 	require.True(t, held.held())
 	other := &j.groups[0].tasks[1]
-	other.crashes = crashes{total: suspectCrashes} // it is placed like the held one
+	other.crashes = crashes{Count: hfcrash.New(suspectCrashes, 0, 0, 0, 0)} // it is placed like the held one
 	d.reportEnds(starts[1].Worker(), nil, d.end(starts[1].Worker(), other.id(), starts[1].Number(), hfwork.Stopped))
 	d.store()
 	again := d.takeStarts()
--- a/hfplan/isolation.go
+++ b/hfplan/isolation.go
@@ -4,13 +4,14 @@
 	"slices"
 	"time"
 
+	"github.com/heatherfront/heatherfront/hfcrash"
 	"github.com/heatherfront/heatherfront/hfplacement"
 )
 
 const (
 	// isolationTime is how long a suspect must have been at work before other tasks are placed
-	// beside it; see crashStartWindow.
-	isolationTime = crashStartWindow
+	// beside it; see hfcrash.StartWindow.
+	isolationTime = hfcrash.StartWindow
 	// repeatedIsolationTime is the same after several crashes, which a task may also cause some
 	// time after its start.
 	repeatedIsolationTime = 10 * time.Second
@@ -33,12 +34,12 @@
 // suspect reports whether a task may have crashed a worker.
 func (t *task) suspect() bool {
 	c := t.group.primary(t).crashes
-	return c.suspect || c.total >= suspectCrashes
+	return c.suspect || c.Total() >= suspectCrashes
 }
 
 // held reports whether a task must not start, as its job fails unless the last worker that
 // it was lost with has not crashed.
-func (t *task) held() bool { return t.group.primary(t).crashes.exhausted() }
+func (t *task) held() bool { return t.group.primary(t).crashes.Exhausted() }
 
 // isolates reports whether a task is placed only on a worker of its own now.
 func (t *task) isolates(now time.Time) bool {
@@ -99,7 +100,7 @@
 		}
 		c := &r.task.group.primary(r.task).crashes
 		least := isolationTime
-		if c.total >= suspectCrashes {
+		if c.Total() >= suspectCrashes {
 			least = repeatedIsolationTime
 		}
 		if r.worked() < least {
