Do not start a gang of serve again without limit when it crashes its workers

What callers would see: a job of `serve` that crashes each worker that runs it stays `queued`, `starting`, `running` in turn for ever, and takes down a worker, and what else runs there, in each attempt.

Cause: a released attempt that is lost with its worker counts for nothing. attemptLost queues an idempotent job again; isPoison looks at members that ran and failed only.

Evidence: TestGangThatCrashesItsWorkersIsGivenUp (48 cases: sizes 2, 8 and 16, workers back after 50 ms to 2 min, the release answered or not, new leaders or none) and TestGangsThatCrashTheirWorkersTogetherAreGivenUp, run on the code before:

--- FAIL: TestGangThatCrashesItsWorkersIsGivenUp (3.24s) 48 of 48: "bad after 11 attempts", where the test stops --- FAIL: TestGangsThatCrashTheirWorkersTogetherAreGivenUp (0.29s) "bad0 after 28 attempts" --- PASS: TestGangIsNotBlamedForOtherLosses (0.63s)

Change: the budget of hfcrash. An attempt counts once, in the record of the job (Job.crashes) as soon as the loss is known, so it is stored before the next start and a new leader knows it. A worker that is lost counts until it comes back and still lists the member: it was cut off. One that comes back without the member was restarted, which is proof. A refused release is one if the lease cannot have lapsed yet; of an attempt that an earlier leader released, the reports decide. Not counted: workers that leave, held members, attempts at work for longer than 2 s and the time in which a loss is noticed (they count as not early), and workers lost with three others under which no job had just been released.

Ruled out: counting in memory (the cases with new leaders fail); counting at the loss for good (the case "cut" fails); proof only (workers that stay away for 2 min hide each crash). Wrong variants that the tests find: without the exception for leaving workers, for many workers, for cuts (while the job is being stopped, and after), early always, alone always, refusals not counted, refusals under a new leader decided at once, the time of a loss before the leader, lostUnder unset.

Run: go test -p 2 ./hfgang ./hfserve ./hfworker ./hfwire .: ok.

--- a/hfcrash/count.go
+++ b/hfcrash/count.go
@@ -82,13 +82,15 @@
 	}
 }
 
-// Remove takes back the run that was added last, which may be added again.
-func (c *Count) Remove(early bool) {
+// Remove takes back a run that was added. The run that was added last may be added again.
+func (c *Count) Remove(run int64, early bool) {
 	c.total--
 	if early {
 		c.early--
 	}
-	c.run--
+	if run == c.run {
+		c.run--
+	}
 }
 
 // Exhausted reports whether workers have crashed as often as they may, whether or not the task was
--- a/hfgang/job.go
+++ b/hfgang/job.go
@@ -44,6 +44,11 @@
 	phase        phase
 	lastCommand  time.Time // time of the last command, for resending it
 	checkpointed bool      // no further answer about the checkpoint is expected
+	seenRunning  bool      // a report listed it as running
+	refused      bool      // its worker refused the release before the lease can have lapsed
+	lost         bool      // its worker was lost and has not reported since
+	restarted    bool      // its worker was restarted
+	alone        bool      // the worker was lost or restarted right after the release, with no other job on it
 }
 
 // plan is a placement whose victims have not all stopped yet. It is not stored: a new
@@ -75,6 +80,12 @@
 	startDeadline      time.Time       // an incomplete start is aborted at this time
 	revoked            bool            // the attempt is among those of the last RevokeCmd
 	renewalsEnd        time.Time       // no observer renews the attempt's leases from then on; zero until its RevokeCmd was executed
+	resumed            bool            // the attempt was released under an earlier leader
+	heldUntil          time.Time       // no lease of a member lapses before; zero if not known
+	lostAt             time.Time       // when the first worker of the counted attempt was lost
+	counted            bool            // this leader included the attempt in the crashes of the record
+	countedEarly       bool            // as an early one
+	losses             []loss          // counted attempts whose workers may only have been cut off
 	reportsValidFrom   time.Time       // a member missing from a report that is current at this time or later is lost
 }
 
--- a/hfgang/member.go
+++ b/hfgang/member.go
@@ -19,6 +19,7 @@
 	r.Grants, r.Released, r.Claimed, r.Next = s.layout.splitIntoGrants(b), false, g != nil, ""
 	j.setMembers(r.GetGrants(), phaseRequested)
 	j.block, j.guarantee, j.startDeadline, j.reportsValidFrom = b, g, time.Time{}, time.Time{}
+	j.resumed, j.heldUntil, j.counted = false, time.Time{}, false
 	if g != nil {
 		g.claims[j.id()] = j
 	}
@@ -89,11 +90,12 @@
 	return cmds
 }
 
-// workerOf returns the worker of a member. A worker that is not listed counts as lost.
+// workerOf returns the worker of a member. A worker that is not listed counts as lost, and as one that
+// has left.
 func (s *Scheduler) workerOf(m *member) *worker {
 	w, ok := s.workers[m.grant.GetWorker()]
 	if !ok {
-		return &worker{lost: true}
+		return &worker{lost: true, leaving: true}
 	}
 	return w
 }
@@ -157,7 +159,11 @@
 	if j.state() != StateRunning {
 		return nil
 	}
+	if m.refused && j.resumed {
+		return nil // the reports show whether it lapsed or its worker was restarted
+	}
 	if m.refused {
+		mb.refused = now.Before(j.heldUntil)
 		return s.attemptLost(j, "a member lapsed before its release", now)
 	}
 	if m.state == hfworker.StateRunning {
@@ -207,6 +213,10 @@
 	case hfworker.StateFailed:
 		mb.phase = phaseFailed
 	case hfworker.StateStopped:
+		if mb.refused {
+			s.workerOf(mb).fail(now)
+			s.countCrash(j, mb, now, true)
+		}
 		mb.phase = phaseStopped
 	default:
 		return nil // no answer, or the task still runs: the stop is resent
@@ -227,6 +237,9 @@
 	if next != StateQueued {
 		return s.finish(j, next, j.record.GetReason(), now)
 	}
+	if reason, exhausted := s.settleCrashes(j); exhausted {
+		return s.finish(j, StateFailed, reason, now)
+	}
 	reason := j.record.GetReason()
 	s.vacate(j)
 	j.record.Released, j.record.Claimed = false, false
@@ -286,12 +299,12 @@
 	if !ok {
 		return nil
 	}
-	wasUnreachable, wasStale := w.unreachable(), w.stale
+	wasUnreachable, wasLost, wasStale := w.unreachable(), w.lost, w.stale
 	if m.lost {
 		w.markLost(now)
 		w.tasks = nil
 	} else {
-		w.reported, w.lost, w.stale, w.freshAt = true, false, false, now
+		w.reported, w.lost, w.stale, w.freshAt, w.reportedAt = true, false, false, now, now
 		w.tasks = make(map[string]*hfwire.Task, len(m.tasks))
 		for _, t := range m.tasks {
 			w.tasks[t.GetId()] = t
@@ -302,6 +315,9 @@
 		s.assignBlocks()
 		s.schedulePending = true
 	}
+	if wasLost && !m.lost {
+		s.absolve(m.worker, w)
+	}
 	var cmds []Cmd
 	if s.loaded && !m.lost {
 		cmds = s.stopOrphans(m.worker, w)
@@ -402,6 +418,9 @@
 // true if the outcome of the whole attempt is decided.
 func (s *Scheduler) evaluateMember(j *job, m *member, now time.Time) (cmds []Cmd, decided bool) {
 	w := s.workerOf(m)
+	if w.lost {
+		s.countCrash(j, m, w.silentSince, false)
+	}
 	if w.unreachable() {
 		if !w.lost || j.state() == StateStopping {
 			return nil, false
@@ -409,10 +428,13 @@
 		return s.memberLost(j, m, now), true
 	}
 	t, ok := w.tasks[j.taskID(m.grant.GetIndex())]
+	m.identifyCrash(ok)
 	// A report that may be from before the release says nothing about the released members.
 	reportIsCurrent := !j.reportsValidFrom.IsZero() && !w.freshAt.Before(j.reportsValidFrom)
 	switch {
 	case !ok && j.state() == StateRunning && reportIsCurrent:
+		w.fail(w.reportedAt)
+		s.countCrash(j, m, w.reportedAt, true)
 		return s.attemptLost(j, "worker "+m.grant.GetWorker()+" no longer has its member", now), true
 	case !ok:
 		return nil, false
@@ -431,7 +453,7 @@
 			return s.memberLost(j, m, now), true
 		}
 	case hfworker.StateRunning:
-		m.phase = max(m.phase, phaseRunning)
+		m.phase, m.seenRunning = max(m.phase, phaseRunning), true
 	}
 	return nil, false
 }
--- a/hfgang/records.go
+++ b/hfgang/records.go
@@ -107,6 +107,9 @@
 		}
 		m := j.member(t.grant.GetIndex())
 		m.lastCommand = now
+		if t.verb == VerbStart {
+			j.heldUntil = now.Add(s.timing.lease())
+		}
 		cmds = append(cmds, cmd)
 		j.startDeadline, j.reportsValidFrom = now.Add(startWindow), now.Add(s.timing.reportAge())
 	}
@@ -151,6 +154,7 @@
 	case !j.record.GetReleased():
 		return s.stopGang(j, StateQueued, "the placement leader changed during the start", now)
 	default:
+		j.resumed = true
 		return s.releaseGang(j, now)
 	}
 }
--- a/hfgang/scheduler.go
+++ b/hfgang/scheduler.go
@@ -35,19 +35,34 @@
 // worker is the leader's view of one worker, in addition to its entry in the membership
 // list.
 type worker struct {
-	tasks       map[string]*hfwire.Task // from the last report; nil until the worker reports under this epoch
-	reported    bool
-	lost        bool
-	silentSince time.Time // time since which the worker is lost or has not reported
-	freshAt     time.Time // last time its report was known to be current
-	stale       bool      // its report has not been current for longer than the freshness interval
-	health      workerHealth
+	tasks         map[string]*hfwire.Task // from the last report; nil until the worker reports under this epoch
+	reported      bool
+	lost          bool
+	silentSince   time.Time // time since which the worker is lost or has not reported
+	reportedAt    time.Time // last time that it answered with other tasks than before
+	freshAt       time.Time // last time its report was known to be current
+	stale         bool      // its report has not been current for longer than the freshness interval
+	leaving       bool      // planned: it is listed as leaving, or left the list while it was reachable
+	failedAt      time.Time // last time that it was lost, or found to be restarted, without being about to leave
+	lostUnder     bool      // a job had just been released on it when it failed
+	unstableUntil time.Time // until then, a crash is not counted as that of a job that is alone
+	health        workerHealth
 }
 
 // markLost marks the worker as lost.
 func (w *worker) markLost(now time.Time) {
 	if !w.lost {
 		w.lost, w.silentSince = true, now
+		if w.reported { // when it was lost under an earlier leader is not known
+			w.fail(now)
+		}
+	}
+}
+
+// fail notes that the worker was lost or restarted.
+func (w *worker) fail(now time.Time) {
+	if !w.leaving {
+		w.failedAt, w.lostUnder = now, false
 	}
 }
 
@@ -203,6 +218,7 @@
 		if _, ok := s.layout.spanByWorker[name]; ok {
 			continue
 		}
+		w.leaving = w.leaving || !w.lost
 		w.markLost(now)
 		if !s.hasMembers(name) {
 			delete(s.workers, name)
@@ -212,6 +228,7 @@
 		if s.workers[span.worker.Name()] == nil {
 			s.workers[span.worker.Name()] = &worker{silentSince: now}
 		}
+		s.workers[span.worker.Name()].leaving = span.worker.Leaving()
 	}
 	s.remapBlocks(previous)
 	s.refreshUsable()
--- a/hfgang/simulation_test.go
+++ b/hfgang/simulation_test.go
@@ -71,6 +71,7 @@
 	partialSince   map[hfworker.Gang]time.Time
 	longestPartial time.Duration // longest time that part of a gang ran without the rest
 	lastToken      uint64
+	restartAfter   time.Duration          // from a crash of a worker to the start of its next process
 	permitsByTest  bool                   // the test passes the leader's answers to the observers
 	quarantines    []QuarantineCmd        // in order
 	revoked        map[hfworker.Gang]bool // attempts that the leader revoked
@@ -215,6 +216,13 @@
 		t.state = hfworker.StateRunning
 		t.runEnd = sim.now.Add(time.Duration(c.run-c.from) * time.Millisecond)
 		sim.recordRun(c)
+		if c.command == "crash unanswered" {
+			sim.crashWorker(c.grant.GetWorker())
+			return Answered(c, "", false, 0), true
+		}
+		if c.command == "crash" {
+			sim.after(sim.randomDelay(200), nil, func() { sim.crashWorker(c.grant.GetWorker()) })
+		}
 	}
 	return Answered(c, t.state, false, c.from), true
 }
@@ -374,6 +382,12 @@
 	fw.tasks, fw.ended = map[string]*fakeTask{}, map[string]string{}
 }
 
+// crashWorker ends the process of a worker. The next one runs nothing and knows nothing of it.
+func (sim *simulation) crashWorker(name string) {
+	sim.killWorker(name)
+	sim.after(sim.restartAfter, nil, func() { sim.workers[name].dead = false })
+}
+
 func (sim *simulation) submit(id, account, work string, size int, run time.Duration) uint64 {
 	return sim.submitCommand(id, account, work, size, run, "run")
 }
--- a/hfplan/crash.go
+++ b/hfplan/crash.go
@@ -257,7 +257,7 @@
 		if !l.counted || t.done || t.group.job.final() || t.crashes.Run() != l.number || t.crashes.provenRun == l.number || s.countElsewhere(l) {
 			continue
 		}
-		t.crashes.Remove(l.early) // another worker of the gang may still be lost in this run
+		t.crashes.Remove(l.number, l.early) // another worker of the gang may still be lost in this run
 		s.markDirty(t.group.job)
 	}
 	s.needsPass = true
