--- a/hfgang/crash_test.go
+++ b/hfgang/crash_test.go
@@ -137,3 +137,23 @@
 	sim.listedWorkers[name] = hfworker.NewWorker(name, w.Address(), w.Domain(), w.Region(), w.Rack(), w.Position(), w.Accelerators(), leaving)
 	sim.send(Fleet(sim.listedWorkers))
 }
+
+// Guards against innocent gangs that are given up because workers crash by themselves.
+func TestChanceCrashesFailNoGang(t *testing.T) {
+	const crashInterval = 10 * time.Second
+	for _, size := range []int{4, 8, 16} {
+		sim := newSimulation(14, workersOfEight(16), testDirectory(nil, nil))
+		sim.restartAfter = 10 * time.Second
+		sim.start()
+		for n := range 30 {
+			sim.submit(fmt.Sprint("good", n), "a", "again", size, 20*time.Second)
+			sim.crashWorker(fmt.Sprintf("w%02d", sim.random.IntN(16)))
+			sim.advance(crashInterval)
+		}
+		sim.advance(2 * time.Minute)
+		for n := range 30 {
+			id := fmt.Sprint("good", n)
+			require.Equal(t, StateDone, sim.state(id), "%s of size %d: %s", id, size, sim.scheduler.jobs[id].record.GetReason())
+		}
+	}
+}
