Keep other gangs of serve off the workers of a suspect

A gang under which a worker has crashed is a suspect. For 2 s it is placed on workers without other jobs only, and from its start until a loss of its workers would have been noticed (2 s and the delay of that) no other job is placed beside it. Suspects have a quarter of the workers at most. Urgent gangs neither wait nor are isolated, as they must start within 3.9 s; guarantees are claimed as before.

Ruled out: to count nothing for gangs that were not alone (a small culprit is always beside others and never given up).

Wrong variants that the tests find: no end of the wait, of the isolation, or of the share; urgent gangs that wait; other gangs placed beside.

--- a/hfgang/crash_test.go
+++ b/hfgang/crash_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/heatherfront/heatherfront/hfcrash"
+	"github.com/heatherfront/heatherfront/hfwire"
 	"github.com/heatherfront/heatherfront/hfworker"
 )
 
@@ -157,3 +159,88 @@
 		}
 	}
 }
+
+// Guards against innocent gangs that are started beside the culprit again and again, and are given up with
+// it.
+func TestGangsBesideTheCulpritAreNotGivenUp(t *testing.T) {
+	for _, restart := range []time.Duration{simStep, time.Second, 10 * time.Second, 2 * time.Minute} {
+		t.Run(fmt.Sprintf("restart after %v", restart), func(t *testing.T) {
+			sim := newSimulation(11, workersOfEight(16), testDirectory(nil, nil))
+			sim.restartAfter = restart
+			sim.start()
+			sim.submit("other", "a", "again", 4, time.Hour)
+			sim.submitCommand("bad", "a", "again", 2, time.Minute, "crash")
+			sim.submit("third", "a", "again", 2, time.Hour)
+			sim.advance(5 * time.Minute)
+			requireGivenUp(t, sim, "bad")
+			for _, id := range []string{"other", "third"} {
+				require.Equal(t, StateRunning, sim.state(id), sim.scheduler.jobs[id].record.GetReason())
+				require.LessOrEqual(t, len(sim.ranAttempts[id]), 2, "it is lost beside the culprit once")
+			}
+		})
+	}
+}
+
+// submitSuspect submits a job under which a worker has crashed before.
+func (sim *simulation) submitSuspect(id, work string, size uint32) {
+	sim.lastToken++
+	sim.send(Submit(sim.lastToken, &hfwire.Job{
+		Id: id, Account: "a", Caller: "c", Work: work, Class: string(sim.directory.View().Works()[work].Class), Size: size,
+		Idempotent: true, Run: time.Hour.Milliseconds(), Crashes: &hfwire.Crashes{Total: 1, Early: 1, Run: 1},
+	}))
+}
+
+// Guards against a suspect that waits for ever for workers without other jobs, or an urgent one that
+// waits at all.
+func TestSuspectWaitsForOwnWorkersForAWhileOnly(t *testing.T) {
+	for _, work := range []string{"again", "urgent"} {
+		sim := newSimulation(15, workersOfEight(4), testDirectory(nil, nil))
+		sim.start()
+		for i := range 4 {
+			sim.submit(fmt.Sprint("other", i), "a", "once", 5, time.Hour)
+		}
+		sim.advance(3 * time.Second)
+		sim.submitSuspect("suspect", work, 2)
+		sim.advance(isolationWait / 2)
+		require.Equal(t, work == "urgent", sim.state("suspect") == StateRunning)
+		sim.advance(isolationWait + retryInterval)
+		require.Equal(t, StateRunning, sim.state("suspect"), work)
+	}
+}
+
+// Guards against gangs that are placed beside a suspect that has just started, and an urgent gang that
+// waits for the end of its isolation.
+func TestJobsArePlacedBesideASuspectLater(t *testing.T) {
+	for _, work := range []string{"again", "urgent"} {
+		sim := newSimulation(16, workersOfEight(4), testDirectory(nil, nil))
+		sim.start()
+		for i := range 3 {
+			sim.submit(fmt.Sprint("other", i), "a", "once", 8, time.Hour)
+		}
+		sim.advance(3 * time.Second)
+		sim.submitSuspect("suspect", "again", 2)
+		sim.advance(time.Second)
+		require.Equal(t, StateRunning, sim.state("suspect"))
+		sim.submit("next", "a", work, 2, time.Hour)
+		sim.advance(time.Second)
+		require.Equal(t, work == "urgent", sim.state("next") == StateRunning)
+		sim.advance(hfcrash.StartWindow + sim.scheduler.timing.lossDelay() + retryInterval)
+		require.Equal(t, StateRunning, sim.state("next"), work)
+	}
+}
+
+// Guards against suspects that take more than their share of the workers: most of them are innocent.
+func TestSuspectsIsolateAShareOfTheWorkersOnly(t *testing.T) {
+	sim := newSimulation(17, workersOfEight(4), testDirectory(nil, nil))
+	sim.start()
+	for i := range 3 {
+		sim.submit(fmt.Sprint("other", i), "a", "once", 5, time.Hour)
+	}
+	sim.advance(3 * time.Second)
+	sim.submitSuspect("first", "again", 2)
+	sim.submitSuspect("second", "again", 2)
+	sim.advance(isolationWait / 2)
+	require.Equal(t, StateRunning, sim.state("first"))
+	require.Equal(t, StateRunning, sim.state("second"), "it does not wait for a worker of its own")
+	require.NotEqual(t, sim.scheduler.jobs["first"].members[0].grant.GetWorker(), sim.scheduler.jobs["second"].members[0].grant.GetWorker())
+}
--- a/hfgang/member.go
+++ b/hfgang/member.go
@@ -20,6 +20,9 @@
 	j.setMembers(r.GetGrants(), phaseRequested)
 	j.block, j.guarantee, j.startDeadline, j.reportsValidFrom = b, g, time.Time{}, time.Time{}
 	j.resumed, j.heldUntil, j.counted = false, time.Time{}, false
+	if s.isolates(j, now) {
+		s.isolatedJobs[j] = true
+	}
 	if g != nil {
 		g.claims[j.id()] = j
 	}
@@ -258,6 +261,7 @@
 		j.vacated = append(j.vacated, j.record.GetGrants()...)
 		s.vacatingJobs[j] = true
 	}
+	delete(s.isolatedJobs, j)
 	j.record.Grants, j.record.Next = nil, ""
 	j.members, j.block = nil, Block{}
 	j.revoked, j.renewalsEnd = false, time.Time{}
--- a/hfgang/place.go
+++ b/hfgang/place.go
@@ -257,7 +257,7 @@
 
 // mayPlace reports whether a job may use every worker of a block.
 func (s *Scheduler) mayPlace(b Block, j *job, now time.Time) bool {
-	return s.layout.usable(b) && !s.recentlyFailedOn(b, j, now) && s.probationAllows(j, s.layout.splitIntoGrants(b))
+	return s.layout.usable(b) && !s.recentlyFailedOn(b, j, now) && s.probationAllows(j, s.layout.splitIntoGrants(b)) && s.isolationAllows(b, j, now)
 }
 
 // recentlyFailedOn reports whether a block includes a worker that the job avoids,
--- a/hfgang/scheduler.go
+++ b/hfgang/scheduler.go
@@ -125,6 +125,7 @@
 	planned         []*job        // by accelerator, the job that is planned for it
 	vacating        []bool        // by accelerator, whether a job vacated it and this is not stored yet
 	vacatingJobs    map[*job]bool // jobs with vacated accelerators that are not free yet
+	isolatedJobs    map[*job]bool // placed suspects that were started on workers without other jobs
 	guaranteeAt     []*guarantee  // by accelerator, the met guarantee whose block includes it
 	byShard         [Shards]map[string]*job
 	dirtyShards     [Shards]bool   // a record of the shard changed since its last commit was built
@@ -147,7 +148,7 @@
 func New(domain string, timing Timing) *Scheduler {
 	s := &Scheduler{
 		domain: domain, rules: defaultRules(), timing: timing, listedWorkers: map[string]hfworker.Worker{}, workers: map[string]*worker{},
-		jobs: map[string]*job{}, open: map[string]*job{}, usage: map[string]int{}, vacatingJobs: map[*job]bool{}, estimates: map[string]*estimate{},
+		jobs: map[string]*job{}, open: map[string]*job{}, usage: map[string]int{}, vacatingJobs: map[*job]bool{}, isolatedJobs: map[*job]bool{}, estimates: map[string]*estimate{},
 		layout: NewLayout(domain, nil),
 	}
 	for i := range s.byShard {
