End the isolation of a suspect of serve on time, and look at it only where there is one

Found by reading the change once more: other gangs were placed beside a suspect only at the next pass, up to 10 s after the end of its isolation, and every choice of a block looked at the jobs on its workers for as long as any suspect ran. Now a tick ends the isolation and starts a pass; a fleet without isolated suspects skips the look.

Evidence: TestJobsArePlacedBesideASuspectLater without the 10 s fails on the code before. Cost was not measured. Run: go test ./hfgang: ok.

--- a/hfgang/crash_test.go
+++ b/hfgang/crash_test.go
@@ -224,7 +224,7 @@
 		sim.submit("next", "a", work, 2, time.Hour)
 		sim.advance(time.Second)
 		require.Equal(t, work == "urgent", sim.state("next") == StateRunning)
-		sim.advance(hfcrash.StartWindow + sim.scheduler.timing.lossDelay() + retryInterval)
+		sim.advance(hfcrash.StartWindow + sim.scheduler.timing.lossDelay())
 		require.Equal(t, StateRunning, sim.state("next"), work)
 	}
 }
--- a/hfgang/isolation.go
+++ b/hfgang/isolation.go
@@ -48,10 +48,20 @@
 	return j.state() == StateStarting || j.state() == StateRunning && now.Before(end)
 }
 
+// endIsolation lets other jobs be placed beside the suspects whose isolation is over.
+func (s *Scheduler) endIsolation(now time.Time) {
+	for j := range s.isolatedJobs {
+		if !s.isolated(j, now) {
+			delete(s.isolatedJobs, j)
+			s.schedulePending = true
+		}
+	}
+}
+
 // isolationAllows reports whether a job may be placed on a block beside the jobs on its workers: a
 // suspect might crash them, or be crashed with the next one.
 func (s *Scheduler) isolationAllows(b Block, j *job, now time.Time) bool {
-	if j.class() == hfconfig.ClassUrgent {
+	if j.class() == hfconfig.ClassUrgent || len(s.isolatedJobs) == 0 && !j.suspect() {
 		return true
 	}
 	isolates := s.isolates(j, now)
--- a/hfgang/tick.go
+++ b/hfgang/tick.go
@@ -29,6 +29,7 @@
 		}
 	}
 	cmds = append(cmds, s.endQuarantines(now)...)
+	s.endIsolation(now)
 	s.expire(now)
 	if now.Sub(s.lastRetry) >= retryInterval {
 		s.lastRetry, s.schedulePending = now, true
