Choose ports of test processes outside those of outgoing connections

What was seen: instances of the soak and, once before, of TestCrashSoak did not start: "address already in use". Suspected cause, not shown: the port was found by listening on port 0, which is one of the range from which outgoing connections take theirs, and could be taken between closing it and listening again. Ports now come from below that range, each one once a process.

--- a/harness_test.go
+++ b/harness_test.go
@@ -213,10 +213,9 @@
 
 // freePort returns an address with a port that was free at the time of the call.
 func freePort(t *testing.T, ip string) string {
-	ln, err := net.Listen("tcp", ip+":0")
+	address, err := hfstand.FreeAddress(ip)
 	require.NoError(t, err)
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	return address
 }
 
 // newProcess prepares an instance with its proxy and its entry in the membership list. It
--- a/hfsoak/env_test.go
+++ b/hfsoak/env_test.go
@@ -227,10 +227,9 @@
 // freePort returns an address with a port that was free at the time of the call.
 func freePort(t *testing.T, ip string) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", ip+":0")
+	address, err := hfstand.FreeAddress(ip)
 	require.NoError(t, err)
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	return address
 }
 
 // platformConfig returns the configuration of queues and tenants as the platform stores it.
