--- a/hforder/order.go
+++ b/hforder/order.go
@@ -164,7 +164,8 @@
 	// Pace limits a run to a percentage of its full speed.
 	Pace(ctx context.Context, w *hfwork.Worker, task hfwork.TaskID, run, percent, epoch int64) error
 	// Poll renews leases as asked and returns the worker's report. A bound request is sent, like a start,
-	// only on a connection that leads to its incarnation. Without such a connection Poll sends nothing and returns ErrDisconnected. It never does so for other requests.
+	// only on a connection that leads to its incarnation. Without such a connection Poll sends nothing and
+	// returns ErrDisconnected. It never does so for other requests.
 	Poll(ctx context.Context, w *hfwork.Worker, r PollRequest) (hfwork.Report, error)
 }
 
