--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"strings"
 	"time"
 
@@ -90,7 +91,8 @@
 	return done < tasks && idle
 }
 
-// playCrashes crashes the minion of a task that lasts, twice, shortly after the start of the task.
+// playCrashes crashes the minion of a task that lasts, twice, shortly after the start of the task. With KIND=ends the
+// task ends by itself.
 func playCrashes(w *world) (bool, error) {
 	if err := begin(w); err != nil {
 		return false, err
@@ -98,7 +100,7 @@
 	id := newID()
 	path := "/" + queueQuality + "/" + id
 	w.setProfile(id, hfstand.TaskProfile{RunTime: time.Hour, GangSize: 1, Accelerators: 1})
-	if err := w.submit(w.instances[0], keyA, path, job(step(1, map[string]any{"perpetual": true}))); err != nil {
+	if err := w.submit(w.instances[0], keyA, path, job(step(1, map[string]any{"perpetual": os.Getenv("KIND") != "ends"}))); err != nil {
 		return false, err
 	}
 	for n := range 2 {
@@ -212,12 +214,19 @@
 	if status, state := w.state(w.instances[0], keyA, path); status != 200 || state != "completed" {
 		return false, fmt.Errorf("%w: %w", errCannotRun, errNotShown)
 	}
+	cancelled := newID()
+	w.setProfile(cancelled, hfstand.TaskProfile{RunTime: 12 * time.Second, GangSize: 1, Accelerators: 1})
+	if err := w.submit(w.instances[0], keyA, "/"+queueQuality+"/"+cancelled, job(step(2, nil), step(2, map[string]any{"after": []int{0}}))); err != nil {
+		return false, err
+	}
 	if trouble() {
 		if err := w.configure(2, bothRoutes, []tenant{{"auditors", []string{keyB, keyA}}}); err != nil {
 			return false, err
 		}
 	}
 	time.Sleep(6 * time.Second)
+	w.call(w.instances[0], keyA, "DELETE", "/"+queueQuality+"/"+cancelled, nil)
+	acknowledged := time.Now()
 	broken := false
 	for _, in := range w.instances {
 		for _, key := range []string{keyA, keyB} {
@@ -228,6 +237,12 @@
 			broken = broken || status == 410
 		}
 	}
+	time.Sleep(10 * time.Second)
+	for _, s := range w.starts(cancelled) {
+		if late := s.StartedAt.Sub(acknowledged); late > cancelBound {
+			w.say("besides, %s started %v after the answer to the DELETE of its job", s.Task, late)
+		}
+	}
 	return broken, nil
 }
 
