--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/heatherfront ] && [ -x target/review-stand ] || exit 2
-exec target/review-stand late-submit review/3
+exec target/review-stand same-rack review/3
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/heatherfront ] && [ -x target/review-stand ] || exit 2
-exec target/review-stand removed-route review/4
+exec target/review-stand late-submit review/4
--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -337,3 +337,45 @@
 	}
 	return broken, nil
 }
+
+// playSameRack hands in a gang that asks for one rack, while a task that lasts runs on each rack but one, and a
+// minion of that one is lost for good.
+func playSameRack(w *world) (bool, error) {
+	if err := begin(w); err != nil {
+		return false, err
+	}
+	racks := len(w.workers) / workersARack
+	for r := range racks - 1 {
+		id := newID()
+		w.setProfile(id, hfstand.TaskProfile{RunTime: time.Hour, GangSize: 1, Accelerators: 1})
+		lasting := job(step(1, map[string]any{"perpetual": true, "affinity": fmt.Sprintf("r%d", r)}))
+		if err := w.submit(w.instances[0], keyA, "/"+queueQuality+"/"+id, lasting); err != nil {
+			return false, err
+		}
+		if err := w.until(10*time.Second, "the lasting task runs", func() bool { return len(w.starts(id)) == 1 }); err != nil {
+			return false, err
+		}
+		if m := w.workerOf(w.starts(id)[0].Worker); m.rack != fmt.Sprintf("r%d", r) {
+			return false, fmt.Errorf("%w: the lasting task runs on %s", errCannotRun, m.rack)
+		}
+	}
+	if trouble() {
+		lost := w.workers[len(w.workers)-1]
+		w.say("TROUBLE: minion %s of rack %s is lost for good", lost.ID(), lost.rack)
+		w.mu.Lock()
+		lost.crashedAt = time.Now()
+		w.mu.Unlock()
+		lost.Crash()
+	}
+	time.Sleep(15 * time.Second)
+	id := newID()
+	w.setProfile(id, hfstand.TaskProfile{RunTime: 2 * time.Second, GangSize: workersARack, Accelerators: acceleratorsN})
+	gang := job(step(workersARack, map[string]any{"gpu": acceleratorsN, "co_schedule": true, "same_rack": true}))
+	if err := w.submit(w.instances[0], keyA, "/"+queueQuality+"/"+id, gang); err != nil {
+		return false, err
+	}
+	broken := w.stuck(id, workersARack)
+	w.state(w.instances[1], keyA, "/"+queueQuality+"/"+id)
+	w.say("accelerators of the minions that are up: %d; in use: %d; the gang needs %d", (len(w.workers)-1)*acceleratorsN, racks-1, workersARack*acceleratorsN)
+	return broken, nil
+}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -39,6 +39,7 @@
 	"long-id":       {site: "abialog", workers: 8, play: playLongID},
 	"merged-tenant": {site: "abialog", workers: 4, play: playMergedTenant},
 	"late-submit":   {site: "abialog", workers: 8, play: playLateSubmit},
+	"same-rack":     {site: "abialog-grown", workers: 40, play: playSameRack},
 	"same-id":       {site: "abialog", workers: 4, play: playSameID},
 }
 
