--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -362,9 +362,9 @@
 	if trouble() {
 		lost := w.workers[len(w.workers)-1]
 		w.say("TROUBLE: minion %s of rack %s is lost for good", lost.ID(), lost.rack)
-		w.mu.Lock()
+		w.entriesMu.Lock()
 		lost.crashedAt = time.Now()
-		w.mu.Unlock()
+		w.entriesMu.Unlock()
 		lost.Crash()
 	}
 	time.Sleep(15 * time.Second)
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -67,10 +67,13 @@
 	instances []*instance
 	done      chan struct{}
 
-	mu       sync.Mutex
-	profiles map[string]hfstand.TaskProfile // by job
-	reported int                            // starts that are in the record
-	ended    map[int]bool                   // starts whose end is in the record
+	// The locks are taken before those of a worker, but for profilesMu, which a worker takes.
+	profilesMu sync.Mutex
+	profiles   map[string]hfstand.TaskProfile // by job
+	runsMu     sync.Mutex
+	reported   int          // starts that are in the record
+	ended      map[int]bool // starts whose end is in the record
+	entriesMu  sync.Mutex   // guards the fields of the workers
 }
 
 // worker is a stand-in of a minion on its address.
@@ -247,8 +250,8 @@
 }
 
 func (w *world) flushRuns() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	w.runsMu.Lock()
+	defer w.runsMu.Unlock()
 	for i, s := range w.runLog.Starts() {
 		if i >= w.reported {
 			w.reported = i + 1
@@ -263,8 +266,8 @@
 
 // profile returns how the tasks of a job behave.
 func (w *world) profile(task string) hfstand.TaskProfile {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	w.profilesMu.Lock()
+	defer w.profilesMu.Unlock()
 	p, ok := w.profiles[task[:strings.IndexByte(task, '.')]]
 	if !ok {
 		p = hfstand.TaskProfile{RunTime: time.Second, GangSize: 1, Accelerators: 1}
@@ -273,8 +276,8 @@
 }
 
 func (w *world) setProfile(job string, p hfstand.TaskProfile) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	w.profilesMu.Lock()
+	defer w.profilesMu.Unlock()
 	w.profiles[job] = p
 }
 
@@ -291,8 +294,8 @@
 }
 
 func (w *world) register(m *worker) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	w.entriesMu.Lock()
+	defer w.entriesMu.Unlock()
 	if m.Down() {
 		if !m.crashedAt.IsZero() && time.Since(m.crashedAt) > entryExpiry {
 			w.store.Delete("servers/" + m.ID())
@@ -308,9 +311,9 @@
 // crash ends the process of a worker, and starts it again at its address, under its id, after a time.
 func (w *world) crash(m *worker, down time.Duration) {
 	w.say("TROUBLE: minion %s crashes for %v", m.ID(), down)
-	w.mu.Lock()
+	w.entriesMu.Lock()
 	m.crashedAt = time.Now()
-	w.mu.Unlock()
+	w.entriesMu.Unlock()
 	m.Crash()
 	time.AfterFunc(down, func() {
 		m.Return(m.ID())
