--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -163,11 +163,19 @@
 	return w.stuck(id, 4), nil
 }
 
-// playLongID writes an entry of another writer below servers/, whose key has 200 bytes.
+// playLongID writes an entry of another writer below servers/, whose key has 200 bytes, while a job is at work.
 func playLongID(w *world) (bool, error) {
 	if err := begin(w); err != nil {
 		return false, err
 	}
+	id := newID()
+	w.setProfile(id, hfstand.TaskProfile{RunTime: 3 * time.Second, GangSize: 1, Accelerators: 1})
+	if err := w.submit(w.instances[0], keyA, "/"+queueQuality+"/"+id, job(step(2, nil), step(2, map[string]any{"after": []int{0}}))); err != nil {
+		return false, err
+	}
+	if err := w.until(5*time.Second, "the first step has started", func() bool { return len(w.starts(id)) == 2 }); err != nil {
+		return false, err
+	}
 	if trouble() {
 		ln, err := net.Listen("tcp", net.JoinHostPort(w.ip, "0"))
 		if err != nil {
@@ -184,13 +192,17 @@
 			return false, fmt.Errorf("%w: %w", errCannotRun, err)
 		}
 	}
-	time.Sleep(time.Second)
-	id := newID()
-	w.setProfile(id, hfstand.TaskProfile{RunTime: time.Second, GangSize: 1, Accelerators: 1})
-	if err := w.submit(w.instances[0], keyA, "/"+queueQuality+"/"+id, job(step(2, nil))); err != nil {
-		return false, err
+	time.Sleep(2 * time.Second)
+	refused := 0
+	const others = 12
+	for n := range others { // other callers
+		if status, _ := w.call(w.instances[n%len(w.instances)], keyB, "POST", "/"+queueAudit+"/"+newID(), job(step(1, nil))); status/100 != 2 {
+			refused++
+		}
+		time.Sleep(300 * time.Millisecond)
 	}
-	return w.stuck(id, 2), nil
+	w.say("besides, %d of %d other jobs were not accepted", refused, others)
+	return w.stuck(id, 4), nil
 }
 
 // errNotShown reports that a job was not shown before the disruption.
