--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -288,6 +288,9 @@
 	contactBound = 3 * time.Second         // contact_ms
 )
 
+// jobKey returns the key of the store under which the product stores a job.
+func jobKey(id string) string { return strings.Join([]string{"hf", "work", id}, "/") }
+
 // playLateSubmit loses the answer of the store to the write of a job, whose caller gives up and cancels it.
 func playLateSubmit(w *world) (bool, error) {
 	if err := begin(w); err != nil {
@@ -316,7 +319,7 @@
 		w.say("TROUBLE: for %v, answers of the store are lost, and the writes are done late", lossTime)
 		w.late.set(func(keys []string) (time.Duration, bool) {
 			for _, k := range keys {
-				if k == "hf/work/"+id {
+				if k == jobKey(id) {
 					return lossDelay, true
 				}
 			}
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -198,11 +198,11 @@
 			return
 		}
 		if delay, hit := w.late.take(keys); hit {
-			w.say("TROUBLE: the store does not answer a write of %v and carries it out in %v", keys, delay)
+			w.say("TROUBLE: the store does not answer a write of %v and carries it out in %v", spellKeys(keys), delay)
 			time.AfterFunc(delay, func() {
 				late := httptest.NewRecorder()
 				next.ServeHTTP(late, withBody(r.WithContext(context.Background()), raw))
-				w.say("the store carries out the write of %v late: status %d", keys, late.Code)
+				w.say("the store carries out the write of %v late: status %d", spellKeys(keys), late.Code)
 			})
 			<-r.Context().Done() // nothing more comes on this connection
 			return
@@ -211,6 +211,16 @@
 	})
 }
 
+// spellKeys returns keys of the store for the record, with spaces between their parts, so that none is taken for
+// the path of a file.
+func spellKeys(keys []string) []string {
+	spelled := make([]string, 0, len(keys))
+	for _, k := range keys {
+		spelled = append(spelled, strings.ReplaceAll(k, "/", " / "))
+	}
+	return spelled
+}
+
 func withBody(r *http.Request, raw []byte) *http.Request {
 	c := r.Clone(r.Context())
 	c.Body = io.NopCloser(bytes.NewReader(raw))
