Count a write that the store rejects as malformed as an answer

Cause: the client mapped 400 and 403 to hfstore.ErrRefused, the error of a store that turns an instance away. Two of them in a row lost the direct route and marked the store as down, also at the instances that relayed the batch.

A job that the store never accepts is answered 400.

TestRelayedMalformedWriteIsAnAnswer covers the relay.

--- a/hfentry/fenced_writer.go
+++ b/hfentry/fenced_writer.go
@@ -165,7 +165,7 @@
 		f.version = version
 		return nil
 	}
-	if errors.Is(err, hfstore.ErrRefused) {
+	if errors.Is(err, hfstore.ErrRefused) || errors.Is(err, hfstore.ErrInvalid) {
 		return fmt.Errorf("write records: %w", err)
 	}
 	item, readErr := f.store.Get(call, termKey)
--- a/hfentry/jobs.go
+++ b/hfentry/jobs.go
@@ -121,7 +121,8 @@
 }
 
 // createKey creates a key and returns its version. It fails with hfstore.ErrConflict if the
-// key exists, ErrNotDone if nothing was written, or ErrEffectUnknown.
+// key exists, ErrNotDone if nothing was written, hfwork.ErrInvalidJob if the store never accepts
+// the value, or ErrEffectUnknown.
 func (n *Node) createKey(ctx context.Context, key string, value []byte) (int64, error) {
 	if !n.health.Allow(time.Now()) {
 		return 0, ErrNotDone
@@ -137,6 +138,8 @@
 		return 0, fmt.Errorf("create %s: %w", key, err)
 	case errors.Is(err, hfstore.ErrRefused):
 		return 0, fmt.Errorf("%w: %w", ErrNotDone, err)
+	case errors.Is(err, hfstore.ErrInvalid):
+		return 0, fmt.Errorf("%w: %w", hfwork.ErrInvalidJob, err)
 	}
 	hfloop.Sleep(call, readBackPause)
 	item, readErr := n.store.Get(call, key)
--- a/hfrelay/relay_test.go
+++ b/hfrelay/relay_test.go
@@ -394,3 +394,21 @@
 	require.Equal(t, int64(4), revision)
 	require.ErrorIs(t, items[0].Err(), hfrelay.ErrUnreadableItem)
 }
+
+// Guards against instances that stop relaying after a malformed write of another one (review/2).
+func TestRelayedMalformedWriteIsAnAnswer(t *testing.T) {
+	c, ctx := newCluster(2), t.Context()
+	c.direct[0].setErr(hfstore.ErrUnavailable)
+	for range 2 {
+		_, _ = c.relays[0].Get(ctx, "job")
+	}
+	c.direct[1].setErr(hfstore.ErrInvalid)
+	for range 5 {
+		_, err := c.relays[0].Put(ctx, "job", nil, 0, "")
+		require.ErrorIs(t, err, hfstore.ErrInvalid)
+	}
+	require.True(t, c.relays[1].Direct())
+	c.direct[1].setErr(nil)
+	_, err := c.relays[0].Put(ctx, "job", nil, 0, "")
+	require.NoError(t, err, "calls are still relayed")
+}
--- a/hfrelay/serve.go
+++ b/hfrelay/serve.go
@@ -86,6 +86,7 @@
 	{hfstore.ErrNotFound, hfwire.StoreReply_NOT_FOUND},
 	{hfstore.ErrConflict, hfwire.StoreReply_CONFLICT},
 	{hfstore.ErrCompacted, hfwire.StoreReply_COMPACTED},
+	{hfstore.ErrInvalid, hfwire.StoreReply_INVALID},
 	{hfstore.ErrRefused, hfwire.StoreReply_REFUSED},
 	{hfstore.ErrUnavailable, hfwire.StoreReply_UNAVAILABLE},
 }
--- a/hfstore/batch.go
+++ b/hfstore/batch.go
@@ -77,6 +77,7 @@
 	Store
 	// Commit applies a batch and returns its revision. It fails with ErrConflict if a
 	// condition does not hold, with ErrRefused if the store reported that the batch had
-	// no effect, and with ErrUnavailable if the effect is unknown.
+	// no effect, with ErrInvalid if it never accepts the batch, and with ErrUnavailable if
+	// the effect is unknown.
 	Commit(ctx context.Context, b *Batch) (int64, error)
 }
--- a/hfstore/store.go
+++ b/hfstore/store.go
@@ -20,6 +20,9 @@
 	ErrUnavailable = eris.New("store unavailable")
 	// ErrRefused reports a call that the store refused and that had no effect.
 	ErrRefused = eris.New("store refused the call")
+	// ErrInvalid reports a call that the store does not accept as it is, such as a write of too
+	// long a key. It had no effect, and repeating it does not help.
+	ErrInvalid = eris.New("the store does not accept the call")
 	// ErrBudget reports a call that was not sent because the budget was spent.
 	ErrBudget = eris.New("store call budget spent")
 	// ErrCompacted reports a watch that starts before the oldest retained event.
@@ -31,6 +34,9 @@
 // MaxValueBytes is the largest size of a value that the platform's store accepts.
 const MaxValueBytes = 1 << 20
 
+// MaxKeyBytes is the largest size of a key that the platform's store accepts.
+const MaxKeyBytes = 200
+
 // Item is one key with its value and the store revision that wrote it.
 type Item struct {
 	key     string
