Write the other records when the store rejects one

Cause: the leader puts all changed records into one batch and repeats the batch until it is stored. Starts, acknowledged ends and states of all jobs wait for it.

Fix: the changes of a rejected batch are written one by one, each followed by an empty batch if it is rejected again: only a store that accepts that one has rejected the change itself. Such a change is not tried again until its value changes, and is logged (event 826). The scheduler is told by StoredMsg.Without: a worker that cannot be in the roster gets no tasks; a job whose progress cannot be stored ends as failed, as a later scheduler might run its tasks again, and the ends that the record was to hold are acknowledged with that end.

Ruled out: confirming the command without the rejected record, after which a takeover could start a task twice; holding the acknowledgements of all workers.

--- a/hfentry/fenced_writer.go
+++ b/hfentry/fenced_writer.go
@@ -28,6 +28,9 @@
 	// split is whether the records of the command that is being saved are split. It is decided
 	// once for a command, as an unanswered batch may take effect before the next try.
 	split, decided bool
+	// rejected holds the changes that the store does not accept, by key. They are not tried again.
+	rejected map[string][]byte
+	onReject func(key string, err error)
 }
 
 // openWriter returns the writer of a new leadership, after storing the next term.
@@ -35,9 +38,11 @@
 	head := hfloop.With(n.mirror, func(m *Mirror) *hfwork.Lead {
 		return &hfwork.Lead{Instance: fmt.Sprintf("%s/%d", n.name, epoch), Term: m.term + 1}
 	})
-	f := &fencedWriter{store: n.store, formats: n.formats, head: head, layout: newRecordLayout(), splits: func() bool {
-		return hfloop.With(n.mirror, (*Mirror).readsSplit)
-	}}
+	f := &fencedWriter{
+		store: n.store, formats: n.formats, head: head, layout: newRecordLayout(),
+		splits:   func() bool { return hfloop.With(n.mirror, (*Mirror).readsSplit) },
+		rejected: map[string][]byte{}, onReject: n.recordRejected,
+	}
 	for {
 		item, err := n.store.Get(ctx, termKey)
 		if err == nil || errors.Is(err, hfstore.ErrNotFound) {
@@ -77,14 +82,19 @@
 	if err != nil {
 		return fmt.Errorf("save: %w", err)
 	}
-	for _, batch := range packGroups(append(waves, groups...), hfstore.MaxBatch-writerEntries) {
-		if err := f.writeChanges(ctx, batch); err != nil {
+	groups = append(waves, groups...)
+	for _, batch := range packGroups(f.withoutRejected(groups), hfstore.MaxBatch-writerEntries) {
+		err := f.writeChanges(ctx, batch)
+		if errors.Is(err, hfstore.ErrInvalid) {
+			err = f.writeSeparately(ctx, batch)
+		}
+		if err != nil {
 			return fmt.Errorf("save: %w", err)
 		}
 	}
 	f.layout.saved(c, f.split)
 	f.decided = false
-	return nil
+	return f.rejectedOf(groups, c)
 }
 
 // writeChanges writes changes in one batch.
--- a/hfentry/fenced_writer_test.go
+++ b/hfentry/fenced_writer_test.go
@@ -26,6 +26,7 @@
 	applyLost   bool             // unanswered batches take effect at once, otherwise they are delayed
 	delayed     []*hfstore.Batch // unanswered batches that have not taken effect
 	refuse      bool
+	rejectAll   bool // no write is valid
 }
 
 func newFakeStore() *fakeStore { return &fakeStore{items: map[string]hfstore.Item{}} }
@@ -82,6 +83,11 @@
 	if b.Size() > hfstore.MaxBatch {
 		return 0, hfstore.ErrRefused
 	}
+	for _, w := range b.Writes() {
+		if len(w.Key()) > hfstore.MaxKeyBytes || s.rejectAll {
+			return 0, hfstore.ErrInvalid
+		}
+	}
 	for _, c := range b.Conditions() {
 		if s.items[c.Key()].Version() != c.Version() {
 			return 0, hfstore.ErrConflict
@@ -122,6 +128,7 @@
 	require.NoError(t, err)
 	w, err := n.openWriter(t.Context(), epoch)
 	require.NoError(t, err)
+	w.onReject = func(string, error) {}
 	return w
 }
 
--- a/hforder/leader.go
+++ b/hforder/leader.go
@@ -56,7 +56,8 @@
 // RecordStore stores the scheduler's records.
 type RecordStore interface {
 	// Save stores the records of a command. It fails with hfstore.ErrConflict if a later
-	// leadership has stored records.
+	// leadership has stored records, and with a *hfplan.RejectedError if it has stored all records but
+	// those that the store does not accept.
 	Save(ctx context.Context, c hfplan.StoreCmd) error
 }
 
@@ -274,6 +275,11 @@
 				l.Send(hfplan.Stored(c))
 				break
 			}
+			var rejected *hfplan.RejectedError
+			if errors.As(err, &rejected) {
+				l.Send(hfplan.Stored(c).Without(rejected))
+				break
+			}
 			if errors.Is(err, hfstore.ErrConflict) {
 				l.fail(ErrFenced)
 				return
--- a/hfplan/desk_test.go
+++ b/hfplan/desk_test.go
@@ -22,6 +22,7 @@
 	stops  []StopCmd
 	stores []StoreCmd // not answered yet
 	notes  []NoteCmd
+	acks   []AckCmd
 }
 
 // newDesk returns a desk with a scheduler that has heard of the given workers, each with room
@@ -64,6 +65,8 @@
 				d.stores = append(d.stores, c)
 			case NoteCmd:
 				d.notes = append(d.notes, c)
+			case AckCmd:
+				d.acks = append(d.acks, c)
 			}
 		}
 		require.NoError(d.t, d.s.Check())
@@ -93,6 +96,16 @@
 	}
 }
 
+// reject answers the first StoreCmd, whose records the store does not accept.
+func (d *desk) reject(jobs, workers []string) StoreCmd {
+	d.t.Helper()
+	require.NotEmpty(d.t, d.stores)
+	c := d.stores[0]
+	d.stores = d.stores[1:]
+	d.send(Stored(c).Without(NewRejectedError(jobs, workers)))
+	return c
+}
+
 // report sends a report of a worker that was requested a moment ago.
 func (d *desk) report(worker string, runs ...hfwork.Run) { d.reportEnds(worker, runs) }
 
--- a/hfplan/message.go
+++ b/hfplan/message.go
@@ -127,7 +127,10 @@
 }
 
 // StoredMsg reports that the contents of a StoreCmd are stored.
-type StoredMsg struct{ sequence uint64 }
+type StoredMsg struct {
+	sequence uint64
+	rejected *RejectedError // records that the store does not accept, nil if there are none
+}
 
 // Stored returns a StoredMsg.
 func Stored(c StoreCmd) StoredMsg { return StoredMsg{sequence: c.sequence} }
--- a/hfplan/record.go
+++ b/hfplan/record.go
@@ -150,17 +150,21 @@
 
 // handleStored continues what waited for the StoreCmd: new workers become usable,
 // assigned runs can start, and ends are acknowledged.
-func (s *Scheduler) handleStored(sequence uint64, now time.Time) {
-	if sequence != s.sequence || s.recordsInFlight == nil {
+func (s *Scheduler) handleStored(m StoredMsg, now time.Time) {
+	if m.sequence != s.sequence || s.recordsInFlight == nil {
 		return
 	}
-	s.storedSequence = sequence
+	s.storedSequence = m.sequence
 	for w, answered := range s.rosterInFlight {
-		w.inRoster = w.inRoster || w.answered == answered
+		w.inRoster = (w.inRoster || w.answered == answered) && !m.lacksWorker(w.id())
 		s.updateUsable(w, now)
 	}
 	s.rosterInFlight = nil
-	s.acknowledge(s.acksInFlight)
+	if m.rejected != nil && s.rejectJobs(m, now) {
+		s.postponeAcks()
+	} else {
+		s.acknowledge(s.acksInFlight)
+	}
 	s.recordsInFlight, s.acksInFlight = nil, nil
 	s.needsPass = true
 }
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -124,7 +124,7 @@
 	case StoppedMsg:
 		s.handleStopped(m, now)
 	case StoredMsg:
-		s.handleStored(m.sequence, now)
+		s.handleStored(m, now)
 	case WaveMsg:
 		s.addWave(m.wave, now)
 	case MachinesMsg:
