Bound the keys of the roster, and use no entry of an unknown pool

Cause: the scheduler took the entry as a worker and stored it in the roster under a longer prefix than servers/, so that ids of 190 characters and more gave keys over the store's 200 bytes. An id was allowed 256 bytes, and its pool was not compared with the configuration.

Fix: a roster key that would be too long holds the hash of the id; the id stands in the record. Ids are bounded by the key of their entry. Ids of jobs are 16 digits and numbers of waves are integers, so no other key of ours grows with what comes from outside.

Rolling upgrade: a whole roster with such a worker, written by an earlier release, is read and split under the hashed key.

--- a/hfentry/details.go
+++ b/hfentry/details.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"fmt"
 	"maps"
 	"slices"
@@ -26,7 +27,7 @@
 const (
 	detailPrefix = "hfd/"        // all keys below
 	blockPrefix  = "hfd/block/"  // a hfwork.StepProgress of blockTasks tasks: ID/OCCURRENCE.STEP.BLOCK
-	memberPrefix = "hfd/roster/" // a worker of the roster, by id
+	memberPrefix = "hfd/roster/" // a worker of the roster, see memberKey
 
 	// blockTasks is the number of tasks in a block, which is written whole when one of them
 	// changes. It is a multiple of 8.
@@ -36,6 +37,15 @@
 	splitFormat = 2
 )
 
+// memberKey returns the key of a worker in the roster: with its id or, if that would be too long for
+// the store, with the hash of the id below a further slash, which no id holds.
+func memberKey(id string) string {
+	if key := memberPrefix + id; len(key) <= hfstore.MaxKeyBytes {
+		return key
+	}
+	return fmt.Sprintf("%s/%x", memberPrefix, sha256.Sum256([]byte(id)))
+}
+
 // errIncompleteDetails reports a list of details with an item of which not even the key is known.
 var errIncompleteDetails = eris.New("an item of the list cannot be read")
 
@@ -58,7 +68,7 @@
 		d.stored[i.Key()] = i.Value()
 		if id, ok := strings.CutPrefix(i.Key(), memberPrefix); ok {
 			w, err := hfwire.Decode(i.Value(), &hfwork.Worker{})
-			if i.Err() != nil || err != nil || w.GetId() != id {
+			if i.Err() != nil || err != nil || memberKey(w.GetId()) != i.Key() {
 				w = &hfwork.Worker{Id: id} // tasks may run there until its leases have expired
 			}
 			d.members = append(d.members, w)
--- a/hfentry/layout.go
+++ b/hfentry/layout.go
@@ -115,7 +115,7 @@
 	if split {
 		whole = &hfwork.Roster{Split: true}
 		for _, w := range roster {
-			members[memberPrefix+w.GetId()] = w
+			members[memberKey(w.GetId())] = w
 		}
 	}
 	var changes []keyChange
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -85,7 +85,8 @@
 type Mirror struct {
 	formats           Formats
 	policy            *policyIndex
-	policyVersion     int64 // store revision of the configuration
+	policyVersion     int64           // store revision of the configuration
+	pools             map[string]bool // that a configuration has named; kept after the pool is removed
 	jobs              map[string]*jobRecord
 	workers           map[string]*hfwork.Worker
 	lastWrites        map[string]entryWrite // of the workers' entries, including invalid ones
@@ -108,7 +109,7 @@
 // NewMirror returns an empty mirror. Workers write their entries at the heartbeat interval.
 func NewMirror(f Formats, heartbeatInterval time.Duration) *Mirror {
 	return &Mirror{
-		formats: f, jobs: map[string]*jobRecord{}, workers: map[string]*hfwork.Worker{}, roster: &hfwork.Roster{},
+		formats: f, pools: map[string]bool{}, jobs: map[string]*jobRecord{}, workers: map[string]*hfwork.Worker{}, roster: &hfwork.Roster{},
 		lastWrites: map[string]entryWrite{}, leftWorkers: map[string]bool{}, heartbeatInterval: func() time.Duration { return heartbeatInterval },
 		requestedWaves: map[int64]*hfwork.Wave{}, storedWaves: map[int64]*hfwork.Wave{}, instances: map[string]*hfwork.Instance{},
 		rejected: hfevent.NewRejections(maxKeyBytes),
@@ -316,7 +317,8 @@
 		keepInvalidParts(p, m.policy.config, invalid)
 	}
 	m.policy, m.policyVersion = newPolicyIndex(p), i.Version()
-	return change{policy: true, err: joinInvalid(invalid)}
+	workers := m.addPools(p)
+	return change{policy: true, workers: workers, err: joinInvalid(invalid)}
 }
 
 func (m *Mirror) applyLead(i hfstore.Item) change {
@@ -355,6 +357,9 @@
 	}
 	m.workers[id] = w
 	m.recordDrain(w, previous)
+	if !m.isPool(w.GetPool()) {
+		return change{workers: true, err: fmt.Errorf("%w %.60q", errUnknownPool, w.GetPool())}
+	}
 	return change{workers: true}
 }
 
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"net"
 	"sync/atomic"
 	"time"
@@ -217,8 +216,3 @@
 
 // workersMsg returns the message with the registered workers.
 func (n *Node) workersMsg() hfplan.WorkersMsg { return hfloop.With(n.mirror, (*Mirror).workersMsg) }
-
-// workersMsg returns the message with the registered workers.
-func (m *Mirror) workersMsg() hfplan.WorkersMsg {
-	return hfplan.Workers(maps.Clone(m.workers)).WithEnds(m.drainEnds(hflease.Now(), time.Now()))
-}
--- a/hfentry/rejected_records.go
+++ b/hfentry/rejected_records.go
@@ -67,7 +67,7 @@
 			jobs = append(jobs, id)
 		}
 		for _, w := range c.Roster() {
-			if change.key == rosterKey || change.key == memberPrefix+w.GetId() {
+			if change.key == rosterKey || change.key == memberKey(w.GetId()) {
 				workers = append(workers, w.GetId())
 			}
 		}
