Spread a gang that asks for one rack when no rack will be free

Cause: such a gang was never spread as long as some rack could take it if that rack were empty. Lasting tasks held a part of each rack that was large enough, and no gang of their priority may stop them.

Ruled out: the reservations. findReservation found none, as lasting tasks are not expected to end, but placement did not ask it.

Reservations use the same forecast (forecast.go) and keep to labels and the limit of tasks a worker: a gang with a label reserved workers that it may not use. A gang that waits for a rack no longer holds back gangs of its shape.

TestCompactGangWaitsForARackThatIsFreeSoon keeps the other side.

--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -38,6 +38,8 @@
 	HeartbeatInterval() time.Duration
 	// TaskLease returns the longest lease of a task on a worker.
 	TaskLease() time.Duration
+	// SpreadFactor returns how many times as long a gang that asks for one rack takes on several.
+	SpreadFactor() float64
 	// Retention returns how long the state of an ended job is kept.
 	Retention() time.Duration
 }
--- a/hfentry/takeover_test.go
+++ b/hfentry/takeover_test.go
@@ -57,6 +57,7 @@
 type leaderSettings struct{ Settings }
 
 func (leaderSettings) TaskLease() time.Duration { return time.Hour }
+func (leaderSettings) SpreadFactor() float64    { return hfplan.DefaultSpreadFactor }
 
 // beforeTermStore is a store that calls a function when the key of the term is first read.
 type beforeTermStore struct {
--- a/hfplacement/placement.go
+++ b/hfplacement/placement.go
@@ -74,9 +74,9 @@
 // Tasks returns the number of placed tasks.
 func (p Placement) Tasks() int { return p.tasks }
 
-// maxTasks returns how many tasks can be placed on the worker if it has free resources.
-func (n Need) maxTasks(w *Worker, free Resources) int {
-	if !n.eligible(w) {
+// MaxTasks returns how many tasks can be placed on the worker if it has the given free resources.
+func (n Need) MaxTasks(w *Worker, free Resources) int {
+	if !n.Eligible(w) {
 		return 0
 	}
 	tasks := free.CountFitting(n.size)
@@ -90,8 +90,8 @@
 	return tasks
 }
 
-// eligible reports whether the worker may be used, regardless of its free resources.
-func (n Need) eligible(w *Worker) bool {
+// Eligible reports whether the worker may be used, regardless of its free resources.
+func (n Need) Eligible(w *Worker) bool {
 	if !w.usable || (w.isolated && !n.besideIsolated) || (n.excluded != nil && n.excluded(w.id)) {
 		return false
 	}
@@ -116,7 +116,7 @@
 	total := 0
 	for _, w := range k.workers {
 		f := free(w)
-		tasks := n.maxTasks(w, f)
+		tasks := n.MaxTasks(w, f)
 		if tasks == 0 {
 			continue
 		}
@@ -225,7 +225,7 @@
 	for _, k := range inv.pools[n.pool] {
 		total := 0
 		for _, w := range k.workers {
-			total += n.maxTasks(w, w.capacity)
+			total += n.MaxTasks(w, w.capacity)
 		}
 		compact = compact || total >= count
 		sum += total
--- a/hfplacement/victims.go
+++ b/hfplacement/victims.go
@@ -91,12 +91,12 @@
 	total := 0
 	for _, k := range racks {
 		for _, w := range k.workers {
-			if !n.eligible(w) {
+			if !n.Eligible(w) {
 				continue
 			}
 			workers[w] = true
 			free[w] = w.free
-			total += n.maxTasks(w, w.free)
+			total += n.MaxTasks(w, w.free)
 		}
 	}
 	type ranked struct {
@@ -114,9 +114,9 @@
 	apply := func(v Victim[T], sign int64) {
 		for _, a := range v.allocations {
 			if workers[a.worker] {
-				total -= n.maxTasks(a.worker, free[a.worker])
+				total -= n.MaxTasks(a.worker, free[a.worker])
 				free[a.worker] = free[a.worker].Plus(a.size, sign)
-				total += n.maxTasks(a.worker, free[a.worker])
+				total += n.MaxTasks(a.worker, free[a.worker])
 			}
 		}
 	}
--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -48,6 +48,8 @@
 	tickets          map[string]ticket // by worker id, for advised queues
 	refusedWorkers   map[string]bool   // workers that may not run the step
 	reservedRack     string            // rack reserved for a compact gang, or ""
+	rackSoughtAt     time.Time         // when a compact gang first had room on several racks but not in one; zero before
+	awaitingRack     bool              // in this pass, a compact gang had room on several racks and waited for one
 	crashed          bool              // a worker has crashed under one of its tasks
 	durations        []durationSample  // of its ended tasks
 	durationsUsed    int               // number of durations from which workers' speeds were learned
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -155,8 +155,9 @@
 	return total
 }
 
-// placementNeed returns the requirements of a group on the workers for its tasks.
-func (s *Scheduler) placementNeed(g *group, now time.Time) hfplacement.Need {
+// generalNeed returns the requirements of a group on the workers for its tasks, regardless of the
+// workers that it avoids or has no ticket for.
+func (s *Scheduler) generalNeed(g *group, now time.Time) hfplacement.Need {
 	need := hfplacement.NewNeed(g.job.queue.GetPool(), g.size).WithLabel(g.spec.GetLabel()).PreferRack(g.spec.GetNear())
 	if g.job.queue.GetPriority() == 0 || g.spec.GetLasting() {
 		// Tasks that end now may use any reserved worker: priority 0 takes precedence over
@@ -177,6 +178,12 @@
 		}
 		need = need.MaxPerWorker(maxPerWorker, func(id string) int { return tasksOn[id] })
 	}
+	return need
+}
+
+// placementNeed returns the requirements of a group on the workers for its tasks.
+func (s *Scheduler) placementNeed(g *group, now time.Time) hfplacement.Need {
+	need := s.generalNeed(g, now)
 	if g.job.queue.GetAdvised() {
 		return need.Excluding(func(id string) bool {
 			_, ok := g.ticketFor(s.workers[id], now)
@@ -235,6 +242,7 @@
 		if budgeted && !budget.take(g) {
 			continue
 		}
+		g.awaitingRack = false
 		if s.placeGroup(g, now) {
 			continue
 		}
@@ -245,7 +253,7 @@
 			budget.refund(g)
 		}
 		s.reserveWorkers(g, now)
-		if smallest, ok := smallestFailed[shape]; g.unconstrained(now) && (!ok || count < smallest) {
+		if smallest, ok := smallestFailed[shape]; g.unconstrained(now) && !g.awaitingRack && (!ok || count < smallest) {
 			smallestFailed[shape] = count
 		}
 	}
@@ -282,14 +290,15 @@
 			s.assign(g, placements, now)
 			return true
 		}
-		if fitsOneRack, _ := s.resources.FitsWhenEmpty(need, count); fitsOneRack {
-			return false // wait until a rack has room
-		}
 	}
 	placements, placed := s.resources.PlaceAcrossRacks(need, count)
 	if placed < count {
 		return false
 	}
+	if g.spec.GetCompact() && s.awaitsRack(g, need, count, now) {
+		g.awaitingRack = true
+		return false
+	}
 	s.assign(g, placements, now)
 	return true
 }
@@ -306,7 +315,7 @@
 	if len(placements) == 0 {
 		return
 	}
-	g.assignedAt, g.reservedRack = now, ""
+	g.assignedAt, g.reservedRack, g.rackSoughtAt = now, "", time.Time{}
 	s.markDirty(g.job)
 	g.requiredSequence = s.sequence + 1
 	gangNumber := s.runNumberBase + 1
--- a/hfplan/reservation.go
+++ b/hfplan/reservation.go
@@ -1,7 +1,6 @@
 package hfplan
 
 import (
-	"slices"
 	"time"
 
 	"github.com/heatherfront/heatherfront/hfplacement"
@@ -28,7 +27,7 @@
 	if !g.gang() {
 		return
 	}
-	pool := g.job.queue.GetPool()
+	pool, need := g.job.queue.GetPool(), s.generalNeed(g, now).Excluding(func(id string) bool { return g.avoid[id] })
 	var all, unreserved []*hfplacement.Worker
 	unreservedByRack := map[string][]*hfplacement.Worker{}
 	reservedRacks := map[string]bool{}
@@ -46,7 +45,7 @@
 		return
 	}
 	if !g.spec.GetCompact() {
-		if r, ok := s.findReservation(g, unreserved, now); ok {
+		if r, ok := s.findReservation(g, need, unreserved, now); ok {
 			r.apply(g)
 		}
 		return
@@ -57,7 +56,7 @@
 		if reservedRacks[rack] {
 			continue
 		}
-		r, ok := s.findReservation(g, unreservedByRack[rack], now)
+		r, ok := s.findReservation(g, need, unreservedByRack[rack], now)
 		if ok && (!found || r.startsAt.Before(best.startsAt) || (rack == g.reservedRack && !r.startsAt.After(best.startsAt))) {
 			best, found, g.reservedRack = r, true, rack
 		}
@@ -103,64 +102,15 @@
 // forgetReleases drops the expected ends, as the worker's runs change.
 func (w *worker) forgetReleases() { w.releasesAt = time.Time{} }
 
-// findReservation returns the earliest expected time at which the given workers have
-// room for a whole gang, and the workers that the gang uses then. It reports false
-// if they never do.
-func (s *Scheduler) findReservation(g *group, workers []*hfplacement.Worker, now time.Time) (reservation, bool) {
-	type room struct {
-		worker *hfplacement.Worker
-		free   hfplacement.Resources
-	}
-	type release struct {
-		expectedRelease
-		room int // index of the worker's room
-	}
-	rooms := make([]room, 0, len(workers))
-	var releases []release
-	taskSlots := 0
-	var usable []int // rooms in the order in which they can take a task of the group
-	addFree := func(i int, size hfplacement.Resources) {
-		slotsBefore := rooms[i].free.CountFitting(g.size)
-		rooms[i].free = rooms[i].free.Plus(size, 1)
-		slotsAfter := rooms[i].free.CountFitting(g.size)
-		if slotsBefore == 0 && slotsAfter > 0 {
-			usable = append(usable, i)
-		}
-		taskSlots += slotsAfter - slotsBefore
-	}
-	for _, w := range workers {
-		if !w.Usable() || g.avoid[w.ID()] {
-			continue
-		}
-		rooms = append(rooms, room{worker: w})
-		addFree(len(rooms)-1, w.Free())
-		for _, e := range s.workers[w.ID()].expectedReleases(now) {
-			releases = append(releases, release{expectedRelease: e, room: len(rooms) - 1})
-		}
-	}
-	startsAt := now
-	if taskSlots < len(g.tasks) {
-		slices.SortStableFunc(releases, func(a, b release) int { return a.at.Compare(b.at) })
-		for _, r := range releases {
-			addFree(r.room, r.size)
-			if taskSlots >= len(g.tasks) {
-				startsAt = r.at
-				break
-			}
-		}
-	}
-	if taskSlots < len(g.tasks) {
+// findReservation returns the earliest expected time at which the given workers have room for a
+// whole gang, and the workers that the gang uses then. It reports false if they never do.
+func (s *Scheduler) findReservation(g *group, need hfplacement.Need, workers []*hfplacement.Worker, now time.Time) (reservation, bool) {
+	f := s.newForecast(need, workers, now)
+	startsAt, ok := f.roomFor(len(g.tasks))
+	if !ok {
 		return reservation{}, false
 	}
-	found, remaining := reservation{startsAt: startsAt}, len(g.tasks)
-	for _, i := range usable {
-		if remaining <= 0 {
-			break
-		}
-		found.workers = append(found.workers, rooms[i].worker)
-		remaining -= rooms[i].free.CountFitting(g.size)
-	}
-	return found, true
+	return reservation{startsAt: startsAt, workers: f.workersFor(len(g.tasks))}, true
 }
 
 // expectedEnd estimates when a run ends: from its measured progress rate if there is
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -19,14 +19,29 @@
 // numbers of a later term are thus higher, and the last one need not be stored.
 const runsPerTerm = 1 << 12
 
-// Timing holds the time limits that a scheduler depends on.
+// Timing holds the times that a scheduler depends on.
 type Timing struct {
-	lease func() time.Duration
+	lease        func() time.Duration
+	spreadFactor float64
 }
 
+// DefaultSpreadFactor is the spread factor of a Timing that was not given one.
+const DefaultSpreadFactor = 3
+
 // NewTiming returns a Timing with the longest lease of a task on a worker.
 func NewTiming(lease time.Duration) Timing {
-	return Timing{lease: func() time.Duration { return lease }}
+	return Timing{lease: func() time.Duration { return lease }, spreadFactor: DefaultSpreadFactor}
+}
+
+// WithSpreadFactor sets how many times as long a gang that asks for one rack takes on several.
+func (t Timing) WithSpreadFactor(factor float64) Timing {
+	t.spreadFactor = factor
+	return t
+}
+
+// spreadCost returns how much longer a gang with the given declared run time takes on several racks.
+func (t Timing) spreadCost(estimate time.Duration) time.Duration {
+	return time.Duration(max(t.spreadFactor-1, 0) * float64(estimate))
 }
 
 // Lease returns the longest lease of a task on a worker.
