Withdraw a job whose cancellation finds no record of it

Cause: the store carries out the write of an unanswered submission later, if its condition still holds. The cancellation of a job that the store did not hold wrote nothing, so that nothing stopped that write.

Ruled out: reading the store again before the 410, as the write may come seconds later; a cancellation mark under the job's id alone, with which one account could bar an id of another.

Fix: such a DELETE stores a withdrawal for the queue, account and id, on the condition that the job is not stored; a submission requires that there is none. The late write fails its condition. If the job was stored in between, the DELETE cancels it. A withdrawn job that an instance of an earlier release stored counts as cancelled. A repeated POST is answered 410.

--- a/hfentry/jobs.go
+++ b/hfentry/jobs.go
@@ -25,6 +25,8 @@
 	ErrUnknownKey = eris.New("unknown key")
 	// ErrNoJob reports that the job does not exist or belongs to another account or queue.
 	ErrNoJob = eris.New("no such job")
+	// ErrWithdrawn reports a submission of a job that its caller has cancelled before.
+	ErrWithdrawn = eris.New("the job was cancelled before it was stored")
 	// ErrNotDone reports that a call had no effect because the store takes no calls at the
 	// moment. It may be accepted later.
 	ErrNotDone = eris.New("not done: the store takes no calls")
@@ -93,8 +95,8 @@
 const defaultMaxBody = 1 << 18
 
 // Submit stores a job. It does nothing if a job with the same id exists. It fails with
-// hfwork.ErrInvalidJob if the job is invalid, ErrNotDone if it was not accepted and never runs, or
-// ErrEffectUnknown.
+// hfwork.ErrInvalidJob if the job is invalid, ErrWithdrawn if it was cancelled, ErrNotDone if it was
+// not accepted and never runs, or ErrEffectUnknown.
 func (n *Node) Submit(ctx context.Context, a Access, job *hfwork.Job) error {
 	job.Queue, job.Account, job.Received = a.queue.GetName(), a.account, time.Now().UnixMilli()
 	if err := hfwork.ValidateJob(job); err != nil {
@@ -107,47 +109,64 @@
 	if err != nil {
 		return fmt.Errorf("submit: %w", err)
 	}
-	version, err := n.createKey(ctx, jobPrefix+job.GetId(), value)
+	withdrawn := withdrawalKey(job.GetId(), &hfwork.Withdrawal{Queue: job.GetQueue(), Account: job.GetAccount()})
+	stored, err := n.createKey(ctx, jobPrefix+job.GetId(), value, withdrawn)
 	if errors.Is(err, hfstore.ErrConflict) {
-		return nil // submitted before, at another instance
+		return n.resolveConflict(ctx, job.GetId())
 	}
 	if err != nil {
 		return fmt.Errorf("submit: %w", err)
 	}
-	stored := hfstore.NewItem(jobPrefix+job.GetId(), value, version, false)
 	n.applyItem(stored)
 	n.queueHint(stored)
 	return nil
 }
 
-// createKey creates a key and returns its version. It fails with hfstore.ErrConflict if the
-// key exists, ErrNotDone if nothing was written, hfwork.ErrInvalidJob if the store never accepts
-// the value, or ErrEffectUnknown.
-func (n *Node) createKey(ctx context.Context, key string, value []byte) (int64, error) {
+// resolveConflict returns the result of a submission that was not stored, as the job is stored or
+// withdrawn: nil, ErrWithdrawn or ErrEffectUnknown.
+func (n *Node) resolveConflict(ctx context.Context, id string) error {
+	err := n.fetchJob(ctx, id)
+	switch {
+	case errors.Is(err, ErrNoJob):
+		return fmt.Errorf("submit: %w", ErrWithdrawn)
+	case err != nil:
+		return fmt.Errorf("submit: %w: %w", ErrEffectUnknown, err)
+	}
+	return nil // submitted before, at another instance
+}
+
+// createKey creates a key on the condition that some others do not exist, and returns it. It fails
+// with hfstore.ErrConflict if one of them exists, ErrNotDone if nothing was written,
+// hfwork.ErrInvalidJob if the store never accepts the value, or ErrEffectUnknown.
+func (n *Node) createKey(ctx context.Context, key string, value []byte, others ...string) (hfstore.Item, error) {
 	if !n.health.Allow(time.Now()) {
-		return 0, ErrNotDone
+		return hfstore.Item{}, ErrNotDone
 	}
 	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
 	defer cancel()
-	version, err := n.store.Put(call, key, value, 0, "")
+	batch := (&hfstore.Batch{}).Require(key, 0).Put(key, value, "")
+	for _, other := range others {
+		batch.Require(other, 0)
+	}
+	version, err := n.store.Commit(call, batch)
 	n.health.Record(err, time.Now())
 	switch {
 	case err == nil:
-		return version, nil
+		return hfstore.NewItem(key, value, version, false), nil
 	case errors.Is(err, hfstore.ErrConflict):
-		return 0, fmt.Errorf("create %s: %w", key, err)
+		return hfstore.Item{}, fmt.Errorf("create %s: %w", key, err)
 	case errors.Is(err, hfstore.ErrRefused):
-		return 0, fmt.Errorf("%w: %w", ErrNotDone, err)
+		return hfstore.Item{}, fmt.Errorf("%w: %w", ErrNotDone, err)
 	case errors.Is(err, hfstore.ErrInvalid):
-		return 0, fmt.Errorf("%w: %w", hfwork.ErrInvalidJob, err)
+		return hfstore.Item{}, fmt.Errorf("%w: %w", hfwork.ErrInvalidJob, err)
 	}
 	hfloop.Sleep(call, readBackPause)
 	item, readErr := n.store.Get(call, key)
 	if readErr == nil {
-		return item.Version(), nil
+		return item, nil
 	}
 	// Even if the key does not exist now, the write may still take effect later.
-	return 0, fmt.Errorf("%w: %w", ErrEffectUnknown, err)
+	return hfstore.Item{}, fmt.Errorf("%w: %w", ErrEffectUnknown, err)
 }
 
 // cachedJob returns a copy of the mirror's record of a job, or nil.
@@ -214,16 +233,25 @@
 }
 
 // Cancel stores the cancellation of one of the caller's jobs. It does nothing if the job has
-// ended or is already cancelled. It fails with ErrNoJob, ErrNotDone or ErrEffectUnknown.
+// ended or is already cancelled. It fails with ErrNoJob if there is no such job, and none that was
+// submitted before will run; with ErrNotDone or with ErrEffectUnknown.
 func (n *Node) Cancel(ctx context.Context, a Access, id string) error {
 	r, err := n.findJob(ctx, a, id)
+	if errors.Is(err, ErrNoJob) && hfwork.IsValidID(id) {
+		if err = n.withdraw(ctx, a, id); err == nil {
+			return fmt.Errorf("cancel: %w", ErrNoJob)
+		}
+		if errors.Is(err, hfstore.ErrConflict) {
+			r, err = n.findJob(ctx, a, id) // it may have been stored meanwhile
+		}
+	}
 	if err != nil {
 		return fmt.Errorf("cancel: %w", err)
 	}
 	if hfwork.IsFinal(r.state()) {
 		return nil
 	}
-	version, err := n.createKey(ctx, cancelPrefix+id, []byte(n.name))
+	stored, err := n.createKey(ctx, cancelPrefix+id, []byte(n.name))
 	if errors.Is(err, hfstore.ErrConflict) {
 		return nil
 	}
@@ -231,7 +259,6 @@
 		return fmt.Errorf("cancel: %w", err)
 	}
 	n.log.Event(hfevent.JobCancelled, zap.String("job", id), zap.String("queue", a.queue.GetName()))
-	stored := hfstore.NewItem(cancelPrefix+id, nil, version, false)
 	n.applyItem(stored)
 	n.queueHint(stored)
 	return nil
--- a/hfentry/leader.go
+++ b/hfentry/leader.go
@@ -317,6 +317,7 @@
 				break // repeated in the next round
 			}
 		}
+		n.purgeWithdrawals(ctx, epoch)
 		n.removeExpiredInstances(ctx, epoch)
 	}
 }
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -88,6 +88,7 @@
 	policyVersion     int64           // store revision of the configuration
 	pools             map[string]bool // that a configuration has named; kept after the pool is removed
 	jobs              map[string]*jobRecord
+	withdrawals       map[string][]*withdrawal // by job id
 	workers           map[string]*hfwork.Worker
 	lastWrites        map[string]entryWrite // of the workers' entries, including invalid ones
 	leftWorkers       map[string]bool       // workers in the roster that have left as planned; see hasLeft
@@ -109,7 +110,7 @@
 // NewMirror returns an empty mirror. Workers write their entries at the heartbeat interval.
 func NewMirror(f Formats, heartbeatInterval time.Duration) *Mirror {
 	return &Mirror{
-		formats: f, pools: map[string]bool{}, jobs: map[string]*jobRecord{}, workers: map[string]*hfwork.Worker{}, roster: &hfwork.Roster{},
+		formats: f, pools: map[string]bool{}, withdrawals: map[string][]*withdrawal{}, jobs: map[string]*jobRecord{}, workers: map[string]*hfwork.Worker{}, roster: &hfwork.Roster{},
 		lastWrites: map[string]entryWrite{}, leftWorkers: map[string]bool{}, heartbeatInterval: func() time.Duration { return heartbeatInterval },
 		requestedWaves: map[int64]*hfwork.Wave{}, storedWaves: map[int64]*hfwork.Wave{}, instances: map[string]*hfwork.Instance{},
 		rejected: hfevent.NewRejections(maxKeyBytes),
@@ -146,9 +147,10 @@
 		keys = append(keys, i.Key())
 	}
 	m.rejected.Retain(prefix, keys)
-	listedJobs, complete := map[string]bool{}, true
+	listedJobs, listedKeys, complete := map[string]bool{}, map[string]bool{}, true
 	for _, i := range items {
 		complete = complete && i.Key() != "" // the key of an unreadable item may be missing
+		listedKeys[i.Key()] = true
 		if id, ok := strings.CutPrefix(i.Key(), jobPrefix); ok {
 			listedJobs[id] = true
 		}
@@ -160,6 +162,7 @@
 				delete(m.jobs, id)
 			}
 		}
+		m.retainWithdrawals(listedKeys)
 	}
 	return append(changes, m.advance(prefix, revision)...)
 }
@@ -260,6 +263,8 @@
 		return m.applyInstance(strings.TrimPrefix(key, peerPrefix), i)
 	case strings.HasPrefix(key, jobPrefix):
 		return m.applyJob(strings.TrimPrefix(key, jobPrefix), i)
+	case strings.HasPrefix(key, withdrawalPrefix):
+		return m.applyWithdrawal(i)
 	case strings.HasPrefix(key, progressPrefix):
 		return m.applyProgress(strings.TrimPrefix(key, progressPrefix), i)
 	case strings.HasPrefix(key, cancelPrefix) && !i.Deleted():
@@ -405,7 +410,8 @@
 	if err != nil {
 		return change{err: err}
 	}
-	m.jobRecord(id).job = job
+	r := m.jobRecord(id)
+	r.job, r.cancelled = job, r.cancelled || m.isWithdrawn(job)
 	return change{job: id}
 }
 
--- a/hfevent/catalogue.go
+++ b/hfevent/catalogue.go
@@ -79,6 +79,7 @@
 	EndLate          = Event{824, "end-late", zapcore.WarnLevel, "A worker reported the end of a run after the run was given up; the fields tell which run the task has now."}
 	DetailsLoaded    = Event{825, "details-loaded", zapcore.InfoLevel, "A new scheduling instance has read where tasks run and which workers may run them."}
 	RecordRejected   = Event{826, "record-rejected", zapcore.ErrorLevel, "The store does not accept a record as it is; it is not written again until it changes. A worker whose record it is gets no tasks, a job ends as failed."}
+	JobWithdrawn     = Event{827, "job-withdrawn", zapcore.InfoLevel, "A job that is not stored was cancelled; it never runs, also if its submission is still under way."}
 	WorkerCrashed    = Event{830, "worker-crashed", zapcore.WarnLevel, "A worker crashed under runs; the fields name the tasks that had just been started there, and tell whether one task or gang was alone."}
 	TaskIsolated     = Event{831, "task-isolated", zapcore.InfoLevel, "A worker crashed under a task before; it got a worker on which no other task is placed."}
 	TaskGivenUp      = Event{832, "task-given-up", zapcore.WarnLevel, "Workers crashed under a task as often as they may; its job has failed."}
@@ -98,6 +99,6 @@
 		JobAccepted, JobRefused, JobCancelled, JobUnknown, JobState, TasksPlaced, TasksPreempted, TaskRetried,
 		OrderFailed, PlanRecovered, WorkerSilent, WorkerReporting, WorkerRemoved, EntryRejected, PolicyApplied, MirrorReset,
 		SettingsRead, SettingsInvalid, LinesDropped, PlanLoad, HintsUnavailable, AnnounceFailed, LeaseRevoked,
-		LeaseState, EndLate, DetailsLoaded, RecordRejected, WorkerCrashed, TaskIsolated, TaskGivenUp,
+		LeaseState, EndLate, DetailsLoaded, RecordRejected, JobWithdrawn, WorkerCrashed, TaskIsolated, TaskGivenUp,
 	}
 }
--- a/hfwork/check.go
+++ b/hfwork/check.go
@@ -26,7 +26,7 @@
 
 // ValidateJob validates a job. The error names the invalid field.
 func ValidateJob(j *Job) error {
-	if !isValidID(j.GetId()) {
+	if !IsValidID(j.GetId()) {
 		return fmt.Errorf("%w: id: must be %d hexadecimal digits", ErrInvalidJob, idDigits)
 	}
 	if len(j.GetCommand()) > MaxCommandBytes {
@@ -85,8 +85,8 @@
 
 func within(n, lowest, highest int64) bool { return n >= lowest && n <= highest }
 
-// isValidID reports whether id has idDigits hexadecimal digits.
-func isValidID(id string) bool {
+// IsValidID reports whether id has idDigits hexadecimal digits.
+func IsValidID(id string) bool {
 	if len(id) != idDigits {
 		return false
 	}
