Resolve the owner of a job through merges of accounts

Cause: a job stores the name of its account, which was compared with the account that holds the caller's key today. Guarantees were looked up by the stored name, too, so that urgent jobs lost theirs.

Ruled out: the key that submitted the job as its owner, as keys are replaced; names alone, as a later account may have an old name.

Fix: hfwork.AccountHistory holds the accounts that configurations had, with hashes of their last keys. An account that is gone was merged into the one that holds its keys; its jobs belong to that one. A job stores the version of the configuration that admitted it, which tells accounts of one name apart. The leader stores the history (hf/accounts), on condition of its revision, so that instances that start after a merge know of it. Withdrawals resolve their account likewise.

Evidence: TestJobsOfAMergedAccountBelongToTheOther failed on the commit before ("no such job", both ways) and passes; it checks that a third account still sees nothing.

--- a/hfentry/jobs.go
+++ b/hfentry/jobs.go
@@ -46,6 +46,7 @@
 	queue   *hfwork.Queue
 	account string // "" if the queue is open and the request has no key
 	rest    string // path after the queue's prefix
+	policy  int64  // version of the configuration that admitted the request
 }
 
 // NewAccess returns the access to a queue for a caller of an account. rest is the path after the
@@ -78,7 +79,9 @@
 	if !queue.GetOpen() && !known {
 		return Access{}, ErrUnknownKey
 	}
-	return NewAccess(queue, account, rest), nil
+	a := NewAccess(queue, account, rest)
+	a.policy = policy.config.GetVersion()
+	return a, nil
 }
 
 // MaxBody returns the size limit of request bodies in bytes.
@@ -98,7 +101,7 @@
 // hfwork.ErrInvalidJob if the job is invalid, ErrWithdrawn if it was cancelled, ErrNotDone if it was
 // not accepted and never runs, or ErrEffectUnknown.
 func (n *Node) Submit(ctx context.Context, a Access, job *hfwork.Job) error {
-	job.Queue, job.Account, job.Received = a.queue.GetName(), a.account, time.Now().UnixMilli()
+	job.Queue, job.Account, job.Policy, job.Received = a.queue.GetName(), a.account, a.policy, time.Now().UnixMilli()
 	if err := hfwork.ValidateJob(job); err != nil {
 		return fmt.Errorf("submit: %w", err)
 	}
@@ -193,7 +196,7 @@
 	if r == nil || r.job == nil || r.job.GetQueue() != a.queue.GetName() {
 		return nil, ErrNoJob
 	}
-	if r.job.GetAccount() != "" && r.job.GetAccount() != a.account {
+	if !n.owns(a, r.job) {
 		return nil, ErrNoJob
 	}
 	return r, nil
--- a/hfentry/leader.go
+++ b/hfentry/leader.go
@@ -164,6 +164,10 @@
 		n.purge(groupCtx, tenure.Epoch())
 		return nil
 	})
+	group.Go(func() error {
+		n.saveAccounts(groupCtx, tenure.Epoch())
+		return nil
+	})
 	group.Go(func() error {
 		select {
 		case <-n.stopStarted:
@@ -274,7 +278,7 @@
 		if members := m.splitRoster(n.details.Load()); members != nil {
 			roster = members
 		}
-		msgs := []hfplan.Msg{hfplan.Policy(m.policy.config), hfplan.Roster(roster)}
+		msgs := []hfplan.Msg{m.policyMsg(), hfplan.Roster(roster)}
 		msgs = append(msgs, m.workersMsg())
 		for _, c := range m.departures() {
 			msgs = append(msgs, hfplan.WorkerLeft(c.leftWorker))
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -18,15 +18,16 @@
 
 // Keys and key prefixes in the store.
 const (
-	recordPrefix   = "hf/"        // all keys below, which only this program writes
-	jobPrefix      = "hf/work/"   // a job as submitted, by id
-	progressPrefix = "hf/state/"  // the progress of a job, written by the leader
-	cancelPrefix   = "hf/cancel/" // exists if a job was cancelled
-	leadKey        = "hf/lead"    // the leader, under its lease
-	termKey        = "hf/term"    // the number of the last leadership, see fencedWriter
-	wavePrefix     = "hf/wave/"   // the progress of a wave of upkeep, by number
-	rosterKey      = "hf/roster"  // workers on which tasks may have been started
-	peerPrefix     = "hf/peer/"   // an entry instance, by name
+	recordPrefix   = "hf/"         // all keys below, which only this program writes
+	jobPrefix      = "hf/work/"    // a job as submitted, by id
+	progressPrefix = "hf/state/"   // the progress of a job, written by the leader
+	cancelPrefix   = "hf/cancel/"  // exists if a job was cancelled
+	leadKey        = "hf/lead"     // the leader, under its lease
+	termKey        = "hf/term"     // the number of the last leadership, see fencedWriter
+	wavePrefix     = "hf/wave/"    // the progress of a wave of upkeep, by number
+	accountsKey    = "hf/accounts" // the history of the client accounts, written by the leader
+	rosterKey      = "hf/roster"   // workers on which tasks may have been started
+	peerPrefix     = "hf/peer/"    // an entry instance, by name
 )
 
 // Formats knows the keys and encodings of the platform's entries in the store.
@@ -85,7 +86,8 @@
 type Mirror struct {
 	formats           Formats
 	policy            *policyIndex
-	policyVersion     int64           // store revision of the configuration
+	policyVersion     int64 // store revision of the configuration
+	accounts          accounts
 	pools             map[string]bool // that a configuration has named; kept after the pool is removed
 	jobs              map[string]*jobRecord
 	withdrawals       map[string][]*withdrawal // by job id
@@ -124,6 +126,7 @@
 	leftWorker string       // id of a worker that has left as planned
 	workers    bool
 	policy     bool
+	accounts   bool // the history of the accounts
 	lead       bool
 	err        error      // the value, or a part of it, is invalid; the previous one stays in use
 	rejection  *rejection // describes err, nil if there is none
@@ -242,6 +245,8 @@
 			m.pruneLeftWorkers()
 		}
 		return change{err: err}
+	case key == accountsKey:
+		return m.applyAccounts(i)
 	case strings.HasPrefix(key, m.formats.WorkerPrefix()):
 		return m.applyWorker(strings.TrimPrefix(key, m.formats.WorkerPrefix()), i)
 	case strings.HasPrefix(key, m.formats.WavePrefix()) && !i.Deleted():
@@ -322,6 +327,7 @@
 		keepInvalidParts(p, m.policy.config, invalid)
 	}
 	m.policy, m.policyVersion = newPolicyIndex(p), i.Version()
+	m.accounts.applyPolicy(p)
 	workers := m.addPools(p)
 	return change{policy: true, workers: workers, err: joinInvalid(invalid)}
 }
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -185,6 +185,9 @@
 		if c.policy {
 			n.policyChanged()
 		}
+		if l := n.leader.Load(); l != nil && c.accounts {
+			l.Send(hfloop.With(n.mirror, (*Mirror).policyMsg))
+		}
 		if c.lead && hfloop.With(n.mirror, func(m *Mirror) bool { return m.lead == nil }) {
 			select {
 			case n.leaderless <- struct{}{}:
@@ -209,10 +212,10 @@
 
 // policyChanged logs the new configuration and passes it to the scheduler.
 func (n *Node) policyChanged() {
-	policy := hfloop.With(n.mirror, func(m *Mirror) *policyIndex { return m.policy })
+	policy, msg := hfloop.With2(n.mirror, func(m *Mirror) (*policyIndex, hfplan.PolicyMsg) { return m.policy, m.policyMsg() })
 	n.log.Event(hfevent.PolicyApplied, zap.Int64("version", policy.config.GetVersion()), zap.Int("queues", len(policy.config.GetQueues())))
 	if l := n.leader.Load(); l != nil {
-		l.Send(hfplan.Policy(policy.config))
+		l.Send(msg)
 	}
 }
 
--- a/hfentry/withdrawal.go
+++ b/hfentry/withdrawal.go
@@ -42,9 +42,11 @@
 	return fmt.Sprintf("%s%s/%x", withdrawalPrefix, job, owner[:8])
 }
 
-// matches reports whether the withdrawal is that of a job.
-func (w *withdrawal) matches(job *hfwork.Job) bool {
-	return job.GetId() == w.job && job.GetQueue() == w.record.GetQueue() && job.GetAccount() == w.record.GetAccount()
+// withdraws reports whether a withdrawal is that of a job. The account of the caller may have been
+// merged between the submission and the cancellation.
+func (m *Mirror) withdraws(w *withdrawal, job *hfwork.Job) bool {
+	return job.GetId() == w.job && job.GetQueue() == w.record.GetQueue() &&
+		m.accounts.owner(job.GetAccount(), job.GetPolicy()) == m.accounts.owner(w.record.GetAccount(), w.record.GetPolicy())
 }
 
 func (m *Mirror) applyWithdrawal(i hfstore.Item) change {
@@ -61,7 +63,7 @@
 	if known := slices.ContainsFunc(m.withdrawals[id], func(o *withdrawal) bool { return o.key == w.key }); !known {
 		m.withdrawals[id] = append(m.withdrawals[id], w)
 	}
-	if r := m.jobs[id]; r != nil && r.job != nil && w.matches(r.job) {
+	if r := m.jobs[id]; r != nil && r.job != nil && m.withdraws(w, r.job) {
 		r.cancelled = true
 		return change{job: id}
 	}
@@ -88,7 +90,7 @@
 
 // isWithdrawn reports whether a job was cancelled before it was stored.
 func (m *Mirror) isWithdrawn(job *hfwork.Job) bool {
-	return slices.ContainsFunc(m.withdrawals[job.GetId()], func(w *withdrawal) bool { return w.matches(job) })
+	return slices.ContainsFunc(m.withdrawals[job.GetId()], func(w *withdrawal) bool { return m.withdraws(w, job) })
 }
 
 // withdrawalsOf returns the number of withdrawals of an account.
@@ -125,7 +127,7 @@
 	if hfloop.With(n.mirror, func(m *Mirror) bool { return m.withdrawalsOf(a.account) >= maxWithdrawals }) {
 		return fmt.Errorf("%w: too many cancellations of unknown jobs", ErrNotDone)
 	}
-	record := &hfwork.Withdrawal{Queue: a.queue.GetName(), Account: a.account}
+	record := &hfwork.Withdrawal{Queue: a.queue.GetName(), Account: a.account, Policy: a.policy}
 	value, err := hfwire.Encode(record)
 	if err != nil {
 		return fmt.Errorf("withdraw: %w", err)
--- a/hfevent/catalogue.go
+++ b/hfevent/catalogue.go
@@ -52,37 +52,38 @@
 	RenewalPaused  = Event{753, "renewal-paused", zapcore.WarnLevel, "This instance renews no leases of a failure domain: for 12 s it had no answer from the domain's leader, nor, if there is none, from every other instance."}
 	RenewalResumed = Event{754, "renewal-resumed", zapcore.InfoLevel, "This instance renews the leases of a failure domain again."}
 
-	JobAccepted      = Event{800, "job-accepted", zapcore.InfoLevel, "A job is stored; its caller was told so."}
-	JobRefused       = Event{801, "job-refused", zapcore.InfoLevel, "A call about a job was not carried out; the fields give the reason."}
-	JobCancelled     = Event{802, "job-cancelled", zapcore.InfoLevel, "The cancellation of a job is stored."}
-	JobUnknown       = Event{803, "job-unknown", zapcore.WarnLevel, "The effect of a call about a job is not known; its caller was told so."}
-	JobState         = Event{804, "job-state", zapcore.InfoLevel, "A job entered a state."}
-	TasksPlaced      = Event{805, "tasks-placed", zapcore.InfoLevel, "Tasks of a step got their workers."}
-	TasksPreempted   = Event{806, "tasks-preempted", zapcore.InfoLevel, "Runs are stopped for more urgent work."}
-	TaskRetried      = Event{807, "task-retried", zapcore.InfoLevel, "A run ended early and its task waits again."}
-	OrderFailed      = Event{808, "order-failed", zapcore.WarnLevel, "A worker refused an order or gave no answer."}
-	PlanRecovered    = Event{809, "plan-settled", zapcore.InfoLevel, "Every run that earlier schedulers may have started is accounted for."}
-	WorkerSilent     = Event{810, "worker-silent", zapcore.WarnLevel, "A worker stopped reporting; its leases are left to expire."}
-	WorkerReporting  = Event{811, "worker-heard", zapcore.InfoLevel, "A worker reports again, or was restarted."}
-	WorkerRemoved    = Event{812, "worker-dropped", zapcore.InfoLevel, "A worker runs nothing and is no longer followed: it has left, its leases have expired, or another worker answers at its address."}
-	EntryRejected    = Event{813, "entry-rejected", zapcore.WarnLevel, "A stored entry or a part of it cannot be read; the last good one stays in force, and a worker's entry names no worker. Logged once until the reason changes."}
-	PolicyApplied    = Event{814, "policy-applied", zapcore.InfoLevel, "A newer configuration of the queues is in force here."}
-	MirrorReset      = Event{815, "mirror-reset", zapcore.InfoLevel, "The local copy of the store was reloaded in full."}
-	SettingsRead     = Event{816, "settings-read", zapcore.InfoLevel, "The settings file was read again."}
-	SettingsInvalid  = Event{817, "settings-bad", zapcore.ErrorLevel, "The settings file cannot be used; the settings in force stay."}
-	LinesDropped     = Event{818, "lines-dropped", zapcore.WarnLevel, "The reader of the log was too slow; lines were dropped."}
-	PlanLoad         = Event{819, "plan-load", zapcore.InfoLevel, "Waiting and running tasks and free resources at the scheduling instance, and the bytes it has sent and received by purpose (`store`, `orders`, `polls`), once a second."}
-	HintsUnavailable = Event{820, "hints-deaf", zapcore.ErrorLevel, "Other instances can no longer send hints about stored items to this one; it learns of them from its watch."}
-	AnnounceFailed   = Event{821, "announce-failed", zapcore.WarnLevel, "The entry with this instance's address could not be written; the write is retried."}
-	LeaseRevoked     = Event{822, "lease-ended", zapcore.InfoLevel, "The scheduling lease of an earlier process of this instance was revoked, or the attempt failed."}
-	LeaseState       = Event{823, "lease-state", zapcore.InfoLevel, "A worker stopped answering, or answers again; the fields hold the latest lease that was granted to it and the clock from which that lease was calculated."}
-	EndLate          = Event{824, "end-late", zapcore.WarnLevel, "A worker reported the end of a run after the run was given up; the fields tell which run the task has now."}
-	DetailsLoaded    = Event{825, "details-loaded", zapcore.InfoLevel, "A new scheduling instance has read where tasks run and which workers may run them."}
-	RecordRejected   = Event{826, "record-rejected", zapcore.ErrorLevel, "The store does not accept a record as it is; it is not written again until it changes. A worker whose record it is gets no tasks, a job ends as failed."}
-	JobWithdrawn     = Event{827, "job-withdrawn", zapcore.InfoLevel, "A job that is not stored was cancelled; it never runs, also if its submission is still under way."}
-	WorkerCrashed    = Event{830, "worker-crashed", zapcore.WarnLevel, "A worker crashed under runs; the fields name the tasks that had just been started there, and tell whether one task or gang was alone."}
-	TaskIsolated     = Event{831, "task-isolated", zapcore.InfoLevel, "A worker crashed under a task before; it got a worker on which no other task is placed."}
-	TaskGivenUp      = Event{832, "task-given-up", zapcore.WarnLevel, "Workers crashed under a task as often as they may; its job has failed."}
+	JobAccepted       = Event{800, "job-accepted", zapcore.InfoLevel, "A job is stored; its caller was told so."}
+	JobRefused        = Event{801, "job-refused", zapcore.InfoLevel, "A call about a job was not carried out; the fields give the reason."}
+	JobCancelled      = Event{802, "job-cancelled", zapcore.InfoLevel, "The cancellation of a job is stored."}
+	JobUnknown        = Event{803, "job-unknown", zapcore.WarnLevel, "The effect of a call about a job is not known; its caller was told so."}
+	JobState          = Event{804, "job-state", zapcore.InfoLevel, "A job entered a state."}
+	TasksPlaced       = Event{805, "tasks-placed", zapcore.InfoLevel, "Tasks of a step got their workers."}
+	TasksPreempted    = Event{806, "tasks-preempted", zapcore.InfoLevel, "Runs are stopped for more urgent work."}
+	TaskRetried       = Event{807, "task-retried", zapcore.InfoLevel, "A run ended early and its task waits again."}
+	OrderFailed       = Event{808, "order-failed", zapcore.WarnLevel, "A worker refused an order or gave no answer."}
+	PlanRecovered     = Event{809, "plan-settled", zapcore.InfoLevel, "Every run that earlier schedulers may have started is accounted for."}
+	WorkerSilent      = Event{810, "worker-silent", zapcore.WarnLevel, "A worker stopped reporting; its leases are left to expire."}
+	WorkerReporting   = Event{811, "worker-heard", zapcore.InfoLevel, "A worker reports again, or was restarted."}
+	WorkerRemoved     = Event{812, "worker-dropped", zapcore.InfoLevel, "A worker runs nothing and is no longer followed: it has left, its leases have expired, or another worker answers at its address."}
+	EntryRejected     = Event{813, "entry-rejected", zapcore.WarnLevel, "A stored entry or a part of it cannot be read; the last good one stays in force, and a worker's entry names no worker. Logged once until the reason changes."}
+	PolicyApplied     = Event{814, "policy-applied", zapcore.InfoLevel, "A newer configuration of the queues is in force here."}
+	MirrorReset       = Event{815, "mirror-reset", zapcore.InfoLevel, "The local copy of the store was reloaded in full."}
+	SettingsRead      = Event{816, "settings-read", zapcore.InfoLevel, "The settings file was read again."}
+	SettingsInvalid   = Event{817, "settings-bad", zapcore.ErrorLevel, "The settings file cannot be used; the settings in force stay."}
+	LinesDropped      = Event{818, "lines-dropped", zapcore.WarnLevel, "The reader of the log was too slow; lines were dropped."}
+	PlanLoad          = Event{819, "plan-load", zapcore.InfoLevel, "Waiting and running tasks and free resources at the scheduling instance, and the bytes it has sent and received by purpose (`store`, `orders`, `polls`), once a second."}
+	HintsUnavailable  = Event{820, "hints-deaf", zapcore.ErrorLevel, "Other instances can no longer send hints about stored items to this one; it learns of them from its watch."}
+	AnnounceFailed    = Event{821, "announce-failed", zapcore.WarnLevel, "The entry with this instance's address could not be written; the write is retried."}
+	LeaseRevoked      = Event{822, "lease-ended", zapcore.InfoLevel, "The scheduling lease of an earlier process of this instance was revoked, or the attempt failed."}
+	LeaseState        = Event{823, "lease-state", zapcore.InfoLevel, "A worker stopped answering, or answers again; the fields hold the latest lease that was granted to it and the clock from which that lease was calculated."}
+	EndLate           = Event{824, "end-late", zapcore.WarnLevel, "A worker reported the end of a run after the run was given up; the fields tell which run the task has now."}
+	DetailsLoaded     = Event{825, "details-loaded", zapcore.InfoLevel, "A new scheduling instance has read where tasks run and which workers may run them."}
+	RecordRejected    = Event{826, "record-rejected", zapcore.ErrorLevel, "The store does not accept a record as it is; it is not written again until it changes. A worker whose record it is gets no tasks, a job ends as failed."}
+	JobWithdrawn      = Event{827, "job-withdrawn", zapcore.InfoLevel, "A job that is not stored was cancelled; it never runs, also if its submission is still under way."}
+	AccountsNotStored = Event{828, "accounts-not-stored", zapcore.WarnLevel, "The history of the client accounts could not be written; the write is retried."}
+	WorkerCrashed     = Event{830, "worker-crashed", zapcore.WarnLevel, "A worker crashed under runs; the fields name the tasks that had just been started there, and tell whether one task or gang was alone."}
+	TaskIsolated      = Event{831, "task-isolated", zapcore.InfoLevel, "A worker crashed under a task before; it got a worker on which no other task is placed."}
+	TaskGivenUp       = Event{832, "task-given-up", zapcore.WarnLevel, "Workers crashed under a task as often as they may; its job has failed."}
 )
 
 // Catalogue returns every event.
@@ -99,6 +100,6 @@
 		JobAccepted, JobRefused, JobCancelled, JobUnknown, JobState, TasksPlaced, TasksPreempted, TaskRetried,
 		OrderFailed, PlanRecovered, WorkerSilent, WorkerReporting, WorkerRemoved, EntryRejected, PolicyApplied, MirrorReset,
 		SettingsRead, SettingsInvalid, LinesDropped, PlanLoad, HintsUnavailable, AnnounceFailed, LeaseRevoked,
-		LeaseState, EndLate, DetailsLoaded, RecordRejected, JobWithdrawn, WorkerCrashed, TaskIsolated, TaskGivenUp,
+		LeaseState, EndLate, DetailsLoaded, RecordRejected, JobWithdrawn, AccountsNotStored, WorkerCrashed, TaskIsolated, TaskGivenUp,
 	}
 }
--- a/hfplan/guarantee.go
+++ b/hfplan/guarantee.go
@@ -6,7 +6,7 @@
 )
 
 // assignGuarantees decides which jobs of priority 0 are covered by the guarantee of
-// their account: in order of submission, each job whose demand fits into what is
+// the account that owns them: in order of submission, each job whose demand fits into what is
 // left. Jobs beyond the guarantee of one account thus cannot displace guaranteed
 // jobs of another.
 func (s *Scheduler) assignGuarantees() {
@@ -19,7 +19,8 @@
 		}
 		seen[j] = true
 		j.guaranteed = false
-		byAccount[j.spec.GetAccount()] = append(byAccount[j.spec.GetAccount()], j)
+		owner := s.accounts.Owner(j.spec.GetAccount(), j.spec.GetPolicy())
+		byAccount[owner] = append(byAccount[owner], j)
 	}
 	for account, jobs := range byAccount {
 		remaining := s.accountGuarantee(account)
--- a/hfplan/message.go
+++ b/hfplan/message.go
@@ -13,11 +13,20 @@
 type Msg interface{ planMsg() }
 
 // PolicyMsg carries the current configuration.
-type PolicyMsg struct{ policy *hfwork.Policy }
+type PolicyMsg struct {
+	policy   *hfwork.Policy
+	accounts hfwork.AccountHistory
+}
 
 // Policy returns a PolicyMsg.
 func Policy(p *hfwork.Policy) PolicyMsg { return PolicyMsg{policy: p} }
 
+// WithAccounts returns a copy of the message with the history of the accounts.
+func (m PolicyMsg) WithAccounts(h hfwork.AccountHistory) PolicyMsg {
+	m.accounts = h
+	return m
+}
+
 // WorkersMsg carries the registered workers by id.
 type WorkersMsg struct {
 	workers map[string]*hfwork.Worker
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -66,6 +66,7 @@
 	timing           Timing
 	runNumberBase    int64 // run numbers of this term are higher
 	policy           *hfwork.Policy
+	accounts         hfwork.AccountHistory
 	queues           map[string]*hfwork.Queue // by name; includes removed queues
 	resources        *hfplacement.Inventory
 	workers          map[string]*worker
@@ -115,6 +116,7 @@
 func (s *Scheduler) Update(msg Msg, now time.Time) []Cmd {
 	switch m := msg.(type) {
 	case PolicyMsg:
+		s.accounts = m.accounts
 		s.setPolicy(m.policy)
 	case WorkerLeftMsg:
 		if w := s.workers[m.worker]; w != nil {
