Weigh the wait for one rack for urgent gangs beyond a guarantee, too

Only what a guarantee covers has to begin within that time; the others now wait as long as that is expected to be cheaper than running on several racks.

--- a/hfplan/rack.go
+++ b/hfplan/rack.go
@@ -25,7 +25,7 @@
 		_, possible := s.expectedRack(g, need, count, true, now)
 		return possible
 	}
-	if urgent || s.hasAmpleRoom(g, need, count) {
+	if (urgent && g.job.guaranteed) || s.hasAmpleRoom(g, need, count) {
 		return false
 	}
 	at, possible := s.expectedRack(g, need, count, false, now)
