Count the tasks of a step on a worker anew for each placement

Cause: the tasks of a step on each worker were counted once, when the needs of the step were made. A pass that places some of its tasks on fast workers, or suspects on empty ones, and the rest afterwards, used the first count again. Besides, only runs counted that the scheduler had started or adopted: not a run that is being stopped because its task runs elsewhere, nor one of an earlier scheduler that no full report has shown yet.

Fix: tasks are counted when a placement asks, from the worker's runs, its orphans and the prior runs that it waits for.

--- a/hfplan/network_test.go
+++ b/hfplan/network_test.go
@@ -525,6 +525,14 @@
 	}
 }
 
+// Guards against a start in another pool, without its label, or beside more tasks of its step than may
+// be on one worker, amid the same faults.
+func TestStartsKeepToTheirRouteBehindALateNetwork(t *testing.T) {
+	for seed := range *networkSeeds {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { playLateNetwork(t, seed, lateNetwork{routes: true}) })
+	}
+}
+
 // TestUnboundStartsAreFoundToRunTasksTwice shows that the world finds a start that reaches the next
 // incarnation of its worker.
 func TestUnboundStartsAreFoundToRunTasksTwice(t *testing.T) {
@@ -551,6 +559,7 @@
 type lateNetwork struct {
 	crashes bool // workers crash
 	unbound bool // starts reach whichever incarnation of their worker answers
+	routes  bool // steps limit their tasks on one worker or ask for a label
 }
 
 // playLateNetwork plays one world.
@@ -559,6 +568,12 @@
 	crashes := variant.crashes
 	random, crashRandom := rand.New(rand.NewPCG(seed, 20261205)), rand.New(rand.NewPCG(seed, 20261206))
 	w := newWorld(t, 2, 4)
+	routeRandom := rand.New(rand.NewPCG(seed, 20261207))
+	if variant.routes {
+		for i, id := range sortedKeys(w.fleet) {
+			w.fleet[id].registration.Labels = []string{[]string{"even", "odd"}[i%2]}
+		}
+	}
 	if crashes {
 		for _, id := range sortedKeys(w.fleet) {
 			w.fleet[id].registration.Address = id + ":80"
@@ -626,6 +641,12 @@
 				step.Compact = random.IntN(2) == 0
 			}
 			step.Saves = random.IntN(2) == 0
+			if variant.routes {
+				step.Apart = uint32(routeRandom.IntN(3))
+				if label := []string{"", "even", "odd"}[routeRandom.IntN(3)]; !step.GetGang() { // all gangs have to fit
+					step.Label = label
+				}
+			}
 			w.submit(fmt.Sprintf("j%03d", jobs), []string{"urgent", "usual", "spare"}[random.IntN(3)], step)
 			jobs++
 		}
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -170,13 +170,8 @@
 		need = need.BesideIsolated()
 	}
 	if maxPerWorker := int(g.spec.GetApart()); maxPerWorker > 0 {
-		tasksOn := map[string]int{}
-		for i := range g.tasks {
-			if r := g.tasks[i].run; r != nil {
-				tasksOn[r.worker.id()]++
-			}
-		}
-		need = need.MaxPerWorker(maxPerWorker, func(id string) int { return tasksOn[id] })
+		// Counted anew for each placement: one pass can place tasks of the group several times.
+		need = need.MaxPerWorker(maxPerWorker, func(id string) int { return s.workers[id].tasksOf(g) })
 	}
 	return need
 }
@@ -206,6 +201,28 @@
 	return avoiding
 }
 
+// tasksOf returns the number of tasks of a group that may be running on the worker, or will be: with
+// their run, an orphan that is being stopped, or a run of an earlier scheduler.
+func (w *worker) tasksOf(g *group) int {
+	tasks := map[*task]struct{}{}
+	for r := range w.runs {
+		if r.task.group == g {
+			tasks[r.task] = struct{}{}
+		}
+	}
+	for t := range w.priorTasks {
+		if t.group == g {
+			tasks[t] = struct{}{}
+		}
+	}
+	for key := range w.orphans {
+		if key.task.Job() == g.job.id() && key.task.Occurrence() == g.occurrence && key.task.Step() == g.step && int(key.task.Index()) < len(g.tasks) {
+			tasks[&g.tasks[key.task.Index()]] = struct{}{}
+		}
+	}
+	return len(tasks)
+}
+
 // placementShape identifies groups with the same chance of being placed.
 type placementShape struct {
 	pool          string
--- a/hfplan/world_test.go
+++ b/hfplan/world_test.go
@@ -413,6 +413,25 @@
 	})
 }
 
+// requireRoute fails the test if a worker is not one that the queue, the label or the limit of tasks a
+// worker of a step allow for a start.
+func (w *world) requireRoute(f *fakeWorker, task hfwork.TaskID, step *hfwork.Step) {
+	registration := f.registration
+	require.Equal(w.t, w.s.queues[w.jobs[task.Job()].GetQueue()].GetPool(), registration.GetPool(), "%v is started in another pool", task)
+	if step.GetLabel() != "" {
+		require.Contains(w.t, registration.GetLabels(), step.GetLabel(), "%v is started without its label", task)
+	}
+	neighbours := 0
+	for _, r := range f.runs {
+		if r.task.Job() == task.Job() && r.task.Occurrence() == task.Occurrence() && r.task.Step() == task.Step() {
+			neighbours++
+		}
+	}
+	if step.GetApart() > 0 {
+		require.Less(w.t, neighbours, int(step.GetApart()), "%v is started beside too many tasks of its step on %s", task, registration.GetId())
+	}
+}
+
 // listMachines sends the list of machines to the scheduler. Each worker has its own
 // machine.
 func (w *world) listMachines() {
@@ -441,6 +460,7 @@
 	for _, r := range f.runs {
 		free = free.Plus(r.size, -1)
 	}
+	w.requireRoute(f, c.Task(), step)
 	require.Positive(w.t, free.CountFitting(size), "%s lacks the resources for %s", f.registration.GetId(), name)
 	for id, o := range w.fleet {
 		require.NotContains(w.t, o.runs, name, "%s runs on %s already", name, id)
