Use a worker by the labels of its present life

Callers would see: a task that needs a label is started on a worker without it, or waits although a worker has it (ROUTE).

Cause: the placement of a worker was replaced when its pool, rack or resources changed, but not when only its labels did. A worker that comes back under its id may be of another kind with the same resources.

Fix: labels are compared like the rest. Runs that are only assigned are placed again.

Evidence: TestWorkerThatComesBackIsUsedByItsNewLabels failed before and passes.

--- a/hfplan/network_test.go
+++ b/hfplan/network_test.go
@@ -616,6 +616,12 @@
 			if !f.crashed {
 				w.restart(f)
 			}
+			if id := f.registration.GetId(); variant.routes && !f.crashed && id != "w0-0" && id != "w0-1" { // each label stays somewhere
+				f.registration = hfwire.Copy(f.registration)
+				f.registration.Born = f.incarnation
+				f.registration.Labels = []string{[]string{"even", "odd"}[routeRandom.IntN(2)]}
+				n.list()
+			}
 		case 6:
 			f.unlisted = true
 			n.list()
--- a/hfplan/route_test.go
+++ b/hfplan/route_test.go
@@ -65,3 +65,28 @@
 		})
 	}
 }
+
+// Guards against a start on a worker that came back under its id without the label that it had (ROUTE).
+func TestWorkerThatComesBackIsUsedByItsNewLabels(t *testing.T) {
+	d := newDesk(t, 1)
+	life := func(born int64, label string) {
+		workers := deskWorkers("w")
+		workers["w"].Born, workers["w"].Labels = born, []string{label}
+		d.send(Workers(workers))
+		d.born["w"] = born
+		d.report("w")
+		d.store()
+	}
+	life(1, "first")
+	life(2, "second")
+	step := smallStep(1, 1)
+	step.Label = "first"
+	d.submit("job", step)
+	d.store()
+	require.Empty(t, d.takeStarts())
+	step = smallStep(1, 1)
+	step.Label = "second"
+	d.submit("other", step)
+	d.store()
+	require.Len(t, d.takeStarts(), 1)
+}
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -44,9 +44,7 @@
 		if w == nil {
 			w = s.addWorker(registration)
 		}
-		if w.registration.GetPool() != registration.GetPool() || w.registration.GetRack() != registration.GetRack() ||
-			w.registration.GetAccelerators() != registration.GetAccelerators() ||
-			w.registration.GetCpu() != registration.GetCpu() || w.registration.GetMemory() != registration.GetMemory() {
+		if !samePlace(w.registration, registration) {
 			s.replaceResources(w, registration, now)
 		}
 		w.registration, w.registered, w.mayEndAt = registration, true, m.mayEnd[id]
@@ -62,6 +60,12 @@
 	s.needsPass = true
 }
 
+// samePlace reports whether two registrations of a worker are alike to the placement of tasks.
+func samePlace(a, b *hfwork.Worker) bool {
+	return a.GetPool() == b.GetPool() && a.GetRack() == b.GetRack() && slices.Equal(a.GetLabels(), b.GetLabels()) &&
+		a.GetAccelerators() == b.GetAccelerators() && a.GetCpu() == b.GetCpu() && a.GetMemory() == b.GetMemory()
+}
+
 // replaceResources updates a worker whose registration has changed. An entry may have been
 // written late or by someone else, so it does not show that runs have ended: they count until
 // a report does, and go on if they no longer fit. Runs that are only assigned are placed again.
