Start a gang that has ample room after 1.8 s

Cause: gangs that cannot save their progress start only beside the peak usage of urgent work of the last 10 s. The exception for a partly idle pool adds up the largest share of each task over all resources.

Fix: a gang for which there has been room twice over for 1.8 s, while less than half of the pool is in use, is placed regardless of that limit, and is not held for one rack any more.

--- a/hfplacement/workers.go
+++ b/hfplacement/workers.go
@@ -68,6 +68,17 @@
 	return share
 }
 
+// LeastShare returns the smallest fraction that s takes of any one resource in whole.
+func (s Resources) LeastShare(whole Resources) float64 {
+	share := 1.0
+	for _, d := range [3][2]int64{{s.cpu, whole.cpu}, {s.memory, whole.memory}, {s.accelerators, whole.accelerators}} {
+		if d[1] > 0 {
+			share = min(share, float64(max(d[0], 0))/float64(d[1]))
+		}
+	}
+	return share
+}
+
 // CoreEquivalents returns the CPU and accelerators of s converted to cores. Memory does not count.
 func (s Resources) CoreEquivalents() float64 {
 	return float64(s.cpu)/1000 + coresPerAccelerator*float64(s.accelerators)
--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -49,6 +49,7 @@
 	refusedWorkers   map[string]bool   // workers that may not run the step
 	reservedRack     string            // rack reserved for a compact gang, or ""
 	rackSoughtAt     time.Time         // when a compact gang first had room on several racks but not in one; zero before
+	ampleSince       time.Time         // since when a waiting gang has had ample room; zero if it has not
 	awaitingRack     bool              // in this pass, a compact gang had room on several racks and waited for one
 	crashed          bool              // a worker has crashed under one of its tasks
 	durations        []durationSample  // of its ended tasks
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -230,6 +230,10 @@
 	gang, compact bool
 }
 
+func (g *group) placementShape() placementShape {
+	return placementShape{pool: g.job.queue.GetPool(), size: g.size, gang: g.gang(), compact: g.spec.GetCompact()}
+}
+
 // unconstrained reports whether the group can use any worker of its pool that has
 // enough room.
 func (g *group) unconstrained(now time.Time) bool {
@@ -241,13 +245,14 @@
 // many or fewer tasks could not be placed in this pass.
 func (s *Scheduler) placeGroups(now time.Time) {
 	smallestFailed := map[placementShape]int{} // smallest task count that was not placed
+	clear(s.notAmple)
 	s.clearReservations()
 	s.listSlowWorkers()
 	s.assignGuarantees()
 	budgets := s.gangBudgets(now)
 	for _, c := range s.candidates(now) {
 		g := c.group
-		shape := placementShape{pool: g.job.queue.GetPool(), size: g.size, gang: g.gang(), compact: g.spec.GetCompact()}
+		shape := g.placementShape()
 		count := g.waiting()
 		if !g.gang() {
 			count = 1
@@ -257,7 +262,10 @@
 		}
 		budget, budgeted := budgets[g.job.queue.GetPool()], c.priority > 0 && g.uncheckpointedGang()
 		if budgeted && !budget.take(g) {
-			continue
+			if !s.waitsInVain(g, s.placementNeed(g, now), count, now) {
+				continue
+			}
+			budgeted = false
 		}
 		g.awaitingRack = false
 		if s.placeGroup(g, now) {
@@ -332,7 +340,7 @@
 	if len(placements) == 0 {
 		return
 	}
-	g.assignedAt, g.reservedRack, g.rackSoughtAt = now, "", time.Time{}
+	g.assignedAt, g.reservedRack, g.rackSoughtAt, g.ampleSince = now, "", time.Time{}, time.Time{}
 	s.markDirty(g.job)
 	g.requiredSequence = s.sequence + 1
 	gangNumber := s.runNumberBase + 1
