Store the settings of the queue with each job

Cause: the settings of a removed queue were known only to the memory of the leader. A new one did not find the queue and passed over the job.

Fix: a job is stored with the settings of its queue at that time. A scheduler uses them while no configuration that it knows has the queue, so that it places by settings that were in force. Jobs stored by an earlier release have none and wait as before. Advice is asked for jobs of removed queues, too.

Ruled out: a record of removed queues by the leader, which is missing if it dies right after the configuration.

--- a/hfentry/jobs.go
+++ b/hfentry/jobs.go
@@ -102,6 +102,7 @@
 // not accepted and never runs, or ErrEffectUnknown.
 func (n *Node) Submit(ctx context.Context, a Access, job *hfwork.Job) error {
 	job.Queue, job.Account, job.Policy, job.Received = a.queue.GetName(), a.account, a.policy, time.Now().UnixMilli()
+	job.Settings = a.queue
 	if err := hfwork.ValidateJob(job); err != nil {
 		return fmt.Errorf("submit: %w", err)
 	}
--- a/hfplan/lifecycle.go
+++ b/hfplan/lifecycle.go
@@ -17,6 +17,10 @@
 		return
 	}
 	p := m.progress
+	if settings := m.job.GetSettings(); s.queues[m.job.GetQueue()] == nil && settings.GetName() == m.job.GetQueue() {
+		// The queue was removed before this scheduler began. Its jobs run to their end.
+		s.addQueue(settings)
+	}
 	j := &job{
 		spec: m.job, queue: s.queues[m.job.GetQueue()], state: hfwork.StateQueued, cancelled: m.cancelled, learnedAt: now,
 	}
--- a/hfplan/plan_test.go
+++ b/hfplan/plan_test.go
@@ -435,3 +435,22 @@
 	}
 	require.Equal(t, 2, stops)
 }
+
+// Guards against the rest of a job that never runs, as its queue was removed before a new scheduler began
+// (removed-route in review/REPORT.md).
+func TestJobOfARemovedQueueGoesOnAfterATakeover(t *testing.T) {
+	d := newDesk(t, 2, "w")
+	d.store()
+	d.report("w")
+	removed := &hfwork.Queue{Name: "removed", Pool: "pool", Priority: 1, Attempts: 2}
+	second := deskStep(1)
+	second.After = []uint32{0}
+	job := &hfwork.Job{Id: "a", Queue: "removed", Account: "plants", Settings: removed, Steps: []*hfwork.Step{deskStep(1), second}}
+	d.send(Job(job, &hfwork.Progress{State: hfwork.StateRunning, Steps: []*hfwork.StepProgress{{Done: []byte{1}}}}, false))
+	d.store()
+	starts := d.takeStarts()
+	require.Len(t, starts, 1)
+	require.Equal(t, uint32(1), starts[0].Task().Step())
+	d.send(Policy(&hfwork.Policy{Version: 2, Queues: []*hfwork.Queue{{Name: "removed", Pool: "pool", Priority: 1, Attempts: 9}}}))
+	require.Equal(t, uint32(9), d.s.jobs["a"].queue.GetAttempts(), "a later configuration has the queue again")
+}
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -164,10 +164,9 @@
 func (s *Scheduler) emit(c Cmd) { s.cmds = append(s.cmds, c) }
 
 func (s *Scheduler) setPolicy(p *hfwork.Policy) {
-	s.policy, s.hasAdvisedQueue = p, false
+	s.policy = p
 	for _, q := range p.GetQueues() {
-		s.queues[q.GetName()] = q
-		s.hasAdvisedQueue = s.hasAdvisedQueue || q.GetAdvised()
+		s.addQueue(q)
 	}
 	for _, j := range s.jobs {
 		if q := s.queues[j.spec.GetQueue()]; q != nil {
@@ -177,6 +176,15 @@
 	s.needsPass = true
 }
 
+// addQueue adds the configuration of a queue, or replaces it.
+func (s *Scheduler) addQueue(q *hfwork.Queue) {
+	s.queues[q.GetName()] = q
+	s.hasAdvisedQueue = false
+	for _, known := range s.queues {
+		s.hasAdvisedQueue = s.hasAdvisedQueue || known.GetAdvised()
+	}
+}
+
 // accountGuarantee returns the number of accelerators guaranteed to an account.
 func (s *Scheduler) accountGuarantee(account string) int64 {
 	for _, a := range s.policy.GetAccounts() {
