Reject a submission whose id another job has

Callers saw: two accounts choose the same id on different routes.

Cause: any stored job with the id was taken for an earlier submission of the same one, in the mirror, after a conflict and after a read back.

Ruled out: running both. PROTOCOL.md names tasks ID.K.STEP.INDEX, so that a worker would take them for one job.

Fix: only a job of the caller's queue and account counts as submitted before.

--- a/hfentry/jobs.go
+++ b/hfentry/jobs.go
@@ -1,6 +1,7 @@
 package hfentry
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -27,6 +28,9 @@
 	ErrNoJob = eris.New("no such job")
 	// ErrWithdrawn reports a submission of a job that its caller has cancelled before.
 	ErrWithdrawn = eris.New("the job was cancelled before it was stored")
+	// ErrIDTaken reports a submission whose id a job of another account or queue has. Workers know
+	// tasks by the id of their job, so that both cannot run.
+	ErrIDTaken = eris.New("another job has this id")
 	// ErrNotDone reports that a call had no effect because the store takes no calls at the
 	// moment. It may be accepted later.
 	ErrNotDone = eris.New("not done: the store takes no calls")
@@ -97,9 +101,9 @@
 // defaultMaxBody is the size limit of request bodies in bytes if the configuration has none.
 const defaultMaxBody = 1 << 18
 
-// Submit stores a job. It does nothing if a job with the same id exists. It fails with
-// hfwork.ErrInvalidJob if the job is invalid, ErrWithdrawn if it was cancelled, ErrNotDone if it was
-// not accepted and never runs, or ErrEffectUnknown.
+// Submit stores a job. It does nothing if the job was submitted before. It fails with
+// hfwork.ErrInvalidJob if the job is invalid, ErrIDTaken if another job has its id, ErrWithdrawn if it
+// was cancelled, ErrNotDone if it was not accepted and never runs, or ErrEffectUnknown.
 func (n *Node) Submit(ctx context.Context, a Access, job *hfwork.Job) error {
 	job.Queue, job.Account, job.Policy, job.Received = a.queue.GetName(), a.account, a.policy, time.Now().UnixMilli()
 	job.Settings = a.queue
@@ -107,7 +111,7 @@
 		return fmt.Errorf("submit: %w", err)
 	}
 	if r := n.cachedJob(job.GetId()); r != nil && r.job != nil {
-		return nil // submitted before
+		return n.checkSame(a, r.job)
 	}
 	value, err := hfwire.Encode(job)
 	if err != nil {
@@ -116,27 +120,42 @@
 	withdrawn := withdrawalKey(job.GetId(), &hfwork.Withdrawal{Queue: job.GetQueue(), Account: job.GetAccount()})
 	stored, err := n.createKey(ctx, jobPrefix+job.GetId(), value, withdrawn)
 	if errors.Is(err, hfstore.ErrConflict) {
-		return n.resolveConflict(ctx, job.GetId())
+		return n.resolveConflict(ctx, a, job.GetId())
 	}
 	if err != nil {
 		return fmt.Errorf("submit: %w", err)
 	}
 	n.applyItem(stored)
 	n.queueHint(stored)
+	if !bytes.Equal(stored.Value(), value) { // read back, and submitted before
+		return n.resolveConflict(ctx, a, job.GetId())
+	}
 	return nil
 }
 
-// resolveConflict returns the result of a submission that was not stored, as the job is stored or
-// withdrawn: nil, ErrWithdrawn or ErrEffectUnknown.
-func (n *Node) resolveConflict(ctx context.Context, id string) error {
+// checkSame returns the result of a submission whose id a stored job has: nil if that is the
+// caller's in the same queue, and otherwise ErrIDTaken.
+func (n *Node) checkSame(a Access, stored *hfwork.Job) error {
+	if stored.GetQueue() != a.queue.GetName() || !n.owns(a, stored) {
+		return fmt.Errorf("submit: %w", ErrIDTaken)
+	}
+	return nil // submitted before
+}
+
+// resolveConflict returns the result of a submission that was not stored, as a job of its id is stored
+// or it was withdrawn: nil, ErrIDTaken, ErrWithdrawn or ErrEffectUnknown.
+func (n *Node) resolveConflict(ctx context.Context, a Access, id string) error {
 	err := n.fetchJob(ctx, id)
+	r := n.cachedJob(id)
 	switch {
 	case errors.Is(err, ErrNoJob):
 		return fmt.Errorf("submit: %w", ErrWithdrawn)
 	case err != nil:
 		return fmt.Errorf("submit: %w: %w", ErrEffectUnknown, err)
+	case r == nil || r.job == nil:
+		return fmt.Errorf("submit: %w: the stored job cannot be read", ErrIDTaken)
 	}
-	return nil // submitted before, at another instance
+	return n.checkSame(a, r.job)
 }
 
 // createKey creates a key on the condition that some others do not exist, and returns it. It fails
