Read the result of a fleet under its lock

The race detector stopped TestNoTaskRunsTwiceUnderPausedLeaders: the test read counters of its fleet without the lock while timers of the fleet still wrote them. No code of the product takes part.

Bounds and checks are as before.

Before: a race in 1 of 6 runs of go test -race -count=6 -run TestNoTaskRunsTwiceUnderPausedLeaders ./hforder.

--- a/hforder/fleet_test.go
+++ b/hforder/fleet_test.go
@@ -44,6 +44,25 @@
 	unbound bool     // such starts reach it; a wrong variant
 }
 
+// fleetResult is what a play of a fleet has shown.
+type fleetResult struct {
+	broken                       []string
+	noted, lapsed, late, foreign int // noted is the number of tasks with an acknowledged end
+}
+
+// result returns what the play has shown so far. Timers of the fleet may still go off.
+func (f *fleet) result() fleetResult {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := fleetResult{broken: slices.Clone(f.broken), lapsed: f.lapsed, late: f.late, foreign: f.foreign}
+	for _, task := range f.tasks {
+		if task.noted {
+			r.noted++
+		}
+	}
+	return r
+}
+
 type fleetTask struct {
 	duration time.Duration
 	done     time.Time   // when a run ended as done
@@ -422,8 +441,9 @@
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet(seed, 12)
 			playFleet(t, f, fakeServices{}, false)
-			require.Empty(t, f.broken, "seed %d", seed)
-			lapsed, late = lapsed+f.lapsed, late+f.late
+			r := f.result()
+			require.Empty(t, r.broken, "seed %d", seed)
+			lapsed, late = lapsed+r.lapsed, late+r.late
 		})
 	}
 	require.Greater(t, lapsed, fleetSeeds, "runs whose lease expired")
@@ -438,8 +458,9 @@
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet(seed, 12)
 			playFleet(t, f, slowServices{fleet: f}, true)
-			require.Empty(t, f.broken, "seed %d", seed)
-			foreign, late = foreign+f.foreign, late+f.late
+			r := f.result()
+			require.Empty(t, r.broken, "seed %d", seed)
+			foreign, late = foreign+r.foreign, late+r.late
 		})
 	}
 	require.Greater(t, foreign, fleetSeeds/4, "starts for an earlier incarnation")
@@ -454,7 +475,7 @@
 			f := newFleet(seed, 12)
 			f.unbound = true
 			playFleet(t, f, slowServices{fleet: f}, true)
-			found = f.broken
+			found = f.result().broken
 		})
 	}
 	require.NotEmpty(t, found)
@@ -604,13 +625,9 @@
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet(seed, 12)
 			playLeaders(t, f, false)
-			require.Empty(t, f.broken, "seed %d", seed)
-			for _, task := range f.tasks {
-				if task.noted {
-					noted++
-				}
-			}
-			lapsed, late = lapsed+f.lapsed, late+f.late
+			r := f.result()
+			require.Empty(t, r.broken, "seed %d", seed)
+			noted, lapsed, late = noted+r.noted, lapsed+r.lapsed, late+r.late
 		})
 	}
 	require.Greater(t, noted, 50*fleetSeeds, "tasks done")
@@ -625,7 +642,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet(seed, 12)
 			playLeaders(t, f, true)
-			found = f.broken
+			found = f.result().broken
 		})
 	}
 	require.NotEmpty(t, found)
