--- a/hfplan/ample.go
+++ b/hfplan/ample.go
@@ -8,7 +8,8 @@
 
 const (
 	// lightUse is the share of a pool below which its callers expect that work with enough room is
-	// not left waiting. They do not say of which resource, so that of the least used one counts.
+	// not left waiting. They do not say of which resource, so that of the least used one counts. While
+	// urgent work waits, processors and accelerators count together.
 	lightUse = 0.5
 	// maxIdleWait is how long a gang with ample room may wait for better conditions: for one rack, or
 	// for room that is kept free for urgent work. Callers expect it to start within 3 s.
@@ -18,8 +19,14 @@
 // hasAmpleRoom reports whether less than lightUse of a group's pool is in use, and twice as many tasks
 // of the group would fit.
 func (s *Scheduler) hasAmpleRoom(g *group, need hfplacement.Need, count int, now time.Time) bool {
-	capacity, free := s.resources.Total(g.job.queue.GetPool())
-	if capacity.Plus(free, -1).LeastShare(capacity) >= lightUse {
+	pool := g.job.queue.GetPool()
+	capacity, free := s.resources.Total(pool)
+	used := capacity.Plus(free, -1)
+	light := used.LeastShare(capacity) < lightUse
+	if s.urgentWaits[pool] { // it may need that room soon, unless there is plenty
+		light = used.CoreEquivalents() < lightUse*capacity.CoreEquivalents()
+	}
+	if !light {
 		return false
 	}
 	shape := g.placementShape()
--- a/hfplan/idle_test.go
+++ b/hfplan/idle_test.go
@@ -39,3 +39,19 @@
 	w.advance(longestIdleWait)
 	require.Equal(t, 2, w.running("gang"))
 }
+
+// Guards against gangs that take the room of urgent work that waits, in a pool of which only one
+// resource is in use.
+func TestRoomIsNotAmpleWhileUrgentWorkWaits(t *testing.T) {
+	w := newWorld(t, 4, 4)
+	w.advance(time.Second)
+	w.submit("processors", "usual", &hfwork.Step{Count: 16, Cpu: 100_000, Estimate: time.Hour.Milliseconds(), Saves: true, Apart: 1})
+	w.advance(time.Second)
+	w.submit("gang", "usual", gang(2, 4, 20*time.Second))
+	g := w.s.jobs["gang"].groups[0]
+	need := w.s.generalNeed(g, w.now)
+	w.s.urgentWaits["pool"] = false
+	require.True(t, w.s.hasAmpleRoom(g, need, 2, w.now))
+	w.s.urgentWaits["pool"] = true
+	require.False(t, w.s.hasAmpleRoom(g, need, 2, w.now))
+}
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -250,7 +250,14 @@
 	s.listSlowWorkers()
 	s.assignGuarantees()
 	budgets := s.gangBudgets(now)
-	for _, c := range s.candidates(now) {
+	candidates := s.candidates(now)
+	clear(s.urgentWaits)
+	for _, c := range candidates {
+		if c.priority == 0 {
+			s.urgentWaits[c.group.job.queue.GetPool()] = true
+		}
+	}
+	for _, c := range candidates {
 		g := c.group
 		shape := g.placementShape()
 		count := g.waiting()
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -90,6 +90,7 @@
 	missing          map[string]*missingWorker   // workers whose leases expired with runs, by id, until it is known whether they crashed
 	unstable         map[string]time.Time        // until when a worker at an address counts as crashed lately, by address
 	slowWorkers      map[string]bool             // workers known to be slow when the pass began
+	urgentWaits      map[string]bool             // pools for which urgent work waited when this pass began
 	notAmple         map[placementShape]int      // smallest number of tasks for which this pass found no room, see hasAmpleRoom
 	suspectReserved  map[string]int              // workers that this pass has reserved for suspects, by pool
 	hasAdvisedQueue  bool
@@ -109,7 +110,7 @@
 		timing: timing, runNumberBase: max(term-1, 0) * runsPerTerm, policy: &hfwork.Policy{}, queues: map[string]*hfwork.Queue{},
 		resources: hfplacement.New(), workers: map[string]*worker{}, jobs: map[string]*job{}, orphans: map[hfwork.TaskID]int{},
 		recoveryDeadline: now.Add(timing.leaseExpiryDelay()), pendingAcks: map[*worker]int64{}, dirtyJobs: map[string]*job{}, usage: map[string]*poolUsage{},
-		waves: map[int64]*wave{}, dirtyWaves: map[int64]*hfwork.Wave{}, missing: map[string]*missingWorker{}, unstable: map[string]time.Time{}, suspectReserved: map[string]int{}, notAmple: map[placementShape]int{}, slowWorkers: map[string]bool{},
+		waves: map[int64]*wave{}, dirtyWaves: map[int64]*hfwork.Wave{}, missing: map[string]*missingWorker{}, unstable: map[string]time.Time{}, suspectReserved: map[string]int{}, urgentWaits: map[string]bool{}, notAmple: map[placementShape]int{}, slowWorkers: map[string]bool{},
 	}
 }
 
