--- a/hfentry/instance.go
+++ b/hfentry/instance.go
@@ -76,14 +76,23 @@
 // removeExpiredInstances removes the entries of instances that have not written them for
 // instanceTTL.
 func (n *Node) removeExpiredInstances(ctx context.Context, epoch int64) {
-	names := hfloop.With(n.mirror, func(m *Mirror) []string { return m.expiredInstances(time.Now().Add(-instanceTTL)) })
-	for chunk := range slices.Chunk(names, hfstore.MaxBatch-1) {
+	keys := hfloop.With(n.mirror, func(m *Mirror) []string { return m.expiredInstances(time.Now().Add(-instanceTTL)) })
+	for i, name := range keys {
+		keys[i] = peerPrefix + name
+	}
+	n.removeKeys(ctx, epoch, keys)
+}
+
+// removeKeys removes keys from the store while the leadership of an epoch lasts. What is left after a
+// failure is removed by the next round of purge.
+func (n *Node) removeKeys(ctx context.Context, epoch int64, keys []string) {
+	for chunk := range slices.Chunk(keys, hfstore.MaxBatch-1) {
 		batch := (&hfstore.Batch{}).Require(leadKey, epoch)
-		for _, name := range chunk {
-			batch.Remove(peerPrefix + name)
+		for _, key := range chunk {
+			batch.Remove(key)
 		}
 		if _, err := n.commit(ctx, batch); err != nil {
-			return // repeated by the next round of purge
+			return
 		}
 	}
 }
--- a/hfentry/withdrawal.go
+++ b/hfentry/withdrawal.go
@@ -146,13 +146,5 @@
 func (n *Node) purgeWithdrawals(ctx context.Context, epoch int64) {
 	before := hflease.Now().Add(-n.settings.Retention() - purgeMargin)
 	keys := hfloop.With(n.mirror, func(m *Mirror) []string { return m.expiredWithdrawals(before) })
-	for chunk := range slices.Chunk(keys, hfstore.MaxBatch-1) {
-		batch := (&hfstore.Batch{}).Require(leadKey, epoch)
-		for _, key := range chunk {
-			batch.Remove(key)
-		}
-		if _, err := n.commit(ctx, batch); err != nil {
-			return // repeated in the next round
-		}
-	}
+	n.removeKeys(ctx, epoch, keys)
 }
