--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -213,7 +213,8 @@
 // policyChanged logs the new configuration and passes it to the scheduler.
 func (n *Node) policyChanged() {
 	policy, msg := hfloop.With2(n.mirror, func(m *Mirror) (*policyIndex, hfplan.PolicyMsg) { return m.policy, m.policyMsg() })
-	n.log.Event(hfevent.PolicyApplied, zap.Int64("version", policy.config.GetVersion()), zap.Int("queues", len(policy.config.GetQueues())))
+	n.log.Event(hfevent.PolicyApplied, zap.Int64("version", policy.config.GetVersion()), zap.Int("queues", len(policy.config.GetQueues())),
+		zap.Duration("age", n.policyWatch.age(hflease.Now())))
 	if l := n.leader.Load(); l != nil {
 		l.Send(msg)
 	}
--- a/hfentry/policy.go
+++ b/hfentry/policy.go
@@ -1,15 +1,10 @@
 package hfentry
 
 import (
-	"context"
 	"errors"
-	"fmt"
 	"slices"
 	"strings"
-	"time"
 
-	"github.com/heatherfront/heatherfront/hflease"
-	"github.com/heatherfront/heatherfront/hfstore"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
 
@@ -116,36 +111,3 @@
 	}
 	return nil
 }
-
-// maxPolicyAge is the age of the configuration beyond which calls that change something are not
-// admitted before it was read again. Without disruption, the watch confirms it every 1.5 s; operators
-// expect a new configuration, and the end of a withdrawn key, to be in force within 2.5 s.
-const maxPolicyAge = 2500 * time.Millisecond
-
-// ConfirmPolicy reads the configuration again if its last confirmation is older than maxPolicyAge, as
-// after a pause of the process. It fails with ErrNotReady before the first configuration, and with
-// ErrNotDone if the store does not answer.
-func (n *Node) ConfirmPolicy(ctx context.Context) error {
-	if !n.policyWatch.synced.Load() {
-		return ErrNotReady
-	}
-	if n.policyWatch.age(hflease.Now()) <= maxPolicyAge {
-		return nil
-	}
-	if !n.health.Allow(time.Now()) {
-		return fmt.Errorf("confirm configuration: %w", ErrNotDone)
-	}
-	call, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	sent := hflease.Now()
-	item, err := n.store.Get(call, n.formats.PolicyKey())
-	n.health.Record(err, time.Now())
-	if err != nil && !errors.Is(err, hfstore.ErrNotFound) {
-		return fmt.Errorf("%w: confirm configuration: %w", ErrNotDone, err)
-	}
-	if err == nil {
-		n.applyItem(item)
-	}
-	n.policyWatch.confirm(sent)
-	return nil
-}
--- a/hfentry/watch.go
+++ b/hfentry/watch.go
@@ -68,7 +68,14 @@
 }
 
 // confirm records that a call that was sent at the given time was answered.
-func (w *prefixWatch) confirm(sent time.Time) { w.confirmedAt.Store(sent.UnixNano()) }
+func (w *prefixWatch) confirm(sent time.Time) {
+	for {
+		last := w.confirmedAt.Load()
+		if last >= sent.UnixNano() || w.confirmedAt.CompareAndSwap(last, sent.UnixNano()) {
+			return
+		}
+	}
+}
 
 // age returns how long ago the last call was sent that was answered.
 func (w *prefixWatch) age(now time.Time) time.Duration {
@@ -118,7 +125,7 @@
 			continue
 		}
 		backlog := n.applyEvents(w, items, revision, sent)
-		w.confirm(sent)
+		n.confirm(w, sent, confirmedByWatch)
 		if len(items) > 0 && !backlog {
 			hfloop.Sleep(ctx, w.pause())
 		}
@@ -170,7 +177,7 @@
 	})
 	n.log.Event(hfevent.MirrorReset, zap.String("prefix", w.prefix), zap.Int("items", len(items)), zap.Int64("revision", revision))
 	w.revision, w.completeUntil = revision, sent
-	w.confirm(sent)
+	n.confirm(w, sent, confirmedByList)
 	w.synced.Store(true)
 	n.notify(changes)
 	return true
