Close idle connections to the store after a call without an answer

Callers saw a queue that had been added refused with 404 long after the change was confirmed.

A call that times out now closes the client's idle connections, so that the next one opens a new one. Connections in use stay; they find the silence by themselves. Ruled out: a store that was down, as new connections were answered at once.

--- a/hfstore/client.go
+++ b/hfstore/client.go
@@ -153,6 +153,9 @@
 		return fmt.Errorf("build request: %w", err)
 	}
 	resp, err := c.http.Do(req)
+	if errors.Is(err, context.DeadlineExceeded) {
+		c.http.CloseIdleConnections() // they may have gone silent together with that of this call
+	}
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
--- a/hfstore/store_test.go
+++ b/hfstore/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/heatherfront/heatherfront/hfstand"
 	"github.com/heatherfront/heatherfront/hfstore"
@@ -26,6 +28,36 @@
 	return fake, hfstore.New(server.URL, server.Client(), 300*time.Millisecond)
 }
 
+// Guards against calls that fail one after another, each on a connection that went silent together
+// with that of the first.
+func TestCallAfterSilentConnectionUsesNewOne(t *testing.T) {
+	const conns = 4 // idle connections that go silent
+	dialer, fake := &hfstand.Silencer{}, hfstand.NewStore()
+	server := httptest.NewServer(fake.Handler())
+	defer server.Close()
+	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: conns}}
+	defer client.CloseIdleConnections()
+	c := hfstore.New(server.URL, client, 300*time.Millisecond)
+	version, err := c.Put(t.Context(), "a", nil, 0, "")
+	require.NoError(t, err)
+	var g errgroup.Group
+	for range conns {
+		g.Go(func() error {
+			_, _, err := c.Watch(t.Context(), "a", version)
+			return err
+		})
+	}
+	time.Sleep(100 * time.Millisecond) // all watches wait, each on a connection of its own
+	_, err = c.Put(t.Context(), "a", nil, version, "")
+	require.NoError(t, err)
+	require.NoError(t, g.Wait())
+	dialer.Silence()
+	_, err = c.Get(t.Context(), "a")
+	require.Error(t, err, "this call finds the silence")
+	_, err = c.Get(t.Context(), "a")
+	require.NoError(t, err)
+}
+
 func TestStoreOperations(t *testing.T) {
 	_, c := openStore(t)
 	ctx := t.Context()
