Read the configuration while its watch is silent, and answer no GET by an old one

Cause: the only news of a change is one long watch, whose silence is found by its own timeout, 2.7 s directly and 3.3 s through each other instance, one after another; operators expect a change in force within 2.5 s. And a GET was answered by a configuration of any age.

The age of the configuration now decides, whatever the watch waits for: from 1.9 s on it is read beside the watch, and beyond 2.5 s a call confirms it first, all that wait sharing one read. If that is not possible, a change is answered 503, as before; a GET that the old configuration refuses, too, as the queue or key may have been added since. What it allows to be read is still shown, so that callers see their jobs during an outage of the store.

--- a/hfentry/freshness.go
+++ b/hfentry/freshness.go
@@ -21,10 +21,46 @@
 	confirmedByRead  = "read"
 )
 
-// maxPolicyAge is the age of the configuration beyond which calls that change something are not
-// admitted before it was read again. Without disruption, the watch confirms it every 1.5 s; operators
-// expect a new configuration, and the end of a withdrawn key, to be in force within 2.5 s.
-const maxPolicyAge = 2500 * time.Millisecond
+const (
+	// maxPolicyAge is the age of the configuration beyond which it decides nothing before it is
+	// confirmed. Operators expect a change, and the end of a withdrawn key, to be in force within 2.5 s.
+	maxPolicyAge = 2500 * time.Millisecond
+	// maxPolicySilence is the age from which on the configuration is read beside its watch, which is
+	// answered every 1.5 s. It leaves time for the read.
+	maxPolicySilence    = 1900 * time.Millisecond
+	policyCheckInterval = 100 * time.Millisecond
+)
+
+// keepPolicyFresh reads the configuration whenever its watch is silent, until ctx ends. A watch finds
+// out late that it waits for nothing, as on a connection that has gone silent.
+func (n *Node) keepPolicyFresh(ctx context.Context) {
+	for hfloop.Sleep(ctx, policyCheckInterval) {
+		if n.policyWatch.synced.Load() && n.policyWatch.age(hflease.Now()) > maxPolicySilence {
+			_ = n.readPolicy(ctx) // repeated in the next round
+		}
+	}
+}
+
+// AdmitChange admits a call that changes something, like Admit. It fails with ErrNotDone if the
+// configuration is too old and cannot be confirmed.
+func (n *Node) AdmitChange(ctx context.Context, host, path, key string) (Access, error) {
+	if err := n.ConfirmPolicy(ctx); err != nil {
+		return Access{}, err
+	}
+	return n.Admit(host, path, key)
+}
+
+// AdmitRead admits a call that changes nothing, like Admit. While the configuration is too old and
+// cannot be confirmed, it admits by the old one, but fails with ErrNotDone where that admits nothing:
+// the queue or key may have been added since.
+func (n *Node) AdmitRead(ctx context.Context, host, path, key string) (Access, error) {
+	unconfirmed := n.ConfirmPolicy(ctx)
+	access, err := n.Admit(host, path, key)
+	if err != nil && unconfirmed != nil {
+		return Access{}, unconfirmed
+	}
+	return access, err
+}
 
 // ConfirmPolicy reads the configuration again if its last confirmation is older than maxPolicyAge, as
 // after a pause of the process. It fails with ErrNotReady before the first configuration, and with
@@ -36,21 +72,33 @@
 	if n.policyWatch.age(hflease.Now()) <= maxPolicyAge {
 		return nil
 	}
-	if !n.health.Allow(time.Now()) {
-		return fmt.Errorf("confirm configuration: %w", ErrNotDone)
+	if n.health.Down() {
+		return fmt.Errorf("confirm configuration: %w", ErrNotDone) // keepPolicyFresh tries again
 	}
-	call, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	sent := hflease.Now()
-	item, err := n.store.Get(call, n.formats.PolicyKey())
-	n.health.Record(err, time.Now())
-	if err != nil && !errors.Is(err, hfstore.ErrNotFound) {
-		return fmt.Errorf("%w: confirm configuration: %w", ErrNotDone, err)
-	}
-	if err == nil {
-		n.applyItem(item)
+	return n.readPolicy(ctx)
+}
+
+// readPolicy reads and applies the configuration, once for all that call it at the same time. It
+// fails with ErrNotDone if the store does not answer.
+func (n *Node) readPolicy(ctx context.Context) error {
+	_, err, _ := n.policyReads.Do("", func() (any, error) {
+		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
+		defer cancel()
+		sent := hflease.Now()
+		item, err := n.store.Get(call, n.formats.PolicyKey())
+		n.health.Record(err, time.Now())
+		if err != nil && !errors.Is(err, hfstore.ErrNotFound) {
+			return nil, fmt.Errorf("%w: confirm configuration: %w", ErrNotDone, err)
+		}
+		if err == nil {
+			n.applyItem(item)
+		}
+		n.confirm(&n.policyWatch, sent, confirmedByRead)
+		return nil, nil
+	})
+	if err != nil {
+		return fmt.Errorf("read configuration: %w", err)
 	}
-	n.confirm(&n.policyWatch, sent, confirmedByRead)
 	return nil
 }
 
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/heatherfront/heatherfront/hfevent"
 	"github.com/heatherfront/heatherfront/hflease"
@@ -62,6 +63,7 @@
 	recordWatch  prefixWatch // watches our own records
 	policyWatch  prefixWatch // watches what operators write
 	workerWatch  prefixWatch // watches the workers' entries
+	policyReads  singleflight.Group
 	stopping     atomic.Bool
 	claiming     atomic.Bool                    // this instance tries to become the leader, or is the leader
 	leader       atomic.Pointer[hforder.Leader] // nil unless this instance is the leader
@@ -116,6 +118,7 @@
 		func(ctx context.Context) { n.watch(ctx, &n.workerWatch) },
 		func(ctx context.Context) { n.servePeers(ctx, ln) },
 		func(ctx context.Context) { n.relay.Run(ctx, leadKey) },
+		n.keepPolicyFresh,
 		n.sendHints,
 		n.announce,
 		n.campaign,
