End a watch through another instance once direct calls succeed again

A watch that fails once directly goes through other instances, up to three, one after another, 3.3 s each if they give no reply. Every success after a failure now ends it, but not before it had 0.5 s for an answer, as a store that refuses only some calls may refuse the next one. A call that is abandoned no longer pauses relaying for all others.

--- a/hfrelay/call.go
+++ b/hfrelay/call.go
@@ -53,33 +53,33 @@
 }
 
 // Watch implements hfstore.Store. A watch through another instance, which may lose power without
-// closing its connection, continues directly when the direct route is restored.
+// closing its connection, continues directly once direct calls succeed again.
 func (s *Store) Watch(ctx context.Context, prefix string, after int64) ([]hfstore.Item, int64, error) {
+	out := &hfwire.StoreCall{Kind: &hfwire.StoreCall_Watch{Watch: &hfwire.StoreWatch{Prefix: prefix, After: after}}}
 	for {
-		routeCtx, cancel := s.withoutDirectRoute(ctx)
-		result, err := s.watchOnce(routeCtx, prefix, after)
-		restored := routeCtx.Err() != nil && ctx.Err() == nil
-		cancel()
+		recovered := s.recovered()
+		result, err := callDirectly(ctx, s, func(ctx context.Context) (listResult, error) {
+			ctx, cancel := s.withDirectRoute(ctx)
+			defer cancel()
+			items, revision, err := s.direct.Watch(ctx, prefix, after)
+			return listResult{items: items, revision: revision}, err
+		})
+		abandoned := false
+		if needsRelay(ctx, err) {
+			relayCtx, cancel := withoutDirectRoute(ctx, recovered)
+			result, err = callRelayed(relayCtx, s, out, decodeList, err)
+			abandoned = relayCtx.Err() != nil && ctx.Err() == nil
+			cancel()
+		}
 		switch {
 		case err == nil:
 			return result.items, result.revision, nil
-		case !restored:
+		case !abandoned:
 			return nil, 0, fmt.Errorf("watch: %w", err)
 		}
 	}
 }
 
-// watchOnce watches on the present route, or through another instance if that fails.
-func (s *Store) watchOnce(ctx context.Context, prefix string, after int64) (listResult, error) {
-	out := &hfwire.StoreCall{Kind: &hfwire.StoreCall_Watch{Watch: &hfwire.StoreWatch{Prefix: prefix, After: after}}}
-	return callWithFallback(ctx, s, out, func(ctx context.Context) (listResult, error) {
-		ctx, cancel := s.withDirectRoute(ctx)
-		defer cancel()
-		items, revision, err := s.direct.Watch(ctx, prefix, after)
-		return listResult{items: items, revision: revision}, err
-	}, decodeList)
-}
-
 // Put implements hfstore.Store.
 func (s *Store) Put(ctx context.Context, key string, value []byte, version int64, lease string) (int64, error) {
 	revision, err := s.Commit(ctx, (&hfstore.Batch{}).Require(key, version).Put(key, value, lease))
--- a/hfrelay/relay.go
+++ b/hfrelay/relay.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
 
 	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hfpeer"
@@ -28,6 +29,9 @@
 	relayTimeout  = 700 * time.Millisecond  // bounds a call through another instance
 	watchTimeout  = 3300 * time.Millisecond // bounds a watch through another instance, which waits for events
 	probeInterval = 300 * time.Millisecond  // between probes of the direct route while it is lost
+	// minRelayedWatch is how long a watch through another instance is left time for an answer, even if
+	// the store answers some direct calls again. It may refuse the next ones.
+	minRelayedWatch = 500 * time.Millisecond
 )
 
 // PeerCaller sends calls to other instances.
@@ -53,8 +57,8 @@
 	routes       routes
 	directCtx    context.Context // ends when the direct route is lost
 	cancelDirect context.CancelFunc
-	relayCtx     context.Context // ends when the direct route is restored after its next, or present, loss
-	cancelRelay  context.CancelFunc
+	recoveredCtx context.Context // ends when a direct call succeeds after the last one failed
+	endRecovered context.CancelFunc
 }
 
 var _ hfstore.Committer = (*Store)(nil)
@@ -66,7 +70,7 @@
 func New(direct hfstore.Committer, links PeerCaller, peers func() []hfpeer.Peer, onRouteChange func(direct bool, cause error), registry metrics.Registry) *Store {
 	s := &Store{direct: direct, links: links, peers: peers, onRouteChange: onRouteChange, registry: registry}
 	s.directCtx, s.cancelDirect = context.WithCancel(context.Background())
-	s.relayCtx, s.cancelRelay = context.WithCancel(context.Background())
+	s.recoveredCtx, s.endRecovered = context.WithCancel(context.Background())
 	return s
 }
 
@@ -101,13 +105,16 @@
 // recordDirect records the result of a direct call and reports a change of the route.
 func (s *Store) recordDirect(err error) {
 	s.mu.Lock()
-	changed, direct := s.routes.recordDirect(!storeFailed(err)), s.routes.isDirect()
+	changed, recovered := s.routes.recordDirect(!storeFailed(err))
+	direct := s.routes.isDirect()
 	if changed && !direct {
 		s.cancelDirect()
 	} else if changed {
-		s.cancelRelay()
 		s.directCtx, s.cancelDirect = context.WithCancel(context.Background())
-		s.relayCtx, s.cancelRelay = context.WithCancel(context.Background())
+	}
+	if recovered {
+		s.endRecovered()
+		s.recoveredCtx, s.endRecovered = context.WithCancel(context.Background())
 	}
 	s.mu.Unlock()
 	if changed {
@@ -115,25 +122,34 @@
 	}
 }
 
-// withDirectRoute returns a context that ends with ctx or when the direct route is lost.
-func (s *Store) withDirectRoute(ctx context.Context) (context.Context, context.CancelFunc) {
+// recovered returns a context that ends when a direct call succeeds after the last one failed.
+func (s *Store) recovered() context.Context {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return mergeContexts(ctx, s.directCtx)
+	return s.recoveredCtx
 }
 
-// withoutDirectRoute returns a context that ends with ctx or when the direct route, lost now or
-// later, is restored.
-func (s *Store) withoutDirectRoute(ctx context.Context) (context.Context, context.CancelFunc) {
+// withDirectRoute returns a context that ends with ctx or when the direct route is lost.
+func (s *Store) withDirectRoute(ctx context.Context) (context.Context, context.CancelFunc) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return mergeContexts(ctx, s.relayCtx)
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(s.directCtx, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
 }
 
-// mergeContexts returns a context that ends with either of two.
-func mergeContexts(ctx, other context.Context) (context.Context, context.CancelFunc) {
+// withoutDirectRoute returns a context that ends with ctx, or when recovered has ended and minRelayedWatch
+// has passed.
+func withoutDirectRoute(ctx, recovered context.Context) (context.Context, context.CancelFunc) {
+	end := time.Now().Add(minRelayedWatch)
 	ctx, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(other, cancel)
+	stop := context.AfterFunc(recovered, func() {
+		hfloop.Sleep(ctx, time.Until(end))
+		cancel()
+	})
 	return ctx, func() {
 		stop()
 		cancel()
@@ -143,22 +159,42 @@
 // callWithFallback makes a call directly, and through other instances if storeFailed
 // holds for the result.
 func callWithFallback[T any](ctx context.Context, s *Store, out *hfwire.StoreCall, direct func(context.Context) (T, error), decode func(*hfwire.StoreReply) T) (T, error) {
+	value, err := callDirectly(ctx, s, direct)
+	if !needsRelay(ctx, err) {
+		return value, err
+	}
+	return callRelayed(ctx, s, out, decode, err)
+}
+
+// errRouteLost reports that a call was not made directly.
+var errRouteLost = eris.New("the direct route is lost")
+
+// needsRelay reports whether a call with this result of callDirectly is to be made through other instances.
+func needsRelay(ctx context.Context, err error) bool {
+	return errors.Is(err, errRouteLost) || storeFailed(err) && ctx.Err() == nil
+}
+
+// callDirectly makes a call directly, and records the result. It fails with errRouteLost if the direct
+// route is lost.
+func callDirectly[T any](ctx context.Context, s *Store, direct func(context.Context) (T, error)) (T, error) {
 	var zero T
-	var cause error
-	effectUnknown := false // an attempt may have taken effect, or still take effect
-	if s.Direct() {
-		value, err := direct(ctx)
-		if ctx.Err() == nil || !storeFailed(err) {
-			s.recordDirect(err)
-		}
-		if err == nil {
-			return value, nil
-		}
-		if !storeFailed(err) || ctx.Err() != nil {
-			return zero, fmt.Errorf("directly: %w", err)
-		}
-		cause, effectUnknown = err, !errors.Is(err, hfstore.ErrRefused)
+	if !s.Direct() {
+		return zero, errRouteLost
+	}
+	value, err := direct(ctx)
+	if ctx.Err() == nil || !storeFailed(err) {
+		s.recordDirect(err)
+	}
+	if err != nil {
+		return zero, fmt.Errorf("directly: %w", err)
 	}
+	return value, nil
+}
+
+// callRelayed makes a call through other instances. cause is why it was not made directly, or failed.
+func callRelayed[T any](ctx context.Context, s *Store, out *hfwire.StoreCall, decode func(*hfwire.StoreReply) T, cause error) (T, error) {
+	var zero T
+	effectUnknown := storeFailed(cause) && !errors.Is(cause, hfstore.ErrRefused) // an attempt may have taken effect, or still take effect
 	peers := s.peers()
 	s.mu.Lock()
 	candidates := s.routes.candidates(peers, time.Now())
@@ -176,7 +212,7 @@
 		}
 		cause, effectUnknown = err, effectUnknown || !errors.Is(err, hfstore.ErrRefused)
 	}
-	if len(candidates) > 0 {
+	if len(candidates) > 0 && ctx.Err() == nil {
 		s.mu.Lock()
 		s.routes.recordAllFailed(time.Now())
 		s.mu.Unlock()
--- a/hfrelay/relay_test.go
+++ b/hfrelay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -348,6 +349,69 @@
 	<-done
 }
 
+// Guards against a watch that waits on an instance that has lost power, although the direct route
+// works: one call that fails is not enough for the route to be lost, and so to be restored.
+func TestWatchLeavesRelayOnceDirectCallsSucceed(t *testing.T) {
+	c, ctx := newCluster(2), t.Context()
+	_, err := c.relays[1].Put(ctx, "job", nil, 0, "")
+	require.NoError(t, err)
+	called := make(chan struct{})
+	c.links.mu.Lock()
+	c.links.noReply = map[string]chan struct{}{"1": called}
+	c.links.mu.Unlock()
+	c.direct[0].setErr(hfstore.ErrUnavailable)
+	result := make(chan error, 1)
+	go func() {
+		_, _, err := c.relays[0].Watch(ctx, "", 0)
+		result <- err
+	}()
+	<-called
+	c.direct[0].setErr(nil)
+	require.True(t, c.relays[0].Direct(), "one failure does not lose the route")
+	_, err = c.relays[0].Get(ctx, "job")
+	require.NoError(t, err)
+	require.NoError(t, <-result, "the watch must continue on the direct route")
+}
+
+// Guards against a watch that is sent anew with each success of a store that refuses other calls, and
+// against one that is never answered by such a store.
+func TestWatchIsAnsweredWhileStoreRefusesSomeCalls(t *testing.T) {
+	c, ctx := newCluster(2), t.Context()
+	flapping := &flappingStore{fakeStore: c.direct[0]}
+	s := hfrelay.New(flapping, c.links, func() []hfpeer.Peer { return []hfpeer.Peer{hfpeer.NewPeer("1", "")} }, func(bool, error) {}, metrics.NewRegistry())
+	result := make(chan error, 1)
+	begin := time.Now()
+	go func() {
+		_, _, err := s.Watch(ctx, "", 0)
+		result <- err
+	}()
+	for time.Since(begin) < 2*time.Second {
+		_, _ = s.Get(ctx, "job")
+	}
+	_, err := c.relays[1].Put(ctx, "job", nil, 0, "")
+	require.NoError(t, err)
+	require.NoError(t, <-result)
+	require.LessOrEqual(t, flapping.watches.Load(), 2+int64(time.Since(begin)/(450*time.Millisecond)), "each attempt has time for an answer")
+}
+
+// flappingStore refuses every second call, and all watches.
+type flappingStore struct {
+	*fakeStore
+	gets, watches atomic.Int64
+}
+
+func (s *flappingStore) Get(ctx context.Context, key string) (hfstore.Item, error) {
+	if s.gets.Add(1)%2 == 0 {
+		return hfstore.Item{}, hfstore.ErrRefused
+	}
+	return s.fakeStore.Get(ctx, key)
+}
+
+func (s *flappingStore) Watch(context.Context, string, int64) ([]hfstore.Item, int64, error) {
+	s.watches.Add(1)
+	return nil, 0, hfstore.ErrRefused
+}
+
 func TestEveryCallIsRelayed(t *testing.T) {
 	c, ctx := newCluster(2), t.Context()
 	c.direct[0].setErr(hfstore.ErrRefused)
--- a/hfrelay/routes.go
+++ b/hfrelay/routes.go
@@ -28,15 +28,16 @@
 func (r *routes) isDirect() bool { return r.directFailures < maxDirectFailures }
 
 // recordDirect records the result of a direct call; ok is the opposite of storeFailed. It
-// reports whether the direct route was lost or restored by it.
-func (r *routes) recordDirect(ok bool) bool {
-	before := r.isDirect()
+// reports whether the direct route was lost or restored by it, and whether the call succeeded after
+// a failure of the last one.
+func (r *routes) recordDirect(ok bool) (changed, recovered bool) {
+	wasDirect, failures := r.isDirect(), r.directFailures
 	if ok {
 		r.directFailures = 0
 	} else {
 		r.directFailures++
 	}
-	return before != r.isDirect()
+	return wasDirect != r.isDirect(), ok && failures > 0
 }
 
 // candidates returns the instances to relay a call through, at most maxRelays. The
