Take an answer that leaves events out for no confirmation

A watch that is answered with 400 events or 512 KB may have left out the newest configuration, but counted as its confirmation, so that a call could be decided by an older one for 2.5 s more if the next answer did not come.

--- a/hfentry/watch.go
+++ b/hfentry/watch.go
@@ -62,12 +62,12 @@
 	// completeUntil is a time until which all events are applied, on the clock of hflease.Now:
 	// when the last call was sent whose answer left none out. Used only by its own goroutine.
 	completeUntil time.Time
-	// confirmedAt is when the last call was sent that was answered, in nanoseconds of the clock of
-	// hflease.Now.
+	// confirmedAt is when the last call was sent whose answer left no event out, in nanoseconds of the
+	// clock of hflease.Now.
 	confirmedAt atomic.Int64
 }
 
-// confirm records that a call that was sent at the given time was answered.
+// confirm records that a call that was sent at the given time was answered, and no event left out.
 func (w *prefixWatch) confirm(sent time.Time) {
 	for {
 		last := w.confirmedAt.Load()
@@ -77,7 +77,7 @@
 	}
 }
 
-// age returns how long ago the last call was sent that was answered.
+// age returns how long ago the items below the prefix were last confirmed.
 func (w *prefixWatch) age(now time.Time) time.Duration {
 	return now.Sub(time.Unix(0, w.confirmedAt.Load()))
 }
@@ -125,8 +125,11 @@
 			continue
 		}
 		backlog := n.applyEvents(w, items, revision, sent)
+		if backlog {
+			continue
+		}
 		n.confirm(w, sent, confirmedByWatch)
-		if len(items) > 0 && !backlog {
+		if len(items) > 0 {
 			hfloop.Sleep(ctx, w.pause())
 		}
 	}
--- a/hfentry/watch_test.go
+++ b/hfentry/watch_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/heatherfront/heatherfront/hflease"
 	"github.com/heatherfront/heatherfront/hfstore"
 )
 
@@ -47,3 +48,20 @@
 	cancel()
 	require.NoError(t, group.Wait())
 }
+
+// Guards against a configuration that is taken to be confirmed by an answer that leaves its change out.
+func TestBacklogConfirmsNothing(t *testing.T) {
+	n, store := newTestNode("one"), &backlogStore{fakeStore: newFakeStore()}
+	n.store, n.health = store, NewStoreHealth(func(bool, time.Duration) {})
+	w := &prefixWatch{prefix: "other/", pause: func() time.Duration { return 0 }}
+	w.synced.Store(true)
+	confirmed := hflease.Now().Add(-5 * time.Second)
+	w.confirm(confirmed)
+	ctx, cancel := context.WithCancel(t.Context())
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { n.watch(ctx, w); return nil })
+	require.Eventually(t, func() bool { return store.calls.Load() == 4 }, 10*time.Second, time.Millisecond)
+	cancel()
+	require.NoError(t, group.Wait())
+	require.Equal(t, confirmed.UnixNano(), w.confirmedAt.Load())
+}
