Open a new link to an instance whose link has gone silent

After a call without a reply, the next ones went over the same link until the keepalive closed it, 10 s later. While all connections are silent, an instance could neither relay calls to the store nor send hints. A call that times out after 0.6 s or more, without a byte from the peer since it was sent, now closes the link, so that the next one dials. A call that is cancelled, or a peer that is heard meanwhile, closes nothing.

--- a/hfpeer/links.go
+++ b/hfpeer/links.go
@@ -9,6 +9,7 @@
 	"net"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -36,6 +37,7 @@
 	writeTimeout      = 2 * time.Second
 	keepAliveInterval = 10 * time.Second
 	redialDelay       = 200 * time.Millisecond
+	silentAfter       = 600 * time.Millisecond // without a byte from the peer, a call that fails closes the link
 	maxIdleStreams    = 16                     // kept open per link for later calls
 	readBufferSize    = 512                    // bytes; most messages are smaller
 	maxServedStreams  = 1024                   // streams of one connection that are served at once, idle ones included
@@ -85,9 +87,32 @@
 // link is one multiplexed connection with its idle streams.
 type link struct {
 	*yamux.Session
+	conn        *heardConn
 	idleStreams chan *yamux.Stream
 }
 
+// heardConn is a connection that knows when it was last read from.
+type heardConn struct {
+	net.Conn
+	heardAt atomic.Pointer[time.Time]
+}
+
+// Read implements net.Conn.
+func (c *heardConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		now := time.Now()
+		c.heardAt.Store(&now)
+	}
+	return n, err
+}
+
+// isSilent reports whether nothing was heard since a call was sent, for silentAfter at least.
+func (c *heardConn) isSilent(sent time.Time) bool {
+	heard := c.heardAt.Load()
+	return time.Since(sent) >= silentAfter && (heard == nil || heard.Before(sent))
+}
+
 // acquireStream returns an idle stream if there is one, or opens a new stream.
 func (l *link) acquireStream() (*yamux.Stream, error) {
 	select {
@@ -135,6 +160,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("call %s: %w: %w", to.name, ErrNoLink, err)
 	}
+	sent := time.Now()
 	// A deadline in the past makes pending reads and writes fail when ctx ends.
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
 	in, err := l.exchange(stream, to.region, out)
@@ -144,6 +170,9 @@
 		link.releaseStream(stream)
 	}
 	if err != nil {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) && link.conn.isSilent(sent) {
+			_ = link.Close() // the connection may have gone silent; the next call opens another one
+		}
 		return nil, fmt.Errorf("call %s: %w: %w", to.name, ErrNoReply, err)
 	}
 	if r := in.GetRefusal(); r != nil {
@@ -197,11 +226,12 @@
 		p.retryAt = time.Now().Add(redialDelay)
 		return nil, fmt.Errorf("dial %s: %w: %w", address, ErrNoLink, err)
 	}
-	session, err := yamux.Client(conn, yamuxConfig())
+	heard := &heardConn{Conn: conn}
+	session, err := yamux.Client(heard, yamuxConfig())
 	if err != nil {
 		return nil, fmt.Errorf("open session with %s: %w: %w", address, ErrNoLink, err)
 	}
-	p.link = &link{Session: session, idleStreams: make(chan *yamux.Stream, maxIdleStreams)}
+	p.link = &link{Session: session, conn: heard, idleStreams: make(chan *yamux.Stream, maxIdleStreams)}
 	return p.link, nil
 }
 
