Find the queue of a host that is written with capitals

A route whose host has capitals was answered 404 for good: requests were looked up in lower case, the configuration was indexed as written.

--- a/hfentry/policy.go
+++ b/hfentry/policy.go
@@ -11,7 +11,7 @@
 // policyIndex is a configuration of the queues with indexes for the lookups of requests.
 type policyIndex struct {
 	config        *hfwork.Policy
-	queuesByHost  map[string][]*hfwork.Queue // by host, longest prefix first
+	queuesByHost  map[string][]*hfwork.Queue // by host in lower case, longest prefix first
 	accountsByKey map[string]string          // account name by key
 	queuesByName  map[string]*hfwork.Queue
 }
@@ -19,7 +19,8 @@
 func newPolicyIndex(config *hfwork.Policy) *policyIndex {
 	p := &policyIndex{config: config, queuesByHost: map[string][]*hfwork.Queue{}, accountsByKey: map[string]string{}, queuesByName: map[string]*hfwork.Queue{}}
 	for _, q := range config.GetQueues() {
-		p.queuesByHost[q.GetHost()] = append(p.queuesByHost[q.GetHost()], q)
+		host := strings.ToLower(q.GetHost())
+		p.queuesByHost[host] = append(p.queuesByHost[host], q)
 		p.queuesByName[q.GetName()] = q
 	}
 	for _, queues := range p.queuesByHost {
