Give a gang up only for crashes under one and the same member

The operators allow to give a task up under which two workers have crashed; a gang counted those of all its members together.

A gang is now given up, or held back, only if two of its crashes hit one member that is known to have started, or four hit one member that may have started. The own crashes of each member are stored beside the counts of the gang, so that a new leader knows them; older records have none. A member that crashes its workers hits itself each time, so that BUDGET is kept as before.

--- a/hfcrash/count.go
+++ b/hfcrash/count.go
@@ -19,6 +19,9 @@
 	// MaxGangAlone is the same for a gang, which more unrelated crashes meet: any of its
 	// workers may crash by chance.
 	MaxGangAlone = 3
+	// MinOwn is how many of the crashes of a gang must have hit one and the same member, after it had
+	// started. A task may be given up if two workers crashed under it, but not for those of other members.
+	MinOwn = 2
 	// StartWindow is how long a run must have been at work to show that its start did not
 	// crash the worker.
 	StartWindow = 2 * time.Second
--- a/hfplan/crash.go
+++ b/hfplan/crash.go
@@ -23,26 +23,65 @@
 	unstableTime = 30 * time.Second
 )
 
-// crashes counts the workers that crashed under a task. Gangs keep it in their primary task.
+// crashes counts the workers that crashed under a task. Gangs keep it in their primary task, but for
+// the own crashes of each member.
 type crashes struct {
 	hfcrash.Count
 
-	suspect   bool  // the last of the counted runs had just begun, and no run since has been at work for long
-	provenRun int64 // number of the last run with a proven crash; not stored
+	suspect   bool   // the last of the counted runs had just begun, and no run since has been at work for long
+	provenRun int64  // number of the last run with a proven crash; not stored
+	own       uint32 // runs in which the worker of this very task crashed, and may have started it
+	ownSeen   uint32 // of these, runs that are known to have started
+	ownRun    int64  // number of the last run that is included in own
 }
 
 func crashesOf(c *hfwork.Crashes) crashes {
 	count := hfcrash.New(c.GetTotal(), c.GetEarly(), c.GetAlone(), c.GetRun(), c.GetAloneRun())
-	return crashes{Count: count, suspect: c.GetSuspect()}
+	return crashes{Count: count, suspect: c.GetSuspect(), own: c.GetOwn(), ownSeen: c.GetOwnSeen(), ownRun: c.GetOwnRun()}
 }
 
 func (c crashes) toRecord() *hfwork.Crashes {
-	return &hfwork.Crashes{Total: c.Total(), Early: c.Early(), Alone: c.Alone(), Run: c.Run(), AloneRun: c.AloneRun(), Suspect: c.suspect}
+	return &hfwork.Crashes{
+		Total: c.Total(), Early: c.Early(), Alone: c.Alone(), Run: c.Run(), AloneRun: c.AloneRun(), Suspect: c.suspect,
+		Own: c.own, OwnSeen: c.ownSeen, OwnRun: c.ownRun,
+	}
+}
+
+// any reports whether a crash is counted.
+func (c crashes) any() bool { return c.Total() > 0 || c.own > 0 }
+
+// addOwn includes a run in own. It reports whether the run was not included before.
+func (c *crashes) addOwn(l *lostRun) bool {
+	if l.number <= c.ownRun {
+		return false
+	}
+	c.ownRun = l.number
+	c.own++
+	if l.started() {
+		c.ownSeen++
+	}
+	return true
+}
+
+// removeOwn takes back a run that was added to own, and that may be added again.
+func (c *crashes) removeOwn(l *lostRun) {
+	if c.ownRun != l.number || c.own == 0 {
+		return
+	}
+	c.ownRun--
+	c.own--
+	if l.started() {
+		c.ownSeen--
+	}
 }
 
+// mayBeCulprit reports whether the task may have crashed its workers: two that are known to have started
+// it, or as many as may crash right after a start.
+func (c crashes) mayBeCulprit() bool { return c.ownSeen >= hfcrash.MinOwn || c.own >= hfcrash.MaxEarly }
+
 // lostRun is a run that was lost with its worker.
 type lostRun struct {
-	task       *task // primary task of a gang
+	task       *task
 	number     int64
 	worked     time.Duration // from its start to the last report that listed it
 	prior      bool          // started by an earlier scheduler: only its place is known
@@ -50,8 +89,15 @@
 	leaving    bool          // the worker had announced that it leaves, so that others may not be listed
 	unanswered bool          // its start got no answer
 	counted    bool          // included in the crashes of the task before the crash was proven
+	ownCounted bool          // included in the own crashes of the member before the crash was proven
 }
 
+// primary returns the task that keeps the crashes: of a gang, its primary task.
+func (l lostRun) primary() *task { return l.task.group.primary(l.task) }
+
+// started reports whether the run is known to have started.
+func (l lostRun) started() bool { return !l.unanswered && !l.prior }
+
 // justBegun reports whether the start of the run may have crashed the worker.
 func (l lostRun) justBegun() bool { return l.worked < hfcrash.StartWindow }
 
@@ -84,7 +130,7 @@
 		early := w.silentSoonAfter(r, now)
 		if r.phase != assigned && (early || !leaving) {
 			lost = append(lost, lostRun{
-				task: r.task.group.primary(r.task), number: r.number, worked: r.worked(), early: early, leaving: leaving, unanswered: r.confirmedAt.IsZero(),
+				task: r.task, number: r.number, worked: r.worked(), early: early, leaving: leaving, unanswered: r.confirmedAt.IsZero(),
 			})
 		}
 	}
@@ -110,7 +156,7 @@
 	var lost []lostRun
 	for _, t := range sortedTasks(w.priorTasks) {
 		if s.orphans[t.id()] == 0 {
-			lost = append(lost, lostRun{task: t.group.primary(t), number: s.runNumberBase, prior: true})
+			lost = append(lost, lostRun{task: t, number: s.runNumberBase, prior: true})
 		}
 	}
 	return lost
@@ -136,24 +182,25 @@
 	if len(lost) == 0 {
 		return
 	}
-	alone := !slices.ContainsFunc(lost, func(l lostRun) bool { return l.task != lost[0].task || l.leaving })
+	alone := !slices.ContainsFunc(lost, func(l lostRun) bool { return l.primary() != lost[0].primary() || l.leaving })
 	note := NoteCmd{note: NoteCrash, worker: id, tasks: len(lost), alone: alone, reason: "a later incarnation answers"}
 	certain := alone && !now.Before(s.unstable[address])
 	if certain && lost[0].prior {
-		certain = lost[0].task.crashes.suspect // as recorded: it was isolated and had just begun
+		certain = lost[0].primary().crashes.suspect // as recorded: it was isolated and had just begun
 	}
 	s.unstable[address] = now.Add(unstableTime)
 	for i := range lost {
 		l := &lost[i]
 		s.countCrash(l, certain && (l.early || l.prior) && !l.unanswered)
-		l.task.crashes.provenRun = max(l.task.crashes.provenRun, l.number)
+		c := &l.primary().crashes
+		c.provenRun = max(c.provenRun, l.number)
 		if l.justBegun() {
-			note.suspects = append(note.suspects, l.task.id())
+			note.suspects = append(note.suspects, l.primary().id())
 		}
 	}
 	s.emit(note)
 	for _, l := range lost {
-		s.giveUpIfExhausted(l.task, now)
+		s.giveUpIfExhausted(l.primary(), now)
 	}
 	s.needsPass = true
 }
@@ -161,11 +208,15 @@
 // countCrash includes a lost run in the crashes of its task. It reports whether the run was not
 // included before.
 func (s *Scheduler) countCrash(l *lostRun, alone bool) bool {
-	t := l.task
+	t := l.primary()
 	if t.done || t.group.job.final() {
 		return false
 	}
 	c := &t.crashes
+	if l.worked >= hfcrash.Memory {
+		t.group.forgetOwnCrashes()
+	}
+	l.ownCounted = l.task.crashes.addOwn(l) || l.ownCounted
 	added := c.Add(l.number, l.worked)
 	if added {
 		t.sharedFrom = time.Time{}
@@ -192,7 +243,7 @@
 func (s *Scheduler) giveUpIfExhausted(t *task, now time.Time) {
 	j, c := t.group.job, t.crashes
 	exhaustedAlone := c.ExhaustedAlone(t.group.gang())
-	if t.done || j.final() || !exhaustedAlone && !c.Exhausted() {
+	if t.done || j.final() || !exhaustedAlone && !c.Exhausted() || !t.group.hasCulprit() {
 		return
 	}
 	subject := fmt.Sprintf("task %d.%d", t.group.step, t.index)
@@ -208,6 +259,19 @@
 	s.stopJob(j, now)
 }
 
+// hasCulprit reports whether one task of a gang may have caused its crashes: a gang whose members met
+// one crash each was unlucky. A task that is in no gang met all of its own.
+func (g *group) hasCulprit() bool {
+	return !g.gang() || slices.ContainsFunc(g.tasks, func(t task) bool { return t.crashes.mayBeCulprit() })
+}
+
+// forgetOwnCrashes forgets the own crashes of all tasks.
+func (g *group) forgetOwnCrashes() {
+	for i := range g.tasks {
+		g.tasks[i].crashes.own, g.tasks[i].crashes.ownSeen = 0, 0
+	}
+}
+
 // presumeLost remembers the runs of a worker whose leases have expired, unless another worker
 // answers at its address already. Runs that had just begun are counted at once, so that they are
 // counted before their tasks start again.
@@ -223,7 +287,7 @@
 		}
 	}
 	for i := range lost {
-		c := &lost[i].task.crashes
+		c := &lost[i].primary().crashes
 		suspect := c.suspect
 		lost[i].counted = lost[i].justBegun() && s.countCrash(&lost[i], false)
 		c.suspect = suspect // unchanged before the crash is proven
@@ -253,7 +317,11 @@
 // counts if another of its workers has crashed or is missing.
 func (s *Scheduler) absolve(m *missingWorker) {
 	for _, l := range m.runs {
-		t := l.task
+		t := l.primary()
+		if l.ownCounted {
+			l.task.crashes.removeOwn(&l)
+			s.markDirty(t.group.job)
+		}
 		if !l.counted || t.done || t.group.job.final() || t.crashes.Run() != l.number || t.crashes.provenRun == l.number || s.countElsewhere(l) {
 			continue
 		}
@@ -268,7 +336,7 @@
 func (s *Scheduler) countElsewhere(l lostRun) bool {
 	for _, id := range sortedKeys(s.missing) {
 		for i := range s.missing[id].runs {
-			if o := &s.missing[id].runs[i]; o.task == l.task && o.number == l.number && o.justBegun() {
+			if o := &s.missing[id].runs[i]; o.primary() == l.primary() && o.number == l.number && o.justBegun() {
 				o.counted = true
 				return true
 			}
@@ -304,7 +372,7 @@
 		}
 		delete(s.missing, id)
 		for _, l := range m.runs {
-			s.giveUpIfExhausted(l.task, now)
+			s.giveUpIfExhausted(l.primary(), now)
 		}
 	}
 	for address, until := range s.unstable {
--- a/hfplan/crash_test.go
+++ b/hfplan/crash_test.go
@@ -149,6 +149,48 @@
 	}
 }
 
+// crashUnderMember waits until all members of a gang run, and crashes the worker of one of them.
+func (w *world) crashUnderMember(job string, members int, index uint32) {
+	w.t.Helper()
+	for waited := 0; w.running(job) < members; waited++ {
+		require.Less(w.t, waited, 60, "the gang is not started again; it is %q", w.state(job))
+		w.advance(500 * time.Millisecond)
+	}
+	name := fmt.Sprint(hfwork.NewTaskID(job, 0, 0, index))
+	for _, id := range sortedKeys(w.fleet) {
+		if f := w.fleet[id]; f.runs[name] != nil {
+			w.crash(f)
+			return
+		}
+	}
+}
+
+// Guards against a gang that is given up, its job shown as failed, after crashes each of which another
+// member met: no task of it can have caused them all (review/1 as a day).
+func TestGangWhoseMembersMeetOneCrashEachIsNotGivenUp(t *testing.T) {
+	for name, rename := range renamings {
+		for _, down := range []time.Duration{shortDown, longDown} {
+			for replaced, replace := range map[string]bool{"one leader": false, "a new leader after each": true} {
+				t.Run(fmt.Sprint(name, " after ", down, ", ", replaced), func(t *testing.T) {
+					w := newWorld(t, 2, 4)
+					w.rename, w.downTime = rename, down
+					w.advance(time.Second)
+					w.submit("a", "usual", gang(6, 8, 5*time.Second))
+					for i := range uint32(6) {
+						w.crashUnderMember("a", 6, i)
+						w.advance(down + time.Second)
+						if replace {
+							w.replaceScheduler()
+						}
+					}
+					w.advance(60 * time.Second)
+					require.Equal(t, hfwork.StateCompleted, w.state("a"), w.records["a"].GetReason())
+				})
+			}
+		}
+	}
+}
+
 // Guards against BUDGET for lasting tasks, which have no limit of failed runs.
 func TestLastingTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
 	w := newWorld(t, 2, 4)
--- a/hfplan/isolation.go
+++ b/hfplan/isolation.go
@@ -39,7 +39,9 @@
 
 // held reports whether a task must not start, as its job fails unless the last worker that
 // it was lost with has not crashed.
-func (t *task) held() bool { return t.group.primary(t).crashes.Exhausted() }
+func (t *task) held() bool {
+	return t.group.primary(t).crashes.Exhausted() && t.group.hasCulprit()
+}
 
 // isolates reports whether a task is placed only on a worker of its own now.
 func (t *task) isolates(now time.Time) bool {
--- a/hfplan/record.go
+++ b/hfplan/record.go
@@ -64,7 +64,7 @@
 				}
 				sp.Failures[uint32(i)], sp.Counted[uint32(i)] = t.failures, t.countedRun
 			}
-			if t.crashes.Total() > 0 && !t.done {
+			if t.crashes.any() && !t.done {
 				if sp.Crashes == nil {
 					sp.Crashes = map[uint32]*hfwork.Crashes{}
 				}
