--- a/hfentry/freshness.go
+++ b/hfentry/freshness.go
@@ -45,7 +45,7 @@
 // configuration is too old and cannot be confirmed.
 func (n *Node) AdmitChange(ctx context.Context, host, path, key string) (Access, error) {
 	if err := n.ConfirmPolicy(ctx); err != nil {
-		return Access{}, err
+		return Access{}, fmt.Errorf("admit: %w", err)
 	}
 	return n.Admit(host, path, key)
 }
@@ -57,7 +57,7 @@
 	unconfirmed := n.ConfirmPolicy(ctx)
 	access, err := n.Admit(host, path, key)
 	if err != nil && unconfirmed != nil {
-		return Access{}, unconfirmed
+		return Access{}, fmt.Errorf("admit: %w", unconfirmed)
 	}
 	return access, err
 }
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -60,10 +60,10 @@
 	mirror       *hfloop.Guarded[*Mirror]
 	rejectedRows *hfloop.Guarded[*hfevent.Rejections] // parts of workers' reports, by worker and reason
 	health       *StoreHealth
-	recordWatch  prefixWatch // watches our own records
-	policyWatch  prefixWatch // watches what operators write
-	workerWatch  prefixWatch // watches the workers' entries
-	policyReads  singleflight.Group
+	recordWatch  prefixWatch        // watches our own records
+	policyWatch  prefixWatch        // watches what operators write
+	workerWatch  prefixWatch        // watches the workers' entries
+	policyReads  singleflight.Group // reads of the configuration beside its watch, one at a time
 	stopping     atomic.Bool
 	claiming     atomic.Bool                    // this instance tries to become the leader, or is the leader
 	leader       atomic.Pointer[hforder.Leader] // nil unless this instance is the leader
--- a/hfpeer/links.go
+++ b/hfpeer/links.go
@@ -91,28 +91,21 @@
 	idleStreams chan *yamux.Stream
 }
 
-// heardConn is a connection that knows when it was last read from.
+// heardConn is a connection that counts the reads that brought something.
 type heardConn struct {
 	net.Conn
-	heardAt atomic.Pointer[time.Time]
+	reads atomic.Uint64
 }
 
 // Read implements net.Conn.
 func (c *heardConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		now := time.Now()
-		c.heardAt.Store(&now)
+		c.reads.Add(1)
 	}
 	return n, err
 }
 
-// isSilent reports whether nothing was heard since a call was sent, for silentAfter at least.
-func (c *heardConn) isSilent(sent time.Time) bool {
-	heard := c.heardAt.Load()
-	return time.Since(sent) >= silentAfter && (heard == nil || heard.Before(sent))
-}
-
 // acquireStream returns an idle stream if there is one, or opens a new stream.
 func (l *link) acquireStream() (*yamux.Stream, error) {
 	select {
@@ -160,7 +153,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("call %s: %w: %w", to.name, ErrNoLink, err)
 	}
-	sent := time.Now()
+	sent, reads := time.Now(), link.conn.reads.Load()
 	// A deadline in the past makes pending reads and writes fail when ctx ends.
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
 	in, err := l.exchange(stream, to.region, out)
@@ -170,7 +163,8 @@
 		link.releaseStream(stream)
 	}
 	if err != nil {
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) && link.conn.isSilent(sent) {
+		silent := time.Since(sent) >= silentAfter && link.conn.reads.Load() == reads
+		if silent && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			_ = link.Close() // the connection may have gone silent; the next call opens another one
 		}
 		return nil, fmt.Errorf("call %s: %w: %w", to.name, ErrNoReply, err)
--- a/hfstand/silencer.go
+++ b/hfstand/silencer.go
@@ -56,6 +56,7 @@
 	}
 }
 
+// Read implements net.Conn.
 func (c *silentConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if !c.isSilent() {
@@ -65,6 +66,7 @@
 	return 0, os.ErrDeadlineExceeded
 }
 
+// Write implements net.Conn.
 func (c *silentConn) Write(p []byte) (int, error) {
 	if c.isSilent() {
 		return len(p), nil
@@ -72,6 +74,7 @@
 	return c.Conn.Write(p)
 }
 
+// Close implements net.Conn.
 func (c *silentConn) Close() error {
 	c.closeOnce.Do(func() { close(c.closed) })
 	return c.Conn.Close()
