serve: refuse a job whose cancellation was answered "not found"

Not stored: a submission is sent to the process that led when it was sent, and one that no longer leads refuses it.

TestLateSubmissionOfACancelledJobIsRefused failed before (the submission was accepted) and passes.

--- a/hfgang/gang_test.go
+++ b/hfgang/gang_test.go
@@ -356,6 +356,40 @@
 	}
 }
 
+// Guards against a job that runs although its cancellation was answered "not found": its submission
+// was still on its way to the leader.
+func TestLateSubmissionOfACancelledJobIsRefused(t *testing.T) {
+	sim := newSimulation(1, workersOfEight(2), testDirectory(nil, nil))
+	sim.start()
+	sim.advance(time.Second)
+	now := sim.now
+	reply := func(msg Msg) Code {
+		for _, cmd := range sim.scheduler.Update(msg, now) {
+			if r, ok := cmd.(ReplyCmd); ok {
+				return r.code
+			}
+		}
+		return CodeOK // replied once it is stored
+	}
+	job := func(id, account string) *hfwire.Job {
+		return &hfwire.Job{Id: id, Account: account, Work: "once", Size: 1}
+	}
+	require.Equal(t, CodeNotFound, reply(Cancel(1, "j1", "a", "test")))
+	require.Equal(t, CodeConflict, reply(Submit(2, job("j1", "a"))))
+	require.Equal(t, CodeNotFound, reply(Cancel(3, "j2", "", "test")), "by an operator")
+	require.Equal(t, CodeConflict, reply(Submit(4, job("j2", "a"))))
+	require.Equal(t, CodeNotFound, reply(Cancel(5, "j3", "other", "test")))
+	require.Equal(t, CodeOK, reply(Submit(6, job("j3", "a"))), "the cancellation of another account bars nothing")
+	now = now.Add(withdrawalTime)
+	require.Equal(t, CodeOK, reply(Submit(7, job("j1", "a"))))
+	for i := range maxWithdrawals {
+		require.Equal(t, CodeNotFound, reply(Cancel(8, fmt.Sprint("flood", i), "a", "test")))
+	}
+	require.Equal(t, CodeRetryLater, reply(Cancel(9, "flood", "a", "test")), "the answer must not be that it never runs")
+	now = now.Add(withdrawalTime)
+	require.Equal(t, CodeNotFound, reply(Cancel(10, "flood", "a", "test")))
+}
+
 // Guards against a member that counts as stopped because its worker answered the stop, although
 // the answer says that the member still runs.
 func TestAnswerThatMemberRunsDoesNotEndIt(t *testing.T) {
--- a/hfgang/requests.go
+++ b/hfgang/requests.go
@@ -22,6 +22,9 @@
 	if existing, ok := s.jobs[m.job.GetId()]; ok {
 		return s.answerDuplicate(m, existing)
 	}
+	if s.isWithdrawn(m.job.GetId(), m.job.GetAccount(), now) {
+		return refuse(m.token, CodeConflict, "the job was cancelled before it was submitted")
+	}
 	if code, reason := s.admit(m.job); code != CodeOK {
 		return refuse(m.token, code, reason)
 	}
@@ -87,6 +90,9 @@
 		return refuse(m.token, CodeRetryLater, "this instance does not place jobs of domain "+s.domain)
 	}
 	j, ok := s.jobs[m.id]
+	if !ok && !s.withdraw(withdrawal{id: m.id, account: m.account}, now) {
+		return refuse(m.token, CodeRetryLater, "too many cancellations of unknown jobs")
+	}
 	if !ok || (m.account != "" && s.account(j) != m.account) {
 		return refuse(m.token, CodeNotFound, "no job "+m.id)
 	}
--- a/hfgang/scheduler.go
+++ b/hfgang/scheduler.go
@@ -119,7 +119,8 @@
 	layout          *Layout
 	workers         map[string]*worker
 	jobs            map[string]*job
-	open            map[string]*job // jobs that are not in a final state
+	open            map[string]*job          // jobs that are not in a final state
+	withdrawals     map[withdrawal]time.Time // end of each; not stored
 	guarantees      []*guarantee
 	allocated       []*job        // by accelerator, the job that holds it
 	planned         []*job        // by accelerator, the job that is planned for it
@@ -148,7 +149,7 @@
 func New(domain string, timing Timing) *Scheduler {
 	s := &Scheduler{
 		domain: domain, rules: defaultRules(), timing: timing, listedWorkers: map[string]hfworker.Worker{}, workers: map[string]*worker{},
-		jobs: map[string]*job{}, open: map[string]*job{}, usage: map[string]int{}, vacatingJobs: map[*job]bool{}, isolatedJobs: map[*job]bool{}, estimates: map[string]*estimate{},
+		jobs: map[string]*job{}, open: map[string]*job{}, withdrawals: map[withdrawal]time.Time{}, usage: map[string]int{}, vacatingJobs: map[*job]bool{}, isolatedJobs: map[*job]bool{}, estimates: map[string]*estimate{},
 		layout: NewLayout(domain, nil),
 	}
 	for i := range s.byShard {
