Look for the culprit of a gang without copying its tasks

hasCulprit is asked for each waiting task of a gang with many crashes, in each pass, since such a gang is no longer given up at once; it copied the state of all its tasks each time. Behaviour is the same.

--- a/hfplan/crash.go
+++ b/hfplan/crash.go
@@ -262,7 +262,15 @@
 // hasCulprit reports whether one task of a gang may have caused its crashes: a gang whose members met
 // one crash each was unlucky. A task that is in no gang met all of its own.
 func (g *group) hasCulprit() bool {
-	return !g.gang() || slices.ContainsFunc(g.tasks, func(t task) bool { return t.crashes.mayBeCulprit() })
+	if !g.gang() {
+		return true
+	}
+	for i := range g.tasks {
+		if g.tasks[i].crashes.mayBeCulprit() {
+			return true
+		}
+	}
+	return false
 }
 
 // forgetOwnCrashes forgets the own crashes of all tasks.
