--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -12,6 +12,7 @@
 var cases = map[string]func(w *world) error{
 	"give-up": playGiveUp,
 	"wave":    playWave,
+	"avoid":   playAvoid,
 }
 
 // main plays one case: stand-2 NAME FOLDER PROGRAM. It exits with 1 if the rule was broken, 0 if it
--- a/review/stand-2/world.go
+++ b/review/stand-2/world.go
@@ -78,6 +78,7 @@
 	rack     string
 	gpus     int64
 	mu       sync.Mutex
+	kind     string // the label of its kind, "a" if empty
 	draining bool
 	lives    int
 }
@@ -188,6 +189,14 @@
 	}
 }
 
+// setKind sets the label of the minion's kind.
+func (m *minion) setKind(kind string) {
+	m.mu.Lock()
+	m.kind = kind
+	m.mu.Unlock()
+	m.register(1)
+}
+
 func (m *minion) register(sequence int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -196,6 +205,9 @@
 	}
 	e := m.worker.Entry(service, m.address, "z", m.rack, 128_000, 262_144, m.draining)
 	e["sequence"] = sequence
+	if m.kind != "" {
+		e["labels"] = []string{m.kind, m.rack}
+	}
 	_ = m.world.store.Set("servers/"+m.worker.ID(), e)
 }
 
@@ -350,11 +362,21 @@
 	return resp.StatusCode, string(raw)
 }
 
-// submit hands a job in until it is accepted.
+// submit hands a job in, whose tasks behave as told, until it is accepted.
 func (w *world) submit(prefix, id string, p hfstand.TaskProfile, job any) error {
+	w.setProfile(id, p)
+	return w.handIn(prefix, id, job)
+}
+
+// setProfile sets how the tasks of a job behave on minions that start them from now on.
+func (w *world) setProfile(id string, p hfstand.TaskProfile) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.profiles[id] = p
-	w.mu.Unlock()
+}
+
+// handIn hands a job in until it is accepted.
+func (w *world) handIn(prefix, id string, job any) error {
 	for i := range 20 {
 		status, body := w.call(w.entries[i%len(w.entries)], http.MethodPost, prefix+id, job)
 		w.note("client: POST %s%s at %s -> %d %s", prefix, id, w.entries[i%len(w.entries)].name, status, body)
