--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"strconv"
+	"syscall"
 )
 
 func itoa(n int) string { return strconv.Itoa(n) }
@@ -12,6 +14,8 @@
 var cases = map[string]func(w *world) error{
 	"give-up": playGiveUp,
 	"wave":    playWave,
+	"memory":  playMemory,
+	"relist":  playRelist,
 	"avoid":   playAvoid,
 }
 
@@ -32,6 +36,14 @@
 		return 2
 	}
 	defer w.close()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		w.note("stopped from outside")
+		w.close()
+		os.Exit(2)
+	}()
 	err = run(w)
 	w.noteRuns()
 	if logErr := w.keepLogs(os.Getenv("KEEP_LOGS")); logErr != nil {
