--- a/review/stand-2/relist.go
+++ b/review/stand-2/relist.go
@@ -21,6 +21,7 @@
 	scheduledJobs = 5000
 	specBytes     = 1500 // at most 2,000 in the site files, 4,000 on the page
 	clientTries   = 5    // the first one and 4 retries
+	rounds        = 3    // at most, of the disruption
 )
 
 // storeFaults stands before the store of the platform: it loses answers of writes that were done, and
@@ -156,25 +157,25 @@
 	if err := w.scheduleJobs(); err != nil {
 		return err
 	}
-	if w.trouble {
-		go func() {
-			faults.compact()
-		}()
-		time.Sleep(silentTime)
-		w.note("platform: the store takes %v for an answer, and loses %.2f of the answers of writes", slowAnswer, lostShare)
-		faults.losing.Store(true)
-		faults.slow.Store(true)
-		time.AfterFunc(lostTime, func() {
-			faults.losing.Store(false)
-			faults.slow.Store(false)
-			w.note("platform: the store is well again")
-		})
-	}
-	rejected := w.handInMany()
-	time.Sleep(8 * time.Second)
-	for _, s := range w.runLog.Starts() {
-		if why := rejected[jobOf(s.Task)]; why != "" {
-			return fmt.Errorf("%w: REFUSED: job %s runs, and each try to hand it in was rejected: %s", errBroken, jobOf(s.Task), why)
+	for range rounds {
+		if w.trouble {
+			go faults.compact()
+			time.Sleep(silentTime)
+			w.note("platform: the store takes %v for an answer, and loses %.2f of the answers of writes", slowAnswer, lostShare)
+			faults.losing.Store(true)
+			faults.slow.Store(true)
+			time.AfterFunc(lostTime, func() {
+				faults.losing.Store(false)
+				faults.slow.Store(false)
+				w.note("platform: the store is well again")
+			})
+		}
+		rejected := w.handInMany()
+		time.Sleep(8 * time.Second)
+		for _, s := range w.runLog.Starts() {
+			if why := rejected[jobOf(s.Task)]; why != "" {
+				return fmt.Errorf("%w: REFUSED: job %s runs, and each try to hand it in was rejected: %s", errBroken, jobOf(s.Task), why)
+			}
 		}
 	}
 	return nil
@@ -211,7 +212,7 @@
 	rejected := map[string]string{}
 	var mu sync.Mutex
 	var group sync.WaitGroup
-	for range 120 {
+	for range 160 {
 		id := fmt.Sprintf("%016x", rand.Uint64())
 		w.setProfile(id, hfstand.TaskProfile{RunTime: 300 * time.Millisecond, GangSize: 1, Accelerators: 1})
 		group.Go(func() {
