--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -12,11 +12,10 @@
 
 // cases are the cases by name. Each returns errBroken if the rule was broken.
 var cases = map[string]func(w *world) error{
-	"give-up": playGiveUp,
-	"wave":    playWave,
-	"memory":  playMemory,
-	"relist":  playRelist,
-	"avoid":   playAvoid,
+	"wave":   playWave,
+	"memory": playMemory,
+	"relist": playRelist,
+	"avoid":  playAvoid,
 }
 
 // main plays one case: stand-2 NAME FOLDER PROGRAM. It exits with 1 if the rule was broken, 0 if it
