Hold only the occurrences of a job that are due, and bound what the accepted jobs take

Each instance that became the leader exceeded its 284 MB and was killed, the next one took the same jobs over, and no urgent job of anyone ran.

Cause: addJob made the groups and tasks of all occurrences at once, 30.3 MB for each such schedule (216 bytes a task, 140,160 tasks), and kept them to the end of the job. Nothing bounded the sum of what was accepted. Ruled out: the mirror (a record of under 1 KB), the progress record (empty before the first occurrence), the garbage collector (the 30.3 MB are live heap, measured after a collection).

Change, both halves: - hfplan/occurrence.go: an occurrence is loaded 2 s before it is due and dropped once it is done; of the others a bit each is kept, also in the record (Progress.completed). While an instance of an earlier release is listed, records are written in its form. What a worker reports of an occurrence that is not loaded loads it. - hfbudget: accepted jobs may take an eighth of the memory of the smallest instance; an account as much as stays free, its urgent jobs counted apart. More is answered 429 with Retry-After; a job that would not fit alone, 400; a stored job never. Jobs that have ended keep 512 bytes until they are purged. - Records that are stored already: a leader loads at most a quarter of the memory of the smallest instance, the most urgent first, and one occurrence beside it that is too large for that. Whatever was accepted within the eighth fits into the quarter in any order (rapid test in hfbudget). The rest waits, logged as job-deferred.

requireNoneBlamed of the crash tests also looks at the last record before a job's end, as the tasks of ended jobs are dropped now.

--- a/hfentry/details.go
+++ b/hfentry/details.go
@@ -33,8 +33,9 @@
 	// changes. It is a multiple of 8.
 	blockTasks = 32
 
-	// splitFormat is the format of records from which an instance reads split ones.
-	splitFormat = 2
+	// recordFormat is the newest format of records that this release reads: split ones, with
+	// hfwork.Progress.Completed.
+	recordFormat = 3
 )
 
 // memberKey returns the key of a worker in the roster: with its id or, if that would be too long for
@@ -183,15 +184,15 @@
 	if d.unreadable[id] {
 		return nil, false
 	}
-	whole := &hfwork.Progress{State: p.GetState(), Ended: p.GetEnded(), Reason: p.GetReason(), Steps: d.blocks[id]}
+	whole := &hfwork.Progress{State: p.GetState(), Ended: p.GetEnded(), Reason: p.GetReason(), Steps: d.blocks[id], Completed: p.GetCompleted()}
 	return whole, checkProgress(whole) == nil
 }
 
-// readsSplit reports whether all instances read split records. Those of an earlier release do not,
-// and entries of instances that have ended count for some hours.
+// readsSplit reports whether all instances read the records of this release. Those of an earlier
+// release do not, and entries of instances that have ended count for some hours.
 func (m *Mirror) readsSplit() bool {
 	for _, inst := range m.instances {
-		if inst.GetFormat() < splitFormat {
+		if inst.GetFormat() < recordFormat {
 			return false
 		}
 	}
--- a/hfentry/details_test.go
+++ b/hfentry/details_test.go
@@ -343,7 +343,7 @@
 	w := openTestWriter(t, s)
 	m := NewMirror(fakeFormats{}, time.Second)
 	w.splits = m.readsSplit
-	m.Apply(newItem(t, peerPrefix+"new", 1, &hfwork.Instance{Name: "new", Format: splitFormat}))
+	m.Apply(newItem(t, peerPrefix+"new", 1, &hfwork.Instance{Name: "new", Format: recordFormat}))
 	step, roster := wideStep(40, 3), []*hfwork.Worker{newTakeoverWorker("w")}
 	running := func() *hfwork.Progress {
 		return &hfwork.Progress{State: hfwork.StateRunning, Steps: []*hfwork.StepProgress{step}}
@@ -512,7 +512,7 @@
 			suitability = 0.8
 		}
 		name := fmt.Sprintf("e%03d", i)
-		m.Apply(newItem(t, peerPrefix+name, int64(i+1), &hfwork.Instance{Name: name, Domain: fmt.Sprint("d", i%6), Suitability: suitability, Format: splitFormat}))
+		m.Apply(newItem(t, peerPrefix+name, int64(i+1), &hfwork.Instance{Name: name, Domain: fmt.Sprint("d", i%6), Suitability: suitability, Format: recordFormat}))
 	}
 	names := m.followers()
 	require.Len(t, names, maxFollowers)
--- a/hfentry/fenced_writer.go
+++ b/hfentry/fenced_writer.go
@@ -24,7 +24,7 @@
 	sequence int64        // number of batches, which serves as the nonce
 	version  int64        // store revision of the last batch that took effect
 	layout   *recordLayout
-	splits   func() bool // whether all instances read split records
+	splits   func() bool // whether all instances read the records of this release
 	// split is whether the records of the command that is being saved are split. It is decided
 	// once for a command, as an unanswered batch may take effect before the next try.
 	split, decided bool
@@ -43,6 +43,12 @@
 		splits:   func() bool { return hfloop.With(n.mirror, (*Mirror).readsSplit) },
 		rejected: map[string][]byte{}, onReject: n.recordRejected,
 	}
+	f.layout.job = func(id string) *hfwork.Job {
+		if r := n.cachedJob(id); r != nil {
+			return r.job
+		}
+		return nil
+	}
 	for {
 		item, err := n.store.Get(ctx, termKey)
 		if err == nil || errors.Is(err, hfstore.ErrNotFound) {
--- a/hfentry/health.go
+++ b/hfentry/health.go
@@ -89,6 +89,3 @@
 	}
 	return min(max(now.Sub(h.LastAnswer()), minRetryAfter), maxRetryAfter)
 }
-
-// RetryAfter returns how long a refused caller should wait before it tries again.
-func (n *Node) RetryAfter() time.Duration { return n.health.RetryAfter(time.Now()) }
--- a/hfentry/instance.go
+++ b/hfentry/instance.go
@@ -28,6 +28,7 @@
 func (m *Mirror) applyInstance(name string, i hfstore.Item) change {
 	if i.Deleted() {
 		delete(m.instances, name)
+		m.limitMemory()
 		return change{}
 	}
 	inst, err := hfwire.Decode(i.Value(), &hfwork.Instance{})
@@ -35,6 +36,7 @@
 		return change{err: fmt.Errorf("instance %s: %w", name, err)}
 	}
 	m.instances[name] = inst
+	m.limitMemory()
 	return change{}
 }
 
@@ -60,7 +62,7 @@
 		}
 		value, err := hfwire.Encode(&hfwork.Instance{
 			Name: n.name, Address: n.peerAddress, Domain: n.settings.Domain(), Region: n.settings.Region(), Noted: time.Now().UnixMilli(),
-			Suitability: n.settings.LeaderSuitability(), Format: splitFormat,
+			Suitability: n.settings.LeaderSuitability(), Format: recordFormat, Memory: n.settings.MemoryMB(),
 		})
 		if err == nil {
 			_, err = n.commit(ctx, (&hfstore.Batch{}).Put(peerPrefix+n.name, value, ""))
--- a/hfentry/jobs.go
+++ b/hfentry/jobs.go
@@ -31,6 +31,9 @@
 	// ErrIDTaken reports a submission whose id a job of another account or queue has. Workers know
 	// tasks by the id of their job, so that both cannot run.
 	ErrIDTaken = eris.New("another job has this id")
+	// ErrTooManyJobs reports that the jobs of the account take as much memory as they may. The job was
+	// not accepted; it may be once others have ended.
+	ErrTooManyJobs = eris.New("too many jobs")
 	// ErrNotDone reports that a call had no effect because the store takes no calls at the
 	// moment. It may be accepted later.
 	ErrNotDone = eris.New("not done: the store takes no calls")
@@ -102,8 +105,9 @@
 const defaultMaxBody = 1 << 18
 
 // Submit stores a job. It does nothing if the job was submitted before. It fails with
-// hfwork.ErrInvalidJob if the job is invalid, ErrIDTaken if another job has its id, ErrWithdrawn if it
-// was cancelled, ErrNotDone if it was not accepted and never runs, or ErrEffectUnknown.
+// hfwork.ErrInvalidJob if the job is invalid, ErrTooManyJobs if there is no memory for it, ErrIDTaken
+// if another job has its id, ErrWithdrawn if it was cancelled, ErrNotDone if it was not accepted and
+// never runs, or ErrEffectUnknown.
 func (n *Node) Submit(ctx context.Context, a Access, job *hfwork.Job) error {
 	job.Queue, job.Account, job.Policy, job.Received = a.queue.GetName(), a.account, a.policy, time.Now().UnixMilli()
 	job.Settings = a.queue
@@ -113,6 +117,11 @@
 	if r := n.cachedJob(job.GetId()); r != nil && r.job != nil {
 		return n.checkSame(a, r.job)
 	}
+	release, err := n.reserveMemory(job)
+	if err != nil {
+		return n.refuse(ctx, a, job, err)
+	}
+	defer release()
 	value, err := hfwire.Encode(job)
 	if err != nil {
 		return fmt.Errorf("submit: %w", err)
--- a/hfentry/layout.go
+++ b/hfentry/layout.go
@@ -20,8 +20,9 @@
 	value []byte // nil for a removal
 }
 
-// recordLayout turns the records of a leader into changes of the store. It writes split records if
-// all instances read them, and of these only what has changed.
+// recordLayout turns the records of a leader into changes of the store. If all instances read the
+// records of this release, it writes split ones, and of these only what has changed. Otherwise it
+// writes records that all releases read.
 type recordLayout struct {
 	records map[string][]byte            // stored records of jobs and of the roster, by key, as far as they are known
 	blocks  map[string]map[string][]byte // stored blocks, by job and key
@@ -29,12 +30,14 @@
 	jobs    map[string]*hfwork.Progress  // last saved progress of the jobs whose records are split
 	roster  []*hfwork.Worker             // last saved roster, if it is split
 	stale   []string                     // keys of blocks that no record needs
+	job     func(id string) *hfwork.Job  // returns a job that has not ended, or nil if it is not known
 }
 
 // newRecordLayout returns a layout that knows of no stored record.
 func newRecordLayout() *recordLayout {
 	return &recordLayout{
 		records: map[string][]byte{}, blocks: map[string]map[string][]byte{}, members: map[string][]byte{}, jobs: map[string]*hfwork.Progress{},
+		job: func(string) *hfwork.Job { return nil },
 	}
 }
 
@@ -85,9 +88,15 @@
 // that of its record.
 func (l *recordLayout) jobChanges(id string, p *hfwork.Progress, split bool) ([]keyChange, error) {
 	record, blocks := p, map[string]*hfwork.StepProgress{}
+	ended := hfwork.IsFinal(p.GetState())
+	if !split && !ended {
+		record = hfwork.WithoutCompleted(l.job(id), p)
+	}
 	if split {
-		ended := hfwork.IsFinal(p.GetState())
 		record = &hfwork.Progress{State: p.GetState(), Ended: p.GetEnded(), Reason: p.GetReason(), Split: !ended}
+		if !ended {
+			record.Completed = p.GetCompleted()
+		}
 		for _, step := range p.GetSteps() {
 			for number, block := range splitStep(step) {
 				if !ended { // nobody needs the steps of a job that has ended
--- /dev/null
+++ b/hfentry/memory.go
@@ -0,0 +1,122 @@
+package hfentry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/heatherfront/heatherfront/hfbudget"
+	"github.com/heatherfront/heatherfront/hfloop"
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+// Each instance must be able to hold the records of all jobs, and each may become the leader and
+// hold their tasks. So the smallest one decides how much the jobs may take together. All instances
+// decide on the entries and jobs in the store, so that they come to the same result, but for jobs
+// that they accept at the same moment.
+const (
+	acceptedShare = 8 // accepted jobs may take 1/acceptedShare of the memory of the smallest instance
+	loadedShare   = 4 // tasks that a leader has loaded may take 1/loadedShare; see hfbudget for why it is twice as much
+	// defaultMemoryMB counts if no instance has a memory limit: what a process may use for control.
+	defaultMemoryMB = 128
+	// memoryRetryAfter is when a submission may be repeated for which there was no memory. Most jobs
+	// end within this time.
+	memoryRetryAfter = 10 * time.Second
+)
+
+// limitMemory sets how much memory the jobs may take.
+func (m *Mirror) limitMemory() {
+	smallest := int64(0)
+	for _, inst := range m.instances {
+		if mb := inst.GetMemory(); mb > 0 && (smallest == 0 || mb < smallest) {
+			smallest = mb
+		}
+	}
+	if smallest == 0 {
+		smallest = defaultMemoryMB
+	}
+	m.memory.SetLimit(smallest << 20 / acceptedShare)
+}
+
+// loadableMemory returns how much memory the tasks may take that a leader has loaded.
+func (m *Mirror) loadableMemory() int64 { return m.memory.Limit() * acceptedShare / loadedShare }
+
+// countMemory counts the memory of a job anew, after a change of its record. Of a job that has ended,
+// only what callers may still ask for is kept.
+func (m *Mirror) countMemory(r *jobRecord) {
+	m.memory.Add(r.owner, -r.memory)
+	r.owner, r.memory = hfbudget.Owner{}, 0
+	if r.job == nil {
+		return
+	}
+	r.owner, r.memory = m.memoryOwner(r.job), hfwork.Footprint(r.job)
+	if hfwork.IsFinal(r.progress.GetState()) {
+		r.memory = hfwork.EndedFootprint
+		r.job = &hfwork.Job{
+			Id: r.job.GetId(), Queue: r.job.GetQueue(), Account: r.job.GetAccount(), Policy: r.job.GetPolicy(),
+			Settings: &hfwork.Queue{Priority: r.job.GetSettings().GetPriority()},
+		}
+	}
+	m.memory.Add(r.owner, r.memory)
+}
+
+// memoryOwner returns for whom the memory of a job is counted.
+func (m *Mirror) memoryOwner(job *hfwork.Job) hfbudget.Owner {
+	return hfbudget.NewOwner(m.accounts.owner(job.GetAccount(), job.GetPolicy()), job.GetSettings().GetPriority() == 0)
+}
+
+// removeJob removes the record of a job.
+func (m *Mirror) removeJob(id string) {
+	if r := m.jobs[id]; r != nil {
+		m.memory.Add(r.owner, -r.memory)
+		delete(m.jobs, id)
+	}
+}
+
+// reserveMemory counts the memory of a job that is being stored, until release is called. It fails
+// with ErrTooManyJobs, or with hfwork.ErrInvalidJob if the job would not fit alone either.
+func (n *Node) reserveMemory(job *hfwork.Job) (release func(), err error) {
+	size := hfwork.Footprint(job)
+	owner, err := hfloop.With2(n.mirror, func(m *Mirror) (hfbudget.Owner, error) {
+		owner := m.memoryOwner(job)
+		switch {
+		case !m.memory.Possible(size):
+			return owner, fmt.Errorf("%w: it needs %d bytes of memory, more than the %d of one account", hfwork.ErrInvalidJob, size, m.memory.Limit()/2)
+		case !m.memory.Fits(owner, size):
+			return owner, fmt.Errorf("%w: there is no memory for another %d bytes", ErrTooManyJobs, size)
+		}
+		m.memory.Add(owner, size)
+		return owner, nil
+	})
+	if err != nil {
+		return nil, fmt.Errorf("reserve memory: %w", err)
+	}
+	return func() {
+		hfloop.With(n.mirror, func(m *Mirror) struct{} {
+			m.memory.Add(owner, -size)
+			return struct{}{}
+		})
+	}, nil
+}
+
+// refuse returns the result of a submission for which there is no memory: nil if the job is stored
+// already, although the mirror does not know it yet, and otherwise the given cause or ErrNotDone.
+func (n *Node) refuse(ctx context.Context, a Access, job *hfwork.Job, cause error) error {
+	err := n.fetchJob(ctx, job.GetId())
+	if errors.Is(err, ErrNoJob) {
+		return fmt.Errorf("submit: %w", cause)
+	}
+	if err != nil {
+		return fmt.Errorf("submit: %w", err)
+	}
+	return n.resolveConflict(ctx, a, job.GetId())
+}
+
+// RetryAfter returns when a call that failed may be repeated.
+func (n *Node) RetryAfter(err error) time.Duration {
+	if errors.Is(err, ErrTooManyJobs) {
+		return memoryRetryAfter
+	}
+	return n.health.RetryAfter(time.Now())
+}
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/heatherfront/heatherfront/hfbudget"
 	"github.com/heatherfront/heatherfront/hfevent"
 	"github.com/heatherfront/heatherfront/hfstore"
 	"github.com/heatherfront/heatherfront/hfwire"
@@ -58,7 +59,9 @@
 	version    int64     // store revision of the progress
 	endSeen    time.Time // when a final state was first applied, on the clock of Mirror.receivedAt; zero before
 	cancelled  bool
-	unreadable bool // the progress cannot be read, so that where its tasks run is not known
+	memory     int64          // bytes that are counted for the job in Mirror.memory
+	owner      hfbudget.Owner // for whom they are counted
+	unreadable bool           // the progress cannot be read, so that where its tasks run is not known
 }
 
 // state returns the state that callers see.
@@ -90,6 +93,7 @@
 	accounts          accounts
 	pools             map[string]bool // that a configuration has named; kept after the pool is removed
 	jobs              map[string]*jobRecord
+	memory            *hfbudget.Budget         // of the jobs
 	withdrawals       map[string][]*withdrawal // by job id
 	workers           map[string]*hfwork.Worker
 	lastWrites        map[string]entryWrite // of the workers' entries, including invalid ones
@@ -112,7 +116,7 @@
 // NewMirror returns an empty mirror. Workers write their entries at the heartbeat interval.
 func NewMirror(f Formats, heartbeatInterval time.Duration) *Mirror {
 	return &Mirror{
-		formats: f, pools: map[string]bool{}, withdrawals: map[string][]*withdrawal{}, jobs: map[string]*jobRecord{}, workers: map[string]*hfwork.Worker{}, roster: &hfwork.Roster{},
+		memory: hfbudget.New(defaultMemoryMB << 20 / acceptedShare), formats: f, pools: map[string]bool{}, withdrawals: map[string][]*withdrawal{}, jobs: map[string]*jobRecord{}, workers: map[string]*hfwork.Worker{}, roster: &hfwork.Roster{},
 		lastWrites: map[string]entryWrite{}, leftWorkers: map[string]bool{}, heartbeatInterval: func() time.Duration { return heartbeatInterval },
 		requestedWaves: map[int64]*hfwork.Wave{}, storedWaves: map[int64]*hfwork.Wave{}, instances: map[string]*hfwork.Instance{},
 		rejected: hfevent.NewRejections(maxKeyBytes),
@@ -162,7 +166,7 @@
 	if prefix == recordPrefix && complete {
 		for id := range m.jobs {
 			if !listedJobs[id] {
-				delete(m.jobs, id)
+				m.removeJob(id)
 			}
 		}
 		m.retainWithdrawals(listedKeys)
@@ -403,7 +407,7 @@
 
 func (m *Mirror) applyJob(id string, i hfstore.Item) change {
 	if i.Deleted() {
-		delete(m.jobs, id)
+		m.removeJob(id)
 		return change{}
 	}
 	job, err := hfwire.Decode(i.Value(), &hfwork.Job{})
@@ -418,6 +422,7 @@
 	}
 	r := m.jobRecord(id)
 	r.job, r.cancelled = job, r.cancelled || m.isWithdrawn(job)
+	m.countMemory(r)
 	return change{job: id}
 }
 
@@ -445,6 +450,7 @@
 		}
 	}
 	r.progress = p
+	m.countMemory(r)
 	return change{}
 }
 
--- a/hfentry/observe.go
+++ b/hfentry/observe.go
@@ -40,6 +40,8 @@
 		n.log.Event(hfevent.TaskIsolated, append(fields, zap.Uint32("step", c.Step()), zap.Uint32("task", c.Task()), zap.Int64("run", c.Number()), zap.String("worker", c.Worker()))...)
 	case hfplan.NoteGaveUp:
 		n.log.Event(hfevent.TaskGivenUp, append(fields, zap.Uint32("step", c.Step()), zap.Uint32("task", c.Task()))...)
+	case hfplan.NoteDeferred:
+		n.log.Event(hfevent.JobDeferred, append(fields, zap.Int("occurrences", c.Tasks()))...)
 	case hfplan.NoteQuarantined:
 		n.log.Event(hfevent.WorkerQuarantined, append(fields, zap.String("worker", c.Worker()))...)
 	case hfplan.NoteSilent:
--- a/hfplan/crash_test.go
+++ b/hfplan/crash_test.go
@@ -524,8 +524,11 @@
 func (w *world) requireNoneBlamed() {
 	w.t.Helper()
 	require.Zero(w.t, w.crashNotes())
+	for id, blamed := range w.blamed {
+		require.False(w.t, blamed, "job %s, which may have ended since", id)
+	}
 	for _, j := range w.s.jobs {
-		for _, g := range j.groups {
+		for g := range j.loadedGroups() {
 			for i := range g.tasks {
 				require.Zero(w.t, g.tasks[i].crashes.Total(), "%v", g.tasks[i].id())
 			}
@@ -696,7 +699,7 @@
 		d.report("b")
 		d.store()
 		d.startAll("j", deskStep(1))
-		group := d.s.jobs["j"].groups[0]
+		group := d.s.jobs["j"].group(0, 0)
 		for i, address := range []string{"x", map[bool]string{false: "x", true: "y"}[other]} {
 			d.s.blameCrash(address, "a", []lostRun{{task: &group.tasks[0], number: int64(i + 1), early: true}}, d.now)
 		}
@@ -741,7 +744,7 @@
 		step.Gang = true
 		starts := d.startAll("j", step)
 		cut, crashed := starts[0].Worker(), starts[1].Worker() // by id: the cut one is counted first
-		crashes := &d.s.jobs["j"].groups[0].tasks[0].crashes
+		crashes := &d.s.jobs["j"].group(0, 0).tasks[0].crashes
 		d.send(WorkerSilent(cut))
 		if back == 0 {
 			d.advance(2 * time.Second)
@@ -780,7 +783,7 @@
 	progress := &hfwork.Progress{State: hfwork.StateRunning, Steps: []*hfwork.StepProgress{{Places: map[uint32]string{0: "w"}}}}
 	d.send(Job(&hfwork.Job{Id: "a", Queue: "usual", Account: "plants", Steps: []*hfwork.Step{deskStep(1)}}, progress, false))
 	d.send(Workers(deskWorkers("w", "x")))
-	crashes := &d.s.jobs["a"].groups[0].tasks[0].crashes
+	crashes := &d.s.jobs["a"].group(0, 0).tasks[0].crashes
 	d.now = d.now.Add(messageDelay)
 	d.send(Report("w", d.now, hfwork.NewReport(0, 2, nil, nil).WithRejected(nil, true)))
 	require.Zero(t, crashes.Total())
@@ -800,9 +803,9 @@
 		d.store()
 		d.startAll("j", deskStep(1))
 		j := d.s.jobs["j"]
-		j.groups[0].tasks[0].crashes = crashes{Count: hfcrash.New(hfcrash.MaxTotal-1, hfcrash.MinEarly, 1, 4, 4)}
-		d.s.blameCrash("x", "a", []lostRun{{task: &j.groups[0].tasks[0], number: 5, worked: worked}}, d.now)
-		require.Equal(t, total, j.groups[0].tasks[0].crashes.Total())
+		j.group(0, 0).tasks[0].crashes = crashes{Count: hfcrash.New(hfcrash.MaxTotal-1, hfcrash.MinEarly, 1, 4, 4)}
+		d.s.blameCrash("x", "a", []lostRun{{task: &j.group(0, 0).tasks[0], number: 5, worked: worked}}, d.now)
+		require.Equal(t, total, j.group(0, 0).tasks[0].crashes.Total())
 		require.Equal(t, total == hfcrash.MaxTotal, j.final())
 	}
 }
@@ -822,7 +825,7 @@
 		d.send(Workers(deskWorkers("w", "x")))
 		d.born["w"] = 2
 		d.report("w")
-		crashes := d.s.jobs["a"].groups[0].tasks[0].crashes
+		crashes := d.s.jobs["a"].group(0, 0).tasks[0].crashes
 		require.EqualValues(t, 2, crashes.Total())
 		require.Equal(t, suspect, crashes.Alone() == 1)
 	}
@@ -841,7 +844,7 @@
 		d.send(Started(starts[0], outcome))
 		d.born["w"] = 2
 		d.report("w")
-		crashes := d.s.jobs["a"].groups[0].tasks[0].crashes
+		crashes := d.s.jobs["a"].group(0, 0).tasks[0].crashes
 		require.EqualValues(t, 1, crashes.Total())
 		require.Equal(t, outcome == OutcomeDone, crashes.Alone() == 1)
 	}
@@ -856,7 +859,7 @@
 		d.report("x")
 		d.store()
 		starts := d.startAll("a", deskStep(1))
-		task := &d.s.jobs["a"].groups[0].tasks[0]
+		task := &d.s.jobs["a"].group(0, 0).tasks[0]
 		task.crashes.suspect = suspect
 		d.loseWorker(starts[0].Worker())
 		require.EqualValues(t, 1, task.crashes.Total())
@@ -878,7 +881,7 @@
 	d.startAll("a", step)
 	d.send(WorkerSilent("w"))
 	d.loseWorker("x")
-	crashes := &d.s.jobs["a"].groups[0].tasks[0].crashes
+	crashes := &d.s.jobs["a"].group(0, 0).tasks[0].crashes
 	require.EqualValues(t, 1, crashes.Total())
 	require.False(t, crashes.suspect)
 }
@@ -893,13 +896,13 @@
 	d.store()
 	starts := d.startAll("a", deskStep(2))
 	j := d.s.jobs["a"]
-	held := &j.groups[0].tasks[0]
+	held := &j.group(0, 0).tasks[0]
 	held.crashes = crashes{Count: hfcrash.New(hfcrash.MaxTotal-1, hfcrash.MinEarly, 0, 0, 0)}
 	require.Equal(t, held.id(), starts[0].Task())
-	require.Equal(t, starts[1].Worker(), j.groups[0].tasks[1].run.worker.id())
+	require.Equal(t, starts[1].Worker(), j.group(0, 0).tasks[1].run.worker.id())
 	d.loseWorker(starts[0].Worker())
 	require.True(t, held.held())
-	other := &j.groups[0].tasks[1]
+	other := &j.group(0, 0).tasks[1]
 	other.crashes = crashes{Count: hfcrash.New(suspectCrashes, 0, 0, 0, 0)} // it is placed like the held one
 	d.reportEnds(starts[1].Worker(), nil, d.end(starts[1].Worker(), other.id(), starts[1].Number(), hfwork.Stopped))
 	d.store()
--- a/hfplan/entries_test.go
+++ b/hfplan/entries_test.go
@@ -157,6 +157,6 @@
 		spec:  &hfwork.Job{Received: now.UnixMilli(), Steps: []*hfwork.Step{{Count: 1, Estimate: hfwork.MaxEstimate}}},
 		queue: &hfwork.Queue{Stretch: 1 << 20, Objective: hfwork.MaxMillis},
 	}
-	j.groups = []*group{newGroup(j, 0, 0, j.spec.GetSteps()[0], time.Time{})}
-	require.Equal(t, onTime, j.groups[0].objectiveStatus(now))
+	j.occurrences = map[uint32]*occurrence{0: newOccurrence(j, 0)}
+	require.Equal(t, onTime, j.group(0, 0).objectiveStatus(now))
 }
--- a/hfplan/guarantee.go
+++ b/hfplan/guarantee.go
@@ -12,16 +12,21 @@
 func (s *Scheduler) assignGuarantees() {
 	byAccount := map[string][]*job{}
 	seen := map[*job]bool{}
-	for _, g := range s.groups {
-		j := g.job
+	add := func(j *job) {
 		if seen[j] || j.queue == nil || j.queue.GetPriority() > 0 {
-			continue
+			return
 		}
 		seen[j] = true
 		j.guaranteed = false
 		owner := s.accounts.Owner(j.spec.GetAccount(), j.spec.GetPolicy())
 		byAccount[owner] = append(byAccount[owner], j)
 	}
+	for _, g := range s.groups {
+		add(g.job)
+	}
+	for _, j := range s.unloaded {
+		add(j)
+	}
 	for account, jobs := range byAccount {
 		remaining := s.accountGuarantee(account)
 		slices.SortFunc(jobs, func(a, b *job) int {
@@ -39,10 +44,13 @@
 // openAccelerators returns the number of accelerators that all unfinished tasks of a
 // job use together.
 func (j *job) openAccelerators() int64 {
-	total := int64(0)
-	for _, g := range j.groups {
+	total, unloaded := int64(0), int64(j.unloadedCount())
+	for g := range j.loadedGroups() {
 		total += int64(g.open) * g.size.Accelerators()
 	}
+	for _, step := range j.spec.GetSteps() {
+		total += unloaded * int64(step.GetCount()) * step.GetAccelerators()
+	}
 	return total
 }
 
--- a/hfplan/idle_test.go
+++ b/hfplan/idle_test.go
@@ -48,7 +48,7 @@
 	w.submit("processors", "usual", &hfwork.Step{Count: 16, Cpu: 100_000, Estimate: time.Hour.Milliseconds(), Saves: true, Apart: 1})
 	w.advance(time.Second)
 	w.submit("gang", "usual", gang(2, 4, 20*time.Second))
-	g := w.s.jobs["gang"].groups[0]
+	g := w.s.jobs["gang"].group(0, 0)
 	need := w.s.generalNeed(g, w.now)
 	w.s.urgentWaits["pool"] = false
 	require.True(t, w.s.hasAmpleRoom(g, need, 2, w.now))
--- a/hfplan/isolation_test.go
+++ b/hfplan/isolation_test.go
@@ -59,11 +59,11 @@
 	w.advance(500 * time.Millisecond)
 	w.crashUnder("a", 1)
 	w.partition(w.fleet[w.workerOf("a")], 10*time.Second)
-	for i := 0; i < 200 && w.s.jobs["a"].groups[0].tasks[0].crashes.Total() < 2; i++ {
+	for i := 0; i < 200 && w.s.jobs["a"].group(0, 0).tasks[0].crashes.Total() < 2; i++ {
 		w.advance(50 * time.Millisecond)
 	}
 	w.advance(20 * time.Second)
-	require.EqualValues(t, 1, w.s.jobs["a"].groups[0].tasks[0].crashes.Total())
+	require.EqualValues(t, 1, w.s.jobs["a"].group(0, 0).tasks[0].crashes.Total())
 	require.Equal(t, 1, w.running("a"))
 	require.Empty(t, w.isolatedIDs())
 	require.NotEqual(t, hfwork.StateFailed, w.state("a"))
@@ -178,7 +178,7 @@
 	w.submit("a", "usual", single(1, time.Minute))
 	w.advance(500 * time.Millisecond)
 	w.crashUnder("a", 1)
-	task := &w.s.jobs["a"].groups[0].tasks[0]
+	task := &w.s.jobs["a"].group(0, 0).tasks[0]
 	require.True(t, task.suspect())
 	w.advance(isolationTime + 2*pollInterval)
 	require.False(t, task.suspect())
--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -15,11 +15,16 @@
 	reason      string
 	endedMillis int64 // Unix time in milliseconds at which the job became final, or 0
 	cancelled   bool
-	guaranteed  bool // covered by the guarantee of its account
-	started     bool // a worker has confirmed a start
-	groups      []*group
-	openGroups  int       // groups with open tasks
+	guaranteed  bool      // covered by the guarantee of its account
+	started     bool      // a worker has confirmed a start
 	learnedAt   time.Time // when this scheduler learned of the job
+
+	occurrences map[uint32]*occurrence            // those that are loaded
+	stored      map[uint32][]*hfwork.StepProgress // stored progress of those that are not loaded
+	completed   bitmap                            // those whose tasks are all done
+	remaining   uint32                            // number of those that have not completed
+	next        uint32                            // all before it are loaded or completed
+	deferred    bool                              // an occurrence was due and there was no memory for it
 }
 
 func (j *job) id() string { return j.spec.GetId() }
--- a/hfplan/lifecycle.go
+++ b/hfplan/lifecycle.go
@@ -28,49 +28,31 @@
 		j.state = p.GetState()
 	}
 	s.jobs[j.id()] = j
-	occurrences := max(1, m.job.GetTimes())
-	for occurrence := range occurrences {
-		due := time.Time{}
-		if m.job.GetTimes() > 0 {
-			due = time.UnixMilli(m.job.GetFirst() + int64(occurrence)*m.job.GetInterval())
-		}
-		for step, spec := range m.job.GetSteps() {
-			j.groups = append(j.groups, newGroup(j, occurrence, uint32(step), spec, due))
-		}
-	}
 	j.restore(p)
-	for _, g := range j.groups {
-		if g.open > 0 {
-			j.openGroups++
-		}
-	}
 	if j.final() {
 		return
 	}
-	for _, g := range j.groups {
-		if g.open == 0 {
-			continue
-		}
-		s.groups = append(s.groups, g)
-		for i := range g.tasks {
-			s.awaitPriorRun(&g.tasks[i])
-			s.awaitOrphan(&g.tasks[i])
-			s.giveUpIfExhausted(&g.tasks[i], now)
-		}
-	}
+	s.unloaded[j.id()] = j
+	s.loadPlaced(j, now)
+	s.loadDue(j, now)
+	s.completeIfDone(j, now)
 	s.needsPass = true
 }
 
-// newGroup returns a group with all tasks open. Filler tasks run on spare CPU and
-// reserve none.
-func newGroup(j *job, occurrence, step uint32, spec *hfwork.Step, due time.Time) *group {
+// taskSize returns the resources of one task of a step. Filler tasks run on spare CPU and reserve
+// none.
+func taskSize(spec *hfwork.Step) hfplacement.Resources {
 	cpu := spec.GetCpu()
 	if spec.GetFiller() {
 		cpu = 0
 	}
+	return hfplacement.NewResources(cpu, spec.GetMemory(), spec.GetAccelerators())
+}
+
+// newGroup returns a group with all tasks open.
+func newGroup(j *job, occurrence, step uint32, spec *hfwork.Step, due time.Time) *group {
 	g := &group{
-		job: j, occurrence: occurrence, step: step, spec: spec, due: due,
-		size:  hfplacement.NewResources(cpu, spec.GetMemory(), spec.GetAccelerators()),
+		job: j, occurrence: occurrence, step: step, spec: spec, due: due, size: taskSize(spec),
 		tasks: make([]task, spec.GetCount()), open: int(spec.GetCount()), avoid: map[string]bool{},
 	}
 	for i := range g.tasks {
@@ -79,16 +61,16 @@
 	return g
 }
 
-// group returns the group of a step in an occurrence, or nil if there is none.
+// group returns the group of a step in an occurrence, or nil if there is none or it is not loaded.
 func (j *job) group(occurrence, step uint32) *group {
-	i := int(occurrence)*len(j.spec.GetSteps()) + int(step)
-	if int(step) >= len(j.spec.GetSteps()) || i >= len(j.groups) {
+	o := j.occurrences[occurrence]
+	if o == nil || int(step) >= len(o.groups) {
 		return nil
 	}
-	return j.groups[i]
+	return o.groups[step]
 }
 
-// task returns a task by id, or nil if its job is not known or has no such task.
+// task returns a task by id, or nil if its job is not known, has no such task, or has not loaded it.
 func (s *Scheduler) task(id hfwork.TaskID) *task {
 	j := s.jobs[id.Job()]
 	if j == nil {
@@ -113,7 +95,7 @@
 
 // stopJob stops all runs of a job.
 func (s *Scheduler) stopJob(j *job, now time.Time) {
-	for _, g := range j.groups {
+	for g := range j.loadedGroups() {
 		for i := range g.tasks {
 			if r := g.tasks[i].run; r != nil {
 				s.stopRun(r, now)
--- a/hfplan/message.go
+++ b/hfplan/message.go
@@ -278,6 +278,7 @@
 	NoteCrash       Note = "crash"     // a worker crashed, or was lost, under runs
 	NoteIsolated    Note = "isolated"  // a task was placed with no other group on its worker
 	NoteGaveUp      Note = "gave-up"   // workers crashed under a task as often as they may
+	NoteDeferred    Note = "deferred"  // occurrences of a job are due, but there is no memory for their tasks
 )
 
 // NoteCmd asks to log a decision or state change.
--- a/hfplan/objective_test.go
+++ b/hfplan/objective_test.go
@@ -13,13 +13,11 @@
 	j := &job{spec: &hfwork.Job{Id: "a", Steps: []*hfwork.Step{
 		{Count: 1, Estimate: 1000}, {Count: 2, Estimate: 500}, {Count: 1, Estimate: 2000, After: []uint32{0, 1}}, {Count: 1, Estimate: 100, After: []uint32{1}},
 	}}}
-	for n, s := range j.spec.GetSteps() {
-		j.groups = append(j.groups, newGroup(j, 0, uint32(n), s, time.Time{}))
-	}
+	j.occurrences = map[uint32]*occurrence{0: newOccurrence(j, 0)}
 	total, remaining := j.criticalPath(0)
 	require.Equal(t, 3*time.Second, total)
 	require.Equal(t, 3*time.Second, remaining)
-	j.groups[0].open = 0
+	j.group(0, 0).open = 0
 	_, remaining = j.criticalPath(0)
 	require.Equal(t, 2500*time.Millisecond, remaining)
 }
@@ -50,8 +48,8 @@
 		spec:  &hfwork.Job{Id: "a", Received: received.UnixMilli(), Steps: []*hfwork.Step{{Count: 1, Estimate: 1000}}},
 		queue: &hfwork.Queue{Stretch: 2, Objective: 500},
 	}
-	g := newGroup(j, 0, 0, j.spec.GetSteps()[0], time.Time{})
-	j.groups = []*group{g}
+	j.occurrences = map[uint32]*occurrence{0: newOccurrence(j, 0)}
+	g := j.group(0, 0)
 	for after, want := range map[time.Duration]objectiveStatus{0: onTime, 1500 * time.Millisecond: onTime, 1501 * time.Millisecond: late, 6500 * time.Millisecond: late, 7 * time.Second: overdue} {
 		require.Equal(t, want, g.objectiveStatus(received.Add(after)), after)
 	}
--- a/hfplan/orphan.go
+++ b/hfplan/orphan.go
@@ -14,9 +14,9 @@
 func (s *Scheduler) stopOrphan(w *worker, reported hfwork.Run) {
 	key := orphan{task: reported.Task(), number: reported.Number()}
 	if _, known := w.orphans[key]; !known {
-		size := w.resources.Capacity()
-		if t := s.task(reported.Task()); t != nil {
-			size = t.group.size
+		size, found := s.sizeOf(reported.Task())
+		if !found {
+			size = w.resources.Capacity()
 		}
 		w.orphans[key] = size
 		s.orphans[key.task]++
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -148,9 +148,13 @@
 	if g.spec.GetLasting() {
 		return float64(g.assignedAt.UnixMilli())
 	}
-	total := 0.0
-	for _, other := range g.job.groups {
-		total += float64(other.open) * other.cores() * other.estimate().Seconds()
+	total, unloaded := 0.0, float64(g.job.unloadedCount())
+	for other := range g.job.loadedGroups() {
+		work := other.cores() * other.estimate().Seconds()
+		total += float64(other.open) * work
+		if other.occurrence == g.occurrence {
+			total += unloaded * float64(len(other.tasks)) * work
+		}
 	}
 	return total
 }
--- a/hfplan/plan_test.go
+++ b/hfplan/plan_test.go
@@ -411,7 +411,7 @@
 	f := w.fleet["w0-0"]
 	w.restart(f)
 	w.report(f, w.now)
-	require.LessOrEqual(t, w.s.jobs["a"].groups[0].waiting(), 2)
+	require.LessOrEqual(t, w.s.jobs["a"].group(0, 0).waiting(), 2)
 	w.advance(5 * time.Second)
 	require.Equal(t, hfwork.StateCompleted, w.state("a"))
 }
--- a/hfplan/record.go
+++ b/hfplan/record.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -10,17 +12,40 @@
 	"github.com/heatherfront/heatherfront/hfwork"
 )
 
-// restore sets the state of a new job from its stored progress.
+// restore sets the state of a new job from its stored progress. That of its occurrences is restored
+// when they are loaded.
 func (j *job) restore(p *hfwork.Progress) {
 	j.reason, j.endedMillis = p.GetReason(), p.GetEnded()
+	j.occurrences, j.stored = map[uint32]*occurrence{}, map[uint32][]*hfwork.StepProgress{}
+	j.completed = slices.Clone(p.GetCompleted())
 	for _, sp := range p.GetSteps() {
-		g := j.group(sp.GetOccurrence(), sp.GetStep())
-		if g == nil {
+		if k := sp.GetOccurrence(); k < j.occurrenceCount() && !j.completed.has(k) {
+			j.stored[k] = append(j.stored[k], sp)
+		}
+	}
+	for k, steps := range j.stored {
+		if hfwork.AllDone(j.spec, steps) { // stored by a release without Progress.Completed
+			j.completed = j.completed.with(k)
+			delete(j.stored, k)
+		}
+	}
+	for k := range j.occurrenceCount() {
+		if !j.completed.has(k) {
+			j.remaining++
+		}
+	}
+}
+
+// restore sets the state of the tasks of an occurrence from its stored steps.
+func (o *occurrence) restore(steps []*hfwork.StepProgress) {
+	for _, sp := range steps {
+		if int(sp.GetStep()) >= len(o.groups) {
 			continue
 		}
+		g := o.groups[sp.GetStep()]
 		for i := range g.tasks {
 			t := &g.tasks[i]
-			if byteIndex := i / 8; byteIndex < len(sp.GetDone()) && sp.GetDone()[byteIndex]&(1<<(i%8)) != 0 {
+			if bitmap(sp.GetDone()).has(uint32(i)) {
 				t.done = true
 				g.open--
 			}
@@ -48,7 +73,14 @@
 	if j.state == hfwork.StateCompleted {
 		return p
 	}
-	for _, g := range j.groups {
+	p.Completed = slices.Clone(j.completed)
+	for _, k := range slices.Sorted(maps.Keys(j.stored)) {
+		p.Steps = append(p.Steps, j.stored[k]...)
+	}
+	for g := range j.loadedGroups() {
+		if j.completed.has(g.occurrence) {
+			continue
+		}
 		sp := &hfwork.StepProgress{Occurrence: g.occurrence, Step: g.step}
 		if g.open < len(g.tasks) {
 			sp.Done = make([]byte, (len(g.tasks)+7)/8)
--- a/hfplan/run.go
+++ b/hfplan/run.go
@@ -143,7 +143,9 @@
 		if j.final() && j.endedMillis != 0 && j.idle() && now.Sub(j.learnedAt) > finalJobRetention && s.dirtyJobs[id] == nil && s.recordsInFlight[id] == nil {
 			delete(s.jobs, id)
 		}
+		s.unloadFinished(j)
 	}
+	s.loadAllDue(now)
 	s.forgetCrashes(now)
 	s.checkRecovered(now)
 	s.stopPartialGangs(now)
@@ -158,8 +160,8 @@
 
 // idle reports whether the job has no runs.
 func (j *job) idle() bool {
-	for _, g := range j.groups {
-		if g.active > 0 {
+	for _, o := range j.occurrences {
+		if !o.idle() {
 			return false
 		}
 	}
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/heatherfront/heatherfront/hfbudget"
 	"github.com/heatherfront/heatherfront/hfplacement"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
@@ -71,6 +72,9 @@
 	resources        *hfplacement.Inventory
 	workers          map[string]*worker
 	jobs             map[string]*job
+	unloaded         map[string]*job             // jobs with occurrences that were never loaded
+	memory           *hfbudget.Budget            // of the loaded occurrences
+	oversized        *occurrence                 // the one that is loaded beside the budget, or nil
 	orphans          map[hfwork.TaskID]int       // number of orphans of each task, on all workers
 	groups           []*group                    // groups with open tasks, of jobs that are not final
 	recoveryDeadline time.Time                   // when the leases of an earlier scheduler have expired
@@ -108,7 +112,7 @@
 func New(term int64, timing Timing, now time.Time) *Scheduler {
 	return &Scheduler{
 		timing: timing, runNumberBase: max(term-1, 0) * runsPerTerm, policy: &hfwork.Policy{}, queues: map[string]*hfwork.Queue{},
-		resources: hfplacement.New(), workers: map[string]*worker{}, jobs: map[string]*job{}, orphans: map[hfwork.TaskID]int{},
+		resources: hfplacement.New(), workers: map[string]*worker{}, jobs: map[string]*job{}, unloaded: map[string]*job{}, memory: hfbudget.New(defaultMemory), orphans: map[hfwork.TaskID]int{},
 		recoveryDeadline: now.Add(timing.leaseExpiryDelay()), pendingAcks: map[*worker]int64{}, dirtyJobs: map[string]*job{}, usage: map[string]*poolUsage{},
 		waves: map[int64]*wave{}, dirtyWaves: map[int64]*hfwork.Wave{}, missing: map[string]*missingWorker{}, unstable: map[string]time.Time{}, suspectReserved: map[string]int{}, urgentWaits: map[string]bool{}, notAmple: map[placementShape]int{}, slowWorkers: map[string]bool{},
 	}
--- a/hfplan/single_run_test.go
+++ b/hfplan/single_run_test.go
@@ -300,7 +300,7 @@
 	step := deskStep(2)
 	step.Gang = true
 	d.submit("x", step)
-	require.Equal(t, 2, d.s.jobs["x"].groups[0].assigned)
+	require.Equal(t, 2, d.s.jobs["x"].group(0, 0).assigned)
 	registered := deskWorkers("a", "b")
 	registered["b"].Accelerators = 4
 	d.send(Workers(registered))
@@ -419,7 +419,7 @@
 			require.Len(t, starts, 1)
 			require.Equal(t, uint32(1), starts[0].Task().Step(), "the gang has ended")
 			d.reportEnds("a", nil, d.end("a", hfwork.NewTaskID("x", 0, 0, 1), 1, hfwork.Done))
-			require.Zero(t, d.s.jobs["x"].groups[0].open)
+			require.Zero(t, d.s.jobs["x"].group(0, 0).open)
 		})
 	}
 }
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -86,7 +86,7 @@
 		w.resources.AddRunning(r.task.group.size)
 	}
 	for key, size := range w.orphans {
-		if s.task(key.task) == nil {
+		if _, known := s.sizeOf(key.task); !known {
 			size = w.resources.Capacity()
 			w.orphans[key] = size
 		}
@@ -212,7 +212,7 @@
 // schedulers and stops runs that must not continue. It returns the run, or nil if it
 // is an orphan.
 func (s *Scheduler) observeRun(w *worker, reported hfwork.Run, now time.Time) *run {
-	t := s.task(reported.Task())
+	t := s.loadTask(reported.Task(), now)
 	if t == nil || t.done || t.group.job.final() {
 		if t != nil && t.run != nil && t.run.worker == w && t.run.number == reported.Number() {
 			return t.run
@@ -270,7 +270,7 @@
 
 // handleEnd processes the end of a run in a report.
 func (s *Scheduler) handleEnd(w *worker, end hfwork.End, now time.Time) {
-	t := s.task(end.Task())
+	t := s.loadTask(end.Task(), now)
 	if t == nil {
 		return
 	}
@@ -410,11 +410,8 @@
 	if g.open > 0 {
 		return
 	}
-	g.job.openGroups--
 	s.needsPass = true
-	if g.job.openGroups == 0 && !g.job.final() {
-		s.endJob(g.job, hfwork.StateCompleted, "", now)
-	}
+	s.closeGroup(g, now)
 }
 
 // endJob moves a job to a final state.
--- a/hfplan/world_test.go
+++ b/hfplan/world_test.go
@@ -61,6 +61,8 @@
 	startCounts    map[string]int       // starts by task
 	starts         map[string]time.Time
 	noted          map[string]bool // tasks with an acknowledged end as done
+	memory         int64           // budget in bytes of each scheduler's loaded occurrences, 0 for the default
+	blamed         map[string]bool // whether crashes were counted in the last record of a job before its end
 }
 
 // event is a function to call at a point in time.
@@ -156,7 +158,7 @@
 	t.Helper()
 	w := &world{
 		t: t, now: time.Unix(1_000_000, 0), fleet: map[string]*fakeWorker{}, records: map[string]*hfwork.Progress{},
-		deadly: map[string]bool{}, downTime: shortDown, bornStep: 1, startCounts: map[string]int{}, starts: map[string]time.Time{}, noted: map[string]bool{}, downUntil: map[string]time.Time{}, upkeepDone: map[string]bool{}, jobs: map[string]*hfwork.Job{}, cancelled: map[string]bool{}, durations: map[string]time.Duration{}, failingJobs: map[string]bool{},
+		deadly: map[string]bool{}, downTime: shortDown, bornStep: 1, startCounts: map[string]int{}, starts: map[string]time.Time{}, noted: map[string]bool{}, blamed: map[string]bool{}, downUntil: map[string]time.Time{}, upkeepDone: map[string]bool{}, jobs: map[string]*hfwork.Job{}, cancelled: map[string]bool{}, durations: map[string]time.Duration{}, failingJobs: map[string]bool{},
 	}
 	w.policy = &hfwork.Policy{Version: 1, Pools: []*hfwork.Pool{{Name: "pool"}}, Accounts: []*hfwork.Account{{Name: "plants", Guaranteed: int64(racks * perRack * 4)}}}
 	for p, name := range []string{"urgent", "usual", "spare"} {
@@ -240,6 +242,9 @@
 	w.fence++
 	term := w.term
 	w.s = New(int64(w.term), NewTiming(6*time.Second), w.now)
+	if w.memory > 0 {
+		w.s.WithMemory(w.memory)
+	}
 	if w.network != nil {
 		w.network.connect()
 	}
@@ -355,6 +360,9 @@
 			}
 			for id, p := range c.Records() {
 				w.records[id] = p
+				if !hfwork.IsFinal(p.GetState()) {
+					w.blamed[id] = slices.ContainsFunc(p.GetSteps(), func(sp *hfwork.StepProgress) bool { return len(sp.GetCrashes()) > 0 })
+				}
 			}
 			if c.Roster() != nil {
 				w.roster = c.Roster()
