--- a/hfentry/memory.go
+++ b/hfentry/memory.go
@@ -16,8 +16,8 @@
 // decide on the entries and jobs in the store, so that they come to the same result, but for jobs
 // that they accept at the same moment.
 const (
-	acceptedShare = 8 // accepted jobs may take 1/acceptedShare of the memory of the smallest instance
-	loadedShare   = 4 // tasks that a leader has loaded may take 1/loadedShare; see hfbudget for why it is twice as much
+	acceptedShare = 6 // accepted jobs may take 1/acceptedShare of the memory of the smallest instance
+	loadedShare   = 3 // tasks that a leader has loaded may take 1/loadedShare; see hfbudget for why it is twice as much
 	// defaultMemoryMB counts if no instance has a memory limit: what a process may use for control.
 	defaultMemoryMB = 128
 	// memoryRetryAfter is when a submission may be repeated for which there was no memory. Most jobs
--- a/hfentry/memory_test.go
+++ b/hfentry/memory_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -161,3 +163,34 @@
 	require.NoError(t, err)
 	require.Len(t, taken.GetSteps(), 3)
 }
+
+// The limit of what is accepted rests on these figures, as on TestFootprintIsNotExceeded of hfplan.
+func TestFootprintOfRecordsIsNotExceeded(t *testing.T) {
+	const jobs = 1000
+	heap := func() int64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return int64(m.HeapAlloc)
+	}
+	for _, steps := range []int{1, 3, hfwork.MaxSteps} {
+		for _, text := range []int{20, hfwork.MaxCommandBytes} {
+			n, _ := newAccountsNode(t, newFakeStore())
+			newJob := func(i int) *hfwork.Job {
+				j := newTestJob(fmt.Sprintf("%016x", i))
+				j.Account, j.Queue, j.Policy, j.Command = "a", "qa", 1, strings.Repeat("x", text)
+				j.Settings = &hfwork.Queue{Name: "qa", Host: "host.example", Prefix: "/qa/", Pool: "p", Attempts: 3}
+				for len(j.Steps) < steps {
+					j.Steps = append(j.Steps, &hfwork.Step{Count: 3, Estimate: 1000, Cpu: 1000, Memory: 100, After: []uint32{0}})
+				}
+				return j
+			}
+			before := heap()
+			for i := range jobs {
+				n.applyItem(newItem(t, jobPrefix+newJob(i).GetId(), int64(i+1), newJob(i)))
+			}
+			require.LessOrEqual(t, (heap()-before)/jobs, hfwork.RecordFootprint(newJob(0)), "%d steps, %d bytes of text", steps, text)
+			runtime.KeepAlive(n)
+		}
+	}
+}
--- a/hfwork/footprint.go
+++ b/hfwork/footprint.go
@@ -7,12 +7,13 @@
 )
 
 // Upper limits of the memory that the parts of a job take, in bytes. TestFootprintIsNotExceeded of
-// hfplan measures them.
+// hfplan and TestFootprintOfRecordsIsNotExceeded of hfentry measure them.
 const (
-	taskFootprint = 192  // of a task that is loaded by a leader
-	stepFootprint = 1024 // of a step in an occurrence that is loaded by a leader
-	jobFootprint  = 2048 // of a job, without its text, at an instance
-	textFactor    = 3    // of a record's encoded size, for its decoded form and its copies
+	taskFootprint       = 192 // of a task that is loaded by a leader
+	stepFootprint       = 640 // of a step in an occurrence that is loaded by a leader
+	jobFootprint        = 640 // of a job at a leader, besides
+	recordFootprint     = 768 // of the record of a job at each instance, besides its encoded size
+	recordStepFootprint = 256 // of each step in such a record
 
 	// EndedFootprint is the memory of a job that has ended, at an instance.
 	EndedFootprint = 512
@@ -39,10 +40,10 @@
 	if times := int64(j.GetTimes()); times > 1 && j.GetInterval() > 0 {
 		due = min(times, 1+footprintSpan.Milliseconds()/j.GetInterval())
 	}
-	return RecordFootprint(j) + due*OccurrenceFootprint(j)
+	return RecordFootprint(j) + jobFootprint + int64(j.GetTimes()+7)/8 + due*OccurrenceFootprint(j)
 }
 
 // RecordFootprint returns the number of bytes that the record of a job takes at each instance.
 func RecordFootprint(j *Job) int64 {
-	return jobFootprint + textFactor*int64(proto.Size(j)) + int64(j.GetTimes()+7)/8
+	return recordFootprint + recordStepFootprint*int64(len(j.GetSteps())) + int64(proto.Size(j))
 }
