Keep what was read while an older list replaces the mirror

A query or a cancellation in the same moment was answered 410, and a cancellation stored a withdrawal that has no effect.

Cause: the answer to the write is lost, and the job is read back into the mirror. A list of all records that was begun before the job was stored comes in between the read and the look into the mirror, and removes the job. Ruled out: a job of another caller with this id, an unreadable record (the stored bytes decode).

Change: fetchJob applies the job, its progress and its cancellation at once and returns the record that results, so that nobody looks for it in the mirror again. A list keeps jobs and withdrawals with a later store revision than its own.

--- a/hfentry/jobs.go
+++ b/hfentry/jobs.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/heatherfront/heatherfront/hfevent"
+	"github.com/heatherfront/heatherfront/hflease"
 	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hfstore"
 	"github.com/heatherfront/heatherfront/hfwire"
@@ -154,8 +155,7 @@
 // resolveConflict returns the result of a submission that was not stored, as a job of its id is stored
 // or it was withdrawn: nil, ErrIDTaken, ErrWithdrawn or ErrEffectUnknown.
 func (n *Node) resolveConflict(ctx context.Context, a Access, id string) error {
-	err := n.fetchJob(ctx, id)
-	r := n.cachedJob(id)
+	r, err := n.fetchJob(ctx, id)
 	switch {
 	case errors.Is(err, ErrNoJob):
 		return fmt.Errorf("submit: %w", ErrWithdrawn)
@@ -203,13 +203,16 @@
 
 // cachedJob returns a copy of the mirror's record of a job, or nil.
 func (n *Node) cachedJob(id string) *jobRecord {
-	return hfloop.With(n.mirror, func(m *Mirror) *jobRecord {
-		if r := m.jobs[id]; r != nil {
-			c := *r
-			return &c
-		}
+	return hfloop.With(n.mirror, func(m *Mirror) *jobRecord { return m.jobs[id].copy() })
+}
+
+// copy returns a copy of a record, or nil if there is none.
+func (r *jobRecord) copy() *jobRecord {
+	if r == nil {
 		return nil
-	})
+	}
+	c := *r
+	return &c
 }
 
 // findJob returns one of the caller's jobs. It reads the store if the mirror lacks the job,
@@ -217,10 +220,10 @@
 func (n *Node) findJob(ctx context.Context, a Access, id string) (*jobRecord, error) {
 	r := n.cachedJob(id)
 	if r == nil || r.job == nil {
-		if err := n.fetchJob(ctx, id); err != nil {
+		var err error
+		if r, err = n.fetchJob(ctx, id); err != nil {
 			return nil, fmt.Errorf("find job: %w", err)
 		}
-		r = n.cachedJob(id)
 	}
 	if r == nil || r.job == nil || r.job.GetQueue() != a.queue.GetName() {
 		return nil, ErrNoJob
@@ -231,28 +234,47 @@
 	return r, nil
 }
 
-// fetchJob reads a job from the store into the mirror, as the watch may be behind.
-func (n *Node) fetchJob(ctx context.Context, id string) error {
+// fetchJob reads a job from the store into the mirror, as the watch may be behind, and returns a copy
+// of its record: a list may replace the mirror at any time. The record is nil if the mirror rejects
+// the job.
+func (n *Node) fetchJob(ctx context.Context, id string) (*jobRecord, error) {
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	var items []hfstore.Item
 	for _, prefix := range []string{jobPrefix, progressPrefix, cancelPrefix} {
 		if !n.health.Allow(time.Now()) {
-			return ErrNotDone
+			return nil, ErrNotDone
 		}
 		item, err := n.store.Get(call, prefix+id)
 		n.health.Record(err, time.Now())
 		if errors.Is(err, hfstore.ErrNotFound) {
 			if prefix == jobPrefix {
-				return ErrNoJob
+				return nil, ErrNoJob
 			}
 			continue
 		}
 		if err != nil {
-			return fmt.Errorf("%w: %w", ErrNotDone, err)
+			return nil, fmt.Errorf("%w: %w", ErrNotDone, err)
 		}
-		n.applyItem(item)
+		items = append(items, item)
 	}
-	return nil
+	return n.applyRead(items, id), nil
+}
+
+// applyRead applies the items of a job that were read, and returns a copy of its record, or nil if there
+// is none.
+func (n *Node) applyRead(items []hfstore.Item, id string) *jobRecord {
+	receivedAt := hflease.Now()
+	changes, r := hfloop.With2(n.mirror, func(m *Mirror) ([]change, *jobRecord) {
+		m.setWriteTimes(time.Time{}, receivedAt)
+		var changes []change
+		for _, i := range items {
+			changes = append(changes, m.Apply(i))
+		}
+		return changes, m.jobs[id].copy()
+	})
+	n.notify(changes)
+	return r
 }
 
 // State returns the state of one of the caller's jobs. It fails with ErrNoJob or ErrNotDone.
--- a/hfentry/memory.go
+++ b/hfentry/memory.go
@@ -103,7 +103,7 @@
 // refuse returns the result of a submission for which there is no memory: nil if the job is stored
 // already, although the mirror does not know it yet, and otherwise the given cause or ErrNotDone.
 func (n *Node) refuse(ctx context.Context, a Access, job *hfwork.Job, cause error) error {
-	err := n.fetchJob(ctx, job.GetId())
+	_, err := n.fetchJob(ctx, job.GetId())
 	if errors.Is(err, ErrNoJob) {
 		return fmt.Errorf("submit: %w", cause)
 	}
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -56,6 +56,7 @@
 type jobRecord struct {
 	job        *hfwork.Job // nil if only its progress or cancellation is known
 	progress   *hfwork.Progress
+	jobVersion int64     // store revision of the job
 	version    int64     // store revision of the progress
 	endSeen    time.Time // when a final state was first applied, on the clock of Mirror.receivedAt; zero before
 	cancelled  bool
@@ -136,7 +137,9 @@
 	rejection  *rejection // describes err, nil if there is none
 }
 
-// Reset replaces the part of the mirror below a prefix by a complete list of its items.
+// Reset replaces the part of the mirror below a prefix by a complete list of its items. Jobs and
+// withdrawals that were stored after the revision of the list are kept: this instance has read or
+// written them itself meanwhile.
 func (m *Mirror) Reset(prefix string, items []hfstore.Item, revision int64) []change {
 	var changes []change
 	switch prefix {
@@ -164,12 +167,12 @@
 		changes = append(changes, m.Apply(i))
 	}
 	if prefix == recordPrefix && complete {
-		for id := range m.jobs {
-			if !listedJobs[id] {
+		for id, r := range m.jobs {
+			if !listedJobs[id] && r.jobVersion <= revision {
 				m.removeJob(id)
 			}
 		}
-		m.retainWithdrawals(listedKeys)
+		m.retainWithdrawals(listedKeys, revision)
 	}
 	return append(changes, m.advance(prefix, revision)...)
 }
@@ -421,7 +424,7 @@
 		return change{err: err}
 	}
 	r := m.jobRecord(id)
-	r.job, r.cancelled = job, r.cancelled || m.isWithdrawn(job)
+	r.job, r.jobVersion, r.cancelled = job, i.Version(), r.cancelled || m.isWithdrawn(job)
 	m.countMemory(r)
 	return change{job: id}
 }
--- a/hfentry/withdrawal.go
+++ b/hfentry/withdrawal.go
@@ -32,6 +32,7 @@
 	key     string
 	job     string
 	record  *hfwork.Withdrawal
+	version int64     // store revision of the record
 	firstAt time.Time // when it was first applied, on the clock of Mirror.receivedAt
 }
 
@@ -59,7 +60,7 @@
 	if err != nil {
 		return change{err: fmt.Errorf("withdrawal of %s: %w", id, err)}
 	}
-	w := &withdrawal{key: i.Key(), job: id, record: record, firstAt: m.receivedAt}
+	w := &withdrawal{key: i.Key(), job: id, record: record, version: i.Version(), firstAt: m.receivedAt}
 	if known := slices.ContainsFunc(m.withdrawals[id], func(o *withdrawal) bool { return o.key == w.key }); !known {
 		m.withdrawals[id] = append(m.withdrawals[id], w)
 	}
@@ -70,11 +71,11 @@
 	return change{}
 }
 
-// retainWithdrawals drops the withdrawals that are not among the listed keys.
-func (m *Mirror) retainWithdrawals(listed map[string]bool) {
+// retainWithdrawals drops the withdrawals that are not among the keys of a list of the given revision.
+func (m *Mirror) retainWithdrawals(listed map[string]bool, revision int64) {
 	for id, list := range m.withdrawals {
 		for _, w := range slices.Clone(list) {
-			if !listed[w.key] {
+			if !listed[w.key] && w.version <= revision {
 				m.removeWithdrawal(id, w.key)
 			}
 		}
