Let a group return to workers that it avoids if the others stay full

Cause: a group avoids workers on which a task failed until FitsWhenEmpty says that it cannot be placed without them. That counts the whole capacity of the others, whatever runs there. In queues with advice nothing lifted it at all. Ruled out: quarantine of the worker (6 s at most).

Queues with advice lift it in the same way.

--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -47,6 +47,7 @@
 	assigned         int               // runs that have a worker but whose start was not sent yet
 	due              time.Time         // earliest start; zero if there is none
 	avoid            map[string]bool   // workers on which a task failed or stalled
+	avoidsRoomSince  time.Time         // since when there has been room only on these; zero if there is other room, or none
 	preemptNotBefore time.Time         // earliest next search for victims, after one that found too few
 	assignedAt       time.Time         // last time that runs were assigned
 	requiredSequence uint64            // of the StoreCmd with the assignments; runs start only after it is stored
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -182,22 +182,12 @@
 
 // placementNeed returns the requirements of a group on the workers for its tasks.
 func (s *Scheduler) placementNeed(g *group, now time.Time) hfplacement.Need {
-	need := s.generalNeed(g, now)
-	if g.job.queue.GetAdvised() {
-		return need.Excluding(func(id string) bool {
-			_, ok := g.ticketFor(s.workers[id], now)
-			return !ok || g.avoid[id]
-		})
-	}
+	need := s.permittedNeed(g, now)
 	if len(g.avoid) == 0 {
 		return need
 	}
-	minTasks := 1
-	if g.gang() {
-		minTasks = len(g.tasks)
-	}
-	avoiding := need.Excluding(func(id string) bool { return g.avoid[id] })
-	if _, possible := s.resources.FitsWhenEmpty(avoiding, minTasks); !possible {
+	avoiding := need.AlsoExcluding(func(id string) bool { return g.avoid[id] })
+	if _, possible := s.resources.FitsWhenEmpty(avoiding, g.leastTasks()); !possible {
 		// The group cannot be placed without the avoided workers, so try them again.
 		clear(g.avoid)
 		return need
@@ -205,6 +195,27 @@
 	return avoiding
 }
 
+// permittedNeed returns the requirements of a group on the workers for its tasks, regardless of the
+// workers that it avoids.
+func (s *Scheduler) permittedNeed(g *group, now time.Time) hfplacement.Need {
+	need := s.generalNeed(g, now)
+	if !g.job.queue.GetAdvised() {
+		return need
+	}
+	return need.Excluding(func(id string) bool {
+		_, ok := g.ticketFor(s.workers[id], now)
+		return !ok
+	})
+}
+
+// leastTasks returns the number of tasks that can be placed at once at least: all of a gang, or one.
+func (g *group) leastTasks() int {
+	if g.gang() {
+		return len(g.tasks)
+	}
+	return 1
+}
+
 // tasksOf returns the number of tasks of a group that may be running on the worker, or will be: with
 // their run, an orphan that is being stopped, or a run of an earlier scheduler.
 func (w *worker) tasksOf(g *group) int {
@@ -306,7 +317,11 @@
 	if fast, ok := s.withoutSlow(g, need); ok && s.placeOn(g, fast, now) {
 		return true
 	}
-	return s.placeOn(g, need, now)
+	if s.placeOn(g, need, now) {
+		return true
+	}
+	s.liftAvoidance(g, now)
+	return false
 }
 
 // placeOn assigns the waiting tasks of a group that need not be isolated to workers that meet the
@@ -351,7 +366,7 @@
 	if len(placements) == 0 {
 		return
 	}
-	g.assignedAt, g.reservedRack, g.rackSoughtAt, g.ampleSince = now, "", time.Time{}, time.Time{}
+	g.assignedAt, g.reservedRack, g.rackSoughtAt, g.ampleSince, g.avoidsRoomSince = now, "", time.Time{}, time.Time{}, time.Time{}
 	s.markDirty(g.job)
 	g.requiredSequence = s.sequence + 1
 	gangNumber := s.runNumberBase + 1
