Advance a wave of upkeep only by a list of machines that is newer

Cause: the list of machines is polled only during a wave and kept after it. A machine that a list lacks counts as removed, also if the list is older than the wave. The same with a list that was requested before the second of two waves began. An old list also names the worker of before a crash, and a machine whose worker is not known counted as drained: its upkeep ended what the next worker ran there.

Change: a list carries when it was requested, and a wave waits for one that was requested after it was learned. A machine whose worker is not known is drained only after 3 s, two heartbeats.

--- a/hforder/leader.go
+++ b/hforder/leader.go
@@ -323,7 +323,7 @@
 		cancel()
 		l.observer.OrderFinished("machines", hfwork.TaskID{}, 0, "", sent, err)
 		if err == nil {
-			l.Send(hfplan.Machines(list))
+			l.Send(hfplan.Machines(list).RequestedAt(sent))
 		}
 	}
 }
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -90,6 +90,7 @@
 	dirtyJobs        map[string]*job             // jobs whose progress has to be stored
 	waves            map[int64]*wave             // waves that are not completed, by number
 	machines         map[string]*hfwork.Machine  // by name; nil before the first list
+	machinesAt       time.Time                   // when the list of machines was requested
 	dirtyWaves       map[int64]*hfwork.Wave      // waves that have to be stored
 	missing          map[string]*missingWorker   // workers whose leases expired with runs, by id, until it is known whether they crashed
 	unstable         map[string]time.Time        // until when a worker at an address counts as crashed lately, by address
@@ -151,7 +152,10 @@
 	case WaveMsg:
 		s.addWave(m.wave, now)
 	case MachinesMsg:
-		s.machines = m.machines
+		s.machines, s.machinesAt = m.machines, m.requestedAt
+		if s.machinesAt.IsZero() {
+			s.machinesAt = now
+		}
 	case UpkeepStartedMsg:
 		s.handleUpkeepStarted(m, now)
 	case AdviceMsg:
--- a/hfplan/upkeep.go
+++ b/hfplan/upkeep.go
@@ -18,6 +18,9 @@
 	// may be down, so that the next ones drain in the meantime.
 	machinesPerSlot     = 2
 	upkeepRetryInterval = time.Second // after an UpkeepCmd without an answer
+	// maxRegistrationTime is how long the worker of a machine may take until it is registered and
+	// listed: two heartbeats.
+	maxRegistrationTime = 3 * time.Second
 )
 
 // WaveMsg carries an upkeep wave and its stored progress.
@@ -26,14 +29,23 @@
 // Wave returns a WaveMsg.
 func Wave(w *hfwork.Wave) WaveMsg { return WaveMsg{wave: w} }
 
-// MachinesMsg carries the current machines of the platform by name.
-type MachinesMsg struct{ machines map[string]*hfwork.Machine }
+// MachinesMsg carries a list of the platform's machines by name.
+type MachinesMsg struct {
+	machines    map[string]*hfwork.Machine
+	requestedAt time.Time // when the list was requested; zero if it is current
+}
 
 // Machines returns a MachinesMsg.
 func Machines(machines map[string]*hfwork.Machine) MachinesMsg {
 	return MachinesMsg{machines: machines}
 }
 
+// RequestedAt returns a copy of the message for a list that was requested at the given time.
+func (m MachinesMsg) RequestedAt(t time.Time) MachinesMsg {
+	m.requestedAt = t
+	return m
+}
+
 // UpkeepCmd asks the platform to take a machine down for its upkeep.
 type UpkeepCmd struct {
 	machine string
@@ -70,6 +82,7 @@
 	requestedAt  time.Time // last UpkeepCmd
 	workerBefore string    // worker on the machine before its upkeep
 	seenDown     bool      // the machine was listed as down
+	unknownSince time.Time // since when its worker has not been known; zero if it is
 }
 
 // upkeepPhase is the stage of the upkeep of one machine.
@@ -125,8 +138,12 @@
 	}
 }
 
-// advanceWave advances the machines of a wave and starts to drain the next ones.
+// advanceWave advances the machines of a wave and starts to drain the next ones. It waits for a list of
+// machines that is newer than the wave, as an older one may lack some of them.
 func (s *Scheduler) advanceWave(w *wave, now time.Time) {
+	if s.machines == nil || s.machinesAt.Before(w.learnedAt) {
+		return
+	}
 	maxDown := max(int(w.spec.GetMost()), 1)
 	down := w.count(upkeepRequested, upkeepDown) + s.downBefore(w, now)
 	for _, name := range w.spec.GetMachines() {
@@ -203,9 +220,7 @@
 func (s *Scheduler) advanceMachine(w *wave, name string, u *machineUpkeep, mayGoDown bool, now time.Time) {
 	m := s.machines[name]
 	if m == nil {
-		if s.machines != nil && u.phase != upkeepFinished {
-			u.phase = upkeepFinished // the machine was removed
-		}
+		u.phase = upkeepFinished // the machine was removed
 		return
 	}
 	worker := s.workers[m.GetWorker()]
@@ -215,7 +230,7 @@
 			worker.upkeepPending = true
 			s.updateUsable(worker, now)
 		}
-		if drained := worker == nil || worker.runsKnown(now) && s.drainWorker(worker, w.mustForce(u, now), now); drained && mayGoDown {
+		if s.drained(w, worker, u, now) && mayGoDown {
 			u.phase, u.requestedAt, u.workerBefore = upkeepRequested, now, m.GetWorker()
 			if worker != nil {
 				worker.upkeepRequested = true
@@ -242,6 +257,19 @@
 	}
 }
 
+// drained drains the worker of a machine, which is nil if it is not known. It reports whether nothing
+// runs there.
+func (s *Scheduler) drained(w *wave, worker *worker, u *machineUpkeep, now time.Time) bool {
+	if worker != nil {
+		u.unknownSince = time.Time{}
+		return worker.runsKnown(now) && s.drainWorker(worker, w.mustForce(u, now), now)
+	}
+	if u.unknownSince.IsZero() {
+		u.unknownSince = now
+	}
+	return now.Sub(u.unknownSince) >= maxRegistrationTime
+}
+
 // mustForce reports whether a machine must be drained now even if work is lost,
 // because the wave would otherwise miss its deadline.
 func (w *wave) mustForce(u *machineUpkeep, now time.Time) bool {
--- a/hfplan/upkeep_test.go
+++ b/hfplan/upkeep_test.go
@@ -82,3 +82,70 @@
 	}
 	require.Contains(t, begun, "a")
 }
+
+// A wave was completed without the upkeep of a machine that had been added since the last list of
+// machines, which another wave had asked for (review/10).
+func TestWaveWaitsForAListThatIsNewer(t *testing.T) {
+	s, now := New(2, NewTiming(workerLease), time.Unix(1_000_000, 0)), time.Unix(1_000_000, 0)
+	play := func(d time.Duration) (begun []string, completed map[int64]bool) {
+		completed = map[int64]bool{}
+		for end := now.Add(d); now.Before(end); now = now.Add(tickInterval) {
+			for _, msg := range []Msg{TickMsg{}, PassMsg{}} {
+				for _, cmd := range s.Update(msg, now) {
+					switch c := cmd.(type) {
+					case UpkeepCmd:
+						begun = append(begun, c.Machine())
+					case StoreCmd:
+						for _, w := range c.Waves() {
+							completed[w.GetNumber()] = w.GetCompleted()
+						}
+						s.Update(Stored(c), now)
+					}
+				}
+			}
+		}
+		return begun, completed
+	}
+	deadline := now.Add(time.Hour).UnixMilli()
+	s.Update(Wave(&hfwork.Wave{Number: 1, Machines: []string{"gone"}, Most: 1, Deadline: deadline}), now)
+	s.Update(Machines(map[string]*hfwork.Machine{"a": {Name: "a", Up: true}}).RequestedAt(now), now)
+	asked := now
+	_, completed := play(time.Second)
+	require.True(t, completed[1], "a machine that was removed needs no upkeep")
+
+	for number := int64(2); number <= 3; number++ { // beside no other wave, and beside one in progress
+		added := fmt.Sprint("added", number)
+		s.Update(Wave(&hfwork.Wave{Number: number, Machines: []string{added}, Most: 1, Deadline: deadline}), now)
+		s.Update(Machines(map[string]*hfwork.Machine{"a": {Name: "a", Up: true}}).RequestedAt(asked), now)
+		_, completed = play(time.Second)
+		require.False(t, completed[number], "the list is older than the wave")
+		asked = now
+		s.Update(Machines(map[string]*hfwork.Machine{"added2": {Name: "added2", Up: true}, added: {Name: added, Up: true}}).RequestedAt(asked), now)
+		begun, _ := play(5 * time.Second)
+		require.Contains(t, begun, added)
+	}
+}
+
+// Guards against an upkeep that ends the runs of a worker which the list of machines does not name
+// yet, or which has not registered yet.
+func TestUpkeepAwaitsTheWorkerOfAMachine(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	w.advance(time.Second)
+	w.submit("a", "usual", single(24, 20*time.Second))
+	w.advance(500 * time.Millisecond)
+	list := func(worker string) {
+		w.send(Machines(map[string]*hfwork.Machine{"w0-0": {Name: "w0-0", Up: true, Worker: worker}}))
+	}
+	list("before-the-crash")
+	w.send(Wave(&hfwork.Wave{Number: 1, Machines: []string{"w0-0"}, Most: 1, Deadline: w.now.Add(time.Hour).UnixMilli()}))
+	for range 10 {
+		w.advance(100 * time.Millisecond)
+		list("before-the-crash")
+	}
+	for range 300 {
+		w.advance(100 * time.Millisecond)
+		w.listMachines()
+	}
+	require.True(t, w.upkeepDone["w0-0"])
+	require.Zero(t, w.interrupted)
+}
