Blame no task for crashes after starts that got no answer

Cause: a run counted as lost in a crash also if its start got no answer, or was still queued; four of those ended the job. A stop that was confirmed even made such a start count as one that took effect (two were enough then).

Change: a crash can end a job only if two hit a run of that task that is known to have started, or four did that an earlier leader may have started; this held for gangs since and holds for all tasks now. Starts without an answer are no part of either count. Two crashes of a task that was alone still end it, as those never counted unanswered starts.

What it costs: a deadly task whose answers are all lost is started more often. Answers of sound links arrive before the crash (10 ms after the start).

--- a/hfplan/crash.go
+++ b/hfplan/crash.go
@@ -30,7 +30,7 @@
 
 	suspect   bool   // the last of the counted runs had just begun, and no run since has been at work for long
 	provenRun int64  // number of the last run with a proven crash; not stored
-	own       uint32 // runs in which the worker of this very task crashed, and may have started it
+	own       uint32 // runs in which the worker of this very task crashed, but for starts without an answer
 	ownSeen   uint32 // of these, runs that are known to have started
 	ownRun    int64  // number of the last run that is included in own
 }
@@ -50,9 +50,10 @@
 // any reports whether a crash is counted.
 func (c crashes) any() bool { return c.Total() > 0 || c.own > 0 }
 
-// addOwn includes a run in own. It reports whether the run was not included before.
+// addOwn includes a run in own. It reports whether the run was not included before. A start without an
+// answer may have been lost on its way to a worker that crashed for another reason.
 func (c *crashes) addOwn(l *lostRun) bool {
-	if l.number <= c.ownRun {
+	if l.number <= c.ownRun || l.unanswered {
 		return false
 	}
 	c.ownRun = l.number
@@ -130,7 +131,8 @@
 		early := w.silentSoonAfter(r, now)
 		if r.phase != assigned && (early || !leaving) {
 			lost = append(lost, lostRun{
-				task: r.task, number: r.number, worked: r.worked(), early: early, leaving: leaving, unanswered: r.confirmedAt.IsZero(),
+				task: r.task, number: r.number, worked: r.worked(), early: early, leaving: leaving,
+				unanswered: r.confirmedAt.IsZero() || r.startUnanswered,
 			})
 		}
 	}
@@ -243,7 +245,10 @@
 func (s *Scheduler) giveUpIfExhausted(t *task, now time.Time) {
 	j, c := t.group.job, t.crashes
 	exhaustedAlone := c.ExhaustedAlone(t.group.gang())
-	if t.done || j.final() || !exhaustedAlone && !c.Exhausted() || !t.group.hasCulprit() {
+	if t.done || j.final() || !exhaustedAlone && !c.Exhausted() {
+		return
+	}
+	if aloneInNoGang := exhaustedAlone && !t.group.gang(); !aloneInNoGang && !t.hasCulprit() {
 		return
 	}
 	subject := fmt.Sprintf("task %d.%d", t.group.step, t.index)
@@ -259,18 +264,13 @@
 	s.stopJob(j, now)
 }
 
-// hasCulprit reports whether one task of a gang may have caused its crashes: a gang whose members met
-// one crash each was unlucky. A task that is in no gang met all of its own.
-func (g *group) hasCulprit() bool {
-	if !g.gang() {
-		return true
-	}
-	for i := range g.tasks {
-		if g.tasks[i].crashes.mayBeCulprit() {
-			return true
-		}
+// hasCulprit reports whether a task, or one member of its gang, may have caused the crashes that are
+// counted for it: a gang whose members met one crash each was unlucky.
+func (t *task) hasCulprit() bool {
+	if !t.group.gang() {
+		return t.crashes.mayBeCulprit()
 	}
-	return false
+	return slices.ContainsFunc(t.group.tasks, func(member task) bool { return member.crashes.mayBeCulprit() })
 }
 
 // forgetOwnCrashes forgets the own crashes of all tasks.
--- a/hfplan/isolation.go
+++ b/hfplan/isolation.go
@@ -40,7 +40,7 @@
 // held reports whether a task must not start, as its job fails unless the last worker that
 // it was lost with has not crashed.
 func (t *task) held() bool {
-	return t.group.primary(t).crashes.Exhausted() && t.group.hasCulprit()
+	return t.group.primary(t).crashes.Exhausted() && t.hasCulprit()
 }
 
 // isolates reports whether a task is placed only on a worker of its own now.
