Leave each account a minimum of memory whatever the others hold

Callers would see: 429 for every job of every account, for as long as jobs that an earlier release accepted hold more memory than there is.

TestEachOwnerGetsItsMinimum failed before.

--- a/hfbudget/budget.go
+++ b/hfbudget/budget.go
@@ -10,6 +10,11 @@
 // NewOwner returns the owner of the urgent or of the other jobs of an account.
 func NewOwner(account string, urgent bool) Owner { return Owner{account: account, urgent: urgent} }
 
+// minimumShare is the part of a budget, as a divisor, that each owner may use whatever the others
+// use. Those may have been given more than there is: by an earlier release, or by instances that had
+// not heard of each other's jobs.
+const minimumShare = 128
+
 // Budget is an amount of memory of which each owner may use as much as stays free. One owner alone
 // gets half of it, and there is always room for another one.
 type Budget struct {
@@ -31,7 +36,9 @@
 func (b *Budget) Total() int64 { return b.total }
 
 // Fits reports whether an owner may use another size bytes.
-func (b *Budget) Fits(o Owner, size int64) bool { return b.used[o]+size <= b.limit-b.total-size }
+func (b *Budget) Fits(o Owner, size int64) bool {
+	return b.used[o]+size <= max(b.limit-b.total-size, b.limit/minimumShare)
+}
 
 // Possible reports whether size bytes would fit if nothing was in use.
 func (b *Budget) Possible(size int64) bool { return size <= b.limit-size }
--- a/hfbudget/budget_test.go
+++ b/hfbudget/budget_test.go
@@ -51,6 +51,16 @@
 	})
 }
 
+// Guards against accounts that are refused for good, as another one holds more than there is.
+func TestEachOwnerGetsItsMinimum(t *testing.T) {
+	b, urgent := hfbudget.New(128_000), hfbudget.NewOwner("modest", true)
+	b.Add(hfbudget.NewOwner("greedy", false), 1_000_000)
+	require.True(t, b.Fits(urgent, 1000))
+	b.Add(urgent, 1000)
+	require.False(t, b.Fits(urgent, 1))
+	require.False(t, b.Fits(hfbudget.NewOwner("greedy", false), 1))
+}
+
 func TestFreedMemoryCanBeUsedAgain(t *testing.T) {
 	b, o := hfbudget.New(100), hfbudget.NewOwner("a", false)
 	b.Add(o, 50)
