Notice a silent link by several short calls, too

Cause: a link without a byte from the peer is closed by a call that fails after 600 ms at least. Hints wait 400 ms, so that none of them closed it; the keepalive did, after 10 s and 2 s.

Change: the time counts from the first call that failed since the last byte was read.

Evidence: TestShortCallsNoticeSilentLink failed before (100 calls of 50 ms).

--- a/hfentry/hint_test.go
+++ b/hfentry/hint_test.go
@@ -1,6 +1,7 @@
 package hfentry
 
 import (
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/heatherfront/heatherfront/hfevent"
 	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hfpeer"
+	"github.com/heatherfront/heatherfront/hfstand"
 	"github.com/heatherfront/heatherfront/hfstore"
 	"github.com/heatherfront/heatherfront/hfwire"
 	"github.com/heatherfront/heatherfront/hfwork"
@@ -47,6 +49,38 @@
 	require.Equal(t, "a", leader.cachedJob("a").job.GetId())
 }
 
+// Guards against urgent jobs that start late for as long as a link to the leader is silent (the day
+// severed): the hint that finds the silence is lost, those after it take a new link.
+func TestHintsReachLeaderAfterLinksGoSilent(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	leader, follower, dialer := newTestNode("leader"), newTestNode("follower"), &hfstand.Silencer{}
+	follower.links = hfpeer.NewLinks("follower", "follower", dialer, follower.registry)
+	group, ctx := errgroup.WithContext(t.Context())
+	group.Go(func() error { leader.servePeers(ctx, ln); return nil })
+	group.Go(func() error { follower.sendHints(ctx); return nil })
+	hfloop.With(follower.mirror, func(m *Mirror) bool {
+		m.lead = &hfwork.Lead{Instance: "leader", Address: ln.Addr().String()}
+		return true
+	})
+	arrives := func(id string) bool {
+		follower.queueHint(newItem(t, jobPrefix+id, 3, &hfwork.Job{Id: id}))
+		for range 100 {
+			if leader.cachedJob(id) != nil {
+				return true
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		return false
+	}
+	require.Eventually(t, func() bool { return arrives("before") }, 10*time.Second, time.Millisecond)
+	for round := range 3 {
+		dialer.Silence()
+		n := 0
+		require.Eventually(t, func() bool { n++; return arrives(fmt.Sprint("after", round, n)) }, 30*time.Second, time.Millisecond)
+	}
+}
+
 func TestUnknownMessageIsRefused(t *testing.T) {
 	require.NotNil(t, newTestNode("one").handleCall(t.Context(), &hfwire.Envelope{}).GetRefusal())
 }
--- a/hfpeer/links.go
+++ b/hfpeer/links.go
@@ -37,7 +37,7 @@
 	writeTimeout      = 2 * time.Second
 	keepAliveInterval = 10 * time.Second
 	redialDelay       = 200 * time.Millisecond
-	silentAfter       = 600 * time.Millisecond // without a byte from the peer, a call that fails closes the link
+	silentAfter       = 600 * time.Millisecond // without a byte from the peer since a call, one that fails closes the link
 	maxIdleStreams    = 16                     // kept open per link for later calls
 	readBufferSize    = 512                    // bytes; most messages are smaller
 	maxServedStreams  = 1024                   // streams of one connection that are served at once, idle ones included
@@ -89,6 +89,24 @@
 	*yamux.Session
 	conn        *heardConn
 	idleStreams chan *yamux.Stream
+
+	mu          sync.Mutex
+	silentSince time.Time // when the first call was sent that failed since the last read; zero if there is none
+	silentReads uint64    // number of reads at that time
+}
+
+// silentFor returns for how long nothing was read since the first call that failed, of which one was
+// sent at the given time and number of reads.
+func (l *link) silentFor(sent time.Time, reads uint64) time.Duration {
+	if l.conn.reads.Load() != reads {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.silentSince.IsZero() || l.silentReads != reads || sent.Before(l.silentSince) {
+		l.silentSince, l.silentReads = sent, reads
+	}
+	return time.Since(l.silentSince)
 }
 
 // heardConn is a connection that counts the reads that brought something.
@@ -163,8 +181,7 @@
 		link.releaseStream(stream)
 	}
 	if err != nil {
-		silent := time.Since(sent) >= silentAfter && link.conn.reads.Load() == reads
-		if silent && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) && link.silentFor(sent, reads) >= silentAfter {
 			_ = link.Close() // the connection may have gone silent; the next call opens another one
 		}
 		return nil, fmt.Errorf("call %s: %w: %w", to.name, ErrNoReply, err)
--- a/hfpeer/silent_test.go
+++ b/hfpeer/silent_test.go
@@ -52,6 +52,25 @@
 	require.NoError(t, call(10*time.Second))
 }
 
+// Guards against a silent link that stays in use because no call waits for long: hints to the leader were
+// lost for 12 s, until the keepalive failed (the day severed).
+func TestShortCallsNoticeSilentLink(t *testing.T) {
+	dialer := &hfstand.Silencer{}
+	links, peer := openLinks(t, dialer, acknowledge)
+	call := func(timeout time.Duration) error {
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
+		defer cancel()
+		_, err := links.Call(ctx, peer, links.Envelope())
+		return err
+	}
+	require.NoError(t, call(10*time.Second))
+	dialer.Silence()
+	failed := 0
+	for ; failed < 100 && call(50*time.Millisecond) != nil; failed++ {
+	}
+	require.Less(t, failed, 100)
+}
+
 // Guards against the loss of all other calls on a link when one of them is not answered in time.
 func TestSlowCallLeavesLinkOpen(t *testing.T) {
 	links, peer := openLinks(t, &net.Dialer{}, func(ctx context.Context, in *hfwire.Envelope) *hfwire.Envelope {
