Start no tasks in an evacuated failure domain

Change: the mirror keeps the evacuated domains, also those whose entry cannot be read, as its existence says all; their workers are not usable. What runs there goes on. A new leader learns of them with its configuration.

--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -40,6 +40,9 @@
 	// WorkerPrefix returns the prefix of the workers' entries. The rest of such a key is the
 	// worker's id.
 	WorkerPrefix() string
+	// EvacuationPrefix returns the prefix of the entries of evacuated failure domains. The rest of such
+	// a key is the name of the domain.
+	EvacuationPrefix() string
 	// WavePrefix returns the prefix of the waves of upkeep that operators request.
 	WavePrefix() string
 	// Wave decodes a wave, whose deadline is relative to from.
@@ -105,6 +108,7 @@
 	receivedAt        time.Time             // when the items that are applied next were received, on a clock that never stops or jumps
 	heartbeatInterval func() time.Duration  // at which workers write their entries
 	roster            *hfwork.Roster
+	evacuated         map[string]bool        // failure domains whose workers get no tasks
 	requestedWaves    map[int64]*hfwork.Wave // as requested by operators, by number
 	storedWaves       map[int64]*hfwork.Wave // as stored by the leader, by number
 	lead              *hfwork.Lead           // nil while there is no leader
@@ -119,7 +123,7 @@
 	return &Mirror{
 		memory: hfbudget.New(defaultMemoryMB << 20 / acceptedShare), formats: f, pools: map[string]bool{}, withdrawals: map[string][]*withdrawal{}, jobs: map[string]*jobRecord{}, workers: map[string]*hfwork.Worker{}, roster: &hfwork.Roster{},
 		lastWrites: map[string]entryWrite{}, leftWorkers: map[string]bool{}, heartbeatInterval: func() time.Duration { return heartbeatInterval },
-		requestedWaves: map[int64]*hfwork.Wave{}, storedWaves: map[int64]*hfwork.Wave{}, instances: map[string]*hfwork.Instance{},
+		evacuated: map[string]bool{}, requestedWaves: map[int64]*hfwork.Wave{}, storedWaves: map[int64]*hfwork.Wave{}, instances: map[string]*hfwork.Instance{},
 		rejected: hfevent.NewRejections(maxKeyBytes),
 	}
 }
@@ -147,6 +151,9 @@
 		m.workers, m.lastWrites = map[string]*hfwork.Worker{}, map[string]entryWrite{}
 		clear(m.leftWorkers) // a worker may have returned and lost its entry again since
 		changes = append(changes, change{workers: true})
+	case m.formats.PolicyPrefix():
+		m.evacuated = map[string]bool{}
+		changes = append(changes, change{workers: true})
 	case recordPrefix:
 		m.lead, m.instances = nil, map[string]*hfwork.Instance{}
 		changes = append(changes, change{lead: true})
@@ -256,6 +263,8 @@
 		return m.applyAccounts(i)
 	case strings.HasPrefix(key, m.formats.WorkerPrefix()):
 		return m.applyWorker(strings.TrimPrefix(key, m.formats.WorkerPrefix()), i)
+	case strings.HasPrefix(key, m.formats.EvacuationPrefix()):
+		return m.applyEvacuation(strings.TrimPrefix(key, m.formats.EvacuationPrefix()), i)
 	case strings.HasPrefix(key, m.formats.WavePrefix()) && !i.Deleted():
 		w, err := m.formats.Wave(i.Value(), time.Now())
 		if err != nil {
@@ -339,6 +348,18 @@
 	return change{policy: true, workers: workers, err: joinInvalid(invalid)}
 }
 
+// applyEvacuation applies the entry of an evacuated failure domain, which says all by its existence. The
+// workers of the domain get no tasks until it is removed.
+func (m *Mirror) applyEvacuation(domain string, i hfstore.Item) change {
+	m.evacuated = maps.Clone(m.evacuated) // the scheduler reads the earlier ones
+	if i.Deleted() {
+		delete(m.evacuated, domain)
+	} else {
+		m.evacuated[domain] = true
+	}
+	return change{workers: true}
+}
+
 func (m *Mirror) applyLead(i hfstore.Item) change {
 	if i.Deleted() {
 		m.lead = nil
@@ -397,6 +418,11 @@
 // no record. Whether a worker has left cannot be told from it.
 func (m *Mirror) applyUnreadable(i hfstore.Item) change {
 	c := change{err: i.Err()}
+	if domain, ok := strings.CutPrefix(i.Key(), m.formats.EvacuationPrefix()); ok {
+		c = m.applyEvacuation(domain, i)
+		c.err = i.Err()
+		return c
+	}
 	if id, ok := strings.CutPrefix(i.Key(), progressPrefix); ok {
 		m.jobRecord(id).unreadable = true
 	}
--- a/hfentry/mirror_test.go
+++ b/hfentry/mirror_test.go
@@ -16,10 +16,11 @@
 // fakeFormats encodes the platform's entries like our own records.
 type fakeFormats struct{}
 
-func (fakeFormats) PolicyPrefix() string { return "op/" }
-func (fakeFormats) PolicyKey() string    { return "op/policy" }
-func (fakeFormats) WorkerPrefix() string { return "workers/" }
-func (fakeFormats) WavePrefix() string   { return "op/wave/" }
+func (fakeFormats) PolicyPrefix() string     { return "op/" }
+func (fakeFormats) PolicyKey() string        { return "op/policy" }
+func (fakeFormats) WorkerPrefix() string     { return "workers/" }
+func (fakeFormats) WavePrefix() string       { return "op/wave/" }
+func (fakeFormats) EvacuationPrefix() string { return "op/evacuate/" }
 func (fakeFormats) Policy(raw []byte) (*hfwork.Policy, []InvalidPart, error) {
 	p, err := hfwire.Decode(raw, &hfwork.Policy{})
 	if err != nil {
--- a/hfentry/pools.go
+++ b/hfentry/pools.go
@@ -35,5 +35,5 @@
 func (m *Mirror) workersMsg() hfplan.WorkersMsg {
 	registered := maps.Clone(m.workers)
 	maps.DeleteFunc(registered, func(_ string, w *hfwork.Worker) bool { return !m.isPool(w.GetPool()) })
-	return hfplan.Workers(registered).WithEnds(m.drainEnds(hflease.Now(), time.Now()))
+	return hfplan.Workers(registered).WithEnds(m.drainEnds(hflease.Now(), time.Now())).WithEvacuated(m.evacuated)
 }
--- a/hfplan/message.go
+++ b/hfplan/message.go
@@ -31,6 +31,8 @@
 type WorkersMsg struct {
 	workers map[string]*hfwork.Worker
 	mayEnd  map[string]time.Time // earliest times at which draining workers may end, by worker
+	// evacuated holds the failure domains whose workers get no tasks.
+	evacuated map[string]bool
 }
 
 // Workers returns a WorkersMsg.
@@ -43,6 +45,12 @@
 	return m
 }
 
+// WithEvacuated returns a copy of the message with the failure domains whose workers get no tasks.
+func (m WorkersMsg) WithEvacuated(domains map[string]bool) WorkersMsg {
+	m.evacuated = domains
+	return m
+}
+
 // WorkerLeftMsg reports that a worker has shut down in an orderly way. Nothing runs on it.
 type WorkerLeftMsg struct{ worker string }
 
--- a/hfplan/world_test.go
+++ b/hfplan/world_test.go
@@ -61,6 +61,7 @@
 	startCounts    map[string]int       // starts by task
 	starts         map[string]time.Time
 	noted          map[string]bool // tasks with an acknowledged end as done
+	evacuated      map[string]bool // failure domains whose workers get no tasks
 	memory         int64           // budget in bytes of each scheduler's loaded occurrences, 0 for the default
 	blamed         map[string]bool // whether crashes were counted in the last record of a job before its end
 }
@@ -250,7 +251,7 @@
 	}
 	w.send(Policy(w.policy))
 	w.send(Roster(w.roster))
-	w.send(Workers(w.registered()).WithEnds(w.mayEnd))
+	w.send(Workers(w.registered()).WithEnds(w.mayEnd).WithEvacuated(w.evacuated))
 	for _, id := range sortedKeys(w.jobs) {
 		if p := w.records[id]; !hfwork.IsFinal(p.GetState()) {
 			w.send(Job(w.jobs[id], p, w.cancelled[id]))
