Resume filler tasks once no task serves beside them

Cause: adjustPace resets the pace that it wants and returns before it orders it, as no serving task is left.

Change: it orders the pace of fillers on each worker that has some; at full pace where nothing serves.

Evidence: TestFillerTaskIsResumedOnceNoTaskServesBesideIt failed before.

--- a/hfplan/pace.go
+++ b/hfplan/pace.go
@@ -74,7 +74,7 @@
 // adjustPace controls the pace of the filler tasks on a worker. It halves the pace
 // when the tail latency of a serving task comes near its target, pauses filler tasks
 // when the target is missed, and raises the pace in small steps when the latency is
-// low.
+// low. Without a serving task beside them, they run at full pace.
 func (s *Scheduler) adjustPace(w *worker, runs []hfwork.Run, now time.Time) {
 	worstTail, serving, filler := 0.0, false, false
 	for _, reported := range runs {
@@ -92,10 +92,11 @@
 		w.colocated, w.fillerPace = colocated, fullPace
 		s.emit(PollCmd{worker: w.id(), frequent: colocated})
 	}
-	if !w.colocated {
+	if !filler {
 		return
 	}
 	switch {
+	case !w.colocated:
 	case worstTail > slowDownTail && now.Sub(w.paceChangedAt) >= slowDownInterval:
 		w.fillerPace, w.paceChangedAt = w.fillerPace/2, now
 		if worstTail > 1 || w.fillerPace < minPace {
--- a/hfplan/pace_test.go
+++ b/hfplan/pace_test.go
@@ -60,3 +60,44 @@
 	require.Less(t, orders, 40)
 	require.Equal(t, int64(100), highest, "the filler task must return to full pace")
 }
+
+// Guards against filler tasks that stand still for good: they were paused for a serving task that has left,
+// under this leader or an earlier one, which may have paused them, too.
+func TestFillerTaskIsResumedOnceNoTaskServesBesideIt(t *testing.T) {
+	registration := &hfwork.Worker{Id: "w", Pool: "pool", Rack: "r", Cpu: 64_000, Memory: 64_000}
+	serving, filler := hfwork.NewTaskID("a", 0, 0, 0), hfwork.NewTaskID("a", 0, 1, 0)
+	now, pace := time.Unix(1_000_000, 0), int64(100)
+	var s *Scheduler
+	lead := func(term int64) {
+		s = New(term, NewTiming(6*time.Second), now)
+		s.Update(Policy(&hfwork.Policy{Queues: []*hfwork.Queue{{Name: "q", Pool: "pool", Priority: 2, Attempts: 3}}}), now)
+		s.Update(Workers(map[string]*hfwork.Worker{"w": registration}), now)
+		s.Update(Job(&hfwork.Job{Id: "a", Queue: "q", Steps: []*hfwork.Step{
+			{Count: 1, Cpu: 4000, Lasting: true, Target: 100},
+			{Count: 1, Cpu: 60_000, Lasting: true, Filler: true},
+		}}, &hfwork.Progress{State: hfwork.StateRunning}, false), now)
+	}
+	report := func(runs ...hfwork.Run) {
+		now = now.Add(time.Second)
+		for _, c := range s.Update(Report("w", now.Add(-time.Millisecond), hfwork.NewReport(0, 1, runs, nil)), now) {
+			if p, ok := c.(PaceCmd); ok {
+				pace = p.Percent()
+				s.Update(Paced(p, OutcomeDone), now)
+			}
+		}
+	}
+	for _, newLeader := range []bool{false, true} {
+		lead(1)
+		for range 10 {
+			report(hfwork.NewRun(serving, 1, "", 100, 300), hfwork.NewRun(filler, 1, "", 100, 0))
+		}
+		require.Zero(t, pace)
+		if newLeader {
+			lead(2)
+		}
+		for range 3 {
+			report(hfwork.NewRun(filler, 1, "", 100, 0))
+		}
+		require.EqualValues(t, 100, pace, "new leader: %v", newLeader)
+	}
+}
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -24,7 +24,7 @@
 func (s *Scheduler) addWorker(registration *hfwork.Worker) *worker {
 	w := &worker{
 		registration: registration, resources: s.addResources(registration), leaseExpiry: s.recoveryDeadline,
-		runs: map[*run]struct{}{}, orphans: map[orphan]hfplacement.Resources{}, failedJobs: map[string]bool{},
+		runs: map[*run]struct{}{}, orphans: map[orphan]hfplacement.Resources{}, failedJobs: map[string]bool{}, fillerPace: fullPace,
 	}
 	s.workers[registration.GetId()] = w
 	s.rosterChanged = true
