--- a/hfplan/occurrence.go
+++ b/hfplan/occurrence.go
@@ -100,6 +100,9 @@
 
 // unloadedCount returns the number of occurrences that have neither been loaded nor completed.
 func (j *job) unloadedCount() int {
+	if len(j.occurrences) == int(j.occurrenceCount()) {
+		return 0
+	}
 	loaded := 0
 	for k := range j.occurrences {
 		if !j.completed.has(k) {
--- a/hfwork/check.go
+++ b/hfwork/check.go
@@ -7,7 +7,7 @@
 	MaxSteps        = 64 // steps per job
 	MaxTasksPerStep = 20_000
 	MaxOccurrences  = 10_000  // occurrences of a repeated job
-	MaxTasks        = 1 << 18 // tasks of all steps and occurrences, which every leader holds in memory
+	MaxTasks        = 1 << 18 // tasks of all steps and occurrences
 	MaxCommandBytes = 4_000   // bytes of the command with which the tasks are started
 	maxTextBytes    = 1_000   // bytes of a label, an image or the name of a rack
 	maxUnixMillis   = 1 << 53 // Unix milliseconds; beyond the year 280,000
