--- a/hfentry/memory_test.go
+++ b/hfentry/memory_test.go
@@ -194,3 +194,26 @@
 		}
 	}
 }
+
+// Guards against a limit that does not hold once instances have heard of each other's jobs: each may accept
+// half of the budget before, and a leader loads no more than its own limit.
+func TestInstancesThatDoNotHearEachOtherAcceptHalfOfTheBudgetEach(t *testing.T) {
+	s := newFakeStore()
+	one, access := newSmallNode(t, s)
+	other, _ := newSmallNode(t, s)
+	first := submitUntilRefused(t, one, access("a", "a"), 0)
+	second := submitUntilRefused(t, other, access("a", "a"), first+1)
+	require.Equal(t, first, second)
+	items, _, err := s.List(t.Context(), jobPrefix)
+	require.NoError(t, err)
+	for _, n := range []*Node{one, other} {
+		for _, i := range items {
+			n.applyItem(i)
+		}
+		total, limit := hfloop.With2(n.mirror, func(m *Mirror) (int64, int64) { return m.memory.Total(), m.memory.Limit() })
+		require.LessOrEqual(t, total, limit)
+		require.ErrorIs(t, n.Submit(t.Context(), access("a", "a"), newWideJob(first+second+5)), ErrTooManyJobs)
+		require.ErrorIs(t, n.Submit(t.Context(), access("b", "b"), newWideJob(first+second+6)), ErrTooManyJobs, "more than the minimum of an account")
+		require.NoError(t, n.Submit(t.Context(), access("b", "b"), newTestJob(fmt.Sprintf("%016x", 7000+len(n.name)))))
+	}
+}
