Resign once a task has used up the run numbers of the term

The numbers after that belong to the next term, so that the next leader's starts are rejected as old ones, and failures with lower numbers do not count.

Change: the scheduler ends its term with the last number; the leader resigns, and the next one has a new range. A larger range would have to be the same in both releases during an upgrade.

--- a/hforder/leader.go
+++ b/hforder/leader.go
@@ -130,7 +130,7 @@
 	if err := g.Wait(); err != nil {
 		return fmt.Errorf("lead: %w", err)
 	}
-	if cause := context.Cause(ctx); errors.Is(cause, ErrFenced) || errors.Is(cause, ErrNotLeading) || errors.Is(cause, ErrPanicked) {
+	if cause := context.Cause(ctx); errors.Is(cause, ErrFenced) || errors.Is(cause, ErrNotLeading) || errors.Is(cause, ErrPanicked) || errors.Is(cause, ErrTermUsedUp) {
 		return fmt.Errorf("lead: %w", cause)
 	}
 	return nil
@@ -251,6 +251,8 @@
 		})
 	case hfplan.AdviceCmd:
 		l.adviceCmds <- c // does not block: the scheduler has at most one outstanding
+	case hfplan.EndTermCmd:
+		l.fail(ErrTermUsedUp)
 	case hfplan.NoteCmd:
 		l.observer.Decided(c)
 		if c.Note() == hfplan.NoteRemoved {
--- a/hforder/leader_test.go
+++ b/hforder/leader_test.go
@@ -403,3 +403,12 @@
 	}
 	require.GreaterOrEqual(t, refused, inboxSize, "nobody waits for a scheduler that has ended")
 }
+
+// Guards against a leader that goes on with run numbers of the next term.
+func TestLeaderResignsOnceItsTermIsUsedUp(t *testing.T) {
+	l := &Leader{}
+	ctx, fail := context.WithCancelCause(t.Context())
+	l.fail = fail
+	l.execute(ctx, hfplan.EndTermCmd{})
+	require.ErrorIs(t, context.Cause(ctx), ErrTermUsedUp)
+}
--- a/hforder/order.go
+++ b/hforder/order.go
@@ -35,6 +35,8 @@
 	ErrDisconnected = eris.New("no connection to this incarnation of the worker")
 	// ErrPanicked reports that the scheduler failed in an unexpected way.
 	ErrPanicked = eris.New("scheduler panicked")
+	// ErrTermUsedUp reports that a leader has resigned, since its term has no run numbers left for a task.
+	ErrTermUsedUp = eris.New("run numbers of the term are used up")
 	// ErrNotLeading reports that an order was not sent because the leadership may have ended.
 	ErrNotLeading = eris.New("leadership may have ended")
 )
--- a/hfplan/desk_test.go
+++ b/hfplan/desk_test.go
@@ -23,6 +23,7 @@
 	stores []StoreCmd // not answered yet
 	notes  []NoteCmd
 	acks   []AckCmd
+	ended  bool // the scheduler has ended its term
 }
 
 // newDesk returns a desk with a scheduler that has heard of the given workers, each with room
@@ -67,6 +68,8 @@
 				d.notes = append(d.notes, c)
 			case AckCmd:
 				d.acks = append(d.acks, c)
+			case EndTermCmd:
+				d.ended = true
 			}
 		}
 		require.NoError(d.t, d.s.Check())
--- a/hfplan/message.go
+++ b/hfplan/message.go
@@ -268,6 +268,10 @@
 // Sequence returns the sequence number of the last stored end.
 func (c AckCmd) Sequence() int64 { return c.sequence }
 
+// EndTermCmd asks to end the term: a task has used up its run numbers. The leader resigns, and the next
+// one goes on with those of the next term.
+type EndTermCmd struct{}
+
 // Note is the kind of a logged decision or state change.
 type Note string
 
@@ -354,6 +358,8 @@
 func (AckCmd) planCmd()   {}
 func (NoteCmd) planCmd()  {}
 
+func (EndTermCmd) planCmd() {}
+
 // Nodes returns the registered workers by id.
 func (m WorkersMsg) Nodes() map[string]*hfwork.Worker { return m.workers }
 
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -388,6 +388,9 @@
 				runNumber = max(s.runNumberBase+1, t.lastRun+1)
 			}
 			t.lastRun = runNumber
+			if runNumber >= s.runNumberBase+runsPerTerm {
+				s.emit(EndTermCmd{})
+			}
 			t.run = &run{task: t, worker: w, number: runNumber, phase: assigned, pace: fullPace, requestedPace: unknownPace}
 			w.runs[t.run] = struct{}{}
 			w.forgetReleases()
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -17,7 +17,8 @@
 var ErrPartialGang = eris.New("gang assigned in part")
 
 // runsPerTerm is the number of run numbers that each term has for a task. The
-// numbers of a later term are thus higher, and the last one need not be stored.
+// numbers of a later term are thus higher, and the last one need not be stored. A
+// scheduler that has used them up ends its term.
 const runsPerTerm = 1 << 12
 
 // Timing holds the times that a scheduler depends on.
--- a/hfplan/single_run_test.go
+++ b/hfplan/single_run_test.go
@@ -423,3 +423,37 @@
 		})
 	}
 }
+
+// Guards against a worker that rejects the starts of a new leader as old ones, and against failures that do not
+// count: a task that an earlier leader has started more often than a term has numbers.
+func TestRunNumbersOfALaterTermAreHigher(t *testing.T) {
+	d := newDesk(t, 1, "a")
+	d.report("a")
+	d.store()
+	step := deskStep(1)
+	step.Lasting = true
+	start := d.startAll("x", step)[0]
+	d.s.jobs["x"].group(0, 0).tasks[0].lastRun = runsPerTerm - 3
+	highest := start.Number()
+	for range 100 { // it fails again and again, until this scheduler ends its term
+		if d.ended {
+			break
+		}
+		d.reportEnds("a", nil, d.end("a", start.Task(), start.Number(), hfwork.Failed))
+		var starts []StartCmd
+		for len(starts) == 0 {
+			d.advance(tickInterval)
+			d.store()
+			starts = d.takeStarts()
+		}
+		start = starts[0]
+		highest = max(highest, start.Number())
+		d.send(Started(start, OutcomeDone))
+	}
+	require.Less(t, highest, int64(runsPerTerm+1))
+	require.True(t, d.ended)
+	next := newDesk(t, 2, "a")
+	next.report("a")
+	next.store()
+	require.Greater(t, next.startAll("x", step)[0].Number(), highest)
+}
