--- a/hfevent/catalogue.go
+++ b/hfevent/catalogue.go
@@ -84,8 +84,8 @@
 	WorkerCrashed     = Event{830, "worker-crashed", zapcore.WarnLevel, "A worker crashed under runs; the fields name the tasks that had just been started there, and tell whether one task or gang was alone."}
 	TaskIsolated      = Event{831, "task-isolated", zapcore.InfoLevel, "A worker crashed under a task before; it got a worker on which no other task is placed."}
 	TaskGivenUp       = Event{832, "task-given-up", zapcore.WarnLevel, "Workers crashed under a task as often as they may; its job has failed."}
-	JobDeferred       = Event{834, "job-deferred", zapcore.WarnLevel, "Occurrences of a job are due, but the scheduling instance has no memory for their tasks now; they run once other tasks have ended."}
 	PolicyConfirmed   = Event{833, "policy-confirmed", zapcore.WarnLevel, "The configuration of the queues was confirmed again after it had not been for longer than is allowed; the fields tell how old it was and which call confirmed it."}
+	JobDeferred       = Event{834, "job-deferred", zapcore.WarnLevel, "Occurrences of a job are due, but the scheduling instance has no memory for their tasks now; they run once other tasks have ended."}
 )
 
 // Catalogue returns every event.
