Wait longer for answers that a test of the stand-in expects

Cause: the test's own call gives up after 200 ms, answered or not; a busy machine takes longer. Ruled out: a refusal by the stand-in (that has a status).

Change: calls that expect an answer wait for 30 s, those that expect none keep 200 ms. The expectations are unchanged.

--- a/hfstand/platform_worker_test.go
+++ b/hfstand/platform_worker_test.go
@@ -43,10 +43,21 @@
 	}
 }
 
-// postOrder sends an order to a worker and returns the status, or 0 if there was no answer.
+// postOrder sends an order and returns the status of its answer.
 func postOrder(t *testing.T, server *httptest.Server, path, body string) int {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	return postOrderWithin(t, server, path, body, 30*time.Second)
+}
+
+// postUnanswered sends an order that is to get no answer. It returns 0, or the status of its answer.
+func postUnanswered(t *testing.T, server *httptest.Server, path, body string) int {
+	t.Helper()
+	return postOrderWithin(t, server, path, body, 200*time.Millisecond)
+}
+
+func postOrderWithin(t *testing.T, server *httptest.Server, path, body string, timeout time.Duration) int {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+path, strings.NewReader(body))
 	require.NoError(t, err)
@@ -67,14 +78,14 @@
 	server := httptest.NewServer(w.Handler())
 	defer server.Close()
 	w.SetLateOrders(LateOrders{Share: 1, MinDelay: 400 * time.Millisecond, MaxDelay: 400 * time.Millisecond, Random: rand.New(rand.NewPCG(1, 1))})
-	require.Zero(t, postOrder(t, server, "/v1/run-start", `{"task":"a.0.0.0","run":1,"until_ms":600000}`))
+	require.Zero(t, postUnanswered(t, server, "/v1/run-start", `{"task":"a.0.0.0","run":1,"until_ms":600000}`))
 	w.SetLateOrders(LateOrders{})
 	require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/run-start", `{"task":"a.0.0.1","run":2,"until_ms":600000}`))
 	require.Eventually(t, func() bool { return len(l.Starts()) == 2 }, 10*time.Second, 5*time.Millisecond)
 	require.Equal(t, "a.0.0.1", l.Starts()[0].Task)
 	require.Equal(t, "a.0.0.0", l.Starts()[1].Task)
 	w.SetLateOrders(LateOrders{Share: 1, MinDelay: time.Millisecond, MaxDelay: time.Millisecond, Random: rand.New(rand.NewPCG(1, 1))})
-	require.Zero(t, postOrder(t, server, "/v1/run-start", `{"task":"a.0.0.2","run":3,"until_ms":600000,"fence":-1}`))
+	require.Zero(t, postUnanswered(t, server, "/v1/run-start", `{"task":"a.0.0.2","run":3,"until_ms":600000,"fence":-1}`))
 	require.Len(t, l.Starts(), 2, "a late order with an old token has no effect")
 }
 
@@ -169,7 +180,7 @@
 		require.Equal(t, http.StatusOK, postOrder(t, server, "/v1/run-start", fmt.Sprintf(`{"task":"a.0.0.0","run":%d,"until_ms":600000}`, run+1)))
 		<-crashed
 		require.True(t, w.Down())
-		require.Zero(t, postOrder(t, server, "/v1/hold", `{}`), "a crashed worker answers nothing")
+		require.Zero(t, postUnanswered(t, server, "/v1/hold", `{}`), "a crashed worker answers nothing")
 		time.Sleep(2 * time.Millisecond) // born counts in milliseconds
 		w.Return(id)
 		require.Equal(t, id, w.ID())
