--- a/hfentry/jobs.go
+++ b/hfentry/jobs.go
@@ -266,12 +266,7 @@
 func (n *Node) applyRead(items []hfstore.Item, id string) *jobRecord {
 	receivedAt := hflease.Now()
 	changes, r := hfloop.With2(n.mirror, func(m *Mirror) ([]change, *jobRecord) {
-		m.setWriteTimes(time.Time{}, receivedAt)
-		var changes []change
-		for _, i := range items {
-			changes = append(changes, m.Apply(i))
-		}
-		return changes, m.jobs[id].copy()
+		return m.applyUnwatched(receivedAt, items...), m.jobs[id].copy()
 	})
 	n.notify(changes)
 	return r
--- a/hfentry/memory.go
+++ b/hfentry/memory.go
@@ -105,10 +105,13 @@
 // given cause.
 func (n *Node) refuse(ctx context.Context, a Access, id string, cause error) error {
 	err := n.resolveConflict(ctx, a, id)
-	if errors.Is(err, ErrWithdrawn) { // no job is stored
+	switch {
+	case errors.Is(err, ErrWithdrawn): // no job is stored
 		return fmt.Errorf("submit: %w", cause)
+	case err != nil:
+		return fmt.Errorf("without memory: %w", err)
 	}
-	return err
+	return nil
 }
 
 // RetryAfter returns when a call that failed may be repeated.
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -227,6 +227,17 @@
 	m.writtenAfter, m.receivedAt = after, receivedAt
 }
 
+// applyUnwatched applies items that did not come from a watch, so that it is not known after which time they
+// were written.
+func (m *Mirror) applyUnwatched(receivedAt time.Time, items ...hfstore.Item) []change {
+	m.setWriteTimes(time.Time{}, receivedAt)
+	changes := make([]change, 0, len(items))
+	for _, i := range items {
+		changes = append(changes, m.Apply(i))
+	}
+	return changes
+}
+
 // Apply applies one listed item or watched event.
 func (m *Mirror) Apply(i hfstore.Item) change {
 	c := m.apply(i)
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -169,10 +169,7 @@
 // instance read or wrote itself, or a hint.
 func (n *Node) applyItem(i hfstore.Item) {
 	receivedAt := hflease.Now()
-	n.notify([]change{hfloop.With(n.mirror, func(m *Mirror) change {
-		m.setWriteTimes(time.Time{}, receivedAt)
-		return m.Apply(i)
-	})})
+	n.notify(hfloop.With(n.mirror, func(m *Mirror) []change { return m.applyUnwatched(receivedAt, i) }))
 }
 
 // notify logs rejected entries, passes changes to the scheduler if this instance is the leader,
--- a/hfplan/crash.go
+++ b/hfplan/crash.go
@@ -270,7 +270,12 @@
 	if !t.group.gang() {
 		return t.crashes.mayBeCulprit()
 	}
-	return slices.ContainsFunc(t.group.tasks, func(member task) bool { return member.crashes.mayBeCulprit() })
+	for i := range t.group.tasks {
+		if t.group.tasks[i].crashes.mayBeCulprit() {
+			return true
+		}
+	}
+	return false
 }
 
 // forgetOwnCrashes forgets the own crashes of all tasks.
