Keep room that is being freed for as long as a stop may take

Cause: how long a worker takes to stop a run (bounds.stop_ms) was not read. The scheduler counted on 200 ms: it gave up room that was being freed for a gang after 900 ms, and took a stop for delayed after 500 ms.

Change: Timing has the stop time, from the settings (default 200 ms, as before); room is kept for it 700 ms longer, and a stop is repeated after 300 ms more.

Ruled out: a fixed longer timeout, which would keep room on deployments with fast stops for workers that do not answer.

--- a/hfentry/leader.go
+++ b/hfentry/leader.go
@@ -142,7 +142,7 @@
 		writer.layout.restore(loaded, m.splitJobs(loaded), m.splitRoster(loaded), m.hasEnded)
 		return struct{}{}
 	})
-	timing := hfplan.NewTiming(n.settings.TaskLease()).WithSpreadFactor(n.settings.SpreadFactor())
+	timing := hfplan.NewTiming(n.settings.TaskLease()).WithSpreadFactor(n.settings.SpreadFactor()).WithStopTime(n.settings.StopTime())
 	scheduler := hfplan.New(writer.Term(), timing, time.Now()).WithMemory(hfloop.With(n.mirror, (*Mirror).loadableMemory))
 	leader := hforder.NewLeader(scheduler, tenure, n.minions, n.adviser, n.machines, n.name, writer, n, timing)
 	hfloop.With(n.mirror, func(m *Mirror) struct{} {
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -41,6 +41,8 @@
 	TaskLease() time.Duration
 	// SpreadFactor returns how many times as long a gang that asks for one rack takes on several.
 	SpreadFactor() float64
+	// StopTime returns the longest time that a worker takes to stop a run.
+	StopTime() time.Duration
 	// MemoryMB returns the memory limit of the process in MB, or 0 if there is none.
 	MemoryMB() int64
 	// Retention returns how long the state of an ended job is kept.
--- a/hfentry/takeover_test.go
+++ b/hfentry/takeover_test.go
@@ -58,6 +58,7 @@
 
 func (leaderSettings) TaskLease() time.Duration { return time.Hour }
 func (leaderSettings) SpreadFactor() float64    { return hfplan.DefaultSpreadFactor }
+func (leaderSettings) StopTime() time.Duration  { return hfplan.DefaultStopTime }
 
 // beforeTermStore is a store that calls a function when the key of the term is first read.
 type beforeTermStore struct {
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -49,16 +49,11 @@
 	}
 }
 
-// assignmentTimeout is how long an assigned run waits for its resources. A preempted
-// run normally ends within 200 ms of its stop; if it has not ended by this timeout,
-// the stop is delayed.
-const assignmentTimeout = 900 * time.Millisecond
-
 // revokeAssignments releases assigned runs whose worker no longer takes tasks, and
 // those that could not be started in time. The members of a gang are released
 // together.
 func (s *Scheduler) revokeAssignments(g *group, now time.Time) {
-	expired := now.Sub(g.assignedAt) > assignmentTimeout && s.storedSequence >= g.requiredSequence
+	expired := now.Sub(g.assignedAt) > s.timing.assignmentTimeout() && s.storedSequence >= g.requiredSequence
 	revoked := expired
 	for i := range g.tasks {
 		r := g.tasks[i].run
--- a/hfplan/run.go
+++ b/hfplan/run.go
@@ -185,7 +185,7 @@
 	}
 	s.evacuate(w, now)
 	for _, r := range sortedRuns(w.runs) {
-		if r.phase == stopping && now.Sub(r.orderedAt) >= orderRetryInterval {
+		if r.phase == stopping && now.Sub(r.orderedAt) >= s.timing.stopRetryInterval() {
 			r.orderedAt = now
 			if r.resourcesReturned {
 				// The stop is delayed, so its resources cannot be assigned yet.
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -25,14 +25,21 @@
 type Timing struct {
 	lease        func() time.Duration
 	spreadFactor float64
+	stop         func() time.Duration // longest time that a worker takes to stop a run
 }
 
-// DefaultSpreadFactor is the spread factor of a Timing that was not given one.
-const DefaultSpreadFactor = 3
+// The values of a Timing that was not given any.
+const (
+	DefaultSpreadFactor = 3
+	DefaultStopTime     = 200 * time.Millisecond
+)
 
 // NewTiming returns a Timing with the longest lease of a task on a worker.
 func NewTiming(lease time.Duration) Timing {
-	return Timing{lease: func() time.Duration { return lease }, spreadFactor: DefaultSpreadFactor}
+	return Timing{
+		lease: func() time.Duration { return lease }, spreadFactor: DefaultSpreadFactor,
+		stop: func() time.Duration { return DefaultStopTime },
+	}
 }
 
 // WithSpreadFactor sets how many times as long a gang that asks for one rack takes on several.
@@ -41,6 +48,12 @@
 	return t
 }
 
+// WithStopTime sets the longest time that a worker takes to stop a run.
+func (t Timing) WithStopTime(stop time.Duration) Timing {
+	t.stop = func() time.Duration { return stop }
+	return t
+}
+
 // spreadCost returns how much longer a gang with the given declared run time takes on several racks.
 func (t Timing) spreadCost(estimate time.Duration) time.Duration {
 	return time.Duration(max(t.spreadFactor-1, 0) * float64(estimate))
@@ -55,9 +68,16 @@
 	return t.lease()*102/100 + orderTransitMargin
 }
 
+// stopRetryInterval returns the time after which a stop that has had no effect is repeated.
+func (t Timing) stopRetryInterval() time.Duration { return t.stop() + orderTransitMargin }
+
+// assignmentTimeout returns how long an assigned run waits for its resources. If a preempted run has
+// not ended by then, its stop is delayed.
+func (t Timing) assignmentTimeout() time.Duration { return t.stop() + assignmentMargin }
+
 const (
 	orderTransitMargin = 300 * time.Millisecond // time for the last order to arrive
-	orderRetryInterval = 500 * time.Millisecond // after an order without an answer or effect
+	assignmentMargin   = 700 * time.Millisecond // time for a stop to be sent, and for the report of the end
 	refusalBackoff     = 400 * time.Millisecond // a worker gets no tasks after it refused a start
 )
 
--- a/hfplan/world_test.go
+++ b/hfplan/world_test.go
@@ -17,7 +17,7 @@
 	startupTime     = time.Second            // until a lasting task reports full progress
 	messageDelay    = 2 * time.Millisecond   // one way
 	storeDelay      = 8 * time.Millisecond   // for a StoreCmd
-	stopDelay       = 120 * time.Millisecond // between a stop and the end of the run
+	defaultStop     = 120 * time.Millisecond // between a stop and the end of the run
 	gangJoinTimeout = 3 * time.Second        // for a gang member to wait for the others
 	pollInterval    = 1500 * time.Millisecond
 	adviceDelay     = 150 * time.Millisecond // for an AdviceCmd
@@ -47,12 +47,15 @@
 	gangTimeouts   int                  // gang members that waited in vain for the others
 	downUntil      map[string]time.Time // end of the upkeep, by machine that is down
 	upkeepDone     map[string]bool
-	allowedWorkers map[string]bool      // workers that may run the steps of advised queues
-	adviceRequests int                  // number of AdviceCmds
-	interrupted    int                  // runs ended by an upkeep
-	lostTime       time.Duration        // accelerator time of runs without checkpoints that ended early
-	network        *network             // between the leader and the workers; nil if orders and reports arrive at once
-	deadly         map[string]bool      // tasks that crash the worker that starts them
+	allowedWorkers map[string]bool // workers that may run the steps of advised queues
+	adviceRequests int             // number of AdviceCmds
+	interrupted    int             // runs ended by an upkeep
+	lostTime       time.Duration   // accelerator time of runs without checkpoints that ended early
+	network        *network        // between the leader and the workers; nil if orders and reports arrive at once
+	deadly         map[string]bool // tasks that crash the worker that starts them
+	stopDelay      time.Duration   // between a stop and the end of the run
+	timing         Timing
+	preempted      int                  // runs that were stopped to make room for others
 	storeAway      bool                 // a StoreCmd is carried out when the store is back
 	mayEnd         map[string]time.Time // earliest times at which draining workers may end
 	rename         bool                 // a worker that crashed is back under another id
@@ -158,7 +161,7 @@
 func newWorld(t worldTest, racks, perRack int) *world {
 	t.Helper()
 	w := &world{
-		t: t, now: time.Unix(1_000_000, 0), fleet: map[string]*fakeWorker{}, records: map[string]*hfwork.Progress{},
+		t: t, now: time.Unix(1_000_000, 0), fleet: map[string]*fakeWorker{}, records: map[string]*hfwork.Progress{}, stopDelay: defaultStop, timing: NewTiming(6 * time.Second),
 		deadly: map[string]bool{}, downTime: shortDown, bornStep: 1, startCounts: map[string]int{}, starts: map[string]time.Time{}, noted: map[string]bool{}, blamed: map[string]bool{}, downUntil: map[string]time.Time{}, upkeepDone: map[string]bool{}, jobs: map[string]*hfwork.Job{}, cancelled: map[string]bool{}, durations: map[string]time.Duration{}, failingJobs: map[string]bool{},
 	}
 	w.policy = &hfwork.Policy{Version: 1, Pools: []*hfwork.Pool{{Name: "pool"}}, Accounts: []*hfwork.Account{{Name: "plants", Guaranteed: int64(racks * perRack * 4)}}}
@@ -242,7 +245,7 @@
 	w.term++
 	w.fence++
 	term := w.term
-	w.s = New(int64(w.term), NewTiming(6*time.Second), w.now)
+	w.s = New(int64(w.term), w.timing, w.now)
 	if w.memory > 0 {
 		w.s.WithMemory(w.memory)
 	}
@@ -397,6 +400,9 @@
 		})
 	case NoteCmd:
 		w.notes = append(w.notes, c.Note())
+		if c.Note() == NotePreempted {
+			w.preempted += c.Tasks()
+		}
 		if w.network != nil {
 			w.trace("%s %s.%d.%d run %d %s %s (now run %d %s)", c.Note(), c.Job(), c.Step(), c.Task(), c.Number(), c.Worker(), c.Reason(), c.Current(), c.Phase())
 		}
@@ -569,7 +575,7 @@
 	f.highestRun[name] = max(f.highestRun[name], number)
 	if r := f.runs[name]; r != nil && r.number <= number && !r.stopped {
 		r.stopped = true
-		w.at(stopDelay, func() { w.finish(f, r, hfwork.Stopped) })
+		w.at(w.stopDelay, func() { w.finish(f, r, hfwork.Stopped) })
 	}
 }
 
