Resume the leadership after an outage of the store

Cause: after the store was away for 4 s, callers waited for an election, a list of all details and the workers' reports (1 to 2 s), although no other instance had led. Change: the leader goes on suspended (hfentry/suspension.go). If its lease still lives, the tenure is valid again; if it lapsed, the lead key is written again in a batch of the fenced writer, whose condition on the term shows that no other scheduler has begun since. Before anything starts, the leader reads the configuration and the workers' entries again and has told the scheduler of all records up to a batch written after the resumption. Other instances that saw the outage leave a suspended leader 700 ms; one that died, ended or was cut off alone gets no time. Events 835 to 837.

--- a/hfentry/accounts.go
+++ b/hfentry/accounts.go
@@ -80,7 +80,7 @@
 }
 
 // saveAccounts stores the history of the accounts whenever it has changed, until ctx ends.
-func (n *Node) saveAccounts(ctx context.Context, epoch int64) {
+func (n *Node) saveAccounts(ctx context.Context, epoch func() int64) {
 	for ok := true; ok; ok = hfloop.Sleep(ctx, accountsInterval) {
 		a := hfloop.With(n.mirror, func(m *Mirror) accounts { return m.accounts })
 		if a.history.SameAccounts(a.stored) {
@@ -91,7 +91,7 @@
 			n.log.Event(hfevent.AccountsNotStored, zap.String("error", err.Error()))
 			return
 		}
-		revision, err := n.commit(ctx, (&hfstore.Batch{}).Require(leadKey, epoch).Require(accountsKey, a.version).Put(accountsKey, value, ""))
+		revision, err := n.commit(ctx, (&hfstore.Batch{}).Require(leadKey, epoch()).Require(accountsKey, a.version).Put(accountsKey, value, ""))
 		if err != nil {
 			n.log.Event(hfevent.AccountsNotStored, zap.String("error", err.Error()))
 			continue // the watch brings what is stored
--- a/hfentry/fenced_writer.go
+++ b/hfentry/fenced_writer.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 
 	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hfplan"
@@ -20,6 +21,7 @@
 type fencedWriter struct {
 	store    hfstore.Committer
 	formats  Formats
+	mu       sync.Mutex   // held while a batch is written; guards the next three
 	head     *hfwork.Lead // value of termKey; its nonce differs for every batch
 	sequence int64        // number of batches, which serves as the nonce
 	version  int64        // store revision of the last batch that took effect
@@ -167,6 +169,22 @@
 // write commits a batch on the condition that the previous one was the last. It fails with
 // hfstore.ErrConflict if another leadership has written since.
 func (f *fencedWriter) write(ctx context.Context, b *hfstore.Batch) error {
+	_, err := f.writeVersion(ctx, b)
+	return err
+}
+
+// writeVersion is write, and returns the store revision of the batch.
+func (f *fencedWriter) writeVersion(ctx context.Context, b *hfstore.Batch) (int64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.commit(ctx, b); err != nil {
+		return 0, err
+	}
+	return f.version, nil
+}
+
+// commit is write. f.mu is held.
+func (f *fencedWriter) commit(ctx context.Context, b *hfstore.Batch) error {
 	f.sequence++
 	f.head.Nonce = fmt.Sprint(f.sequence)
 	value, err := hfwire.Encode(f.head)
--- a/hfentry/health.go
+++ b/hfentry/health.go
@@ -20,6 +20,7 @@
 	failures   int       // consecutive
 	nextProbe  time.Time // while the store is down, no call is let through before this time
 	lastAnswer time.Time // when the store last answered
+	upSince    time.Time // when the store last answered after it had been down; zero if it never was
 	onChange   func(down bool, silent time.Duration)
 }
 
@@ -38,6 +39,9 @@
 		h.nextProbe = now.Add(probeInterval)
 	} else {
 		h.failures, h.lastAnswer = 0, now
+		if wasDown {
+			h.upSince = now
+		}
 	}
 	isDown := h.failures >= maxFailures
 	h.mu.Unlock()
@@ -67,6 +71,13 @@
 	return h.failures >= maxFailures
 }
 
+// UpSince returns when the store last answered after it had been down, or zero.
+func (h *StoreHealth) UpSince() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.upSince
+}
+
 // LastAnswer returns the time of the last answer.
 func (h *StoreHealth) LastAnswer() time.Time {
 	h.mu.Lock()
--- a/hfentry/hint.go
+++ b/hfentry/hint.go
@@ -64,6 +64,8 @@
 func (n *Node) handleCall(ctx context.Context, in *hfwire.Envelope) *hfwire.Envelope {
 	out := n.links.Envelope()
 	switch {
+	case in.GetHint().GetKey() == suspendedQuery:
+		out.Body = n.answerSuspended()
 	case in.GetHint() != nil:
 		h := in.GetHint()
 		n.applyItem(hfstore.NewItem(h.GetKey(), h.GetValue(), h.GetVersion(), false))
--- a/hfentry/leader.go
+++ b/hfentry/leader.go
@@ -9,7 +9,6 @@
 	"slices"
 	"time"
 
-	"github.com/google/uuid"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -19,7 +18,6 @@
 	"github.com/heatherfront/heatherfront/hforder"
 	"github.com/heatherfront/heatherfront/hfplan"
 	"github.com/heatherfront/heatherfront/hfstore"
-	"github.com/heatherfront/heatherfront/hfwire"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
 
@@ -57,6 +55,7 @@
 			continue
 		}
 		hfloop.Sleep(ctx, n.campaignDelay()+rand.N(campaignJitter))
+		n.grantHeadStart(ctx)
 		if !n.eligible() {
 			continue
 		}
@@ -102,19 +101,17 @@
 
 // claimLeadership tries to become the leader, and then leads until the leadership ends.
 func (n *Node) claimLeadership(ctx context.Context) error {
-	value := func(lease string) ([]byte, error) {
-		return hfwire.Encode(&hfwork.Lead{Instance: n.name, Nonce: uuid.NewString(), Address: n.peerAddress, Lease: lease})
-	}
-	ttl := max(leaderTTL, n.settings.MinLease())
+	ttl := n.leaseTTL()
 	n.claiming.Store(true)
 	defer n.claiming.Store(false)
 	n.follow()
-	tenure, lease, err := hflease.Acquire(ctx, n.store, leadKey, value, ttl)
+	tenure, lease, err := hflease.Acquire(ctx, n.store, leadKey, n.leadValue, ttl)
 	if err != nil {
 		return fmt.Errorf("claim leadership: %w", err)
 	}
-	err = hflease.Hold(ctx, n.store, tenure, lease, ttl, func(ctx context.Context) error {
-		return n.runLeader(ctx, tenure)
+	l := newLeadership(n, tenure)
+	err = hflease.HoldResumable(ctx, n.store, tenure, lease, ttl, l, func(ctx context.Context) error {
+		return n.runLeader(ctx, l)
 	})
 	if err != nil {
 		return fmt.Errorf("leadership of epoch %d: %w", tenure.Epoch(), err)
@@ -122,8 +119,12 @@
 	return nil
 }
 
+// leaseTTL returns the time to live of the leader's lease.
+func (n *Node) leaseTTL() time.Duration { return max(leaderTTL, n.settings.MinLease()) }
+
 // runLeader runs the scheduler until ctx ends or a planned stop begins.
-func (n *Node) runLeader(ctx context.Context, tenure *hflease.Tenure) error {
+func (n *Node) runLeader(ctx context.Context, l *leadership) error {
+	tenure := l.tenure
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	writer, err := n.fenceRecords(ctx, tenure.Epoch())
@@ -151,6 +152,7 @@
 	})
 	n.leader.Store(leader)
 	defer n.leader.Store(nil)
+	l.begin(writer, leader)
 	n.log.Event(hfevent.LeaderElected, zap.Int64("epoch", tenure.Epoch()), zap.Int64("term", writer.Term()))
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error {
@@ -161,11 +163,16 @@
 		return nil
 	})
 	group.Go(func() error {
-		n.purge(groupCtx, tenure.Epoch())
+		n.purge(groupCtx, tenure.Epoch)
+		return nil
+	})
+	group.Go(func() error {
+		n.saveAccounts(groupCtx, tenure.Epoch)
 		return nil
 	})
 	group.Go(func() error {
-		n.saveAccounts(groupCtx, tenure.Epoch())
+		defer cancel()
+		l.followResumptions(groupCtx)
 		return nil
 	})
 	group.Go(func() error {
@@ -308,12 +315,12 @@
 
 // purge removes expired records from the store until ctx ends: jobs whose end has been known
 // for longer than the retention time, and instances that no longer write their entries.
-func (n *Node) purge(ctx context.Context, epoch int64) {
+func (n *Node) purge(ctx context.Context, epoch func() int64) {
 	for hfloop.Sleep(ctx, purgeInterval) {
 		before := hflease.Now().Add(-n.settings.Retention() - purgeMargin)
 		ids := hfloop.With(n.mirror, func(m *Mirror) []string { return m.endedJobs(before) })
 		for chunk := range slices.Chunk(ids, (hfstore.MaxBatch-1)/keysPerJob) {
-			batch := (&hfstore.Batch{}).Require(leadKey, epoch)
+			batch := (&hfstore.Batch{}).Require(leadKey, epoch())
 			for _, id := range chunk {
 				batch.Remove(jobPrefix + id).Remove(progressPrefix + id).Remove(cancelPrefix + id)
 			}
@@ -321,7 +328,7 @@
 				break // repeated in the next round
 			}
 		}
-		n.purgeWithdrawals(ctx, epoch)
-		n.removeExpiredInstances(ctx, epoch)
+		n.purgeWithdrawals(ctx, epoch())
+		n.removeExpiredInstances(ctx, epoch())
 	}
 }
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -112,6 +112,7 @@
 	requestedWaves    map[int64]*hfwork.Wave // as requested by operators, by number
 	storedWaves       map[int64]*hfwork.Wave // as stored by the leader, by number
 	lead              *hfwork.Lead           // nil while there is no leader
+	lastLead          *hfwork.Lead           // the last leader that is known, nil before the first
 	term              int64
 	appliedRevision   int64                       // all our records up to this store revision are applied
 	instances         map[string]*hfwork.Instance // by name; includes this one and some that have ended
@@ -368,7 +369,7 @@
 	if err != nil {
 		return change{err: err}
 	}
-	m.lead = lead
+	m.lead, m.lastLead = lead, lead
 	return change{lead: true}
 }
 
--- a/hfentry/takeover_test.go
+++ b/hfentry/takeover_test.go
@@ -159,7 +159,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
-		_ = n.runLeader(ctx, hflease.NewTenure(epoch, hflease.Now(), time.Hour))
+		_ = n.runLeader(ctx, newLeadership(n, hflease.NewTenure(epoch, hflease.Now(), time.Hour)))
 		return nil
 	})
 	during(ctx)
--- a/hfentry/watch.go
+++ b/hfentry/watch.go
@@ -65,6 +65,8 @@
 	// confirmedAt is when the last call was sent whose answer left no event out, in nanoseconds of the
 	// clock of hflease.Now.
 	confirmedAt atomic.Int64
+	// notifiedRevision is a store revision up to which the scheduler was told of all events.
+	notifiedRevision atomic.Int64
 }
 
 // confirm records that a call that was sent at the given time was answered, and no event left out.
@@ -183,6 +185,7 @@
 	n.confirm(w, sent, confirmedByList)
 	w.synced.Store(true)
 	n.notify(changes)
+	w.notifiedRevision.Store(revision)
 	return true
 }
 
@@ -207,5 +210,6 @@
 		w.synced.Store(false) // an event of our own records is missing; a list may have its item
 	}
 	n.notify(changes)
+	w.notifiedRevision.Store(w.revision)
 	return backlog
 }
--- a/hfevent/catalogue.go
+++ b/hfevent/catalogue.go
@@ -86,6 +86,9 @@
 	TaskGivenUp       = Event{832, "task-given-up", zapcore.WarnLevel, "Workers crashed under a task as often as they may; its job has failed."}
 	PolicyConfirmed   = Event{833, "policy-confirmed", zapcore.WarnLevel, "The configuration of the queues was confirmed again after it had not been for longer than is allowed; the fields tell how old it was and which call confirmed it."}
 	JobDeferred       = Event{834, "job-deferred", zapcore.WarnLevel, "Occurrences of a job are due, but the scheduling instance has no memory for their tasks now; they run once other tasks have ended."}
+	LeaderSuspended   = Event{835, "leader-suspended", zapcore.WarnLevel, "The store does not answer the scheduling instance and its lease may have expired; it keeps its state, looks at workers and sends no orders."}
+	LeaderResumed     = Event{836, "leader-resumed", zapcore.InfoLevel, "The scheduling instance leads again after the store was away; the fields tell the epoch and whether the earlier lease had lived on. Nothing is started before event 837."}
+	LeaderCaughtUp    = Event{837, "leader-caught-up", zapcore.InfoLevel, "The scheduling instance has read what was written while its leadership was suspended, and starts tasks again."}
 )
 
 // Catalogue returns every event.
@@ -103,5 +106,6 @@
 		OrderFailed, PlanRecovered, WorkerSilent, WorkerReporting, WorkerRemoved, EntryRejected, PolicyApplied, MirrorReset,
 		SettingsRead, SettingsInvalid, LinesDropped, PlanLoad, HintsUnavailable, AnnounceFailed, LeaseRevoked,
 		LeaseState, EndLate, DetailsLoaded, RecordRejected, JobWithdrawn, AccountsNotStored, WorkerCrashed, TaskIsolated, TaskGivenUp, PolicyConfirmed, JobDeferred,
+		LeaderSuspended, LeaderResumed, LeaderCaughtUp,
 	}
 }
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -73,14 +73,14 @@
 	resources        *hfplacement.Inventory
 	workers          map[string]*worker
 	jobs             map[string]*job
-	unloaded         map[string]*job             // jobs with occurrences that were never loaded
-	memory           *hfbudget.Budget            // of the loaded occurrences
-	oversized        *occurrence                 // the one that is loaded beside the budget, or nil
-	orphans          map[hfwork.TaskID]int       // number of orphans of each task, on all workers
-	groups           []*group                    // groups with open tasks, of jobs that are not final
-	recoveryDeadline time.Time                   // when the leases of an earlier scheduler have expired
-	recovered        bool                        // all runs of earlier schedulers are accounted for
-	usage            map[string]*poolUsage       // by pool
+	unloaded         map[string]*job       // jobs with occurrences that were never loaded
+	memory           *hfbudget.Budget      // of the loaded occurrences
+	oversized        *occurrence           // the one that is loaded beside the budget, or nil
+	orphans          map[hfwork.TaskID]int // number of orphans of each task, on all workers
+	groups           []*group              // groups with open tasks, of jobs that are not final
+	recoveryDeadline time.Time             // when the leases of an earlier scheduler have expired
+	recovered        bool                  // all runs of earlier schedulers are accounted for
+	usage            map[string]*poolUsage // by pool
 	suspension       suspension
 	sequence         uint64                      // of the last StoreCmd
 	storedSequence   uint64                      // of the last StoreCmd that was stored
