Show ends to callers while the store is away

Change: hfplan knows which workers list the ends that are not stored. When a job has completed, its record has had no answer for 400 ms, and two workers that do not drain list each such end, the leader tells the other instances, and once an instance of each failure domain has it in mind, all show the job as completed. A new leader asks them all before its scheduler begins and takes these jobs as completed. Two phases, as a part of the system that is cut off from the store alone must not show what a leader of the rest does not know of.

--- a/hfentry/hint.go
+++ b/hfentry/hint.go
@@ -63,9 +63,11 @@
 // handleCall answers a call of another instance.
 func (n *Node) handleCall(ctx context.Context, in *hfwire.Envelope) *hfwire.Envelope {
 	out := n.links.Envelope()
+	if answer := n.answerHint(in.GetHint()); answer != nil {
+		out.Body = answer
+		return out
+	}
 	switch {
-	case in.GetHint().GetKey() == suspendedQuery:
-		out.Body = n.answerSuspended()
 	case in.GetHint() != nil:
 		h := in.GetHint()
 		n.applyItem(hfstore.NewItem(h.GetKey(), h.GetValue(), h.GetVersion(), false))
--- a/hfentry/leader.go
+++ b/hfentry/leader.go
@@ -138,6 +138,7 @@
 	if err := n.awaitWorkers(ctx); err != nil {
 		return fmt.Errorf("prepare workers: %w", err)
 	}
+	n.collectEnded(ctx, tenure.Epoch())
 	n.details.Store(loaded)
 	hfloop.With(n.mirror, func(m *Mirror) struct{} {
 		writer.layout.restore(loaded, m.splitJobs(loaded), m.splitRoster(loaded), m.hasEnded)
@@ -245,7 +246,11 @@
 			return nil, false
 		}
 	}
-	return hfplan.Job(r.job, progress, r.cancelled), true
+	msg := hfplan.Job(r.job, progress, r.cancelled)
+	if r.told {
+		msg = msg.WithShown()
+	}
+	return msg, true
 }
 
 // splitJobs returns the progress of the jobs that have not ended and whose records are split.
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -65,11 +65,16 @@
 	cancelled  bool
 	memory     int64          // bytes that are counted for the job in Mirror.memory
 	owner      hfbudget.Owner // for whom they are counted
+	told       bool           // the leader has told that it has completed, before that is stored
+	shown      bool           // it is shown as completed, also before that is stored
 	unreadable bool           // the progress cannot be read, so that where its tasks run is not known
 }
 
 // state returns the state that callers see.
 func (r *jobRecord) state() string {
+	if r.shown {
+		return hfwork.StateCompleted
+	}
 	if s := r.progress.GetState(); hfwork.IsFinal(s) {
 		return s
 	}
@@ -113,6 +118,7 @@
 	storedWaves       map[int64]*hfwork.Wave // as stored by the leader, by number
 	lead              *hfwork.Lead           // nil while there is no leader
 	lastLead          *hfwork.Lead           // the last leader that is known, nil before the first
+	leadEpoch         int64                  // of the latest leader that is known
 	term              int64
 	appliedRevision   int64                       // all our records up to this store revision are applied
 	instances         map[string]*hfwork.Instance // by name; includes this one and some that have ended
@@ -369,7 +375,7 @@
 	if err != nil {
 		return change{err: err}
 	}
-	m.lead, m.lastLead = lead, lead
+	m.lead, m.lastLead, m.leadEpoch = lead, lead, max(m.leadEpoch, i.Version())
 	return change{lead: true}
 }
 
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -75,6 +75,7 @@
 	stopStarted  chan struct{}                  // closed when a planned stop begins
 	links        *hfpeer.Links
 	hints        chan hfstore.Item
+	endedJobs    chan string // jobs that may be shown as completed before that is stored
 	peerAddress  string // at which the other instances reach this one; set before the goroutines start
 }
 
@@ -91,7 +92,7 @@
 		}),
 		rejectedRows: hfloop.NewGuarded(hfevent.NewRejections(maxKeyBytes + hfevent.MaxReasonBytes)),
 		leaderless:   make(chan struct{}, 1), stopStarted: make(chan struct{}),
-		links: hfpeer.NewLinks(s.Name(), uuid.NewString(), dialer, registry), hints: make(chan hfstore.Item, hintQueueSize),
+		links: hfpeer.NewLinks(s.Name(), uuid.NewString(), dialer, registry), hints: make(chan hfstore.Item, hintQueueSize), endedJobs: make(chan string, endedQueueSize),
 		followNow: make(chan struct{}, 1),
 	}
 	n.relay = hfrelay.New(store, n.links, n.otherInstances, func(direct bool, cause error) {
@@ -122,6 +123,7 @@
 		func(ctx context.Context) { n.relay.Run(ctx, leadKey) },
 		n.keepPolicyFresh,
 		n.sendHints,
+		n.shareEnded,
 		n.announce,
 		n.campaign,
 	} {
--- a/hfentry/observe.go
+++ b/hfentry/observe.go
@@ -24,6 +24,8 @@
 	switch c.Note() {
 	case hfplan.NoteState:
 		n.log.Event(hfevent.JobState, fields...)
+	case hfplan.NoteEnded:
+		n.queueEnded(c.Job())
 	case hfplan.NotePlaced:
 		n.log.Event(hfevent.TasksPlaced, append(fields, zap.Uint32("step", c.Step()), zap.Int("tasks", c.Tasks()))...)
 	case hfplan.NotePreempted:
--- a/hfentry/suspension.go
+++ b/hfentry/suspension.go
@@ -240,15 +240,6 @@
 	return nil
 }
 
-// answerSuspended answers a suspendedQuery.
-func (n *Node) answerSuspended() *hfwire.Envelope_Hint {
-	answer := &hfwire.Hint{}
-	if l := n.leader.Load(); l != nil && l.Suspended() && !n.stopping.Load() {
-		answer.Key = suspendedQuery
-	}
-	return &hfwire.Envelope_Hint{Hint: answer}
-}
-
 // grantHeadStart waits for the last leader to resume its leadership after an outage of the store that
 // this instance has seen too. A leader that is cut off alone gets no time, nor does one that has died.
 func (n *Node) grantHeadStart(ctx context.Context) {
@@ -270,8 +261,6 @@
 func (n *Node) isSuspended(ctx context.Context, lead *hfwork.Lead) bool {
 	call, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
-	out := n.links.Envelope()
-	out.Body = &hfwire.Envelope_Hint{Hint: &hfwire.Hint{Key: suspendedQuery}}
-	in, err := n.links.Call(call, hfpeer.NewPeer(lead.GetInstance(), lead.GetAddress()), out)
-	return err == nil && in.GetHint().GetKey() == suspendedQuery
+	answer, err := n.callHint(call, hfpeer.NewPeer(lead.GetInstance(), lead.GetAddress()), &hfwire.Hint{Key: suspendedQuery})
+	return err == nil && answer.GetKey() == suspendedQuery
 }
--- a/hfevent/catalogue.go
+++ b/hfevent/catalogue.go
@@ -88,6 +88,8 @@
 	JobDeferred       = Event{834, "job-deferred", zapcore.WarnLevel, "Occurrences of a job are due, but the scheduling instance has no memory for their tasks now; they run once other tasks have ended."}
 	LeaderSuspended   = Event{835, "leader-suspended", zapcore.WarnLevel, "The store does not answer the scheduling instance and its lease may have expired; it keeps its state, looks at workers and sends no orders."}
 	LeaderResumed     = Event{836, "leader-resumed", zapcore.InfoLevel, "The scheduling instance leads again after the store was away; the fields tell the epoch and whether the earlier lease had lived on. Nothing is started before event 837."}
+	EndsShown         = Event{838, "ends-shown", zapcore.InfoLevel, "Jobs have completed, which could not be stored; instances were told, and show it if each failure domain knows. Workers keep these ends until they are stored."}
+	EndsTakenOver     = Event{839, "ends-taken-over", zapcore.WarnLevel, "A new scheduling instance takes jobs as completed that an earlier one had told other instances of before that was stored."}
 	LeaderCaughtUp    = Event{837, "leader-caught-up", zapcore.InfoLevel, "The scheduling instance has read what was written while its leadership was suspended, and starts tasks again."}
 )
 
@@ -106,6 +108,6 @@
 		OrderFailed, PlanRecovered, WorkerSilent, WorkerReporting, WorkerRemoved, EntryRejected, PolicyApplied, MirrorReset,
 		SettingsRead, SettingsInvalid, LinesDropped, PlanLoad, HintsUnavailable, AnnounceFailed, LeaseRevoked,
 		LeaseState, EndLate, DetailsLoaded, RecordRejected, JobWithdrawn, AccountsNotStored, WorkerCrashed, TaskIsolated, TaskGivenUp, PolicyConfirmed, JobDeferred,
-		LeaderSuspended, LeaderResumed, LeaderCaughtUp,
+		LeaderSuspended, LeaderResumed, LeaderCaughtUp, EndsShown, EndsTakenOver,
 	}
 }
--- a/hforder/suspend.go
+++ b/hforder/suspend.go
@@ -36,6 +36,9 @@
 // Suspended reports whether the leadership is suspended.
 func (l *Leader) Suspended() bool { return l.tenure.Suspended(hflease.Now()) }
 
+// Epoch returns the epoch of the leadership.
+func (l *Leader) Epoch() int64 { return l.tenure.Epoch() }
+
 // checkLeading returns nil if this instance certainly still holds the leadership, errSuspended if it may
 // be resumed, and otherwise ends it and returns ErrNotLeading.
 func (l *Leader) checkLeading() error {
--- a/hfplan/lifecycle.go
+++ b/hfplan/lifecycle.go
@@ -29,6 +29,10 @@
 	}
 	s.jobs[j.id()] = j
 	j.restore(p)
+	if m.shown && !hfwork.IsFinal(j.state) {
+		j.cancelled = false
+		s.endJob(j, hfwork.StateCompleted, "", now)
+	}
 	if j.final() {
 		return
 	}
--- a/hfplan/message.go
+++ b/hfplan/message.go
@@ -70,6 +70,7 @@
 	job       *hfwork.Job
 	progress  *hfwork.Progress // nil if none is stored
 	cancelled bool
+	shown     bool // callers were told that it has completed
 }
 
 // Job returns a JobMsg.
@@ -291,6 +292,7 @@
 	NoteCrash       Note = "crash"     // a worker crashed, or was lost, under runs
 	NoteIsolated    Note = "isolated"  // a task was placed with no other group on its worker
 	NoteGaveUp      Note = "gave-up"   // workers crashed under a task as often as they may
+	NoteEnded       Note = "ended"     // a job has completed, which cannot be stored at the moment but may be shown
 	NoteDeferred    Note = "deferred"  // occurrences of a job are due, but there is no memory for their tasks
 )
 
--- a/hfplan/record.go
+++ b/hfplan/record.go
@@ -157,6 +157,7 @@
 			c.roster = append(c.roster, w.rosterEntry())
 		}
 	}
+	s.flushEnds(c)
 	s.emit(c)
 }
 
@@ -187,6 +188,7 @@
 		return
 	}
 	s.storedSequence = m.sequence
+	s.dropStoredEnds()
 	for w, answered := range s.rosterInFlight {
 		w.inRoster = (w.inRoster || w.answered == answered) && !m.lacksWorker(w.id())
 		s.updateUsable(w, now)
--- a/hfplan/run.go
+++ b/hfplan/run.go
@@ -152,6 +152,7 @@
 		s.stopPartialGangs(now)
 		s.advanceWaves(now)
 	}
+	s.showUnstored(now)
 	s.needsPass = true
 }
 
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -82,6 +82,7 @@
 	recovered        bool                  // all runs of earlier schedulers are accounted for
 	usage            map[string]*poolUsage // by pool
 	suspension       suspension
+	unstored         unstored // ends that are not known to be stored
 	sequence         uint64                      // of the last StoreCmd
 	storedSequence   uint64                      // of the last StoreCmd that was stored
 	recordsInFlight  map[string]*hfwork.Progress // records of the StoreCmd in flight, nil if there is none
@@ -117,7 +118,7 @@
 		timing: timing, runNumberBase: max(term-1, 0) * runsPerTerm, policy: &hfwork.Policy{}, queues: map[string]*hfwork.Queue{},
 		resources: hfplacement.New(), workers: map[string]*worker{}, jobs: map[string]*job{}, unloaded: map[string]*job{}, memory: hfbudget.New(defaultMemory), orphans: map[hfwork.TaskID]int{},
 		recoveryDeadline: now.Add(timing.leaseExpiryDelay()), pendingAcks: map[*worker]int64{}, dirtyJobs: map[string]*job{}, usage: map[string]*poolUsage{},
-		waves: map[int64]*wave{}, dirtyWaves: map[int64]*hfwork.Wave{}, missing: map[string]*missingWorker{}, unstable: map[string]time.Time{}, suspectReserved: map[string]int{}, urgentWaits: map[string]bool{}, notAmple: map[placementShape]int{}, slowWorkers: map[string]bool{},
+		unstored: newUnstored(), waves: map[int64]*wave{}, dirtyWaves: map[int64]*hfwork.Wave{}, missing: map[string]*missingWorker{}, unstable: map[string]time.Time{}, suspectReserved: map[string]int{}, urgentWaits: map[string]bool{}, notAmple: map[placementShape]int{}, slowWorkers: map[string]bool{},
 	}
 }
 
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -272,6 +272,7 @@
 // handleEnd processes the end of a run in a report.
 func (s *Scheduler) handleEnd(w *worker, end hfwork.End, now time.Time) {
 	t := s.loadTask(end.Task(), now)
+	s.recordHolder(w, t, end)
 	if t == nil {
 		return
 	}
