Refuse callers truthfully during an outage, hold them briefly, and tell them when to come back

Cause: callers were told to come back after as long as the store had been silent, up to 4 s, most of which wait 3 s. While the store was known to be down, one submission in 250 ms was sent to find out whether it answers; in a silent outage its caller got a 504, after which nobody may try again. Change: a read precedes a write if the store has not answered for 300 ms, so that a refusal means that nothing was sent; reads find out when it answers again. A call is held for a quarter of the time that its caller waits, one second at most, and goes on the moment the store answers. Retry-After is 1 s for urgent queues; others come later, spread, but before they give up and in time for the objective.

--- a/hfentry/freshness.go
+++ b/hfentry/freshness.go
@@ -44,7 +44,14 @@
 // AdmitChange admits a call that changes something, like Admit. It fails with ErrNotDone if the
 // configuration is too old and cannot be confirmed.
 func (n *Node) AdmitChange(ctx context.Context, host, path, key string) (Access, error) {
-	if err := n.ConfirmPolicy(ctx); err != nil {
+	err := n.ConfirmPolicy(ctx)
+	if errors.Is(err, ErrNotDone) {
+		// The earlier configuration tells how urgent the call is.
+		if a, admitErr := n.Admit(host, path, key); admitErr == nil {
+			err = n.hold(ctx, a.queue, 0, 0, err, func() error { return n.ConfirmPolicy(ctx) })
+		}
+	}
+	if err != nil {
 		return Access{}, fmt.Errorf("admit: %w", err)
 	}
 	return n.Admit(host, path, key)
--- a/hfentry/health.go
+++ b/hfentry/health.go
@@ -17,10 +17,11 @@
 // are refused at once, except for an occasional call that probes the store.
 type StoreHealth struct {
 	mu         sync.Mutex
-	failures   int       // consecutive
-	nextProbe  time.Time // while the store is down, no call is let through before this time
-	lastAnswer time.Time // when the store last answered
-	upSince    time.Time // when the store last answered after it had been down; zero if it never was
+	failures   int           // consecutive
+	nextProbe  time.Time     // while the store is down, no call is let through before this time
+	lastAnswer time.Time     // when the store last answered
+	upSince    time.Time     // when the store last answered after it had been down; zero if it never was
+	answered   chan struct{} // closed by the next answer; nil unless the last call failed
 	onChange   func(down bool, silent time.Duration)
 }
 
@@ -36,9 +37,16 @@
 	wasDown, silent := h.failures >= maxFailures, now.Sub(h.lastAnswer)
 	if errors.Is(err, hfstore.ErrUnavailable) || errors.Is(err, hfstore.ErrRefused) {
 		h.failures++
+		if h.answered == nil {
+			h.answered = make(chan struct{})
+		}
 		h.nextProbe = now.Add(probeInterval)
 	} else {
 		h.failures, h.lastAnswer = 0, now
+		if h.answered != nil {
+			close(h.answered)
+			h.answered = nil
+		}
 		if wasDown {
 			h.upSince = now
 		}
@@ -71,6 +79,25 @@
 	return h.failures >= maxFailures
 }
 
+// Failing reports whether the last call got no answer.
+func (h *StoreHealth) Failing() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failures > 0
+}
+
+// Answered returns a channel that is closed once the store answers.
+func (h *StoreHealth) Answered() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.answered == nil {
+		answered := make(chan struct{})
+		close(answered)
+		return answered
+	}
+	return h.answered
+}
+
 // UpSince returns when the store last answered after it had been down, or zero.
 func (h *StoreHealth) UpSince() time.Time {
 	h.mu.Lock()
--- a/hfentry/hint_test.go
+++ b/hfentry/hint_test.go
@@ -26,6 +26,7 @@
 	return &Node{
 		name: name, log: hfevent.New(zap.NewNop(), registry), registry: registry,
 		mirror:       hfloop.NewGuarded(NewMirror(fakeFormats{}, time.Second)),
+		held:         hfloop.NewGuarded(&holdingRoom{}),
 		rejectedRows: hfloop.NewGuarded(hfevent.NewRejections(maxKeyBytes + hfevent.MaxReasonBytes)),
 		links:        hfpeer.NewLinks(name, name, &net.Dialer{}, registry), hints: make(chan hfstore.Item, hintQueueSize),
 	}
--- a/hfentry/jobs.go
+++ b/hfentry/jobs.go
@@ -129,6 +129,13 @@
 	}
 	withdrawn := withdrawalKey(job.GetId(), &hfwork.Withdrawal{Queue: job.GetQueue(), Account: job.GetAccount()})
 	stored, err := n.createKey(ctx, jobPrefix+job.GetId(), value, withdrawn)
+	if errors.Is(err, ErrNotDone) {
+		err = n.hold(ctx, a.queue, longestEstimate(job), int64(len(value)), err, func() error {
+			var err error
+			stored, err = n.createKey(ctx, jobPrefix+job.GetId(), value, withdrawn)
+			return err
+		})
+	}
 	if errors.Is(err, hfstore.ErrConflict) {
 		return n.resolveConflict(ctx, a, job.GetId())
 	}
@@ -143,6 +150,15 @@
 	return nil
 }
 
+// longestEstimate returns the longest declared run time of a job's steps.
+func longestEstimate(job *hfwork.Job) time.Duration {
+	longest := int64(0)
+	for _, s := range job.GetSteps() {
+		longest = max(longest, s.GetEstimate())
+	}
+	return time.Duration(longest) * time.Millisecond
+}
+
 // checkSame returns the result of a submission whose id a stored job has: nil if that is the
 // caller's in the same queue, and otherwise ErrIDTaken.
 func (n *Node) checkSame(a Access, stored *hfwork.Job) error {
@@ -171,8 +187,8 @@
 // with hfstore.ErrConflict if one of them exists, ErrNotDone if nothing was written,
 // hfwork.ErrInvalidJob if the store never accepts the value, or ErrEffectUnknown.
 func (n *Node) createKey(ctx context.Context, key string, value []byte, others ...string) (hfstore.Item, error) {
-	if !n.health.Allow(time.Now()) {
-		return hfstore.Item{}, ErrNotDone
+	if err := n.knock(ctx); err != nil {
+		return hfstore.Item{}, fmt.Errorf("create %s: %w", key, err)
 	}
 	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
 	defer cancel()
--- a/hfentry/memory.go
+++ b/hfentry/memory.go
@@ -119,5 +119,8 @@
 	if errors.Is(err, ErrTooManyJobs) {
 		return memoryRetryAfter
 	}
+	if outage := (*OutageError)(nil); errors.As(err, &outage) {
+		return time.Until(outage.retryAt)
+	}
 	return n.health.RetryAfter(time.Now())
 }
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -62,10 +62,11 @@
 	mirror       *hfloop.Guarded[*Mirror]
 	rejectedRows *hfloop.Guarded[*hfevent.Rejections] // parts of workers' reports, by worker and reason
 	health       *StoreHealth
-	recordWatch  prefixWatch        // watches our own records
-	policyWatch  prefixWatch        // watches what operators write
-	workerWatch  prefixWatch        // watches the workers' entries
-	policyReads  singleflight.Group // reads of the configuration beside its watch, one at a time
+	held         *hfloop.Guarded[*holdingRoom] // calls that wait for the store
+	recordWatch  prefixWatch                   // watches our own records
+	policyWatch  prefixWatch                   // watches what operators write
+	workerWatch  prefixWatch                   // watches the workers' entries
+	policyReads  singleflight.Group            // reads of the configuration beside its watch, one at a time
 	stopping     atomic.Bool
 	claiming     atomic.Bool                    // this instance tries to become the leader, or is the leader
 	leader       atomic.Pointer[hforder.Leader] // nil unless this instance is the leader
@@ -76,7 +77,7 @@
 	links        *hfpeer.Links
 	hints        chan hfstore.Item
 	endedJobs    chan string // jobs that may be shown as completed before that is stored
-	peerAddress  string // at which the other instances reach this one; set before the goroutines start
+	peerAddress  string      // at which the other instances reach this one; set before the goroutines start
 }
 
 // New returns a node that has not started.
@@ -90,6 +91,7 @@
 			}
 			log.Event(event, zap.Duration("silent", silent))
 		}),
+		held:         hfloop.NewGuarded(&holdingRoom{}),
 		rejectedRows: hfloop.NewGuarded(hfevent.NewRejections(maxKeyBytes + hfevent.MaxReasonBytes)),
 		leaderless:   make(chan struct{}, 1), stopStarted: make(chan struct{}),
 		links: hfpeer.NewLinks(s.Name(), uuid.NewString(), dialer, registry), hints: make(chan hfstore.Item, hintQueueSize), endedJobs: make(chan string, endedQueueSize),
@@ -124,6 +126,7 @@
 		n.keepPolicyFresh,
 		n.sendHints,
 		n.shareEnded,
+		n.probeStore,
 		n.announce,
 		n.campaign,
 	} {
