Store the records of urgent jobs, and ends, first

Cause: the records of a command were packed into batches by the id of their job. After an outage of the store there are several batches of them. Change: by priority, and of equal priority ends before places. Nothing starts before all of a command is stored, as before.

--- a/hfentry/layout.go
+++ b/hfentry/layout.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 
@@ -159,7 +161,7 @@
 		records = maps.Clone(l.jobs)
 		maps.Copy(records, c.Records())
 	}
-	for _, id := range slices.Sorted(maps.Keys(records)) {
+	for _, id := range l.inOrder(records) {
 		changes, err := l.jobChanges(id, records[id], split)
 		if err != nil {
 			return nil, fmt.Errorf("job %s: %w", id, err)
@@ -172,6 +174,27 @@
 	return groups, nil
 }
 
+// inOrder lists jobs in the order in which their progress is stored, as it may take several batches: urgent
+// ones first, and of equal priority those that have ended, for which callers wait.
+func (l *recordLayout) inOrder(records map[string]*hfwork.Progress) []string {
+	priorities := map[string]uint32{}
+	for id := range records {
+		priorities[id] = math.MaxUint32
+		if job := l.job(id); job != nil {
+			priorities[id] = job.GetSettings().GetPriority()
+		}
+	}
+	notEnded := func(id string) int {
+		if hfwork.IsFinal(records[id].GetState()) {
+			return 0
+		}
+		return 1
+	}
+	return slices.SortedFunc(maps.Keys(records), func(a, b string) int {
+		return cmp.Or(cmp.Compare(priorities[a], priorities[b]), cmp.Compare(notEnded(a), notEnded(b)), cmp.Compare(a, b))
+	})
+}
+
 // committed records that a change is stored.
 func (l *recordLayout) committed(c keyChange) {
 	stored := l.records
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -82,7 +82,7 @@
 	recovered        bool                  // all runs of earlier schedulers are accounted for
 	usage            map[string]*poolUsage // by pool
 	suspension       suspension
-	unstored         unstored // ends that are not known to be stored
+	unstored         unstored                    // ends that are not known to be stored
 	sequence         uint64                      // of the last StoreCmd
 	storedSequence   uint64                      // of the last StoreCmd that was stored
 	recordsInFlight  map[string]*hfwork.Progress // records of the StoreCmd in flight, nil if there is none
--- a/hfplan/unstored_test.go
+++ b/hfplan/unstored_test.go
@@ -86,7 +86,11 @@
 
 func TestEndOnWorkersThatMayBeLostIsNotShown(t *testing.T) {
 	for name, lose := range map[string]func(d *desk){
-		"drains":    func(d *desk) { workers := deskWorkers("v", "w"); workers["w"].Draining = true; d.send(Workers(workers)) },
+		"drains": func(d *desk) {
+			workers := deskWorkers("v", "w")
+			workers["w"].Draining = true
+			d.send(Workers(workers))
+		},
 		"silent":    func(d *desk) { d.send(WorkerSilent("w")) },
 		"gone":      func(d *desk) { d.send(WorkerLeft("w")) },
 		"restarted": func(d *desk) { d.born["w"] = 7; d.report("w") },
