--- a/hflease/suspend_test.go
+++ b/hflease/suspend_test.go
@@ -187,3 +187,35 @@
 	tenure.Expire()
 	require.False(t, tenure.Suspended(now.Add(2*time.Second)), "it has ended")
 }
+
+// frozenStore holds up the process in the first renewal after the tenure has expired, as if it was frozen.
+type frozenStore struct {
+	*outageStore
+	tenure *hflease.Tenure
+	frozen bool
+}
+
+func (s *frozenStore) Renew(ctx context.Context, lease string) error {
+	if !s.frozen && !s.tenure.Valid(hflease.Now()) {
+		s.frozen = true
+		time.Sleep(4 * time.Second)
+		s.set(false, false)
+		return hfstore.ErrUnavailable
+	}
+	return s.outageStore.Renew(ctx, lease)
+}
+
+// What a frozen process has in memory is older than it can know.
+func TestFreezeEndsSuspendedTenure(t *testing.T) {
+	tenure := hflease.NewTenure(5, hflease.Now(), outageTTL)
+	tenure.AllowSuspension()
+	s := &frozenStore{outageStore: &outageStore{away: true}, tenure: tenure}
+	r := newRecordingResumer(s.outageStore, nil)
+	err := hflease.HoldResumable(t.Context(), s, tenure, "7", outageTTL, r, func(ctx context.Context) error {
+		<-ctx.Done()
+		return nil
+	})
+	require.NoError(t, err)
+	require.False(t, tenure.Valid(hflease.Now()))
+	require.Empty(t, r.resumed)
+}
--- a/hfplan/unstored_test.go
+++ b/hfplan/unstored_test.go
@@ -158,3 +158,21 @@
 		})
 	}
 }
+
+// Workers that list an end are lost after it was shown, and so is the record that was under way.
+func TestShownJobStaysCompletedWithoutItsWorkers(t *testing.T) {
+	d, starts := startBeforeOutage(t, true)
+	for _, c := range starts {
+		d.reportEnds(c.Worker(), nil, d.endOf(c))
+	}
+	d.advance(time.Second)
+	require.Equal(t, []string{"a"}, d.shownJobs())
+	d.send(WorkerLeft("v"))
+	d.send(WorkerSilent("w"))
+	d.send(Job(d.s.jobs["a"].spec, nil, true))
+	d.advance(10 * time.Second)
+	require.Equal(t, hfwork.StateCompleted, d.stores[0].Records()["a"].GetState())
+	d.store()
+	require.Empty(t, d.takeStarts())
+	require.Equal(t, hfwork.StateCompleted, d.s.jobs["a"].state)
+}
