Prove what a suspended leader does not do, and that shown ends stay

Nine wrong variants were tried by hand; the one in which the question of a new leader closes nothing was not found by TestEarlierLeaderShowsNothingOnceALaterOneHasAsked, as the asking instance itself was the only one of its domain.

--- a/hfentry/ended_test.go
+++ b/hfentry/ended_test.go
@@ -124,7 +124,7 @@
 
 // What an earlier leader tells after the new one has asked would be shown without its knowledge.
 func TestEarlierLeaderShowsNothingOnceALaterOneHasAsked(t *testing.T) {
-	leader, others := newEndedNodes(t, []string{"a", "b"})
+	leader, others := newEndedNodes(t, []string{"a", "b", "b"})
 	others[1].collectEnded(t.Context(), 9)
 	leader.tellEnded(t.Context(), []string{endedJob})
 	for _, n := range append(others, leader) {
