Read the records beside a silent watch when the leadership is resumed

Change: their events are read in a call of their own, bounded by 0.4 s, after which the watch is awaited as before. Seen failing first: where it only awaits the watch, TestRecordsAreReadBesideASilentWatch does not end.

--- a/hfentry/suspension.go
+++ b/hfentry/suspension.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -25,6 +26,8 @@
 const (
 	// recheckTimeout is how long a resumed leader may take to read what was written meanwhile.
 	recheckTimeout = 5 * time.Second
+	// eventsTimeout bounds a read of events that have happened, to which the store answers at once.
+	eventsTimeout = 400 * time.Millisecond
 	// headStart is how long other instances leave the leadership to a suspended leader after an outage of
 	// the store that they have seen themselves.
 	headStart       = 700 * time.Millisecond
@@ -191,7 +194,7 @@
 			err = l.node.readAgain(ctx, &l.node.policyWatch, &l.node.workerWatch)
 		}
 		if err == nil {
-			return l.node.awaitNotified(ctx, revision)
+			return l.node.readRecords(ctx, revision)
 		}
 		if errors.Is(err, hfstore.ErrConflict) || l.leader.Suspended() || !hfloop.Sleep(ctx, retryPause) {
 			return fmt.Errorf("recheck: %w", err)
@@ -230,6 +233,26 @@
 	return list
 }
 
+// readRecords passes all our records up to a store revision to the scheduler. It reads their events beside
+// the watch, which may wait for an answer that was lost in the outage, and else waits for that.
+func (n *Node) readRecords(ctx context.Context, revision int64) error {
+	for after := n.recordWatch.notifiedRevision.Load(); after < revision; {
+		call, cancel := context.WithTimeout(ctx, eventsTimeout)
+		items, next, err := n.store.Watch(call, recordPrefix, after)
+		cancel()
+		unreadable := slices.ContainsFunc(items, func(i hfstore.Item) bool { return i.Err() != nil })
+		if err != nil || unreadable || next <= after {
+			return n.awaitNotified(ctx, revision)
+		}
+		// The watch alone tells who leads, as it brings these events once more.
+		items = slices.DeleteFunc(items, func(i hfstore.Item) bool { return i.Key() == leadKey })
+		receivedAt := hflease.Now()
+		n.notify(hfloop.With(n.mirror, func(m *Mirror) []change { return m.applyUnwatched(receivedAt, items...) }))
+		after = next
+	}
+	return nil
+}
+
 // awaitNotified waits until the scheduler was told of all our records up to a store revision.
 func (n *Node) awaitNotified(ctx context.Context, revision int64) error {
 	for n.recordWatch.notifiedRevision.Load() < revision {
--- a/hfentry/suspension_test.go
+++ b/hfentry/suspension_test.go
@@ -1,8 +1,10 @@
 package hfentry
 
 import (
+	"cmp"
 	"context"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -324,3 +326,34 @@
 	require.False(t, n.isSuspended(t.Context(), &hfwork.Lead{Instance: "one", Address: ln.Addr().String()}))
 	require.Less(t, time.Since(began), headStart)
 }
+
+// eventStore answers watches with the events of a store that is not deleted from, a few at a time.
+type eventStore struct{ *fakeStore }
+
+func (s eventStore) Watch(_ context.Context, prefix string, after int64) ([]hfstore.Item, int64, error) {
+	items, revision, _ := s.List(context.Background(), prefix)
+	slices.SortFunc(items, func(a, b hfstore.Item) int { return cmp.Compare(a.Version(), b.Version()) })
+	items = slices.DeleteFunc(items, func(i hfstore.Item) bool { return i.Version() <= after })
+	if len(items) > 2 {
+		return items[:2], items[1].Version(), nil
+	}
+	return items, revision, nil
+}
+
+// The watch of the records waited up to 0.9 s for an answer that was lost in the outage, and nothing started
+// meanwhile.
+func TestRecordsAreReadBesideASilentWatch(t *testing.T) {
+	s := newFakeStore()
+	n := newTestNode("one")
+	n.store = eventStore{s}
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		i := newItem(t, jobPrefix+id, 0, &hfwork.Job{Id: id, Queue: "q"})
+		_, err := s.Put(t.Context(), i.Key(), i.Value(), 0, "")
+		require.NoError(t, err)
+	}
+	revision, err := s.Put(t.Context(), cancelPrefix+"a", []byte("x"), 0, "")
+	require.NoError(t, err)
+	require.NoError(t, n.readRecords(t.Context(), revision))
+	require.True(t, n.cachedJob("a").cancelled)
+	require.NotNil(t, n.cachedJob("e"))
+}
