Do not take a slow store to be down

Cause: probes of the store waited for 250 ms, and a probe that was not answered by then counted as a failed call. After one lost answer, a store that took 300 ms for each answer was down until a call other than a probe was answered; a read before a write counted likewise after 600 ms.

Change: probes wait as long as other calls do, and overlap; a caller still waits for the read before its write for 600 ms, but the read goes on, one for all callers, and its answer counts.

Result: TestSlowStoreIsNotDown, which failed before with a store that takes 300 or 800 ms, passes.

--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -67,6 +67,7 @@
 	policyWatch  prefixWatch                   // watches what operators write
 	workerWatch  prefixWatch                   // watches the workers' entries
 	policyReads  singleflight.Group            // reads of the configuration beside its watch, one at a time
+	probes       singleflight.Group            // reads that precede writes, one at a time
 	stopping     atomic.Bool
 	claiming     atomic.Bool                    // this instance tries to become the leader, or is the leader
 	leader       atomic.Pointer[hforder.Leader] // nil unless this instance is the leader
--- a/hfentry/outage.go
+++ b/hfentry/outage.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hfstore"
@@ -27,7 +28,7 @@
 	// knockAfter is the time since the last answer of the store from which on a read precedes a write.
 	// Only a write that was sent leaves its caller without a certain answer.
 	knockAfter   = 300 * time.Millisecond
-	knockTimeout = 600 * time.Millisecond // bounds that read
+	knockTimeout = 600 * time.Millisecond // for which a caller waits for that read
 
 	retryMargin   = 300 * time.Millisecond // of the caller's time that a repeated call needs at least
 	lastTry       = 350 * time.Millisecond // of the caller's time that is left to the last one
@@ -160,7 +161,16 @@
 	if time.Since(n.health.LastAnswer()) <= knockAfter {
 		return nil
 	}
-	return n.probe(ctx, knockTimeout)
+	probe := n.probes.DoChan("", func() (any, error) { return nil, n.probe(ctx, storeTimeout) })
+	select {
+	case <-time.After(knockTimeout): // the store may be slow; its answer is still awaited
+		return ErrNotDone
+	case r := <-probe:
+		if r.Err != nil {
+			return fmt.Errorf("knock: %w", r.Err)
+		}
+		return nil
+	}
 }
 
 // probe asks the store for the lead key. It fails with ErrNotDone if the store does not answer.
@@ -178,11 +188,18 @@
 	return nil
 }
 
-// probeStore finds out when the store answers again after it did not, until ctx ends.
+// probeStore finds out when the store answers again after it did not, until ctx ends. A probe is sent every
+// probeInterval, and each waits as long as other calls do: a slow store is not down.
 func (n *Node) probeStore(ctx context.Context) {
+	var group errgroup.Group
+	group.SetLimit(int(storeTimeout/probeInterval) + 1)
 	for hfloop.Sleep(ctx, probeInterval) {
 		if n.health.Failing() {
-			_ = n.probe(ctx, probeInterval) // recorded
+			group.TryGo(func() error {
+				_ = n.probe(ctx, storeTimeout) // recorded
+				return nil
+			})
 		}
 	}
+	_ = group.Wait()
 }
--- a/hfentry/outage_test.go
+++ b/hfentry/outage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -197,3 +198,46 @@
 	require.False(t, h.Failing())
 	require.Zero(t, h.UpSince(), "it was never down")
 }
+
+// slowStore answers reads late, and does not answer the first one.
+type slowStore struct {
+	*fakeStore
+	delay time.Duration
+	lost  atomic.Bool
+	reads atomic.Int32
+}
+
+func (s *slowStore) Get(ctx context.Context, key string) (hfstore.Item, error) {
+	s.reads.Add(1)
+	if !s.lost.Swap(true) {
+		return hfstore.Item{}, hfstore.ErrUnavailable
+	}
+	select {
+	case <-ctx.Done():
+		return hfstore.Item{}, hfstore.ErrUnavailable
+	case <-time.After(s.delay):
+		return s.fakeStore.Get(ctx, key)
+	}
+}
+
+// A store that took longer than 250 ms for each answer was declared down after one lost answer, as probes
+// did not wait longer: submissions were refused and elections waited until another call was answered.
+func TestSlowStoreIsNotDown(t *testing.T) {
+	for _, delay := range []time.Duration{300 * time.Millisecond, 800 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			t.Parallel()
+			s := &slowStore{fakeStore: newFakeStore(), delay: delay}
+			n := newTestNode("one")
+			var downs atomic.Int32
+			n.store, n.settings, n.health = s, outageSettings{}, NewStoreHealth(func(bool, time.Duration) { downs.Add(1) })
+			n.health.Record(nil, time.Now())
+			require.Error(t, n.probe(t.Context(), time.Second), "its answer is lost")
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			n.probeStore(ctx)
+			require.Zero(t, downs.Load())
+			require.False(t, n.health.Failing())
+			require.NotZero(t, n.health.LastAnswer())
+		})
+	}
+}
