Do not count a start held back by a suspension as refused

Cause: a start that was not sent because the leadership was suspended was told to the scheduler as refused by its worker: the ticket of the worker was dropped, and the worker got no tasks for 400 ms after the resumption.

Change: such a start has an outcome of its own, OutcomeNotSent, which only releases its run.

Result: TestStartThatSuspensionHeldBackIsNoRefusal, which fails with OutcomeRefused, passes.

--- a/hforder/dispatcher.go
+++ b/hforder/dispatcher.go
@@ -438,6 +438,8 @@
 		return hfplan.OutcomeUnknown
 	case errors.Is(err, ErrStaleRun):
 		return hfplan.OutcomeStale
+	case errors.Is(err, errSuspended):
+		return hfplan.OutcomeNotSent
 	case errors.Is(err, ErrRefused), errors.Is(err, ErrWorkerRestarted), errors.Is(err, ErrNotSent):
 		return hfplan.OutcomeRefused
 	}
--- a/hforder/suspend.go
+++ b/hforder/suspend.go
@@ -19,7 +19,7 @@
 )
 
 // errSuspended reports that an order was not sent because the leadership is suspended.
-var errSuspended = fmt.Errorf("%w: the leadership is suspended", ErrNotSent)
+var errSuspended = fmt.Errorf("%w: the leadership was suspended", ErrNotSent)
 
 // Suspend tells the scheduler that the leadership is suspended, and returns the number of the
 // suspension. No start that was decided before is sent any more.
@@ -53,10 +53,10 @@
 	return ErrNotLeading
 }
 
-// checkSuspensions returns ErrNotSent if a start was decided before the leadership was last suspended.
+// checkSuspensions returns errSuspended if a start was decided before the leadership was last suspended.
 func (l *Leader) checkSuspensions(c hfplan.StartCmd) error {
 	if c.Suspensions() != l.suspensions.Load() {
-		return fmt.Errorf("%w: the leadership was suspended since it was decided", ErrNotSent)
+		return fmt.Errorf("%w since it was decided", errSuspended)
 	}
 	return nil
 }
--- a/hforder/suspend_test.go
+++ b/hforder/suspend_test.go
@@ -1,6 +1,7 @@
 package hforder
 
 import (
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -96,6 +97,10 @@
 	require.ErrorIs(t, l.checkSuspensions(hfplan.StartCmd{}), ErrNotSent)
 	l.Resume(1)
 	require.ErrorIs(t, l.checkSuspensions(hfplan.StartCmd{}), ErrNotSent)
+	d := &dispatcher{leader: l}
+	require.Equal(t, hfplan.OutcomeNotSent, d.outcome(l.checkSuspensions(hfplan.StartCmd{})))
+	require.Equal(t, hfplan.OutcomeNotSent, d.outcome(fmt.Errorf("order: %w", errSuspended)))
+	require.Equal(t, hfplan.OutcomeUnknown, d.stopOutcome(errSuspended, ""), "the run may be there")
 }
 
 func TestSuspendedLeaderEndsWithItsTenure(t *testing.T) {
--- a/hfplan/message.go
+++ b/hfplan/message.go
@@ -118,6 +118,7 @@
 	OutcomeRefused         // the order had no effect; for a stop: the run is certainly not on the worker
 	OutcomeStale           // the worker already knows this or a later run of the task
 	OutcomeUnknown         // no answer; the order may take effect now or later
+	OutcomeNotSent         // the leadership was suspended before the order was sent, which says nothing about the worker
 )
 
 // StartedMsg carries the answer to a StartCmd.
--- a/hfplan/run.go
+++ b/hfplan/run.go
@@ -72,6 +72,8 @@
 			s.refuse(r, now)
 		}
 		s.finishRun(r, hfwork.Stopped, "", "worker refused the start", now)
+	case OutcomeNotSent:
+		s.finishRun(r, hfwork.Stopped, "", "start was not sent", now)
 	}
 }
 
--- a/hfplan/suspend_test.go
+++ b/hfplan/suspend_test.go
@@ -87,3 +87,31 @@
 	require.Len(t, d.stores, 1)
 	require.Equal(t, hfwork.StateCompleted, d.stores[0].Records()["a"].GetState())
 }
+
+// Starts that were queued when the suspension began counted as refused by their workers: they lost their
+// tickets, and their workers got nothing for a while after the resumption.
+func TestStartThatSuspensionHeldBackIsNoRefusal(t *testing.T) {
+	for name, resumedFirst := range map[string]bool{"told before the resumption": false, "told after it": true} {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t, 1, "w")
+			d.report("w")
+			d.store()
+			d.submit("a", deskStep(1))
+			d.store()
+			c := d.takeStarts()[0]
+			d.s.jobs["a"].group(0, 0).tickets = map[string]ticket{"w": {value: "permit"}}
+			d.send(Suspend(1))
+			if resumedFirst {
+				d.send(Resume(1))
+			}
+			d.send(Started(c, OutcomeNotSent))
+			d.send(Resume(1))
+			require.Contains(t, d.s.jobs["a"].group(0, 0).tickets, "w")
+			d.store()
+			starts := d.takeStarts()
+			require.Len(t, starts, 1)
+			require.Equal(t, "w", starts[0].Worker())
+			require.Greater(t, starts[0].Number(), c.Number())
+		})
+	}
+}
