Revoke the lease of a pending write of the lead key

Cause: if a leadership ended while it was not known whether the lead key had been written again, only its earlier lease was revoked. A write that took effect afterwards kept the others from leading for up to 1.6 s.

Change: once the leadership has ended, the lease of the pending write is revoked, too.

Result: TestLeaseOfPendingClaimIsRevokedAtTheEnd, which fails without the revocation, passes.

--- a/hfentry/leader.go
+++ b/hfentry/leader.go
@@ -110,9 +110,7 @@
 		return fmt.Errorf("claim leadership: %w", err)
 	}
 	l := newLeadership(n, tenure)
-	err = hflease.HoldResumable(ctx, n.store, tenure, lease, ttl, l, func(ctx context.Context) error {
-		return n.runLeader(ctx, l)
-	})
+	err = l.hold(ctx, lease, ttl, func(ctx context.Context) error { return n.runLeader(ctx, l) })
 	if err != nil {
 		return fmt.Errorf("leadership of epoch %d: %w", tenure.Epoch(), err)
 	}
--- a/hfentry/suspension.go
+++ b/hfentry/suspension.go
@@ -71,6 +71,21 @@
 	l.tenure.AllowSuspension()
 }
 
+// hold renews the lease of the leadership while work runs. It returns after work has returned.
+func (l *leadership) hold(ctx context.Context, lease string, ttl time.Duration, work func(context.Context) error) error {
+	err := hflease.HoldResumable(ctx, l.node.store, l.tenure, lease, ttl, l, work)
+	if l.claim != nil {
+		// The write of the lead key may still take effect, after which nobody could lead until the lease expires.
+		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
+		defer cancel()
+		_ = l.node.store.Revoke(call, l.claim.lease) // on failure the lease expires after its TTL
+	}
+	if err != nil {
+		return fmt.Errorf("hold leadership: %w", err)
+	}
+	return nil
+}
+
 // Suspended implements hflease.Resumer.
 func (l *leadership) Suspended() {
 	l.number, l.suspended = l.leader.Suspend(), hflease.Now()
@@ -116,7 +131,6 @@
 	batch := (&hfstore.Batch{}).Require(leadKey, 0).Put(leadKey, l.claim.value, l.claim.lease)
 	epoch, err := l.writer.writeVersion(ctx, batch)
 	if errors.Is(err, hfstore.ErrConflict) {
-		_ = l.node.store.Revoke(ctx, l.claim.lease) // on failure the lease expires after its TTL
 		return hflease.Reacquired{}, fmt.Errorf("write lead key: %w: %w", hflease.ErrSuperseded, err)
 	}
 	if err != nil {
--- a/hfentry/suspension_test.go
+++ b/hfentry/suspension_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -25,6 +26,7 @@
 	*fakeStore
 	away, lapsed atomic.Bool
 	granted      atomic.Int32
+	revoked      sync.Map
 }
 
 func (s *outageStore) Get(ctx context.Context, key string) (hfstore.Item, error) {
@@ -64,7 +66,10 @@
 	return nil
 }
 
-func (s *outageStore) Revoke(context.Context, string) error { return nil }
+func (s *outageStore) Revoke(_ context.Context, lease string) error {
+	s.revoked.Store(lease, true)
+	return nil
+}
 
 // end makes the store answer again. The leader's lease has lapsed if lapse is set.
 func (s *outageStore) end(t *testing.T, lapse bool) {
@@ -176,6 +181,21 @@
 	}
 }
 
+// The leadership ended before it was known whether the lead key had been written. The write took effect
+// afterwards, and nobody could lead until its lease had expired.
+func TestLeaseOfPendingClaimIsRevokedAtTheEnd(t *testing.T) {
+	l, s := newSuspendedLeadership(t)
+	s.end(t, true)
+	s.lostAnswers = 1
+	_, err := l.Reacquire(t.Context())
+	require.Error(t, err)
+	require.NoError(t, l.hold(t.Context(), "1", time.Minute, func(context.Context) error { return nil }))
+	for _, lease := range []string{"1", "2"} {
+		_, revoked := s.revoked.Load(lease)
+		require.True(t, revoked, "lease %s", lease)
+	}
+}
+
 func reacquireWithRetry(t *testing.T, l *leadership) {
 	t.Helper()
 	var err error
