Drop a list that a watch has overtaken

Cause: after an outage a list beside the watches was applied also if a watch had brought later events meanwhile. It brought back what they had removed: an evacuated domain, a worker that had left, an instance.

Change: under the mirror's lock, a list or events read beside a watch are dropped if the watch has applied a higher revision, and the resumption waits until the scheduler was told of that one.

Result: TestListThatAWatchHasOvertakenBringsNothingBack and TestRecordsThatAWatchHasOvertakenAreNotApplied, which failed before, pass.

--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -108,6 +108,7 @@
 	lastWrites        map[string]entryWrite // of the workers' entries, including invalid ones
 	leftWorkers       map[string]bool       // workers in the roster that have left as planned; see hasLeft
 	workerRevision    int64                 // all events of the workers' entries up to this store revision are applied
+	policyRevision    int64                 // all events of what operators write up to this store revision are applied
 	departuresFrom    int64                 // departures are reported once workerRevision has reached this store revision
 	writtenAfter      time.Time             // the items that are applied next were written after this time; zero if unknown
 	receivedAt        time.Time             // when the items that are applied next were received, on a clock that never stops or jumps
@@ -196,6 +197,8 @@
 	switch prefix {
 	case recordPrefix:
 		m.appliedRevision = max(m.appliedRevision, revision)
+	case m.formats.PolicyPrefix():
+		m.policyRevision = max(m.policyRevision, revision)
 	case m.formats.WorkerPrefix():
 		withheld := m.workerRevision < m.departuresFrom
 		m.workerRevision = max(m.workerRevision, revision)
@@ -206,6 +209,19 @@
 	return nil
 }
 
+// watchedRevision returns the store revision up to which all events below the prefix of a watch are applied.
+func (m *Mirror) watchedRevision(prefix string) int64 {
+	switch prefix {
+	case recordPrefix:
+		return m.appliedRevision
+	case m.formats.PolicyPrefix():
+		return m.policyRevision
+	case m.formats.WorkerPrefix():
+		return m.workerRevision
+	}
+	return 0
+}
+
 // departures returns a change for each worker that has left.
 func (m *Mirror) departures() []change {
 	var changes []change
--- a/hfentry/suspension.go
+++ b/hfentry/suspension.go
@@ -217,19 +217,29 @@
 }
 
 // readAgain lists prefixes beside their watches, and applies what the mirror lacks. Removals are left to
-// the watches.
+// the watches, and a list that a watch has overtaken is dropped: it may hold what was removed since.
 func (n *Node) readAgain(ctx context.Context, watches ...*prefixWatch) error {
 	for _, w := range watches {
 		sent := hflease.Now()
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
-		items, _, err := n.store.List(call, w.prefix)
+		items, revision, err := n.store.List(call, w.prefix)
 		cancel()
 		n.health.Record(err, time.Now())
 		if err != nil {
 			return fmt.Errorf("list %s: %w", w.prefix, err)
 		}
 		receivedAt := hflease.Now()
-		n.notify(hfloop.With(n.mirror, func(m *Mirror) []change { return m.applyUnwatched(receivedAt, m.withoutKnown(items)...) }))
+		changes, watched := hfloop.With2(n.mirror, func(m *Mirror) ([]change, int64) {
+			watched := m.watchedRevision(w.prefix)
+			if watched > revision {
+				return nil, watched
+			}
+			return m.applyUnwatched(receivedAt, m.withoutKnown(items)...), watched
+		})
+		n.notify(changes)
+		if err := n.awaitNotified(ctx, w, watched); err != nil {
+			return fmt.Errorf("list %s: %w", w.prefix, err)
+		}
 		n.confirm(w, sent, confirmedByList)
 	}
 	return nil
@@ -248,7 +258,8 @@
 }
 
 // readRecords passes all our records up to a store revision to the scheduler. It reads their events beside
-// the watch, which may wait for an answer that was lost in the outage, and else waits for that.
+// the watch, which may wait for an answer that was lost in the outage, and else waits for that. Events that the
+// watch has overtaken are dropped.
 func (n *Node) readRecords(ctx context.Context, revision int64) error {
 	for after := n.recordWatch.notifiedRevision.Load(); after < revision; {
 		call, cancel := context.WithTimeout(ctx, eventsTimeout)
@@ -256,22 +267,35 @@
 		cancel()
 		unreadable := slices.ContainsFunc(items, func(i hfstore.Item) bool { return i.Err() != nil })
 		if err != nil || unreadable || next <= after {
-			return n.awaitNotified(ctx, revision)
+			return n.awaitNotified(ctx, &n.recordWatch, revision)
 		}
 		// The watch alone tells who leads, as it brings these events once more.
 		items = slices.DeleteFunc(items, func(i hfstore.Item) bool { return i.Key() == leadKey })
 		receivedAt := hflease.Now()
-		n.notify(hfloop.With(n.mirror, func(m *Mirror) []change { return m.applyUnwatched(receivedAt, items...) }))
+		changes, overtaken := hfloop.With2(n.mirror, func(m *Mirror) ([]change, int64) {
+			if watched := m.watchedRevision(recordPrefix); watched > after {
+				return nil, watched
+			}
+			return m.applyUnwatched(receivedAt, items...), 0
+		})
+		if overtaken > 0 {
+			if err := n.awaitNotified(ctx, &n.recordWatch, overtaken); err != nil {
+				return err
+			}
+			after = overtaken
+			continue
+		}
+		n.notify(changes)
 		after = next
 	}
 	return nil
 }
 
-// awaitNotified waits until the scheduler was told of all our records up to a store revision.
-func (n *Node) awaitNotified(ctx context.Context, revision int64) error {
-	for n.recordWatch.notifiedRevision.Load() < revision {
+// awaitNotified waits until the scheduler was told of all events of a watch up to a store revision.
+func (n *Node) awaitNotified(ctx context.Context, w *prefixWatch, revision int64) error {
+	for w.notifiedRevision.Load() < revision {
 		if !hfloop.Sleep(ctx, catchUpPause) {
-			return fmt.Errorf("await records: %w", ctx.Err())
+			return fmt.Errorf("await events: %w", ctx.Err())
 		}
 	}
 	return nil
--- a/hfentry/suspension_test.go
+++ b/hfentry/suspension_test.go
@@ -377,3 +377,62 @@
 	require.True(t, n.cachedJob("a").cancelled)
 	require.NotNil(t, n.cachedJob("e"))
 }
+
+// overtakenStore has a watch apply events between a read and its use.
+type overtakenStore struct {
+	*fakeStore
+	overtake func()
+}
+
+func (s *overtakenStore) List(ctx context.Context, prefix string) ([]hfstore.Item, int64, error) {
+	items, revision, err := s.fakeStore.List(ctx, prefix)
+	s.overtake()
+	return items, revision, err
+}
+
+func (s *overtakenStore) Watch(ctx context.Context, prefix string, after int64) ([]hfstore.Item, int64, error) {
+	items, revision, err := eventStore{s.fakeStore}.Watch(ctx, prefix, after)
+	s.overtake()
+	return items, revision, err
+}
+
+// A domain stayed evacuated after operators had taken it back, and a worker that had left came back, as a list
+// beside the watch was applied after the watch had brought their removals.
+func TestListThatAWatchHasOvertakenBringsNothingBack(t *testing.T) {
+	s := newFakeStore()
+	n := newTakeoverNode(t, s, newIdleMinions(), "v", "w")
+	n.health = NewStoreHealth(func(bool, time.Duration) {})
+	_, err := s.Put(t.Context(), "op/evacuate/north", []byte("{}"), 0, "")
+	require.NoError(t, err)
+	catchUp(t, n, s, &n.policyWatch)
+	require.Contains(t, hfloop.With(n.mirror, func(m *Mirror) map[string]bool { return m.evacuated }), "north")
+	remove := func(w *prefixWatch, key string) {
+		revision, err := s.Commit(t.Context(), (&hfstore.Batch{}).Remove(key))
+		require.NoError(t, err)
+		n.applyEvents(w, []hfstore.Item{hfstore.NewItem(key, nil, revision, true)}, revision, hflease.Now())
+	}
+	for w, key := range map[*prefixWatch]string{&n.policyWatch: "op/evacuate/north", &n.workerWatch: "workers/v"} {
+		n.store = &overtakenStore{fakeStore: s, overtake: func() { remove(w, key) }}
+		require.NoError(t, n.readAgain(t.Context(), w))
+	}
+	hfloop.With(n.mirror, func(m *Mirror) struct{} {
+		require.Empty(t, m.evacuated)
+		require.NotContains(t, m.workers, "v")
+		require.Contains(t, m.workers, "w")
+		return struct{}{}
+	})
+}
+
+func TestRecordsThatAWatchHasOvertakenAreNotApplied(t *testing.T) {
+	s := newFakeStore()
+	n := newTakeoverNode(t, s, newIdleMinions(), "w")
+	revision, err := s.Put(t.Context(), peerPrefix+"gone", newItem(t, "", 0, &hfwork.Instance{Domain: "north"}).Value(), 0, "")
+	require.NoError(t, err)
+	n.store = &overtakenStore{fakeStore: s, overtake: func() {
+		if removed, err := s.Commit(t.Context(), (&hfstore.Batch{}).Remove(peerPrefix+"gone")); err == nil {
+			n.applyEvents(&n.recordWatch, []hfstore.Item{hfstore.NewItem(peerPrefix+"gone", nil, removed, true)}, removed, hflease.Now())
+		}
+	}}
+	require.NoError(t, n.readRecords(t.Context(), revision))
+	require.NotContains(t, hfloop.With(n.mirror, func(m *Mirror) map[string]*hfwork.Instance { return m.instances }), "gone")
+}
