--- a/hfentry/freshness.go
+++ b/hfentry/freshness.go
@@ -44,17 +44,24 @@
 // AdmitChange admits a call that changes something, like Admit. It fails with ErrNotDone if the
 // configuration is too old and cannot be confirmed.
 func (n *Node) AdmitChange(ctx context.Context, host, path, key string) (Access, error) {
+	var holdUntil time.Time
 	err := n.ConfirmPolicy(ctx)
 	if errors.Is(err, ErrNotDone) {
 		// The earlier configuration tells how urgent the call is.
 		if a, admitErr := n.Admit(host, path, key); admitErr == nil {
-			err = n.hold(ctx, a.queue, 0, 0, err, func() error { return n.ConfirmPolicy(ctx) })
+			now := time.Now()
+			deadline, _ := ctx.Deadline()
+			c := newOutageCaller(a.queue, 0, deadline, now)
+			holdUntil = c.holdUntil(now)
+			err = n.hold(ctx, c, holdUntil, 0, err, func() error { return n.ConfirmPolicy(ctx) })
 		}
 	}
 	if err != nil {
 		return Access{}, fmt.Errorf("admit: %w", err)
 	}
-	return n.Admit(host, path, key)
+	a, err := n.Admit(host, path, key)
+	a.holdUntil = holdUntil
+	return a, err
 }
 
 // AdmitRead admits a call that changes nothing, like Admit. While the configuration is too old and
--- a/hfentry/jobs.go
+++ b/hfentry/jobs.go
@@ -55,6 +55,9 @@
 	account string // "" if the queue is open and the request has no key
 	rest    string // path after the queue's prefix
 	policy  int64  // version of the configuration that admitted the request
+	// holdUntil is until when the request may be held while the store does not answer; zero unless it was held
+	// as it was admitted.
+	holdUntil time.Time
 }
 
 // NewAccess returns the access to a queue for a caller of an account. rest is the path after the
@@ -130,7 +133,13 @@
 	withdrawn := withdrawalKey(job.GetId(), &hfwork.Withdrawal{Queue: job.GetQueue(), Account: job.GetAccount()})
 	stored, err := n.createKey(ctx, jobPrefix+job.GetId(), value, withdrawn)
 	if errors.Is(err, ErrNotDone) {
-		err = n.hold(ctx, a.queue, longestEstimate(job), int64(len(value)), err, func() error {
+		now := time.Now()
+		deadline, _ := ctx.Deadline()
+		c, until := newOutageCaller(a.queue, longestEstimate(job), deadline, now), a.holdUntil
+		if until.IsZero() {
+			until = c.holdUntil(now)
+		}
+		err = n.hold(ctx, c, until, int64(len(value)), err, func() error {
 			var err error
 			stored, err = n.createKey(ctx, jobPrefix+job.GetId(), value, withdrawn)
 			return err
--- a/hfentry/outage.go
+++ b/hfentry/outage.go
@@ -111,15 +111,13 @@
 
 func (r *holdingRoom) leave(size int64) { r.calls, r.bytes = r.calls-1, r.bytes-size }
 
-// hold repeats a call that failed with ErrNotDone when the store answers again, if it does soon. It fails
-// with an OutageError otherwise.
-func (n *Node) hold(ctx context.Context, q *hfwork.Queue, estimate time.Duration, size int64, cause error, call func() error) error {
-	deadline, _ := ctx.Deadline()
-	c := newOutageCaller(q, estimate, deadline, time.Now())
+// hold repeats a call that failed with ErrNotDone when the store answers again, if it does so by until. It
+// fails with an OutageError otherwise.
+func (n *Node) hold(ctx context.Context, c outageCaller, until time.Time, size int64, cause error, call func() error) error {
 	err := cause
 	if hfloop.With(n.held, func(r *holdingRoom) bool { return r.enter(size) }) {
 		metrics.GetOrRegisterCounter("outage.held", n.registry).Inc(1)
-		err = n.callWhenUp(ctx, c, cause, call)
+		err = n.callWhenUp(ctx, c, until, cause, call)
 		hfloop.With(n.held, func(r *holdingRoom) struct{} { r.leave(size); return struct{}{} })
 	}
 	if !errors.Is(err, ErrNotDone) {
@@ -130,10 +128,9 @@
 	return &OutageError{retryAt: now.Add(c.retryAfter(now, rand.Uint64())), cause: err}
 }
 
-// callWhenUp makes a call each time the store answers again, until it is done or has been held for long
-// enough.
-func (n *Node) callWhenUp(ctx context.Context, c outageCaller, cause error, call func() error) error {
-	ctx, cancel := context.WithDeadline(ctx, c.holdUntil(time.Now()))
+// callWhenUp makes a call each time the store answers again, until it is done or may be held no longer.
+func (n *Node) callWhenUp(ctx context.Context, c outageCaller, until time.Time, cause error, call func() error) error {
+	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	for err := cause; ; {
 		select {
--- a/hfentry/outage_test.go
+++ b/hfentry/outage_test.go
@@ -167,6 +167,31 @@
 	}
 }
 
+// A call that was held as it was admitted was held as long once more as its job was to be stored.
+func TestCallIsHeldOnceOnly(t *testing.T) {
+	n, s := newOutageNode(t)
+	n.formats, n.policyWatch = fakeFormats{}, prefixWatch{prefix: "op/"}
+	n.policyWatch.synced.Store(true)
+	n.applyItem(newItem(t, "op/policy", 1, &hfwork.Policy{Queues: []*hfwork.Queue{{Name: "q", Open: true, Prefix: "/q/", Host: "h"}}}))
+	began := time.Now()
+	var group errgroup.Group
+	group.Go(func() error {
+		time.Sleep(500 * time.Millisecond)
+		s.away.Store(false)
+		return n.probe(t.Context(), time.Second)
+	})
+	a, err := n.AdmitChange(t.Context(), "h", "/q/"+endedJob, "")
+	require.NoError(t, err)
+	require.NoError(t, group.Wait())
+	s.away.Store(true)
+	for range maxFailures {
+		_ = n.probe(t.Context(), time.Second)
+	}
+	job := &hfwork.Job{Id: endedJob, Steps: []*hfwork.Step{{Count: 1, Cpu: 1, Memory: 1, Estimate: 2500}}}
+	require.ErrorIs(t, n.Submit(t.Context(), a, job), ErrNotDone)
+	require.Less(t, time.Since(began), maxHold)
+}
+
 // A held call must not outlast a planned stop.
 func TestPlannedStopEndsHold(t *testing.T) {
 	n, _ := newOutageNode(t)
