Bound the wait for an earlier batch as the lead key is written again

Cause: an attempt to lead again waited for the batch under way without regard to its own bound of 2 s. Both together could exceed 3 s, which counts as a freeze of the process and ends the leadership.

Change: the writer's lock is taken with the context of the call.

Result: TestAttemptToLeadAgainIsBounded passes; it does not end where the context is ignored.

--- a/hfentry/fenced_writer.go
+++ b/hfentry/fenced_writer.go
@@ -5,7 +5,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
+
+	"golang.org/x/sync/semaphore"
 
 	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hfplan"
@@ -21,10 +22,10 @@
 type fencedWriter struct {
 	store    hfstore.Committer
 	formats  Formats
-	mu       sync.Mutex   // held while a batch is written; guards the next three
-	head     *hfwork.Lead // value of termKey; its nonce differs for every batch
-	sequence int64        // number of batches, which serves as the nonce
-	version  int64        // store revision of the last batch that took effect
+	writing  *semaphore.Weighted // held while a batch is written; guards the next three
+	head     *hfwork.Lead        // value of termKey; its nonce differs for every batch
+	sequence int64               // number of batches, which serves as the nonce
+	version  int64               // store revision of the last batch that took effect
 	layout   *recordLayout
 	splits   func() bool // whether all instances read the records of this release
 	// split is whether the records of the command that is being saved are split. It is decided
@@ -41,7 +42,7 @@
 		return &hfwork.Lead{Instance: fmt.Sprintf("%s/%d", n.name, epoch), Term: m.term + 1}
 	})
 	f := &fencedWriter{
-		store: n.store, formats: n.formats, head: head, layout: newRecordLayout(),
+		store: n.store, formats: n.formats, writing: semaphore.NewWeighted(1), head: head, layout: newRecordLayout(),
 		splits:   func() bool { return hfloop.With(n.mirror, (*Mirror).readsSplit) },
 		rejected: map[string][]byte{}, onReject: n.recordRejected,
 	}
@@ -175,15 +176,17 @@
 
 // writeVersion is write, and returns the store revision of the batch.
 func (f *fencedWriter) writeVersion(ctx context.Context, b *hfstore.Batch) (int64, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	if err := f.writing.Acquire(ctx, 1); err != nil {
+		return 0, fmt.Errorf("await earlier batch: %w", err)
+	}
+	defer f.writing.Release(1)
 	if err := f.commit(ctx, b); err != nil {
 		return 0, err
 	}
 	return f.version, nil
 }
 
-// commit is write. f.mu is held.
+// commit is write. f.writing is held.
 func (f *fencedWriter) commit(ctx context.Context, b *hfstore.Batch) error {
 	f.sequence++
 	f.head.Nonce = fmt.Sprint(f.sequence)
--- a/hfentry/suspension_test.go
+++ b/hfentry/suspension_test.go
@@ -196,6 +196,23 @@
 	}
 }
 
+// The wait for a batch that got no answer was not bounded by the time that one attempt may take. Together they
+// passed for a freeze of the process, which ends the leadership.
+func TestAttemptToLeadAgainIsBounded(t *testing.T) {
+	l, s := newSuspendedLeadership(t)
+	s.end(t, true)
+	require.NoError(t, l.writer.writing.Acquire(t.Context(), 1)) // a batch is under way
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	_, err := l.Reacquire(ctx)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.NotErrorIs(t, err, hflease.ErrSuperseded)
+	require.Less(t, time.Since(began), time.Second)
+	l.writer.writing.Release(1)
+	reacquireWithRetry(t, l)
+}
+
 func reacquireWithRetry(t *testing.T, l *leadership) {
 	t.Helper()
 	var err error
