Test that quiet instances share the read before a write

Cause: where the store had not answered for 0.3 s, each submission sent a read of its own first.

The read is not left out while nothing fails, as the review proposes: then the first submission at each quiet instance would be sent to a silent store, and get 504 (TestNoWriteIsSentToASilentStore).

--- a/hfentry/outage_test.go
+++ b/hfentry/outage_test.go
@@ -266,3 +266,31 @@
 		})
 	}
 }
+
+// Each of the submissions that came together at a quiet instance sent a read of its own first.
+func TestSubmissionsAtAQuietInstanceShareOneRead(t *testing.T) {
+	s := &slowStore{fakeStore: newFakeStore(), delay: 100 * time.Millisecond}
+	s.lost.Store(true) // all are answered
+	n := newTestNode("one")
+	n.store, n.health = s, NewStoreHealth(func(bool, time.Duration) {})
+	var group errgroup.Group
+	for range 20 {
+		group.Go(func() error { return n.knock(t.Context()) })
+	}
+	require.NoError(t, group.Wait())
+	require.Equal(t, int32(1), s.reads.Load())
+	require.NoError(t, n.knock(t.Context()))
+	require.Equal(t, int32(1), s.reads.Load(), "the store has just answered")
+}
+
+// Callers must not go on waiting for a shared read whose answer was lost.
+func TestReadThatWasLostIsSentAgain(t *testing.T) {
+	s := &slowStore{fakeStore: newFakeStore(), delay: time.Minute}
+	s.lost.Store(true)
+	n := newTestNode("one")
+	n.store, n.health = s, NewStoreHealth(func(bool, time.Duration) {})
+	for reads := range int32(2) {
+		require.ErrorIs(t, n.knock(t.Context()), ErrNotDone)
+		require.Equal(t, reads+1, s.reads.Load())
+	}
+}
