--- a/hfentry/accounts.go
+++ b/hfentry/accounts.go
@@ -66,7 +66,8 @@
 
 // policyMsg returns the message with the configuration, of which there has to be one.
 func (m *Mirror) policyMsg() hfplan.PolicyMsg {
-	return hfplan.Policy(m.policy.config).WithAccounts(m.accounts.history)
+	m.policyMsgs++
+	return hfplan.Policy(m.policy.config).WithAccounts(m.accounts.history).WithSequence(m.policyMsgs)
 }
 
 // owns reports whether a caller may see and cancel a job: it was submitted without an account, or the
--- a/hfentry/ended.go
+++ b/hfentry/ended.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -42,19 +43,28 @@
 )
 
 // keepEnded keeps in mind that jobs have completed, as the leader of an epoch tells, and shows them if show is
-// set. It reports false if there was a later leader: that one does not know of them.
+// set. It reports false if there was a later leader, which does not know of them, or if a job is not known here:
+// it was removed since, or this instance has not read it yet.
 func (m *Mirror) keepEnded(jobs []string, epoch int64, show bool) bool {
 	if epoch < m.leadEpoch {
 		return false
 	}
 	m.leadEpoch = epoch
+	all := true
 	for _, id := range jobs {
-		if hfwork.IsValidID(id) {
-			r := m.jobRecord(id)
-			r.told, r.shown = true, r.shown || show
+		r := m.jobs[id]
+		if r == nil {
+			all = false
+			continue
 		}
+		r.told, r.shown = true, r.shown || show
 	}
-	return true
+	return all
+}
+
+// notShown returns the jobs that are not shown as completed yet.
+func (m *Mirror) notShown(jobs []string) []string {
+	return slices.DeleteFunc(slices.Clone(jobs), func(id string) bool { r := m.jobs[id]; return r != nil && r.shown })
 }
 
 // endedJobsTold lists the jobs that have completed before that is stored. The leaders before the epoch tell
@@ -123,6 +133,10 @@
 	if leader == nil {
 		return
 	}
+	jobs = hfloop.With(n.mirror, func(m *Mirror) []string { return m.notShown(jobs) })
+	if len(jobs) == 0 {
+		return // told before
+	}
 	epoch, others := leader.Epoch(), n.otherInstances()
 	if !hfloop.With(n.mirror, func(m *Mirror) bool { return m.keepEnded(jobs, epoch, false) }) {
 		return
--- a/hfentry/ended_test.go
+++ b/hfentry/ended_test.go
@@ -184,3 +184,21 @@
 	require.Less(t, time.Since(began), endedAskTimeout*3/2)
 	require.True(t, hfloop.With(n.mirror, func(m *Mirror) bool { return !m.keepEnded(nil, 8, false) }), "it listens to no earlier leader")
 }
+
+// Hints of jobs that had been removed left records that were never removed.
+func TestUnknownJobIsNotKeptInMind(t *testing.T) {
+	m := NewMirror(fakeFormats{}, time.Second)
+	m.Apply(newItem(t, jobPrefix+endedJob, 3, &hfwork.Job{Id: endedJob, Queue: "q"}))
+	require.False(t, m.keepEnded([]string{otherJob, endedJob}, 5, true))
+	require.NotContains(t, m.jobs, otherJob)
+	require.Equal(t, hfwork.StateCompleted, m.jobs[endedJob].state())
+}
+
+func TestShownJobIsNotToldAgain(t *testing.T) {
+	leader, others := newEndedNodes(t, []string{"a", "b"})
+	leader.tellEnded(t.Context(), []string{endedJob})
+	require.True(t, leader.cachedJob(endedJob).shown)
+	hfloop.With(others[0].mirror, func(m *Mirror) bool { m.jobs[endedJob].shown = false; return true })
+	leader.tellEnded(t.Context(), []string{endedJob})
+	require.False(t, others[0].cachedJob(endedJob).shown)
+}
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -98,7 +98,8 @@
 type Mirror struct {
 	formats           Formats
 	policy            *policyIndex
-	policyVersion     int64 // store revision of the configuration
+	policyVersion     int64  // store revision of the configuration
+	policyMsgs        uint64 // number of messages with the configuration that were built
 	accounts          accounts
 	pools             map[string]bool // that a configuration has named; kept after the pool is removed
 	jobs              map[string]*jobRecord
--- a/hfentry/outage.go
+++ b/hfentry/outage.go
@@ -20,7 +20,8 @@
 	// carried out the moment the store answers, and nothing was sent for it before.
 	maxHold       = time.Second
 	holdShare     = 4                      // divisor of the time that the caller still waits, which a hold may take
-	releaseSpread = 200 * time.Millisecond // within which less urgent calls go on when the store answers
+	urgentFirst   = 50 * time.Millisecond  // for which urgent calls go on alone when the store answers
+	releaseSpread = 200 * time.Millisecond // within which less urgent calls go on after that
 	retryHeldWait = 50 * time.Millisecond  // between two tries of a held call
 	maxHeld       = 256                    // calls that are held at the same time
 	maxHeldBytes  = 4 << 20                // of the jobs in them
@@ -141,7 +142,7 @@
 		case <-n.health.Answered():
 		}
 		if !c.urgent {
-			hfloop.Sleep(ctx, rand.N(releaseSpread))
+			hfloop.Sleep(ctx, urgentFirst+rand.N(releaseSpread))
 		}
 		if err = call(); !errors.Is(err, ErrNotDone) || !hfloop.Sleep(ctx, retryHeldWait) {
 			return err
@@ -161,7 +162,7 @@
 	probe := n.probes.DoChan("", func() (any, error) { return nil, n.probe(ctx, storeTimeout) })
 	select {
 	case <-time.After(knockTimeout): // the store may be slow; its answer is still awaited
-		n.probes.Forget("")           // or it was lost, and the next caller sends another
+		n.probes.Forget("") // or it was lost, and the next caller sends another
 		return ErrNotDone
 	case r := <-probe:
 		if r.Err != nil {
--- a/hfentry/outage_test.go
+++ b/hfentry/outage_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -294,3 +296,38 @@
 		require.Equal(t, reads+1, s.reads.Load())
 	}
 }
+
+// All held calls went on together when the store answered, urgent ones among 256.
+func TestUrgentCallsGoOnFirst(t *testing.T) {
+	n, s := newOutageNode(t)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	until := time.Now().Add(maxHold)
+	var mu sync.Mutex
+	var order []uint32
+	var others time.Time // when the first of the less urgent calls went on
+	var group errgroup.Group
+	for i := range 40 {
+		q := batchQueue
+		if i%4 == 0 {
+			q = urgentQueue
+		}
+		group.Go(func() error {
+			return n.hold(ctx, newOutageCaller(q, time.Second, until, time.Now()), until, 1, ErrNotDone, func() error {
+				mu.Lock()
+				defer mu.Unlock()
+				if order = append(order, q.GetPriority()); q == batchQueue && others.IsZero() {
+					others = time.Now()
+				}
+				return nil
+			})
+		})
+	}
+	time.Sleep(50 * time.Millisecond)
+	s.away.Store(false)
+	answered := time.Now()
+	require.NoError(t, n.probe(t.Context(), time.Second))
+	require.NoError(t, group.Wait())
+	require.True(t, slices.IsSorted(order), "%v", order)
+	require.GreaterOrEqual(t, others.Sub(answered), urgentFirst)
+}
--- a/hforder/leader.go
+++ b/hforder/leader.go
@@ -337,7 +337,11 @@
 
 // startUpkeep asks the platform to take a machine down for its upkeep.
 func (l *Leader) startUpkeep(ctx context.Context, c hfplan.UpkeepCmd) {
-	if err := l.checkLeading(); err != nil {
+	err := l.checkLeading()
+	if err == nil {
+		err = l.checkSuspensions(c)
+	}
+	if err != nil {
 		if errors.Is(err, ErrNotSent) {
 			l.Send(hfplan.UpkeepStarted(c, hfplan.OutcomeRefused))
 		}
@@ -346,7 +350,7 @@
 	sent := time.Now()
 	call, cancel := context.WithTimeout(ctx, machinesTimeout)
 	defer cancel()
-	err := l.machines.Upkeep(call, c.Machine(), c.Wave(), l.name, l.tenure.Epoch())
+	err = l.machines.Upkeep(call, c.Machine(), c.Wave(), l.name, l.tenure.Epoch())
 	l.observer.OrderFinished("upkeep", hfwork.TaskID{}, c.Wave(), c.Machine(), sent, err)
 	switch {
 	case err == nil:
--- a/hforder/suspend.go
+++ b/hforder/suspend.go
@@ -53,8 +53,11 @@
 	return ErrNotLeading
 }
 
-// checkSuspensions returns errSuspended if a start was decided before the leadership was last suspended.
-func (l *Leader) checkSuspensions(c hfplan.StartCmd) error {
+// decidedCmd is a command that must not be carried out after a suspension that it was decided before.
+type decidedCmd interface{ Suspensions() uint64 }
+
+// checkSuspensions returns errSuspended if a command was decided before the leadership was last suspended.
+func (l *Leader) checkSuspensions(c decidedCmd) error {
 	if c.Suspensions() != l.suspensions.Load() {
 		return fmt.Errorf("%w since it was decided", errSuspended)
 	}
--- a/hforder/suspend_test.go
+++ b/hforder/suspend_test.go
@@ -1,6 +1,7 @@
 package hforder
 
 import (
+	"context"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -148,3 +149,25 @@
 	require.Eventually(t, func() bool { return len(m.lastPolls(from)) >= 2 }, 5*time.Second, time.Millisecond)
 	require.Less(t, time.Since(began), ackTimeout)
 }
+
+// countingMachines counts the machines that are taken down.
+type countingMachines struct {
+	fakeServices
+	taken int
+}
+
+func (m *countingMachines) Upkeep(context.Context, string, int64, string, int64) error {
+	m.taken++
+	return nil
+}
+
+// Operators may have taken a wave back, and workers may have begun to run something, since it was decided.
+func TestUpkeepDecidedBeforeSuspensionIsNotStarted(t *testing.T) {
+	m := &countingMachines{}
+	l := NewLeader(hfplan.New(1, hfplan.NewTiming(time.Second), time.Now()), newSwitchedTenure(), &fakeMinions{}, fakeServices{}, m, "one", &fakeRecords{}, fakeServices{}, hfplan.NewTiming(time.Second))
+	l.startUpkeep(t.Context(), hfplan.UpkeepCmd{})
+	require.Equal(t, 1, m.taken)
+	l.Suspend()
+	l.startUpkeep(t.Context(), hfplan.UpkeepCmd{})
+	require.Equal(t, 1, m.taken)
+}
--- a/hfplan/message.go
+++ b/hfplan/message.go
@@ -16,6 +16,7 @@
 type PolicyMsg struct {
 	policy   *hfwork.Policy
 	accounts hfwork.AccountHistory
+	sequence uint64
 }
 
 // Policy returns a PolicyMsg.
@@ -27,6 +28,13 @@
 	return m
 }
 
+// WithSequence returns a copy of the message with a number that rises with each message. A message that
+// arrives after a later one has no effect.
+func (m PolicyMsg) WithSequence(sequence uint64) PolicyMsg {
+	m.sequence = sequence
+	return m
+}
+
 // WorkersMsg carries the registered workers by id.
 type WorkersMsg struct {
 	workers map[string]*hfwork.Worker
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -70,9 +70,13 @@
 			s.releaseRun(r)
 		}
 	}
-	if !revoked || !g.gang() {
-		return
+	if revoked && g.gang() {
+		s.releaseAssigned(g)
 	}
+}
+
+// releaseAssigned releases all assigned runs.
+func (s *Scheduler) releaseAssigned(g *group) {
 	for i := range g.tasks {
 		if r := g.tasks[i].run; r != nil && r.phase == assigned {
 			s.releaseRun(r)
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -68,6 +68,7 @@
 	timing           Timing
 	runNumberBase    int64 // run numbers of this term are higher
 	policy           *hfwork.Policy
+	policySequence   uint64 // of the last PolicyMsg that had an effect
 	accounts         hfwork.AccountHistory
 	queues           map[string]*hfwork.Queue // by name; includes removed queues
 	resources        *hfplacement.Inventory
@@ -126,6 +127,10 @@
 func (s *Scheduler) Update(msg Msg, now time.Time) []Cmd {
 	switch m := msg.(type) {
 	case PolicyMsg:
+		if m.sequence < s.policySequence {
+			break
+		}
+		s.policySequence = m.sequence
 		s.accounts = m.accounts
 		s.setPolicy(m.policy)
 	case WorkerLeftMsg:
--- a/hfplan/suspend.go
+++ b/hfplan/suspend.go
@@ -35,11 +35,7 @@
 		return
 	}
 	for _, g := range s.groups {
-		for i := range g.tasks {
-			if r := g.tasks[i].run; r != nil && r.phase == assigned {
-				s.releaseRun(r)
-			}
-		}
+		s.releaseAssigned(g)
 	}
 	s.suspension.suspended, s.needsPass = false, true
 }
--- a/hfplan/suspend_test.go
+++ b/hfplan/suspend_test.go
@@ -115,3 +115,13 @@
 		})
 	}
 }
+
+// Messages are sent from several goroutines, so that an older one may arrive last.
+func TestOlderConfigurationHasNoEffect(t *testing.T) {
+	d := newDesk(t, 1, "w")
+	d.send(Policy(&hfwork.Policy{Version: 3}).WithSequence(3))
+	d.send(Policy(&hfwork.Policy{Version: 2}).WithSequence(2))
+	require.Equal(t, int64(3), d.s.policy.GetVersion())
+	d.send(Policy(&hfwork.Policy{Version: 1}).WithSequence(4))
+	require.Equal(t, int64(1), d.s.policy.GetVersion(), "operators went back")
+}
--- a/hfplan/unstored.go
+++ b/hfplan/unstored.go
@@ -13,6 +13,9 @@
 	// minHolders is how many workers have to list an end that is shown before it is stored, so that the loss
 	// of one does not lose it.
 	minHolders = 2
+	// retellInterval is when a job is told again that could not be shown, or may not have been. It is longer
+	// than one attempt takes.
+	retellInterval = 6 * time.Second
 )
 
 // heldEnd is the end of a task, or of a run of a gang, as done, which is not known to be stored. The workers
@@ -25,13 +28,13 @@
 // unstored keeps track of the ends that are not known to be stored.
 type unstored struct {
 	ends     map[string]map[hfwork.TaskID]*heldEnd // by job, and by task or first task of a gang
-	shown    map[string]bool                       // jobs of which a NoteEnded was emitted
+	shown    map[string]time.Time                  // when a NoteEnded was last emitted, by job
 	sequence uint64                                // of the StoreCmd in flight
 	since    time.Time                             // since when it has been in flight, by the ticks; zero if none is
 }
 
 func newUnstored() unstored {
-	return unstored{ends: map[string]map[hfwork.TaskID]*heldEnd{}, shown: map[string]bool{}}
+	return unstored{ends: map[string]map[hfwork.TaskID]*heldEnd{}, shown: map[string]time.Time{}}
 }
 
 // recordHolder records that a worker lists an end. t is its task, or nil if that is not loaded.
@@ -99,8 +102,11 @@
 		return
 	}
 	for _, id := range sortedKeys(u.ends) {
-		if j := s.jobs[id]; j != nil && j.state == hfwork.StateCompleted && !u.shown[id] && s.keepsEnds(id) {
-			u.shown[id] = true
+		if told, ok := u.shown[id]; ok && now.Sub(told) < retellInterval {
+			continue
+		}
+		if j := s.jobs[id]; j != nil && j.state == hfwork.StateCompleted && s.keepsEnds(id) {
+			u.shown[id] = now
 			s.emit(NoteCmd{note: NoteEnded, job: id})
 		}
 	}
--- a/hfplan/unstored_test.go
+++ b/hfplan/unstored_test.go
@@ -176,3 +176,21 @@
 	require.Empty(t, d.takeStarts())
 	require.Equal(t, hfwork.StateCompleted, d.s.jobs["a"].state)
 }
+
+// A job that could not be shown at the first attempt, as instances did not answer, was not told again.
+func TestJobIsToldAgainWhileItIsNotStored(t *testing.T) {
+	d, starts := startBeforeOutage(t, true)
+	for _, c := range starts {
+		d.reportEnds(c.Worker(), nil, d.endOf(c))
+	}
+	for range 20 {
+		d.advance(retellInterval / 10)
+		for _, c := range starts {
+			d.report(c.Worker())
+		}
+	}
+	require.Equal(t, []string{"a", "a"}, d.shownJobs())
+	d.store()
+	d.advance(2 * retellInterval)
+	require.Len(t, d.shownJobs(), 2)
+}
--- a/hfplan/upkeep.go
+++ b/hfplan/upkeep.go
@@ -48,8 +48,9 @@
 
 // UpkeepCmd asks the platform to take a machine down for its upkeep.
 type UpkeepCmd struct {
-	machine string
-	wave    int64
+	machine     string
+	wave        int64
+	suspensions uint64
 }
 
 // Machine returns the machine's name.
@@ -58,6 +59,9 @@
 // Wave returns the wave's number.
 func (c UpkeepCmd) Wave() int64 { return c.wave }
 
+// Suspensions returns how many times the leadership was suspended before the upkeep was decided.
+func (c UpkeepCmd) Suspensions() uint64 { return c.suspensions }
+
 // UpkeepStartedMsg carries the answer to an UpkeepCmd.
 type UpkeepStartedMsg struct {
 	machine string
@@ -235,12 +239,12 @@
 			if worker != nil {
 				worker.upkeepRequested = true
 			}
-			s.emit(UpkeepCmd{machine: name, wave: w.spec.GetNumber()})
+			s.emit(UpkeepCmd{machine: name, wave: w.spec.GetNumber(), suspensions: s.suspension.number})
 		}
 	case upkeepRequested:
 		if now.Sub(u.requestedAt) >= upkeepRetryInterval {
 			u.requestedAt = now
-			s.emit(UpkeepCmd{machine: name, wave: w.spec.GetNumber()})
+			s.emit(UpkeepCmd{machine: name, wave: w.spec.GetNumber(), suspensions: s.suspension.number})
 		}
 	case upkeepDown:
 		u.seenDown = u.seenDown || !m.GetUp()
