--- a/hfentry/outage.go
+++ b/hfentry/outage.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hfstore"
@@ -19,7 +20,8 @@
 	// carried out the moment the store answers, and nothing was sent for it before.
 	maxHold       = time.Second
 	holdShare     = 4                      // divisor of the time that the caller still waits, which a hold may take
-	releaseSpread = 200 * time.Millisecond // within which less urgent calls go on when the store answers
+	urgentFirst   = 50 * time.Millisecond  // for which urgent calls go on alone when the store answers
+	releaseSpread = 200 * time.Millisecond // within which less urgent calls go on after that
 	retryHeldWait = 50 * time.Millisecond  // between two tries of a held call
 	maxHeld       = 256                    // calls that are held at the same time
 	maxHeldBytes  = 4 << 20                // of the jobs in them
@@ -27,7 +29,7 @@
 	// knockAfter is the time since the last answer of the store from which on a read precedes a write.
 	// Only a write that was sent leaves its caller without a certain answer.
 	knockAfter   = 300 * time.Millisecond
-	knockTimeout = 600 * time.Millisecond // bounds that read
+	knockTimeout = 600 * time.Millisecond // for which a caller waits for that read
 
 	retryMargin   = 300 * time.Millisecond // of the caller's time that a repeated call needs at least
 	lastTry       = 350 * time.Millisecond // of the caller's time that is left to the last one
@@ -110,15 +112,13 @@
 
 func (r *holdingRoom) leave(size int64) { r.calls, r.bytes = r.calls-1, r.bytes-size }
 
-// hold repeats a call that failed with ErrNotDone when the store answers again, if it does soon. It fails
-// with an OutageError otherwise.
-func (n *Node) hold(ctx context.Context, q *hfwork.Queue, estimate time.Duration, size int64, cause error, call func() error) error {
-	deadline, _ := ctx.Deadline()
-	c := newOutageCaller(q, estimate, deadline, time.Now())
+// hold repeats a call that failed with ErrNotDone when the store answers again, if it does so by until. It
+// fails with an OutageError otherwise.
+func (n *Node) hold(ctx context.Context, c outageCaller, until time.Time, size int64, cause error, call func() error) error {
 	err := cause
 	if hfloop.With(n.held, func(r *holdingRoom) bool { return r.enter(size) }) {
 		metrics.GetOrRegisterCounter("outage.held", n.registry).Inc(1)
-		err = n.callWhenUp(ctx, c, cause, call)
+		err = n.callWhenUp(ctx, c, until, cause, call)
 		hfloop.With(n.held, func(r *holdingRoom) struct{} { r.leave(size); return struct{}{} })
 	}
 	if !errors.Is(err, ErrNotDone) {
@@ -129,10 +129,9 @@
 	return &OutageError{retryAt: now.Add(c.retryAfter(now, rand.Uint64())), cause: err}
 }
 
-// callWhenUp makes a call each time the store answers again, until it is done or has been held for long
-// enough.
-func (n *Node) callWhenUp(ctx context.Context, c outageCaller, cause error, call func() error) error {
-	ctx, cancel := context.WithDeadline(ctx, c.holdUntil(time.Now()))
+// callWhenUp makes a call each time the store answers again, until it is done or may be held no longer.
+func (n *Node) callWhenUp(ctx context.Context, c outageCaller, until time.Time, cause error, call func() error) error {
+	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	for err := cause; ; {
 		select {
@@ -143,7 +142,7 @@
 		case <-n.health.Answered():
 		}
 		if !c.urgent {
-			hfloop.Sleep(ctx, rand.N(releaseSpread))
+			hfloop.Sleep(ctx, urgentFirst+rand.N(releaseSpread))
 		}
 		if err = call(); !errors.Is(err, ErrNotDone) || !hfloop.Sleep(ctx, retryHeldWait) {
 			return err
@@ -152,7 +151,7 @@
 }
 
 // knock fails with ErrNotDone if the store does not answer at the moment. It asks the store only if that has
-// not answered for knockAfter.
+// not answered for knockAfter, once for all that call it at the same time.
 func (n *Node) knock(ctx context.Context) error {
 	if n.health.Down() {
 		return ErrNotDone // probeStore finds out when it answers
@@ -160,7 +159,17 @@
 	if time.Since(n.health.LastAnswer()) <= knockAfter {
 		return nil
 	}
-	return n.probe(ctx, knockTimeout)
+	probe := n.probes.DoChan("", func() (any, error) { return nil, n.probe(ctx, storeTimeout) })
+	select {
+	case <-time.After(knockTimeout): // the store may be slow; its answer is still awaited
+		n.probes.Forget("") // or it was lost, and the next caller sends another
+		return ErrNotDone
+	case r := <-probe:
+		if r.Err != nil {
+			return fmt.Errorf("knock: %w", r.Err)
+		}
+		return nil
+	}
 }
 
 // probe asks the store for the lead key. It fails with ErrNotDone if the store does not answer.
@@ -178,11 +187,18 @@
 	return nil
 }
 
-// probeStore finds out when the store answers again after it did not, until ctx ends.
+// probeStore finds out when the store answers again after it did not, until ctx ends. A probe is sent every
+// probeInterval, and each waits as long as other calls do: a slow store is not down.
 func (n *Node) probeStore(ctx context.Context) {
+	var group errgroup.Group
+	group.SetLimit(int(storeTimeout/probeInterval) + 1)
 	for hfloop.Sleep(ctx, probeInterval) {
 		if n.health.Failing() {
-			_ = n.probe(ctx, probeInterval) // recorded
+			group.TryGo(func() error {
+				_ = n.probe(ctx, storeTimeout) // recorded
+				return nil
+			})
 		}
 	}
+	_ = group.Wait()
 }
--- a/hfentry/outage_test.go
+++ b/hfentry/outage_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -166,6 +169,31 @@
 	}
 }
 
+// A call that was held as it was admitted was held as long once more as its job was to be stored.
+func TestCallIsHeldOnceOnly(t *testing.T) {
+	n, s := newOutageNode(t)
+	n.formats, n.policyWatch = fakeFormats{}, prefixWatch{prefix: "op/"}
+	n.policyWatch.synced.Store(true)
+	n.applyItem(newItem(t, "op/policy", 1, &hfwork.Policy{Queues: []*hfwork.Queue{{Name: "q", Open: true, Prefix: "/q/", Host: "h"}}}))
+	began := time.Now()
+	var group errgroup.Group
+	group.Go(func() error {
+		time.Sleep(500 * time.Millisecond)
+		s.away.Store(false)
+		return n.probe(t.Context(), time.Second)
+	})
+	a, err := n.AdmitChange(t.Context(), "h", "/q/"+endedJob, "")
+	require.NoError(t, err)
+	require.NoError(t, group.Wait())
+	s.away.Store(true)
+	for range maxFailures {
+		_ = n.probe(t.Context(), time.Second)
+	}
+	job := &hfwork.Job{Id: endedJob, Steps: []*hfwork.Step{{Count: 1, Cpu: 1, Memory: 1, Estimate: 2500}}}
+	require.ErrorIs(t, n.Submit(t.Context(), a, job), ErrNotDone)
+	require.Less(t, time.Since(began), maxHold)
+}
+
 // A held call must not outlast a planned stop.
 func TestPlannedStopEndsHold(t *testing.T) {
 	n, _ := newOutageNode(t)
@@ -197,3 +225,109 @@
 	require.False(t, h.Failing())
 	require.Zero(t, h.UpSince(), "it was never down")
 }
+
+// slowStore answers reads late, and does not answer the first one.
+type slowStore struct {
+	*fakeStore
+	delay time.Duration
+	lost  atomic.Bool
+	reads atomic.Int32
+}
+
+func (s *slowStore) Get(ctx context.Context, key string) (hfstore.Item, error) {
+	s.reads.Add(1)
+	if !s.lost.Swap(true) {
+		return hfstore.Item{}, hfstore.ErrUnavailable
+	}
+	select {
+	case <-ctx.Done():
+		return hfstore.Item{}, hfstore.ErrUnavailable
+	case <-time.After(s.delay):
+		return s.fakeStore.Get(ctx, key)
+	}
+}
+
+// A store that took longer than 250 ms for each answer was declared down after one lost answer, as probes
+// did not wait longer: submissions were refused and elections waited until another call was answered.
+func TestSlowStoreIsNotDown(t *testing.T) {
+	for _, delay := range []time.Duration{300 * time.Millisecond, 800 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			t.Parallel()
+			s := &slowStore{fakeStore: newFakeStore(), delay: delay}
+			n := newTestNode("one")
+			var downs atomic.Int32
+			n.store, n.settings, n.health = s, outageSettings{}, NewStoreHealth(func(bool, time.Duration) { downs.Add(1) })
+			n.health.Record(nil, time.Now())
+			require.Error(t, n.probe(t.Context(), time.Second), "its answer is lost")
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			n.probeStore(ctx)
+			require.Zero(t, downs.Load())
+			require.False(t, n.health.Failing())
+			require.NotZero(t, n.health.LastAnswer())
+		})
+	}
+}
+
+// Each of the submissions that came together at a quiet instance sent a read of its own first.
+func TestSubmissionsAtAQuietInstanceShareOneRead(t *testing.T) {
+	s := &slowStore{fakeStore: newFakeStore(), delay: 100 * time.Millisecond}
+	s.lost.Store(true) // all are answered
+	n := newTestNode("one")
+	n.store, n.health = s, NewStoreHealth(func(bool, time.Duration) {})
+	var group errgroup.Group
+	for range 20 {
+		group.Go(func() error { return n.knock(t.Context()) })
+	}
+	require.NoError(t, group.Wait())
+	require.Equal(t, int32(1), s.reads.Load())
+	require.NoError(t, n.knock(t.Context()))
+	require.Equal(t, int32(1), s.reads.Load(), "the store has just answered")
+}
+
+// Callers must not go on waiting for a shared read whose answer was lost.
+func TestReadThatWasLostIsSentAgain(t *testing.T) {
+	s := &slowStore{fakeStore: newFakeStore(), delay: time.Minute}
+	s.lost.Store(true)
+	n := newTestNode("one")
+	n.store, n.health = s, NewStoreHealth(func(bool, time.Duration) {})
+	for reads := range int32(2) {
+		require.ErrorIs(t, n.knock(t.Context()), ErrNotDone)
+		require.Equal(t, reads+1, s.reads.Load())
+	}
+}
+
+// All held calls went on together when the store answered, urgent ones among 256.
+func TestUrgentCallsGoOnFirst(t *testing.T) {
+	n, s := newOutageNode(t)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	until := time.Now().Add(maxHold)
+	var mu sync.Mutex
+	var order []uint32
+	var others time.Time // when the first of the less urgent calls went on
+	var group errgroup.Group
+	for i := range 40 {
+		q := batchQueue
+		if i%4 == 0 {
+			q = urgentQueue
+		}
+		group.Go(func() error {
+			return n.hold(ctx, newOutageCaller(q, time.Second, until, time.Now()), until, 1, ErrNotDone, func() error {
+				mu.Lock()
+				defer mu.Unlock()
+				if order = append(order, q.GetPriority()); q == batchQueue && others.IsZero() {
+					others = time.Now()
+				}
+				return nil
+			})
+		})
+	}
+	time.Sleep(50 * time.Millisecond)
+	s.away.Store(false)
+	answered := time.Now()
+	require.NoError(t, n.probe(t.Context(), time.Second))
+	require.NoError(t, group.Wait())
+	require.True(t, slices.IsSorted(order), "%v", order)
+	require.GreaterOrEqual(t, others.Sub(answered), urgentFirst)
+}
--- a/hfentry/suspension_test.go
+++ b/hfentry/suspension_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -25,6 +26,7 @@
 	*fakeStore
 	away, lapsed atomic.Bool
 	granted      atomic.Int32
+	revoked      sync.Map
 }
 
 func (s *outageStore) Get(ctx context.Context, key string) (hfstore.Item, error) {
@@ -64,7 +66,10 @@
 	return nil
 }
 
-func (s *outageStore) Revoke(context.Context, string) error { return nil }
+func (s *outageStore) Revoke(_ context.Context, lease string) error {
+	s.revoked.Store(lease, true)
+	return nil
+}
 
 // end makes the store answer again. The leader's lease has lapsed if lapse is set.
 func (s *outageStore) end(t *testing.T, lapse bool) {
@@ -176,6 +181,38 @@
 	}
 }
 
+// The leadership ended before it was known whether the lead key had been written. The write took effect
+// afterwards, and nobody could lead until its lease had expired.
+func TestLeaseOfPendingClaimIsRevokedAtTheEnd(t *testing.T) {
+	l, s := newSuspendedLeadership(t)
+	s.end(t, true)
+	s.lostAnswers = 1
+	_, err := l.Reacquire(t.Context())
+	require.Error(t, err)
+	require.NoError(t, l.hold(t.Context(), "1", time.Minute, func(context.Context) error { return nil }))
+	for _, lease := range []string{"1", "2"} {
+		_, revoked := s.revoked.Load(lease)
+		require.True(t, revoked, "lease %s", lease)
+	}
+}
+
+// The wait for a batch that got no answer was not bounded by the time that one attempt may take. Together they
+// passed for a freeze of the process, which ends the leadership.
+func TestAttemptToLeadAgainIsBounded(t *testing.T) {
+	l, s := newSuspendedLeadership(t)
+	s.end(t, true)
+	require.NoError(t, l.writer.writing.Acquire(t.Context(), 1)) // a batch is under way
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	_, err := l.Reacquire(ctx)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.NotErrorIs(t, err, hflease.ErrSuperseded)
+	require.Less(t, time.Since(began), time.Second)
+	l.writer.writing.Release(1)
+	reacquireWithRetry(t, l)
+}
+
 func reacquireWithRetry(t *testing.T, l *leadership) {
 	t.Helper()
 	var err error
@@ -357,3 +394,62 @@
 	require.True(t, n.cachedJob("a").cancelled)
 	require.NotNil(t, n.cachedJob("e"))
 }
+
+// overtakenStore has a watch apply events between a read and its use.
+type overtakenStore struct {
+	*fakeStore
+	overtake func()
+}
+
+func (s *overtakenStore) List(ctx context.Context, prefix string) ([]hfstore.Item, int64, error) {
+	items, revision, err := s.fakeStore.List(ctx, prefix)
+	s.overtake()
+	return items, revision, err
+}
+
+func (s *overtakenStore) Watch(ctx context.Context, prefix string, after int64) ([]hfstore.Item, int64, error) {
+	items, revision, err := eventStore{s.fakeStore}.Watch(ctx, prefix, after)
+	s.overtake()
+	return items, revision, err
+}
+
+// A domain stayed evacuated after operators had taken it back, and a worker that had left came back, as a list
+// beside the watch was applied after the watch had brought their removals.
+func TestListThatAWatchHasOvertakenBringsNothingBack(t *testing.T) {
+	s := newFakeStore()
+	n := newTakeoverNode(t, s, newIdleMinions(), "v", "w")
+	n.health = NewStoreHealth(func(bool, time.Duration) {})
+	_, err := s.Put(t.Context(), "op/evacuate/north", []byte("{}"), 0, "")
+	require.NoError(t, err)
+	catchUp(t, n, s, &n.policyWatch)
+	require.Contains(t, hfloop.With(n.mirror, func(m *Mirror) map[string]bool { return m.evacuated }), "north")
+	remove := func(w *prefixWatch, key string) {
+		revision, err := s.Commit(t.Context(), (&hfstore.Batch{}).Remove(key))
+		require.NoError(t, err)
+		n.applyEvents(w, []hfstore.Item{hfstore.NewItem(key, nil, revision, true)}, revision, hflease.Now())
+	}
+	for w, key := range map[*prefixWatch]string{&n.policyWatch: "op/evacuate/north", &n.workerWatch: "workers/v"} {
+		n.store = &overtakenStore{fakeStore: s, overtake: func() { remove(w, key) }}
+		require.NoError(t, n.readAgain(t.Context(), w))
+	}
+	hfloop.With(n.mirror, func(m *Mirror) struct{} {
+		require.Empty(t, m.evacuated)
+		require.NotContains(t, m.workers, "v")
+		require.Contains(t, m.workers, "w")
+		return struct{}{}
+	})
+}
+
+func TestRecordsThatAWatchHasOvertakenAreNotApplied(t *testing.T) {
+	s := newFakeStore()
+	n := newTakeoverNode(t, s, newIdleMinions(), "w")
+	revision, err := s.Put(t.Context(), peerPrefix+"gone", newItem(t, "", 0, &hfwork.Instance{Domain: "north"}).Value(), 0, "")
+	require.NoError(t, err)
+	n.store = &overtakenStore{fakeStore: s, overtake: func() {
+		if removed, err := s.Commit(t.Context(), (&hfstore.Batch{}).Remove(peerPrefix+"gone")); err == nil {
+			n.applyEvents(&n.recordWatch, []hfstore.Item{hfstore.NewItem(peerPrefix+"gone", nil, removed, true)}, removed, hflease.Now())
+		}
+	}}
+	require.NoError(t, n.readRecords(t.Context(), revision))
+	require.NotContains(t, hfloop.With(n.mirror, func(m *Mirror) map[string]*hfwork.Instance { return m.instances }), "gone")
+}
