--- /dev/null
+++ b/hfplacement/clearing_test.go
@@ -0,0 +1,126 @@
+package hfplacement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// cheapestInOrder selects victims by their own cost alone.
+func cheapestInOrder(inv *Inventory, n Need, count int, victims []Victim[int]) ([]Victim[int], bool) {
+	c := newClearing[int](n, inv.pools[n.pool])
+	return c.selectInOrder(c.byCostPerCore(victims), count)
+}
+
+// Guards against a gang that is stopped, with all that it has done on other workers, for an urgent task
+// which needs the room of a single small one.
+func TestUrgentTaskStopsASmallTaskRatherThanAGang(t *testing.T) {
+	inv := New()
+	large, small := NewResources(13000, 26000, 2), NewResources(2800, 5700, 1)
+	var gang []Allocation
+	for i := range 4 {
+		w := inv.Add(fmt.Sprint("w", i), "pool", "r", nil, NewResources(32000, 64000, 4))
+		w.SetUsable(true)
+		for range 2 {
+			w.Assign(large)
+			gang = append(gang, NewAllocation(w, large))
+		}
+	}
+	w := inv.Add("w4", "pool", "r", nil, NewResources(32000, 64000, 1))
+	w.SetUsable(true)
+	w.Assign(small)
+	victims := []Victim[string]{
+		NewVictim("gang", 8*29.0, gang),                                  // one second of 29 cores for each of eight tasks
+		NewVictim("task", 2*10.8, []Allocation{NewAllocation(w, small)}), // two seconds of 10.8 cores
+	}
+	chosen, ok := SelectVictims(inv, NewNeed("pool", NewResources(3700, 9800, 1)), 1, false, victims)
+	require.True(t, ok)
+	require.Len(t, chosen, 1)
+	require.Equal(t, "task", chosen[0].Value())
+}
+
+// Guards against work that is lost for an urgent task of a whole worker: by cost alone, tasks are stopped on
+// many workers, and the worker that becomes empty first is not the cheapest.
+func TestWholeWorkerIsClearedWhereLeastIsLost(t *testing.T) {
+	inv := New()
+	small := NewResources(2800, 5700, 1)
+	var victims []Victim[string]
+	for i, costs := range [][]float64{{30, 30, 30, 1}, {10, 10, 10, 31}} {
+		w := inv.Add(fmt.Sprint("w", i), "pool", "r", nil, NewResources(32000, 64000, 4))
+		w.SetUsable(true)
+		for _, cost := range costs {
+			w.Assign(small)
+			victims = append(victims, NewVictim(w.ID(), cost, []Allocation{NewAllocation(w, small)}))
+		}
+	}
+	for _, compact := range []bool{false, true} {
+		chosen, ok := SelectVictims(inv, NewNeed("pool", NewResources(3700, 9800, 4)), 1, compact, victims)
+		require.True(t, ok)
+		require.Len(t, chosen, 4)
+		require.InDelta(t, 61.0, totalCost(chosen), 0, "w0, which is empty first by cost alone, loses 91")
+	}
+}
+
+// selectedCounts are the numbers of tasks to make room for. The last one is more than most pools can take.
+var selectedCounts = []int{1, 5, 20, 2000}
+
+// On full pools of several shapes: the selection makes the tasks fit exactly if that is possible at all,
+// needs each of its victims, costs no more than the selection by cost alone, and repeats.
+func TestVictimsCostNoMoreThanByTheirOwnCost(t *testing.T) {
+	for _, d := range deployments {
+		t.Run(d.name, func(t *testing.T) {
+			lost, lostInOrder := map[int]float64{}, map[int]float64{} // by count
+			for seed := range uint64(12) {
+				random := rand.New(rand.NewPCG(seed, 20261207))
+				inv, victims := d.fill(random)
+				for _, count := range selectedCounts {
+					n, _, _, _ := d.kinds[1].draw(random)
+					inOrder, possible := cheapestInOrder(inv, n, count, victims)
+					chosen, ok := SelectVictims(inv, n, count, false, victims)
+					require.Equal(t, possible, ok, "seed %d, %d tasks", seed, count)
+					if !ok {
+						continue
+					}
+					require.LessOrEqual(t, totalCost(chosen), totalCost(inOrder))
+					lost[count] += totalCost(chosen)
+					lostInOrder[count] += totalCost(inOrder)
+					again, _ := SelectVictims(inv, n, count, false, victims)
+					require.Equal(t, chosen, again)
+					c := newClearing[int](n, inv.pools["pool"])
+					for _, v := range chosen {
+						c.apply(v, 1)
+					}
+					require.GreaterOrEqual(t, c.tasks, count)
+					for _, v := range chosen {
+						c.apply(v, -1)
+						require.Less(t, c.tasks, count, "a victim is not needed")
+						c.apply(v, 1)
+					}
+				}
+			}
+			for _, count := range selectedCounts {
+				t.Logf("room for %d tasks: %.0f core-seconds are lost, by cost alone %.0f", count, lost[count], lostInOrder[count])
+			}
+		})
+	}
+}
+
+// BenchmarkSelectVictims measures the selection on 720 full workers.
+func BenchmarkSelectVictims(b *testing.B) {
+	d := deployments[0]
+	d.racks = 90
+	inv, victims := d.fill(rand.New(rand.NewPCG(1, 1)))
+	n := NewNeed("pool", NewResources(3700, 9800, 8))
+	for _, compact := range []bool{false, true} {
+		b.Run(fmt.Sprintf("victims-%d-compact-%t", len(victims), compact), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, ok := SelectVictims(inv, n, 5, compact, victims); !ok {
+					b.Fatal("no room")
+				}
+			}
+		})
+	}
+}
