Show what is free and cannot be used, and how many workers are slow

Change: plan-load and the gauges plan.stranded.* show what is free on workers on which no waiting task fits, plan.slow how many workers count as slow.

--- a/hfentry/observe.go
+++ b/hfentry/observe.go
@@ -101,6 +101,10 @@
 func (n *Node) LoadSampled(l hfplan.Load) {
 	metrics.GetOrRegisterGauge("plan.free.accelerators", n.registry).Update(l.Free().Accelerators())
 	metrics.GetOrRegisterGauge("plan.accelerators", n.registry).Update(l.Capacity().Accelerators())
+	metrics.GetOrRegisterGauge("plan.stranded.accelerators", n.registry).Update(l.Stranded().Accelerators())
+	metrics.GetOrRegisterGauge("plan.stranded.cpu", n.registry).Update(l.Stranded().CPU() / milliPerCore)
+	metrics.GetOrRegisterGauge("plan.stranded.memory", n.registry).Update(l.Stranded().Memory())
+	metrics.GetOrRegisterGauge("plan.slow", n.registry).Update(int64(l.Slow()))
 	waiting, running := l.Waiting(), l.Running()
 	for class := range waiting {
 		metrics.GetOrRegisterGauge(fmt.Sprintf("plan.waiting.%d", class), n.registry).Update(int64(waiting[class]))
@@ -108,7 +112,7 @@
 	}
 	n.log.Event(hfevent.PlanLoad, zap.Ints("waiting", waiting[:]), zap.Ints("running", running[:]), zap.Int("promised", l.Assigned()),
 		zap.Int("stopping", l.Stopping()), zap.Int64("free", l.Free().Accelerators()), zap.Int64("accelerators", l.Capacity().Accelerators()),
-		zap.Int64("cpu", l.Free().CPU()/milliPerCore), zap.Int64("memory", l.Free().Memory()), zap.Any("traffic", n.traffic()))
+		zap.Int64("cpu", l.Free().CPU()/milliPerCore), zap.Int64("memory", l.Free().Memory()), zap.Int64s("stranded", []int64{l.Stranded().Accelerators(), l.Stranded().CPU() / milliPerCore, l.Stranded().Memory()}), zap.Int("slow", l.Slow()), zap.Any("traffic", n.traffic()))
 }
 
 // trafficPrefix is the prefix of the counters of bytes sent and received.
--- a/hfevent/catalogue.go
+++ b/hfevent/catalogue.go
@@ -71,7 +71,7 @@
 	SettingsRead      = Event{816, "settings-read", zapcore.InfoLevel, "The settings file was read again."}
 	SettingsInvalid   = Event{817, "settings-bad", zapcore.ErrorLevel, "The settings file cannot be used; the settings in force stay."}
 	LinesDropped      = Event{818, "lines-dropped", zapcore.WarnLevel, "The reader of the log was too slow; lines were dropped."}
-	PlanLoad          = Event{819, "plan-load", zapcore.InfoLevel, "Waiting and running tasks and free resources at the scheduling instance, and the bytes it has sent and received by purpose (`store`, `orders`, `polls`), once a second."}
+	PlanLoad          = Event{819, "plan-load", zapcore.InfoLevel, "Waiting and running tasks and free resources at the scheduling instance, those of them that no waiting task fits (`stranded`: accelerators, cores, MB), workers known to be slow, and the bytes it has sent and received by purpose (`store`, `orders`, `polls`), once a second."}
 	HintsUnavailable  = Event{820, "hints-deaf", zapcore.ErrorLevel, "Other instances can no longer send hints about stored items to this one; it learns of them from its watch."}
 	AnnounceFailed    = Event{821, "announce-failed", zapcore.WarnLevel, "The entry with this instance's address could not be written; the write is retried."}
 	LeaseRevoked      = Event{822, "lease-ended", zapcore.InfoLevel, "The scheduling lease of an earlier process of this instance was revoked, or the attempt failed."}
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -222,6 +222,8 @@
 	stopping int    // runs that were sent a stop and have not ended
 	free     hfplacement.Resources
 	capacity hfplacement.Resources
+	stranded hfplacement.Resources // free where none of the waiting tasks fits
+	slow     int                   // workers known to be slow
 }
 
 // Waiting returns the number of tasks without a worker for priority 0, 1, and 2 and
@@ -244,9 +246,15 @@
 // Capacity returns the total resources of the usable workers.
 func (l Load) Capacity() hfplacement.Resources { return l.capacity }
 
+// Stranded returns the unassigned resources of the usable workers on which none of the waiting tasks fits.
+func (l Load) Stranded() hfplacement.Resources { return l.stranded }
+
+// Slow returns the number of workers on which tasks are known to take longer than on others.
+func (l Load) Slow() int { return l.slow }
+
 // Load returns the current load.
 func (s *Scheduler) Load(now time.Time) Load {
-	var l Load
+	l := Load{stranded: s.stranded(now)}
 	for _, g := range s.groups {
 		if g.job.queue == nil {
 			continue
@@ -259,6 +267,9 @@
 		l.assigned += g.assigned
 	}
 	for _, w := range s.workers {
+		if w.slow() {
+			l.slow++
+		}
 		for r := range w.runs {
 			if r.phase == stopping {
 				l.stopping++
