Select victims by worker only if it stops no more runs

Each stop takes orders, a record and another start. Change: the selection by worker is used if it loses less and stops no more runs. The property test now also holds the number of runs to that of before.

--- a/hfplacement/clearing_test.go
+++ b/hfplacement/clearing_test.go
@@ -67,11 +67,12 @@
 var selectedCounts = []int{1, 5, 20, 2000}
 
 // On full pools of several shapes: the selection makes the tasks fit exactly if that is possible at all,
-// needs each of its victims, costs no more than the selection by cost alone, and repeats.
+// needs each of its victims, loses no more and stops no more runs than the selection by cost alone, and repeats.
 func TestVictimsCostNoMoreThanByTheirOwnCost(t *testing.T) {
 	for _, d := range deployments {
 		t.Run(d.name, func(t *testing.T) {
 			lost, lostInOrder := map[int]float64{}, map[int]float64{} // by count
+			runs, runsInOrder := map[int]int{}, map[int]int{}
 			for seed := range uint64(12) {
 				random := rand.New(rand.NewPCG(seed, 20261207))
 				inv, victims := d.fill(random)
@@ -84,6 +85,9 @@
 						continue
 					}
 					require.LessOrEqual(t, totalCost(chosen), totalCost(inOrder))
+					require.LessOrEqual(t, totalRuns(chosen), totalRuns(inOrder))
+					runs[count] += totalRuns(chosen)
+					runsInOrder[count] += totalRuns(inOrder)
 					lost[count] += totalCost(chosen)
 					lostInOrder[count] += totalCost(inOrder)
 					again, _ := SelectVictims(inv, n, count, false, victims)
@@ -101,7 +105,8 @@
 				}
 			}
 			for _, count := range selectedCounts {
-				t.Logf("room for %d tasks: %.0f core-seconds are lost, by cost alone %.0f", count, lost[count], lostInOrder[count])
+				t.Logf("room for %d tasks: %.0f core-seconds are lost, by cost alone %.0f; %d runs are stopped, by cost alone %d",
+					count, lost[count], lostInOrder[count], runs[count], runsInOrder[count])
 			}
 		})
 	}
--- a/hfplacement/victims.go
+++ b/hfplacement/victims.go
@@ -62,8 +62,9 @@
 	return best, found
 }
 
-// selectVictimsOn selects victims on the racks in two ways and returns the cheaper selection: by their own
-// cost, which finds cheap victims wherever they are, and by worker, which leaves no worker cleared in part.
+// selectVictimsOn selects victims on the racks in two ways: by their own cost, which finds cheap victims wherever
+// they are, and by worker, which clears no worker in part. The second selection is returned if it loses less and
+// stops no more runs, as each stop takes orders, a record and another start.
 func selectVictimsOn[T any](n Need, count int, racks []*rack, victims []Victim[T]) ([]Victim[T], bool) {
 	c := newClearing[T](n, racks)
 	order := c.byCostPerCore(victims)
@@ -72,7 +73,8 @@
 		return nil, false
 	}
 	c = newClearing[T](n, racks)
-	if byWorker, ok := c.selectByWorker(order, count); ok && totalCost(byWorker) < totalCost(chosen) {
+	byWorker, ok := c.selectByWorker(order, count)
+	if ok && totalCost(byWorker) < totalCost(chosen) && totalRuns(byWorker) <= totalRuns(chosen) {
 		return byWorker, true
 	}
 	return chosen, true
@@ -85,3 +87,11 @@
 	}
 	return cost
 }
+
+func totalRuns[T any](victims []Victim[T]) int {
+	runs := 0
+	for _, v := range victims {
+		runs += len(v.allocations)
+	}
+	return runs
+}
