--- a/hfplacement/clearing.go
+++ b/hfplacement/clearing.go
@@ -17,9 +17,13 @@
 type clearedRoom struct {
 	worker *Worker
 	free   Resources
+	limit  int // most tasks, whatever is free
 	tasks  int // that fit
 }
 
+// fitting returns how many tasks of the given size fit if the given resources are free.
+func (r *clearedRoom) fitting(free, size Resources) int { return min(r.limit, free.CountFitting(size)) }
+
 // newClearing returns the room on the eligible workers of the racks before any victim is preempted.
 func newClearing[T any](n Need, racks []*rack) *clearing[T] {
 	c := &clearing[T]{need: n, index: map[*Worker]int{}}
@@ -28,7 +32,8 @@
 			if !n.Eligible(w) {
 				continue
 			}
-			r := clearedRoom{worker: w, free: w.free, tasks: n.MaxTasks(w, w.free)}
+			r := clearedRoom{worker: w, free: w.free, limit: n.limitOn(w)}
+			r.tasks = r.fitting(r.free, n.size)
 			c.index[w] = len(c.rooms)
 			c.rooms = append(c.rooms, r)
 			c.tasks += r.tasks
@@ -43,21 +48,41 @@
 		if i, ok := c.index[a.worker]; ok {
 			r := &c.rooms[i]
 			r.free = r.free.Plus(a.size, sign)
-			tasks := c.need.MaxTasks(r.worker, r.free)
+			tasks := r.fitting(r.free, c.need.size)
 			c.tasks += tasks - r.tasks
 			r.tasks = tasks
 		}
 	}
 }
 
+// possible reports whether count tasks fit if all victims are preempted.
+func (c *clearing[T]) possible(victims []Victim[T], count int) bool {
+	free := make([]Resources, len(c.rooms))
+	for i := range c.rooms {
+		free[i] = c.rooms[i].free
+	}
+	for _, v := range victims {
+		for _, a := range v.allocations {
+			if i, ok := c.index[a.worker]; ok {
+				free[i] = free[i].Plus(a.size, 1)
+			}
+		}
+	}
+	tasks := 0
+	for i := range c.rooms {
+		tasks += c.rooms[i].fitting(free[i], c.need.size)
+	}
+	return tasks >= count
+}
+
 // byCostPerCore returns the victims that free something on the workers, those first that cost least for it.
 func (c *clearing[T]) byCostPerCore(victims []Victim[T]) []Victim[T] {
 	type ranked struct {
-		victim      Victim[T]
+		victim      int
 		costPerCore float64
 	}
-	var order []ranked
-	for _, v := range victims {
+	order := make([]ranked, 0, len(victims))
+	for i, v := range victims {
 		cores := 0.0
 		for _, a := range v.allocations {
 			if _, ok := c.index[a.worker]; ok {
@@ -65,13 +90,15 @@
 			}
 		}
 		if cores > 0 {
-			order = append(order, ranked{victim: v, costPerCore: v.cost / cores})
+			order = append(order, ranked{victim: i, costPerCore: v.cost / cores})
 		}
 	}
-	slices.SortStableFunc(order, func(a, b ranked) int { return cmp.Compare(a.costPerCore, b.costPerCore) })
+	slices.SortFunc(order, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.costPerCore, b.costPerCore), cmp.Compare(a.victim, b.victim))
+	})
 	sorted := make([]Victim[T], len(order))
 	for i, o := range order {
-		sorted[i] = o.victim
+		sorted[i] = victims[o.victim]
 	}
 	return sorted
 }
@@ -162,7 +189,7 @@
 // nextStep returns a cheap set of the worker's victims that makes one more task fit there. Its gain is 0 if
 // there is none. Victims are added in order, and those that turn out not to be needed are dropped.
 func (c *clearing[T]) nextStep(room int, order []Victim[T], victims []int, taken []bool) step {
-	r := c.rooms[room]
+	r := &c.rooms[room]
 	free, tasks := r.free, r.tasks
 	var s step
 	for _, i := range victims {
@@ -173,7 +200,7 @@
 			continue
 		}
 		free = free.Plus(order[i].sizeOn(r.worker), 1)
-		tasks = c.need.MaxTasks(r.worker, free)
+		tasks = r.fitting(free, c.need.size)
 		s.victims = append(s.victims, i)
 	}
 	if tasks == r.tasks {
@@ -183,7 +210,7 @@
 	slices.SortStableFunc(byCost, func(a, b int) int { return cmp.Compare(order[b].cost, order[a].cost) })
 	for _, i := range byCost {
 		without := free.Plus(order[i].sizeOn(r.worker), -1)
-		if fitting := c.need.MaxTasks(r.worker, without); fitting > r.tasks {
+		if fitting := r.fitting(without, c.need.size); fitting > r.tasks {
 			free, tasks = without, fitting
 			s.victims = slices.DeleteFunc(s.victims, func(o int) bool { return o == i })
 		}
--- a/hfplacement/placement.go
+++ b/hfplacement/placement.go
@@ -79,15 +79,19 @@
 	if !n.Eligible(w) {
 		return 0
 	}
-	tasks := free.CountFitting(n.size)
-	if n.maxPerWorker > 0 {
-		remaining := n.maxPerWorker
-		if n.existingTasks != nil {
-			remaining -= n.existingTasks(w.id)
-		}
-		tasks = min(tasks, max(remaining, 0))
+	return min(free.CountFitting(n.size), n.limitOn(w))
+}
+
+// limitOn returns how many tasks may be placed on the worker, whatever its free resources.
+func (n Need) limitOn(w *Worker) int {
+	if n.maxPerWorker <= 0 {
+		return int(unlimitedTasks)
+	}
+	remaining := n.maxPerWorker
+	if n.existingTasks != nil {
+		remaining -= n.existingTasks(w.id)
 	}
-	return tasks
+	return max(remaining, 0)
 }
 
 // Eligible reports whether the worker may be used, regardless of its free resources.
--- a/hfplacement/victims.go
+++ b/hfplacement/victims.go
@@ -37,7 +37,7 @@
 // would not be enough.
 func SelectVictims[T any](inv *Inventory, n Need, count int, compact bool, victims []Victim[T]) ([]Victim[T], bool) {
 	if !compact {
-		return selectVictimsOn(n, count, inv.pools[n.pool], victims)
+		return selectAnywhere(n, count, inv.pools[n.pool], victims)
 	}
 	byRack, lastIndex := map[string][]Victim[T]{}, map[string]int{}
 	for i, v := range victims {
@@ -51,7 +51,11 @@
 	var best []Victim[T]
 	bestCost, found := 0.0, false
 	for _, k := range inv.pools[n.pool] {
-		chosen, ok := selectVictimsOn(n, count, []*rack{k}, byRack[k.name])
+		c := newClearing[T](n, []*rack{k})
+		if !c.possible(byRack[k.name], count) {
+			continue
+		}
+		chosen, ok := c.selectInOrder(c.byCostPerCore(byRack[k.name]), count)
 		if !ok {
 			continue
 		}
@@ -62,11 +66,14 @@
 	return best, found
 }
 
-// selectVictimsOn selects victims on the racks in two ways: by their own cost, which finds cheap victims wherever
+// selectAnywhere selects victims on the racks in two ways: by their own cost, which finds cheap victims wherever
 // they are, and by worker, which clears no worker in part. The second selection is returned if it loses less and
 // stops no more runs, as each stop takes orders, a record and another start.
-func selectVictimsOn[T any](n Need, count int, racks []*rack, victims []Victim[T]) ([]Victim[T], bool) {
+func selectAnywhere[T any](n Need, count int, racks []*rack, victims []Victim[T]) ([]Victim[T], bool) {
 	c := newClearing[T](n, racks)
+	if !c.possible(victims, count) {
+		return nil, false
+	}
 	order := c.byCostPerCore(victims)
 	chosen, ok := c.selectInOrder(order, count)
 	if !ok {
