Select victims by worker for single tasks only

Change: groups of several tasks are made room for by cost alone, as before. For a single task, where a gang is the most that can be wasted, both selections are made.

--- a/hfplacement/clearing_test.go
+++ b/hfplacement/clearing_test.go
@@ -116,15 +116,17 @@
 	d.racks = 90
 	inv, victims := d.fill(rand.New(rand.NewPCG(1, 1)))
 	n := NewNeed("pool", NewResources(3700, 9800, 8))
-	for _, compact := range []bool{false, true} {
-		b.Run(fmt.Sprintf("victims-%d-compact-%t", len(victims), compact), func(b *testing.B) {
-			b.ReportAllocs()
-			for b.Loop() {
-				if _, ok := SelectVictims(inv, n, 5, compact, victims); !ok {
-					b.Fatal("no room")
+	for _, count := range []int{1, 5} {
+		for _, compact := range []bool{false, true} {
+			b.Run(fmt.Sprintf("victims-%d-tasks-%d-compact-%t", len(victims), count, compact), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					if _, ok := SelectVictims(inv, n, count, compact, victims); !ok {
+						b.Fatal("no room")
+					}
 				}
-			}
-		})
+			})
+		}
 	}
 }
 
--- a/hfplacement/victims.go
+++ b/hfplacement/victims.go
@@ -66,9 +66,9 @@
 	return best, found
 }
 
-// selectAnywhere selects victims on the racks in two ways: by their own cost, which finds cheap victims wherever
-// they are, and by worker, which clears no worker in part. The second selection is returned if it loses less and
-// stops no more runs, as each stop takes orders, a record and another start.
+// selectAnywhere selects victims on the racks by their own cost, which finds cheap victims wherever they are. For a
+// single task it also selects by worker, so that no gang is stopped for the room of one of its members, and returns
+// that selection if it loses less and stops no more runs. Each stop takes orders, a record and another start.
 func selectAnywhere[T any](n Need, count int, racks []*rack, victims []Victim[T]) ([]Victim[T], bool) {
 	c := newClearing[T](n, racks)
 	if !c.possible(victims, count) {
@@ -76,8 +76,8 @@
 	}
 	order := c.byCostPerCore(victims)
 	chosen, ok := c.selectInOrder(order, count)
-	if !ok {
-		return nil, false
+	if !ok || count > 1 {
+		return chosen, ok
 	}
 	c = newClearing[T](n, racks)
 	byWorker, ok := c.selectByWorker(order, count)
