Learn speeds from progress for long tasks only, and from the ends of others as before

A likely reason, not proved: a task that counts when its end is read also shows workers whose reports come late, which urgent work does well to avoid. Result: TestSpeedIsLearnedWhileTasksRun passes.

--- a/hfplan/speed.go
+++ b/hfplan/speed.go
@@ -2,27 +2,26 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/heatherfront/heatherfront/hfplacement"
 )
 
 const (
-	minStepSamples  = 8    // tasks of a step from which workers are compared
-	measuredShare   = 0.8  // share of the tasks of a step that must be measured, of those that run or have ended
+	minStepSamples  = 8    // measured tasks of a step from which workers are compared
+	measuredShare   = 0.8  // share of the tasks of a step that must have been measured before
 	minSpeedSamples = 3    // tasks from which a worker's speed is used
-	speedPrior      = 1    // tasks as which the assumption counts that a worker is as fast as the others
+	speedPrior      = 3    // tasks as which the assumption counts that a worker is as fast as the others
 	speedMemory     = 0.15 // least weight of the latest task, so that a worker's speed can change
-	// maxDeviation is how many times longer or shorter a task may count as taking than its worker lets expect. Some
-	// tasks run several times as long as others of their step on any worker.
-	maxDeviation = 1.5
+	// longTask is the declared run time from which tasks are measured by their progress. Others are measured
+	// when they end, which also counts how late their ends are heard of.
+	longTask = time.Minute
 	// slowFactor is how many times longer than on an average worker tasks take on one that counts as
 	// slow. The operators' urgent jobs may take 1.5 times their declared run time.
 	slowFactor = 1.12
 )
 
-// durationSample is how long a task takes on a worker.
+// durationSample is how long a task took on a worker.
 type durationSample struct {
 	worker *worker
 	log    float64 // logarithm of the run time as a multiple of the declared one
@@ -31,50 +30,61 @@
 // showsSpeed reports whether the run times of a group's tasks show how fast their workers are. Members of
 // gangs show nothing: they advance and end together.
 func (g *group) showsSpeed() bool {
-	return !g.gang() && !g.spec.GetLasting() && !g.spec.GetFiller() && g.spec.GetNear() == "" && g.estimate() > 0
+	return !g.gang() && !g.spec.GetLasting() && !g.spec.GetFiller() && g.spec.GetNear() == ""
 }
 
-// learnSpeedFromProgress learns from the progress of a run how long tasks take on its worker, long before it ends.
+// learnSpeedFromProgress learns from the progress of a run that takes long how long tasks take on its worker,
+// compared with other workers. It counts once most tasks of its step that run or have ended are measured.
 func (s *Scheduler) learnSpeedFromProgress(r *run) {
-	if r.measured || !r.task.group.showsSpeed() {
+	g := r.task.group
+	if r.measured || g.estimate() < longTask || !g.showsSpeed() {
 		return
 	}
-	if took, ok := r.progress.expectedRunTime(); ok {
-		s.learnRunTime(r, took)
+	took, ok := r.progress.expectedRunTime()
+	if !ok {
+		return
 	}
+	s.addDuration(r, took)
+	measured := float64(len(g.durations))
+	s.compareWorkers(g, measured >= measuredShare*(measured+float64(g.unmeasured())))
 }
 
-// learnSpeed learns from a run that ended as done how long tasks take on its worker, unless its progress showed it.
+// learnSpeed learns from a run that ended as done how long tasks take on its worker, compared with
+// other workers, unless its progress has shown it.
 func (s *Scheduler) learnSpeed(r *run, now time.Time) {
-	if r.measured || !r.task.group.showsSpeed() || !r.fromStart || r.confirmedAt.IsZero() {
+	g := r.task.group
+	if r.measured || !g.showsSpeed() || !r.fromStart || r.confirmedAt.IsZero() {
 		return
 	}
-	if took := now.Sub(r.confirmedAt); took > 0 {
-		s.learnRunTime(r, took)
+	took := now.Sub(r.confirmedAt)
+	if took <= 0 {
+		return
 	}
+	s.addDuration(r, took)
+	s.compareWorkers(g, float64(len(g.tasks)-g.open+1) >= measuredShare*float64(len(g.tasks)))
 }
 
-// learnRunTime learns how long tasks take on a worker, compared with other workers. Declared run times are off by
-// the same factor for all tasks of a step. That factor is known once most of its tasks that run or have ended are
-// measured: the first ones are those on the fast workers.
-func (s *Scheduler) learnRunTime(r *run, took time.Duration) {
+// addDuration adds the run time of a task to those of its step.
+func (s *Scheduler) addDuration(r *run, took time.Duration) {
 	g := r.task.group
 	r.measured = true
 	g.durations = append(g.durations, durationSample{worker: r.worker, log: math.Log(took.Seconds() / g.estimate().Seconds())})
-	if len(g.durations) < minStepSamples || float64(len(g.durations)) < measuredShare*float64(len(g.durations)+g.unmeasured()) {
+}
+
+// compareWorkers updates the speeds of workers by the new run times of a step, if enough of them are known. Declared
+// run times are off by the same factor for all tasks of a step. That factor is known once most of them are
+// measured: the first ones are those on the fast workers.
+func (s *Scheduler) compareWorkers(g *group, enough bool) {
+	if len(g.durations) < minStepSamples || !enough {
 		return
 	}
-	logs := make([]float64, len(g.durations))
-	for i, d := range g.durations {
-		logs[i] = d.log - d.worker.durationLog
+	factor := 0.0 // of the step
+	for _, d := range g.durations {
+		factor += (d.log - d.worker.durationLog) / float64(len(g.durations))
 	}
-	slices.Sort(logs)
-	factor := logs[len(logs)/2] // of the step
 	for _, d := range g.durations[g.durationsUsed:] {
-		deviation := d.log - factor - d.worker.durationLog
-		deviation = min(max(deviation, -math.Log(maxDeviation)), math.Log(maxDeviation))
 		d.worker.durationSamples++
-		d.worker.durationLog += deviation * max(speedMemory, 1/float64(d.worker.durationSamples+speedPrior))
+		d.worker.durationLog += (d.log - factor - d.worker.durationLog) * max(speedMemory, 1/float64(d.worker.durationSamples+speedPrior))
 	}
 	g.durationsUsed = len(g.durations)
 }
