hfplacement: leave the withdrawn measures of fragmentation out of the tests

Cause: weigh_test.go kept six withdrawn orders and a player of synthetic loads, larger than the code that it tests.

Change: of weigh_test.go only TestPlacementPlacesAsManyAsFit stays, which tests the placement itself, in clearing_test.go. load_test.go keeps what fills pools for it and for the victims. TestMeasuresOfFragmentation goes with the orders that it compared; its bound on placements is checked by TestPlacementPlacesAsManyAsFit.

The loads are drawn anew, so that sums differ from earlier ones.

--- a/hfplacement/clearing_test.go
+++ b/hfplacement/clearing_test.go
@@ -97,7 +97,7 @@
 				random := rand.New(rand.NewPCG(seed, 20261207))
 				inv, victims := d.fill(random)
 				for _, count := range selectedCounts {
-					n, _, _, _ := d.kinds[1].draw(random)
+					n, _, _ := d.kinds[1].draw(random)
 					inOrder, possible := cheapestInOrder(inv, n, count, victims)
 					chosen, ok := SelectVictims(inv, n, count, false, victims)
 					require.Equal(t, possible, ok, "seed %d, %d tasks", seed, count)
@@ -132,6 +132,43 @@
 	}
 }
 
+// On pools filled at random, placements repeat, respect capacities, and place as many tasks as fit.
+func TestPlacementPlacesAsManyAsFit(t *testing.T) {
+	for _, d := range deployments {
+		for seed := range uint64(20) {
+			random := rand.New(rand.NewPCG(seed, 2))
+			inv, victims := d.fill(random)
+			for _, v := range victims {
+				for _, a := range v.allocations {
+					if random.Float64() < 0.3 {
+						a.worker.Unassign(a.size)
+					}
+				}
+			}
+			n, count, _ := d.kinds[random.IntN(len(d.kinds))].draw(random)
+			fit, inBestRack := 0, 0
+			for _, k := range inv.pools["pool"] {
+				inRack := 0
+				for _, w := range k.workers {
+					inRack += w.free.CountFitting(n.size)
+				}
+				fit, inBestRack = fit+inRack, max(inBestRack, inRack)
+			}
+			placements, placed := inv.PlaceAcrossRacks(n, count)
+			require.Equal(t, min(count, fit), placed)
+			compact, ok := inv.PlaceInOneRack(n, count)
+			require.Equal(t, inBestRack >= count, ok)
+			again, _ := inv.PlaceAcrossRacks(n, count)
+			require.Equal(t, placements, again)
+			for _, list := range [][]Placement{placements, compact} {
+				for _, p := range list {
+					require.LessOrEqual(t, p.tasks, p.worker.free.CountFitting(n.size))
+				}
+			}
+		}
+	}
+}
+
 // BenchmarkSelectVictims measures the selection on 720 full workers.
 func BenchmarkSelectVictims(b *testing.B) {
 	d := deployments[0]
--- a/hfplacement/load_test.go
+++ b/hfplacement/load_test.go
@@ -13,17 +13,13 @@
 	kinds          []kind
 }
 
-// kind is a kind of request of a synthetic load.
+// kind is a kind of request of a deployment. The kinds are large, urgent and small ones.
 type kind struct {
-	name         string
 	cpu, memory  int64
 	accelerators []int64 // each equally likely
 	tasks        int     // on average
 	seconds      float64
 	gangs        float64 // share of the groups that are gangs
-	compact      float64 // share of the gangs that ask for one rack
-	urgent       bool
-	share        float64 // of the groups
 }
 
 // What tasks ask for: mostly powers of two, any number, or few.
@@ -36,34 +32,34 @@
 
 var deployments = []deployment{
 	{"32-cores", 20, 8, NewResources(32000, 64000, 8), []kind{
-		{"large", 13000, 26000, powers, 13, 8.5, 0.5, 0.8, false, 1.78},
-		{"urgent", 3700, 9800, powers, 5, 2.5, 0.5, 0.5, true, 6.04},
-		{"small", 2800, 5700, one, 39, 9.5, 0, 0, false, 1.39},
+		{13000, 26000, powers, 13, 8.5, 0.5},
+		{3700, 9800, powers, 5, 2.5, 0.5},
+		{2800, 5700, one, 39, 9.5, 0},
 	}},
 	{"32-cores-uniform", 20, 8, NewResources(32000, 64000, 8), []kind{
-		{"large", 13000, 26000, uniform, 13, 8.5, 0.5, 0.8, false, 1.78},
-		{"urgent", 3700, 9800, uniform, 5, 2.5, 0.5, 0.5, true, 6.04},
-		{"small", 2800, 5700, one, 39, 9.5, 0, 0, false, 1.39},
+		{13000, 26000, uniform, 13, 8.5, 0.5},
+		{3700, 9800, uniform, 5, 2.5, 0.5},
+		{2800, 5700, one, 39, 9.5, 0},
 	}},
 	{"32-cores-few", 20, 8, NewResources(32000, 64000, 8), []kind{
-		{"large", 13000, 26000, few, 13, 8.5, 0.5, 0.8, false, 1.78},
-		{"urgent", 3700, 9800, few, 5, 2.5, 0.5, 0.5, true, 6.04},
-		{"small", 2800, 5700, one, 39, 9.5, 0, 0, false, 1.39},
+		{13000, 26000, few, 13, 8.5, 0.5},
+		{3700, 9800, few, 5, 2.5, 0.5},
+		{2800, 5700, one, 39, 9.5, 0},
 	}},
 	{"128-cores", 8, 20, NewResources(128000, 512000, 8), []kind{
-		{"large", 52000, 150000, powers, 13, 9.4, 0.5, 0.8, false, 1.45},
-		{"urgent", 15000, 79000, powers, 5, 2.1, 0.5, 0.5, true, 6.19},
-		{"small", 11000, 59000, one, 39, 6.5, 0, 0, false, 1.79},
+		{52000, 150000, powers, 13, 9.4, 0.5},
+		{15000, 79000, powers, 5, 2.1, 0.5},
+		{11000, 59000, one, 39, 6.5, 0},
 	}},
 	{"96-cores", 20, 8, NewResources(96000, 512000, 8), []kind{
-		{"large", 8000, 32000, powers, 12, 9, 0.6, 0.8, false, 1.6},
-		{"urgent", 4000, 16000, powers, 4, 2.5, 0.6, 0.8, true, 6},
-		{"small", 4000, 16000, one, 32, 8, 0, 0, false, 1.5},
+		{8000, 32000, powers, 12, 9, 0.6},
+		{4000, 16000, powers, 4, 2.5, 0.6},
+		{4000, 16000, one, 32, 8, 0},
 	}},
 	{"64-cores-uniform", 20, 8, NewResources(64000, 256000, 8), []kind{
-		{"large", 7000, 24000, uniform, 16, 9, 0.6, 0.8, false, 1.2},
-		{"urgent", 6000, 20000, uniform, 4, 2.5, 0.6, 0.8, true, 5},
-		{"small", 5000, 16000, one, 30, 8, 0, 0, false, 1.5},
+		{7000, 24000, uniform, 16, 9, 0.6},
+		{6000, 20000, uniform, 4, 2.5, 0.6},
+		{5000, 16000, one, 30, 8, 0},
 	}},
 }
 
@@ -79,11 +75,10 @@
 }
 
 // draw returns the tasks of a random group of a kind.
-func (k kind) draw(random *rand.Rand) (n Need, count int, gang, compact bool) {
+func (k kind) draw(random *rand.Rand) (n Need, count int, gang bool) {
 	count = max(1, int(float64(k.tasks)*(0.5+random.Float64())))
 	n = NewNeed("pool", NewResources(k.cpu, k.memory, k.accelerators[random.IntN(len(k.accelerators))]))
-	gang = random.Float64() < k.gangs
-	return n, count, gang, gang && random.Float64() < k.compact
+	return n, count, random.Float64() < k.gangs
 }
 
 // restartSeconds is the time that stopping a task costs in any case.
@@ -96,7 +91,7 @@
 	var victims []Victim[int]
 	for {
 		k := d.kinds[2*random.IntN(2)] // large or small
-		n, count, gang, _ := k.draw(random)
+		n, count, gang := k.draw(random)
 		placements, placed := inv.PlaceAcrossRacks(n, count)
 		if gang && placed < count {
 			return inv, victims
