Start runs whose places are stored before the rest of a command is

Cause: after an outage a command may take several batches, one at a time, and each may need several tries while the store loses answers. Nothing of it started before all of it was stored.

Change: after each batch but the last, the writer tells the scheduler (PartlyStored) which jobs have all their records of the command in the store. Their assigned runs start; what was placed since the command was made waits for the next one. Workers become usable and ends are acknowledged once the whole command is stored, as before.

--- a/hfentry/fenced_writer.go
+++ b/hfentry/fenced_writer.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 
 	"golang.org/x/sync/semaphore"
 
@@ -34,6 +35,8 @@
 	// rejected holds the changes that the store does not accept, by key. They are not tried again.
 	rejected map[string][]byte
 	onReject func(key string, err error)
+	// onPart is called with jobs whose records of a command are stored while others are not yet.
+	onPart func(c hfplan.StoreCmd, jobs []string)
 }
 
 // openWriter returns the writer of a new leadership, after storing the next term.
@@ -45,6 +48,7 @@
 		store: n.store, formats: n.formats, writing: semaphore.NewWeighted(1), head: head, layout: newRecordLayout(),
 		splits:   func() bool { return hfloop.With(n.mirror, (*Mirror).readsSplit) },
 		rejected: map[string][]byte{}, onReject: n.recordRejected,
+		onPart: func(hfplan.StoreCmd, []string) {},
 	}
 	f.layout.job = func(id string) *hfwork.Job {
 		if r := n.cachedJob(id); r != nil {
@@ -92,7 +96,9 @@
 		return fmt.Errorf("save: %w", err)
 	}
 	groups = append(waves, groups...)
-	for _, batch := range packGroups(f.withoutRejected(groups), hfstore.MaxBatch-writerEntries) {
+	batches := packGroups(f.withoutRejected(groups), hfstore.MaxBatch-writerEntries)
+	remaining := changesByJob(groups)
+	for i, batch := range batches {
 		err := f.writeChanges(ctx, batch)
 		if errors.Is(err, hfstore.ErrInvalid) {
 			err = f.writeSeparately(ctx, batch)
@@ -100,12 +106,42 @@
 		if err != nil {
 			return fmt.Errorf("save: %w", err)
 		}
+		if jobs := f.wholeJobs(batch, remaining); i < len(batches)-1 && len(jobs) > 0 {
+			f.onPart(c, jobs)
+		}
 	}
 	f.layout.saved(c, f.split)
 	f.decided = false
 	return f.rejectedOf(groups, c)
 }
 
+// changesByJob returns the number of changes of each job.
+func changesByJob(groups [][]keyChange) map[string]int {
+	changes := map[string]int{}
+	for _, c := range slices.Concat(groups...) {
+		if id, ok := recordJob(c.key); ok {
+			changes[id]++
+		}
+	}
+	return changes
+}
+
+// wholeJobs returns the jobs of a batch of which no change remains, after the batch was written. A change that
+// the store does not accept remains.
+func (f *fencedWriter) wholeJobs(batch []keyChange, remaining map[string]int) []string {
+	var jobs []string
+	for _, c := range batch {
+		id, ok := recordJob(c.key)
+		if !ok || f.isRejected(c) {
+			continue
+		}
+		if remaining[id]--; remaining[id] == 0 {
+			jobs = append(jobs, id)
+		}
+	}
+	return jobs
+}
+
 // writeChanges writes changes in one batch.
 func (f *fencedWriter) writeChanges(ctx context.Context, changes []keyChange) error {
 	batch := &hfstore.Batch{}
--- a/hfentry/fenced_writer_test.go
+++ b/hfentry/fenced_writer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -218,3 +219,102 @@
 	}
 	require.Contains(t, s.items, rosterKey)
 }
+
+// partsOf saves a command once, and returns the jobs that were told to be stored while others were not yet.
+func partsOf(t *testing.T, w *fencedWriter, c hfplan.StoreCmd) (parts [][]string, err error) {
+	t.Helper()
+	w.onPart = func(_ hfplan.StoreCmd, jobs []string) { parts = append(parts, jobs) }
+	err = w.Save(t.Context(), c)
+	return parts, err
+}
+
+// newWideCmd returns a command with jobs, the first of which has as many blocks of steps as given.
+func newWideCmd(blocks int, jobs ...string) hfplan.StoreCmd {
+	records := map[string]*hfwork.Progress{}
+	for _, id := range jobs {
+		records[id] = &hfwork.Progress{State: hfwork.StateRunning, Steps: []*hfwork.StepProgress{wideStep(1, 0)}}
+	}
+	for i := range blocks {
+		step := wideStep(1, 0)
+		step.Step = uint32(i)
+		if i > 0 {
+			records[jobs[0]].Steps = append(records[jobs[0]].Steps, step)
+		}
+	}
+	return hfplan.Store(records, nil, nil)
+}
+
+// Nothing of a command started before all of it was stored, in several batches of which each may need several
+// tries.
+func TestJobsAreToldAsSoonAsTheirRecordsAreStored(t *testing.T) {
+	size := hfstore.MaxBatch - writerEntries
+	var many []string
+	for i := range size {
+		many = append(many, fmt.Sprintf("j%03d", i))
+	}
+	t.Run("several batches", func(t *testing.T) {
+		parts, err := partsOf(t, newSplitWriter(t, newFakeStore()), newWideCmd(1, many...))
+		require.NoError(t, err)
+		require.Len(t, parts, 1, "the last batch ends the command")
+		require.Contains(t, parts[0], many[0])
+		require.NotContains(t, parts[0], many[size-1])
+	})
+	t.Run("one batch", func(t *testing.T) {
+		parts, err := partsOf(t, newSplitWriter(t, newFakeStore()), newWideCmd(1, "a"))
+		require.NoError(t, err)
+		require.Empty(t, parts)
+	})
+	t.Run("a job spans two batches", func(t *testing.T) {
+		s := newFakeStore()
+		w := newSplitWriter(t, s)
+		batches, told := s.revision, false
+		w.onPart = func(_ hfplan.StoreCmd, jobs []string) {
+			if slices.Contains(jobs, many[0]) {
+				told = true
+				require.Equal(t, batches+2, s.revision, "its last change is in the second batch")
+				require.Contains(t, s.items, progressPrefix+many[0])
+			}
+		}
+		require.NoError(t, w.Save(t.Context(), newWideCmd(size+2, many...)))
+		require.True(t, told)
+	})
+	t.Run("another leadership writes after the first batch", func(t *testing.T) {
+		s := newFakeStore()
+		w := newSplitWriter(t, s)
+		told := 0
+		w.onPart = func(hfplan.StoreCmd, []string) {
+			told++
+			openTestWriter(t, s)
+		}
+		require.ErrorIs(t, w.Save(t.Context(), newWideCmd(1, many...)), hfstore.ErrConflict)
+		require.Equal(t, 1, told)
+	})
+	t.Run("the second batch gets no answer", func(t *testing.T) {
+		s := newFakeStore()
+		w := newSplitWriter(t, s)
+		var told []string
+		w.onPart = func(_ hfplan.StoreCmd, jobs []string) {
+			if len(told) == 0 {
+				s.lostAnswers = 1
+			}
+			told = append(told, jobs...)
+		}
+		c := newWideCmd(1, many...)
+		require.ErrorIs(t, w.Save(t.Context(), c), hfstore.ErrUnavailable)
+		require.NoError(t, w.Save(t.Context(), c))
+		require.Equal(t, len(told), len(slices.Compact(slices.Sorted(slices.Values(told)))), "each is told once")
+	})
+	t.Run("the store does not accept a record", func(t *testing.T) {
+		w := newSplitWriter(t, newFakeStore())
+		c := newWideCmd(1, many...)
+		_, err := partsOf(t, w, c)
+		require.NoError(t, err)
+		c = newWideCmd(2, many...)
+		groups, err := w.layout.changes(c, true)
+		require.NoError(t, err)
+		first := groups[0][0]
+		w.rejected[first.key] = first.value
+		remaining := changesByJob(groups)
+		require.NotContains(t, w.wholeJobs(slices.Concat(groups...), remaining), many[0])
+	})
+}
--- a/hfentry/leader.go
+++ b/hfentry/leader.go
@@ -145,6 +145,7 @@
 		m.withholdDepartures(writer.version)
 		return struct{}{}
 	})
+	writer.onPart = func(c hfplan.StoreCmd, jobs []string) { leader.Send(hfplan.PartlyStored(c, jobs)) }
 	n.leader.Store(leader)
 	defer n.leader.Store(nil)
 	l.begin(writer, leader)
--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -50,7 +50,7 @@
 	avoidsRoomSince  time.Time         // since when there has been room only on these; zero if there is other room, or none
 	preemptNotBefore time.Time         // earliest next search for victims, after one that found too few
 	assignedAt       time.Time         // last time that runs were assigned
-	requiredSequence uint64            // of the StoreCmd with the assignments; runs start only after it is stored
+	requiredSequence uint64            // of the StoreCmd with the assignments; runs start only after it, or the job's part of it, is stored
 	tickets          map[string]ticket // by worker id, for advised queues
 	refusedWorkers   map[string]bool   // workers that may not run the step
 	reservedRack     string            // rack reserved for a compact gang, or ""
--- a/hfplan/message.go
+++ b/hfplan/message.go
@@ -162,6 +162,18 @@
 // Stored returns a StoredMsg.
 func Stored(c StoreCmd) StoredMsg { return StoredMsg{sequence: c.sequence} }
 
+// PartlyStoredMsg reports that the records of some jobs of a StoreCmd are stored, while the others are still on
+// their way.
+type PartlyStoredMsg struct {
+	sequence uint64
+	jobs     []string
+}
+
+// PartlyStored returns a PartlyStoredMsg. The records of the jobs must be stored as a whole.
+func PartlyStored(c StoreCmd, jobs []string) PartlyStoredMsg {
+	return PartlyStoredMsg{sequence: c.sequence, jobs: jobs}
+}
+
 // TickMsg triggers work that depends on the time alone. It is sent at regular
 // intervals.
 type TickMsg struct{}
@@ -180,6 +192,7 @@
 func (StartedMsg) planMsg()        {}
 func (StoppedMsg) planMsg()        {}
 func (StoredMsg) planMsg()         {}
+func (PartlyStoredMsg) planMsg()   {}
 func (TickMsg) planMsg()           {}
 func (PassMsg) planMsg()           {}
 
--- a/hfplan/network_test.go
+++ b/hfplan/network_test.go
@@ -533,6 +533,14 @@
 	}
 }
 
+// Guards against the same faults as the records of a command are stored in two batches, between which the store
+// goes away or another scheduler begins.
+func TestNoTaskRunsTwiceWhereRecordsAreStoredInParts(t *testing.T) {
+	for seed := range *networkSeeds {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { playLateNetwork(t, seed, lateNetwork{parts: true}) })
+	}
+}
+
 // TestUnboundStartsAreFoundToRunTasksTwice shows that the world finds a start that reaches the next
 // incarnation of its worker.
 func TestUnboundStartsAreFoundToRunTasksTwice(t *testing.T) {
@@ -557,6 +565,7 @@
 
 // lateNetwork says how one world differs from the usual ones.
 type lateNetwork struct {
+	parts   bool // records are stored in two batches
 	crashes bool // workers crash
 	unbound bool // starts reach whichever incarnation of their worker answers
 	routes  bool // steps limit their tasks on one worker or ask for a label
@@ -568,6 +577,7 @@
 	crashes := variant.crashes
 	random, crashRandom := rand.New(rand.NewPCG(seed, 20261205)), rand.New(rand.NewPCG(seed, 20261206))
 	w := newWorld(t, 2, 4)
+	w.storesParts = variant.parts
 	routeRandom := rand.New(rand.NewPCG(seed, 20261207))
 	if variant.routes {
 		for i, id := range sortedKeys(w.fleet) {
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -33,7 +33,7 @@
 			continue
 		}
 		s.revokeAssignments(g, now)
-		if s.storedSequence < g.requiredSequence {
+		if !s.placesStored(g) {
 			continue
 		}
 		if g.gang() {
@@ -58,7 +58,7 @@
 // those that could not be started in time. The members of a gang are released
 // together.
 func (s *Scheduler) revokeAssignments(g *group, now time.Time) {
-	expired := now.Sub(g.assignedAt) > assignmentTimeout && s.storedSequence >= g.requiredSequence
+	expired := now.Sub(g.assignedAt) > assignmentTimeout && s.placesStored(g)
 	revoked := expired
 	for i := range g.tasks {
 		r := g.tasks[i].run
--- a/hfplan/record.go
+++ b/hfplan/record.go
@@ -181,6 +181,26 @@
 	}
 }
 
+// handlePartlyStored lets runs of jobs start whose places are stored. All else waits for the whole StoreCmd:
+// workers become usable, and ends are acknowledged, only then.
+func (s *Scheduler) handlePartlyStored(m PartlyStoredMsg) {
+	if m.sequence != s.sequence || s.recordsInFlight == nil {
+		return
+	}
+	if s.partlyStored == nil {
+		s.partlyStored = map[string]bool{}
+	}
+	for _, id := range m.jobs {
+		s.partlyStored[id] = s.recordsInFlight[id] != nil
+	}
+	s.needsPass = true
+}
+
+// placesStored reports whether the places of the assigned runs are stored.
+func (s *Scheduler) placesStored(g *group) bool {
+	return s.storedSequence >= g.requiredSequence || (g.requiredSequence == s.sequence && s.partlyStored[g.job.id()])
+}
+
 // handleStored continues what waited for the StoreCmd: new workers become usable,
 // assigned runs can start, and ends are acknowledged.
 func (s *Scheduler) handleStored(m StoredMsg, now time.Time) {
@@ -199,6 +219,6 @@
 	} else {
 		s.acknowledge(s.acksInFlight)
 	}
-	s.recordsInFlight, s.acksInFlight = nil, nil
+	s.recordsInFlight, s.acksInFlight, s.partlyStored = nil, nil, nil
 	s.needsPass = true
 }
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -87,6 +87,7 @@
 	sequence         uint64                      // of the last StoreCmd
 	storedSequence   uint64                      // of the last StoreCmd that was stored
 	recordsInFlight  map[string]*hfwork.Progress // records of the StoreCmd in flight, nil if there is none
+	partlyStored     map[string]bool             // jobs whose records of the StoreCmd in flight are stored
 	rosterChanged    bool                        // the stored roster is out of date
 	rosterInFlight   map[*worker]string          // roster of the StoreCmd in flight: workers with the addresses at which they answered
 	pendingAcks      map[*worker]int64           // last end to acknowledge, once its record is stored
@@ -155,6 +156,8 @@
 		s.handlePaced(m)
 	case StoppedMsg:
 		s.handleStopped(m, now)
+	case PartlyStoredMsg:
+		s.handlePartlyStored(m)
 	case StoredMsg:
 		s.handleStored(m, now)
 	case WaveMsg:
--- a/hfplan/unstored_test.go
+++ b/hfplan/unstored_test.go
@@ -194,3 +194,61 @@
 	d.advance(2 * retellInterval)
 	require.Len(t, d.shownJobs(), 2)
 }
+
+// An urgent job waited for the records of all others that were stored with its own, in several batches.
+func TestStartsDoNotWaitForTheRecordsOfOtherJobs(t *testing.T) {
+	workers := []string{"s", "u", "v", "w"}
+	d := newDesk(t, 1, workers...)
+	for _, id := range workers {
+		d.report(id)
+	}
+	d.store()
+	ended := d.startAll("x", deskStep(1))[0]
+	d.store()
+	d.submit("c", deskStep(1)) // is stored alone; what follows is stored together afterwards
+	require.Len(t, d.stores, 1)
+	first := d.stores[0]
+	d.submit("a", deskStep(1))
+	d.submit("b", deskStep(1))
+	d.reportEnds(ended.Worker(), nil, d.endOf(ended))
+	d.stores = nil
+	d.send(Stored(first))
+	require.Len(t, d.takeStarts(), 1)
+	require.Len(t, d.stores, 1)
+	both := d.stores[0]
+	require.Contains(t, both.Records(), "a")
+	require.Contains(t, both.Records(), "b")
+	require.Contains(t, both.Records(), "x")
+	acks := len(d.acks)
+	d.send(PartlyStored(first, []string{"b"}))
+	require.Empty(t, d.takeStarts(), "of another command")
+	d.send(PartlyStored(both, []string{"a"}))
+	starts := d.takeStarts()
+	require.Len(t, starts, 1)
+	require.Equal(t, "a", starts[0].Task().Job())
+	require.Len(t, d.acks, acks, "ends wait for the whole command")
+	d.store()
+	starts = d.takeStarts()
+	require.Len(t, starts, 1)
+	require.Equal(t, "b", starts[0].Task().Job())
+	require.Greater(t, len(d.acks), acks)
+}
+
+// What is placed anew after a suspension is not in the command that was in flight when it began.
+func TestPartlyStoredPlacesEndWithASuspension(t *testing.T) {
+	d := newDesk(t, 1, "w")
+	d.report("w")
+	d.store()
+	d.submit("a", deskStep(1))
+	c := d.stores[0]
+	d.send(Suspend(1))
+	d.send(PartlyStored(c, []string{"a"}))
+	require.Empty(t, d.takeStarts())
+	d.send(Resume(1))
+	d.send(PartlyStored(c, []string{"a"}))
+	require.Empty(t, d.takeStarts(), "its new place is not stored")
+	d.store()
+	starts := d.takeStarts()
+	require.Len(t, starts, 1)
+	require.Equal(t, uint64(1), starts[0].Suspensions())
+}
--- a/hfplan/world_test.go
+++ b/hfplan/world_test.go
@@ -53,6 +53,7 @@
 	lostTime       time.Duration        // accelerator time of runs without checkpoints that ended early
 	network        *network             // between the leader and the workers; nil if orders and reports arrive at once
 	deadly         map[string]bool      // tasks that crash the worker that starts them
+	storesParts    bool                 // a StoreCmd with several records is stored in two batches
 	storeAway      bool                 // a StoreCmd is carried out when the store is back
 	mayEnd         map[string]time.Time // earliest times at which draining workers may end
 	rename         bool                 // a worker that crashed is back under another id
@@ -351,6 +352,7 @@
 		})
 	case StoreCmd:
 		var save func()
+		halfStored := false
 		save = func() {
 			if w.term != term {
 				return
@@ -359,6 +361,16 @@
 				w.at(tickInterval, save)
 				return
 			}
+			jobs := sortedKeys(c.Records())
+			if w.storesParts && len(jobs) > 1 && !halfStored {
+				halfStored, jobs = true, jobs[:len(jobs)/2]
+				for _, id := range jobs {
+					w.records[id] = c.Records()[id]
+				}
+				w.send(PartlyStored(c, jobs))
+				w.at(storeDelay, save)
+				return
+			}
 			for id, p := range c.Records() {
 				w.records[id] = p
 				if !hfwork.IsFinal(p.GetState()) {
