hfcost: weigh what a delay or a stop costs callers

Cause: within a priority, waiting work went by objective status and then by remaining core-seconds. That order knows no laxity, no account and no age, and every stop of a run looks the same to it as long as it loses the same core-seconds.

Change: a package of pure code. A Claim holds what a caller said and what is known; DelayCost is the probability that another wait takes away what the claim can still reach; Order puts claims in a total order (priority, guarantee, one starving claim, standing, delay cost per core-second and account); Holding and MayStop say what a stop takes away and who may cause it.

Result: property tests with rapid hold: priorities and guarantees first; nothing that has lost its objective goes before what can meet it, but for one starving claim; a cheaper delay is never the dearer one by drawn waits; under twice the load nobody is overtaken beyond its patience but by claims that starve already; a burst of one account delays another one by an equal share at most; the order of the list does not matter. go test ./hfcost

--- /dev/null
+++ b/hfcost/cost_test.go
@@ -0,0 +1,245 @@
+package hfcost_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/heatherfront/heatherfront/hfcost"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// seconds draws a time of up to a number of seconds.
+func seconds(t *rapid.T, most int, label string) time.Duration {
+	return time.Duration(rapid.IntRange(0, most*10).Draw(t, label)) * time.Second / 10
+}
+
+// drawClaim draws a claim that was handed in within the last 40 s.
+func drawClaim(t *rapid.T) hfcost.Claim {
+	chain := 100*time.Millisecond + seconds(t, 20, "chain")
+	c := hfcost.NewClaim(uint32(rapid.IntRange(0, 2).Draw(t, "priority")), start.Add(-seconds(t, 40, "age")), float64(rapid.IntRange(1, 4000).Draw(t, "work")))
+	if rapid.IntRange(0, 9).Draw(t, "timed") > 0 {
+		c = c.WithObjective(hfcost.NewObjective(1.5, 400*time.Millisecond), chain, min(chain, seconds(t, 20, "remaining")))
+	}
+	return c.Guaranteed(c.Priority() == 0 && rapid.Bool().Draw(t, "guaranteed"))
+}
+
+// drawWaiting draws claims of up to four accounts in one pool. Their values are their places in the list.
+func drawWaiting(t *rapid.T) []hfcost.Waiting[int] {
+	var list []hfcost.Waiting[int]
+	for i := range rapid.IntRange(1, 30).Draw(t, "claims") {
+		account := fmt.Sprint("a", rapid.IntRange(0, 3).Draw(t, "account"))
+		list = append(list, hfcost.NewWaiting(i, drawClaim(t), "pool", account, float64(rapid.IntRange(1, 40).Draw(t, "share"))/100, fmt.Sprintf("j%03d", i), 0))
+	}
+	return list
+}
+
+func values(list []*hfcost.Waiting[int]) []int {
+	var v []int
+	for _, w := range list {
+		v = append(v, w.Value())
+	}
+	return v
+}
+
+// Priorities keep their meaning, guarantees go before other urgent work, and what has lost its objective does not
+// go before what can still meet it, but for the one that starves.
+func TestNothingOvertakesWhatGoesBeforeIt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := hfcost.Order(drawWaiting(t), hfcost.NewShares(), start)
+		firsts := map[uint32]int{}
+		for i, a := range list {
+			if a.First() {
+				firsts[a.Claim().Priority()]++
+				require.True(t, a.Claim().Starving(start))
+			}
+			for _, b := range list[i+1:] {
+				require.LessOrEqual(t, a.Claim().Priority(), b.Claim().Priority())
+				if a.Claim().Priority() != b.Claim().Priority() {
+					continue
+				}
+				if b.Claim().IsGuaranteed() {
+					require.True(t, a.Claim().IsGuaranteed(), "a guarantee goes first")
+				}
+				if !a.First() && a.Claim().IsGuaranteed() == b.Claim().IsGuaranteed() {
+					require.False(t, b.First())
+					require.LessOrEqual(t, a.Standing(), b.Standing())
+				}
+			}
+		}
+		for priority, n := range firsts {
+			require.Equal(t, 1, n, "priority %d", priority)
+		}
+	})
+}
+
+func TestOrderDoesNotDependOnThatOfTheList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := drawWaiting(t)
+		other := rapid.Permutation(list).Draw(t, "other")
+		require.Equal(t, values(hfcost.Order(list, hfcost.NewShares(), start)), values(hfcost.Order(other, hfcost.NewShares(), start)))
+	})
+}
+
+// Among the claims of one account with the same standing, no delay costs more for each core-second than that of one
+// that goes before it. What a delay costs is measured here, by drawn waits.
+func TestDelayingTheCheaperNeverCostsMore(t *testing.T) {
+	const draws, typical = 4000, 3 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		var list []hfcost.Waiting[int]
+		var lossy []func(wait time.Duration) bool
+		var work []float64
+		for i := range 2 {
+			chain := time.Second + seconds(t, 10, "chain")
+			received := start.Add(-seconds(t, 7, "age"))
+			w := float64(rapid.IntRange(1, 400).Draw(t, "work"))
+			// Both have 3 s to go, so that a typical wait is 3 s.
+			c := hfcost.NewClaim(1, received, w).WithObjective(hfcost.NewObjective(2, time.Second), chain, typical)
+			due := received.Add(2*chain + time.Second)
+			lossy = append(lossy, func(wait time.Duration) bool { return start.Add(wait + typical).After(due) })
+			work = append(work, w)
+			list = append(list, hfcost.NewWaiting(i, c, "pool", "a", 0, fmt.Sprint(i), 0))
+		}
+		order := hfcost.Order(list, hfcost.NewShares(), start)
+		if order[0].Standing() != hfcost.OnTime || order[1].Standing() != hfcost.OnTime {
+			return
+		}
+		random := rand.New(rand.NewPCG(1, 20261207))
+		var lost [2]float64
+		for range draws {
+			wait := time.Duration(random.ExpFloat64() * float64(typical))
+			for i := range lost {
+				if lossy[i](wait) {
+					lost[i] += 1.0 / draws
+				}
+			}
+		}
+		// Costs below a twentieth count as one, since declared run times are too rough to tell them apart.
+		rate := func(i int) float64 { return max(lost[i], 0.05) / work[i] }
+		before, after := order[0].Value(), order[1].Value()
+		const fourDeviations = 4 * 0.5 / 63 // of a share of 4000 draws
+		require.GreaterOrEqual(t, rate(before), rate(after)-fourDeviations*(1/work[before]+1/work[after]))
+	})
+}
+
+// serveOverload serves claims one at a time, in order, with twice the load that can be served.
+func serveOverload(t *rapid.T, seed uint64) {
+	type job struct {
+		claim  hfcost.Claim
+		length time.Duration
+		id     string
+	}
+	random := rand.New(rand.NewPCG(seed, 20261207))
+	var waiting []job
+	now, next := start, 0
+	for now.Sub(start) < 5*time.Minute {
+		for range 1 + random.IntN(3) {
+			length := 200*time.Millisecond + time.Duration(random.Int64N(int64(2*time.Second)))
+			c := hfcost.NewClaim(0, now, length.Seconds()*float64(1+random.IntN(50))).WithObjective(hfcost.NewObjective(1.5, 400*time.Millisecond), length, length)
+			waiting = append(waiting, job{claim: c, length: length, id: fmt.Sprintf("j%06d", next)})
+			next++
+		}
+		var list []hfcost.Waiting[int]
+		oldest, starving := 0, 0
+		for i, j := range waiting {
+			list = append(list, hfcost.NewWaiting(i, j.claim, "pool", "a", 0.1, j.id, 0))
+			if j.claim.Starving(now) {
+				starving++
+			}
+			if j.claim.Received().Before(waiting[oldest].claim.Received()) {
+				oldest = i
+			}
+		}
+		served := hfcost.Order(list, hfcost.NewShares(), now)[0].Value()
+		if starving > 0 {
+			require.True(t, waiting[served].claim.Starving(now), "%d starve and another one is served", starving)
+			require.True(t, !waiting[served].claim.Received().After(now.Add(-waiting[served].claim.Patience())))
+		}
+		now = now.Add(waiting[served].length)
+		waiting = slices.Delete(waiting, served, served+1)
+	}
+}
+
+// Nobody is overtaken for longer than its patience, but by those that starve since before.
+func TestNobodyStarvesUnderTwiceTheLoad(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { serveOverload(t, rapid.Uint64Range(0, 1<<20).Draw(t, "seed")) })
+}
+
+// While one that starved is at work, the room goes to those that can meet their objective.
+func TestOneStarvingJobAtATime(t *testing.T) {
+	objective := hfcost.NewObjective(1.5, 400*time.Millisecond)
+	list := func() []hfcost.Waiting[int] {
+		var l []hfcost.Waiting[int]
+		for i, age := range []time.Duration{time.Second, 50 * time.Second, 60 * time.Second} {
+			l = append(l, hfcost.NewWaiting(i, hfcost.NewClaim(0, start.Add(-age), 10).WithObjective(objective, 2*time.Second, 2*time.Second), "pool", "a", 0.1, fmt.Sprint(i), 0))
+		}
+		return l
+	}
+	require.Equal(t, []int{2, 0, 1}, values(hfcost.Order(list(), hfcost.NewShares(), start)), "the oldest one goes first")
+	shares := hfcost.NewShares()
+	shares.Rescue(hfcost.NewClass("pool", 0))
+	require.Equal(t, []int{0, 2, 1}, values(hfcost.Order(list(), shares, start)), "on time first, then age")
+}
+
+// However many jobs a large account hands in, a job of another account waits for no more of them than fit into an
+// equal share, if they are alike.
+func TestSmallAccountsDoNotPayForABurst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const share, accounts = 0.05, 2
+		jobs := rapid.IntRange(1, 200).Draw(t, "jobs")
+		c := hfcost.NewClaim(0, start, 10).WithObjective(hfcost.NewObjective(1.5, 400*time.Millisecond), 2*time.Second, 2*time.Second)
+		var list []hfcost.Waiting[int]
+		for i := range jobs {
+			list = append(list, hfcost.NewWaiting(i, c, "pool", "large", share, fmt.Sprintf("j%03d", i), 0))
+		}
+		list = append(list, hfcost.NewWaiting(jobs, c, "pool", "small", share, "zz", 0))
+		shares := hfcost.NewShares()
+		used := float64(rapid.IntRange(0, 10).Draw(t, "used")) / 10
+		shares.Use(hfcost.NewClass("pool", 0), "large", used)
+		before := slices.Index(values(hfcost.Order(list, shares, start)), jobs)
+		require.LessOrEqual(t, float64(before), math.Max(1.0/accounts-used, 0)/share+1.001)
+	})
+}
+
+// What can't meet its objective any more stops nothing that still can and would not afterwards.
+func TestTheLateDoNotDisplaceTheOnTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c, victim := drawClaim(t), drawClaim(t)
+		if c.IsGuaranteed() || c.Standing(start) == hfcost.OnTime {
+			return
+		}
+		lost, remaining := seconds(t, 10, "lost"), seconds(t, 10, "left")
+		h := hfcost.NewHolding(victim, 4, lost, remaining)
+		at := func(rest time.Duration) hfcost.Standing { return victim.WithRemaining(rest).Standing(start) }
+		if c.MayStop(h, start) && at(remaining) == hfcost.OnTime {
+			require.Equal(t, hfcost.OnTime, at(remaining+lost))
+		}
+	})
+}
+
+func TestGuaranteedClaimsMayStopAnything(t *testing.T) {
+	objective := hfcost.NewObjective(1.5, 400*time.Millisecond)
+	near := hfcost.NewHolding(hfcost.NewClaim(0, start, 10).WithObjective(objective, 2*time.Second, 2*time.Second), 4, time.Second, time.Second)
+	late := hfcost.NewClaim(0, start.Add(-5*time.Second), 10).WithObjective(objective, 2*time.Second, 2*time.Second)
+	require.False(t, late.MayStop(near, start))
+	require.True(t, late.Guaranteed(true).MayStop(near, start))
+	far := hfcost.NewHolding(hfcost.NewClaim(0, start, 10).WithObjective(objective, time.Minute, time.Minute), 4, time.Second, time.Second)
+	require.True(t, late.MayStop(far, start), "its objective is far")
+}
+
+// Without an objective in a class, the least work goes first, whatever accounts use.
+func TestClassesWithoutObjectivesGoByWork(t *testing.T) {
+	var list []hfcost.Waiting[int]
+	for i, work := range []float64{30, 10, 20, 1} {
+		list = append(list, hfcost.NewWaiting(i, hfcost.NewClaim(1, start.Add(-time.Duration(i)*time.Hour), work), "pool", "a", 1, fmt.Sprint(i), 0))
+	}
+	list = append(list, hfcost.NewWaiting(4, hfcost.NewClaim(1, start, 0).Lasting(start), "pool", "a", 1, "4", 0))
+	require.Equal(t, []int{3, 1, 2, 0, 4}, values(hfcost.Order(list, hfcost.NewShares(), start)))
+}
--- /dev/null
+++ b/hfcost/order.go
@@ -0,0 +1,165 @@
+package hfcost
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Waiting is a claim in the order in which room is given, with the caller's value for it.
+type Waiting[T any] struct {
+	value   T
+	claim   Claim
+	class   Class
+	account string
+	share   float64 // of the pool, that all of it would take
+	id      string  // breaks ties
+	step    int     // breaks ties
+
+	standing Standing
+	first    bool    // goes first because it starves
+	level    uint64  // what decides before urgency, see setLevel
+	overuse  float64 // what its account uses, as a multiple of an equal share; at least 1
+	urgency  float64 // logarithm of its delay cost for each core-second that it needs, over overuse
+}
+
+// Class is what competes for the same room at the same priority.
+type Class struct {
+	pool     string
+	priority uint32
+}
+
+// NewClass returns a class.
+func NewClass(pool string, priority uint32) Class { return Class{pool: pool, priority: priority} }
+
+// NewWaiting returns a claim for the order. share is the part of the pool that all of it would take, and
+// id and step break ties.
+func NewWaiting[T any](value T, c Claim, pool, account string, share float64, id string, step int) Waiting[T] {
+	return Waiting[T]{value: value, claim: c, class: NewClass(pool, c.priority), account: account, share: share, id: id, step: step}
+}
+
+// Value returns the value that was given to NewWaiting.
+func (w Waiting[T]) Value() T { return w.value }
+
+// Claim returns the claim.
+func (w Waiting[T]) Claim() Claim { return w.claim }
+
+// Standing returns the standing of the claim when it was put in order.
+func (w Waiting[T]) Standing() Standing { return w.standing }
+
+// First reports whether the claim goes first because it starves.
+func (w Waiting[T]) First() bool { return w.first }
+
+// Overuse returns what its account uses of the pool with what goes before the claim, as a multiple of an equal
+// share. It is 1 if that is less.
+func (w Waiting[T]) Overuse() float64 { return w.overuse }
+
+// Compare orders two claims that were prepared by Order: priority; guaranteed before other urgent work; the
+// one that starves; what can still meet its objective, what is still of use, and the rest; work that ends before what
+// lasts; the dearest delay for each core-second; then age.
+func Compare[T any](a, b *Waiting[T]) int {
+	if c := cmp.Compare(a.level, b.level); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(b.urgency, a.urgency); c != 0 {
+		return c
+	}
+	return cmp.Or(a.claim.lastTurn.Compare(b.claim.lastTurn), a.claim.received.Compare(b.claim.received), cmp.Compare(a.id, b.id), cmp.Compare(a.step, b.step))
+}
+
+// setLevel packs what decides before urgency into one number, the first of it highest.
+func (w *Waiting[T]) setLevel() {
+	level := uint64(w.claim.priority)
+	for _, last := range []bool{!w.ahead(), !w.first, w.standing == Overdue, w.standing == Late, w.claim.lasting} {
+		level <<= 1
+		if last {
+			level |= 1
+		}
+	}
+	w.level = level
+}
+
+// ahead reports whether a guarantee puts the claim before the others of its priority.
+func (w Waiting[T]) ahead() bool { return w.claim.priority == 0 && w.claim.guaranteed }
+
+// Order returns claims so that what costs callers most to delay goes first. shares counts what accounts
+// use already; it is left with what they would use in all. A class without any objective is in order of the
+// remaining core-seconds.
+func Order[T any](list []Waiting[T], shares *Shares, now time.Time) []*Waiting[T] {
+	waits := typicalWaits(list) // of the classes with objectives
+	order := make([]*Waiting[T], len(list))
+	for i := range list {
+		w := &list[i]
+		order[i] = w
+		w.standing, w.first, w.overuse, w.urgency = w.claim.Standing(now), false, 1, 0
+		if w.claim.lasting {
+			continue
+		}
+		w.urgency = -math.Log(w.claim.work)
+		if wait, timed := waits[w.class]; timed {
+			w.urgency += math.Log(max(w.claim.delayCost(w.standing, wait, now), leastCost)) // the logarithm, as small costs would all be 0
+			shares.join(w.class, w.account)
+		}
+	}
+	markStarving(list, shares, now)
+	for _, w := range order {
+		w.setLevel()
+	}
+	slices.SortFunc(order, Compare[T])
+	changed := false
+	for _, w := range order {
+		if _, timed := waits[w.class]; timed && !w.claim.lasting && !w.ahead() {
+			if w.overuse = shares.take(w.class, w.account, w.share); w.overuse > 1 {
+				w.urgency -= math.Log(w.overuse)
+				changed = true
+			}
+		}
+	}
+	if changed {
+		slices.SortFunc(order, Compare[T])
+	}
+	return order
+}
+
+// leastCost is the delay cost that counts at least. Below it, work alone decides: run times are not
+// known well enough to tell such costs apart.
+const leastCost = 0.05
+
+// typicalWaits returns the mean remaining chain of the claims of each class: about how long one waits
+// that lets another one go first.
+func typicalWaits[T any](list []Waiting[T]) map[Class]time.Duration {
+	sums, counts := map[Class]time.Duration{}, map[Class]int{}
+	for i := range list {
+		if w := &list[i]; w.claim.timed() {
+			sums[w.class] += min(w.claim.remaining, MaxObjective/time.Duration(len(list)))
+			counts[w.class]++
+		}
+	}
+	for class, n := range counts {
+		sums[class] /= time.Duration(n)
+	}
+	return sums
+}
+
+// markStarving lets the oldest starving claim of each class go first. There is one at a time, until it has ended,
+// so that a long backlog does not turn the order into that of arrival, in which all become late.
+func markStarving[T any](list []Waiting[T], shares *Shares, now time.Time) {
+	first := map[Class]int{}
+	for i := range list {
+		w := &list[i]
+		if w.ahead() || !w.claim.rescued && (shares.rescuing[w.class] || !w.claim.Starving(now)) {
+			continue
+		}
+		best, ok := first[w.class]
+		if ok && list[best].claim.rescued && !w.claim.rescued {
+			continue
+		}
+		if !ok || w.claim.rescued && !list[best].claim.rescued || cmp.Or(w.claim.received.Compare(list[best].claim.received), cmp.Compare(w.id, list[best].id), cmp.Compare(w.step, list[best].step)) < 0 {
+			first[w.class] = i
+		}
+	}
+	for _, i := range first {
+		list[i].first = true
+	}
+}
