hfplan: order, victims and their log by what a delay costs callers

Cause: see hfcost. In worlds with too little room, an urgent job near its objective waited for smaller ones with time, a job of a small account for the whole burst of a large one, and a wide job for as long as a stream of small ones lasted; an urgent job that was late in any case stopped gangs that then missed theirs, and runs were stopped 200 ms before their end.

Change: candidates come from hfcost.Order. Victims that are measured to end before the preemptor could start stay, unless a guarantee asks; so do those whose objective a late preemptor would take away. A starving step goes past the gangs' budget and reserves a worker. `--order size` of `heatherfront entry` keeps the order of before; queues without an objective have it anyway. Event 806 names the core-seconds thrown away, event 819 and metrics what waits for which reason.

--- a/hfcommand/entry.go
+++ b/hfcommand/entry.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/peterbourgon/ff/v3"
@@ -13,6 +14,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/heatherfront/heatherfront/hfevent"
+	"github.com/heatherfront/heatherfront/hfplan"
 	"github.com/heatherfront/heatherfront/hfsettings"
 	hfplatform "github.com/heatherfront/heatherfront/platform"
 )
@@ -25,6 +27,7 @@
 	fs := newFlagSet("entry", s)
 	path := fs.String("settings", "", "settings file that the platform writes")
 	level := fs.String("log-level", "info", "debug, info, warn or error")
+	order := fs.String("order", string(hfplan.ByCost), "who waits where room is short: cost (what costs callers least) or size (the most work)")
 	return &ffcli.Command{
 		Name: "entry", ShortUsage: "heatherfront entry [flags]", ShortHelp: "run one entry instance on the operators' platform until SIGTERM",
 		LongHelp: "Takes jobs for the platform's queues and schedules them on its workers. The log is JSON on\nstandard output; its events are listed in docs/EVENTS.md.",
@@ -38,6 +41,9 @@
 			if err != nil {
 				return fmt.Errorf("%w: --log-level: %q is not debug, info, warn or error", ErrUsage, *level)
 			}
+			if !slices.Contains(hfplan.Orders(), hfplan.Order(*order)) {
+				return fmt.Errorf("%w: --order: %q is not cost or size", ErrUsage, *order)
+			}
 			// The platform sends SIGHUP when the settings file has changed. It is not needed,
 			// as the file is polled for changes, and its default action would end the process.
 			signal.Ignore(syscall.SIGHUP)
@@ -45,7 +51,7 @@
 			config := zap.NewProductionEncoderConfig()
 			config.EncodeTime = zapcore.ISO8601TimeEncoder
 			logger := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), sink, parsed))
-			if err := hfplatform.Run(ctx, *path, logger, sink); err != nil {
+			if err := hfplatform.Run(ctx, *path, hfplan.Order(*order), logger, sink); err != nil {
 				return &exitError{exit: ExitFailed, reason: err.Error()}
 			}
 			return nil
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -75,7 +75,8 @@
 	stopStarted  chan struct{}                  // closed when a planned stop begins
 	links        *hfpeer.Links
 	hints        chan hfstore.Item
-	peerAddress  string // at which the other instances reach this one; set before the goroutines start
+	order        hfplan.Order // in which this instance schedules as the leader; set before the goroutines start
+	peerAddress  string       // at which the other instances reach this one; set before the goroutines start
 }
 
 // New returns a node that has not started.
@@ -108,6 +109,12 @@
 	return n
 }
 
+// WithOrder sets the order in which the instance schedules as the leader. It must be called before Run.
+func (n *Node) WithOrder(o hfplan.Order) *Node {
+	n.order = o
+	return n
+}
+
 // Run keeps the mirror current, takes part in the leader election, and serves the other
 // instances on ln, until ctx ends.
 func (n *Node) Run(ctx context.Context, ln net.Listener) error {
--- a/hfentry/observe.go
+++ b/hfentry/observe.go
@@ -27,7 +27,8 @@
 	case hfplan.NotePlaced:
 		n.log.Event(hfevent.TasksPlaced, append(fields, zap.Uint32("step", c.Step()), zap.Int("tasks", c.Tasks()))...)
 	case hfplan.NotePreempted:
-		n.log.Event(hfevent.TasksPreempted, append(fields, zap.Uint32("step", c.Step()), zap.Int("tasks", c.Tasks()))...)
+		metrics.GetOrRegisterCounter("plan.thrown", n.registry).Inc(int64(c.ThrownAway()))
+		n.log.Event(hfevent.TasksPreempted, append(fields, zap.Uint32("step", c.Step()), zap.Int("tasks", c.Tasks()), zap.Float64("thrown", c.ThrownAway()))...)
 	case hfplan.NoteRetry:
 		n.log.Event(hfevent.TaskRetried, append(fields, zap.Uint32("step", c.Step()), zap.Uint32("task", c.Task()), zap.Int64("run", c.Number()), zap.String("worker", c.Worker()))...)
 	case hfplan.NoteLateEnd:
@@ -106,7 +107,13 @@
 		metrics.GetOrRegisterGauge(fmt.Sprintf("plan.waiting.%d", class), n.registry).Update(int64(waiting[class]))
 		metrics.GetOrRegisterGauge(fmt.Sprintf("plan.running.%d", class), n.registry).Update(int64(running[class]))
 	}
-	n.log.Event(hfevent.PlanLoad, zap.Ints("waiting", waiting[:]), zap.Ints("running", running[:]), zap.Int("promised", l.Assigned()),
+	delays := l.Delays()
+	metrics.GetOrRegisterGauge("plan.delayed.late", n.registry).Update(int64(delays.Late()))
+	metrics.GetOrRegisterGauge("plan.delayed.overdue", n.registry).Update(int64(delays.Overdue()))
+	metrics.GetOrRegisterGauge("plan.delayed.large", n.registry).Update(int64(delays.Large()))
+	metrics.GetOrRegisterGauge("plan.starving", n.registry).Update(int64(delays.Starving()))
+	metrics.GetOrRegisterGauge("plan.spared", n.registry).Update(int64(delays.Spared()))
+	n.log.Event(hfevent.PlanLoad, zap.Ints("delayed", []int{delays.Late(), delays.Overdue(), delays.Large(), delays.Starving()}), zap.Ints("waiting", waiting[:]), zap.Ints("running", running[:]), zap.Int("promised", l.Assigned()),
 		zap.Int("stopping", l.Stopping()), zap.Int64("free", l.Free().Accelerators()), zap.Int64("accelerators", l.Capacity().Accelerators()),
 		zap.Int64("cpu", l.Free().CPU()/milliPerCore), zap.Int64("memory", l.Free().Memory()), zap.Any("traffic", n.traffic()))
 }
--- a/hfevent/catalogue.go
+++ b/hfevent/catalogue.go
@@ -58,7 +58,7 @@
 	JobUnknown        = Event{803, "job-unknown", zapcore.WarnLevel, "The effect of a call about a job is not known; its caller was told so."}
 	JobState          = Event{804, "job-state", zapcore.InfoLevel, "A job entered a state."}
 	TasksPlaced       = Event{805, "tasks-placed", zapcore.InfoLevel, "Tasks of a step got their workers."}
-	TasksPreempted    = Event{806, "tasks-preempted", zapcore.InfoLevel, "Runs are stopped for more urgent work."}
+	TasksPreempted    = Event{806, "tasks-preempted", zapcore.InfoLevel, "Runs are stopped for more urgent work; with the core-seconds that are done again (`thrown`)."}
 	TaskRetried       = Event{807, "task-retried", zapcore.InfoLevel, "A run ended early and its task waits again."}
 	OrderFailed       = Event{808, "order-failed", zapcore.WarnLevel, "A worker refused an order or gave no answer."}
 	PlanRecovered     = Event{809, "plan-settled", zapcore.InfoLevel, "Every run that earlier schedulers may have started is accounted for."}
@@ -71,7 +71,7 @@
 	SettingsRead      = Event{816, "settings-read", zapcore.InfoLevel, "The settings file was read again."}
 	SettingsInvalid   = Event{817, "settings-bad", zapcore.ErrorLevel, "The settings file cannot be used; the settings in force stay."}
 	LinesDropped      = Event{818, "lines-dropped", zapcore.WarnLevel, "The reader of the log was too slow; lines were dropped."}
-	PlanLoad          = Event{819, "plan-load", zapcore.InfoLevel, "Waiting and running tasks and free resources at the scheduling instance, and the bytes it has sent and received by purpose (`store`, `orders`, `polls`), once a second."}
+	PlanLoad          = Event{819, "plan-load", zapcore.InfoLevel, "Waiting and running tasks, the steps that others are put before (`delayed`) and free resources at the scheduling instance, and the bytes it has sent and received by purpose (`store`, `orders`, `polls`), once a second."}
 	HintsUnavailable  = Event{820, "hints-deaf", zapcore.ErrorLevel, "Other instances can no longer send hints about stored items to this one; it learns of them from its watch."}
 	AnnounceFailed    = Event{821, "announce-failed", zapcore.WarnLevel, "The entry with this instance's address could not be written; the write is retried."}
 	LeaseRevoked      = Event{822, "lease-ended", zapcore.InfoLevel, "The scheduling lease of an earlier process of this instance was revoked, or the attempt failed."}
--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -59,6 +59,8 @@
 	awaitingRack     bool              // in this pass, a compact gang had room on several racks and waited for one
 	crashed          bool              // a worker has crashed under one of its tasks
 	durations        []durationSample  // of its ended tasks
+	goesFirst        bool              // in this pass, it goes before others because it starves
+	rescued          bool              // got room before others because it starved
 	durationsUsed    int               // number of durations from which workers' speeds were learned
 }
 
--- a/hfplan/message.go
+++ b/hfplan/message.go
@@ -310,8 +310,13 @@
 
 	suspects []hfwork.TaskID // tasks whose runs had just begun, for NoteCrash
 	alone    bool            // the lost runs belong to one task or gang, for NoteCrash
+
+	thrownAway float64 // core-seconds that are done again, for NotePreempted
 }
 
+// ThrownAway returns the core-seconds that are done again after a NotePreempted, with accelerators as cores.
+func (c NoteCmd) ThrownAway() float64 { return c.thrownAway }
+
 // Suspects returns the tasks whose runs had just begun on the worker of a NoteCrash.
 func (c NoteCmd) Suspects() []hfwork.TaskID { return c.suspects }
 
--- a/hfplan/network_test.go
+++ b/hfplan/network_test.go
@@ -515,6 +515,9 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { playLateNetwork(t, seed, lateNetwork{}) })
 	}
+	for _, seed := range failedNetworkSeeds { // in the order in which they were found
+		t.Run(fmt.Sprint("by size, seed", seed), func(t *testing.T) { playLateNetwork(t, seed, lateNetwork{order: BySize}) })
+	}
 }
 
 // Guards against two runs of one task, or a run after its end, as workers crash and come back under
@@ -536,11 +539,13 @@
 // TestUnboundStartsAreFoundToRunTasksTwice shows that the world finds a start that reaches the next
 // incarnation of its worker.
 func TestUnboundStartsAreFoundToRunTasksTwice(t *testing.T) {
-	for _, seed := range []uint64{140, 2187, 2738} {
-		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
-			failure := failureOf(func(f *failureRecorder) { playLateNetwork(f, seed, lateNetwork{unbound: true}) })
-			require.Regexp(t, `was started after its end as done|runs on .* already`, failure)
-		})
+	for order, seeds := range map[Order][]uint64{BySize: {140, 2187, 2738}, ByCost: {384, 458, 2187}} {
+		for _, seed := range seeds {
+			t.Run(fmt.Sprint("by ", order, ", seed", seed), func(t *testing.T) {
+				failure := failureOf(func(f *failureRecorder) { playLateNetwork(f, seed, lateNetwork{unbound: true, order: order}) })
+				require.Regexp(t, `was started after its end as done|runs on .* already`, failure)
+			})
+		}
 	}
 }
 
@@ -559,6 +564,7 @@
 type lateNetwork struct {
 	crashes bool // workers crash
 	unbound bool // starts reach whichever incarnation of their worker answers
+	order   Order
 	routes  bool // steps limit their tasks on one worker or ask for a label
 }
 
@@ -568,6 +574,10 @@
 	crashes := variant.crashes
 	random, crashRandom := rand.New(rand.NewPCG(seed, 20261205)), rand.New(rand.NewPCG(seed, 20261206))
 	w := newWorld(t, 2, 4)
+	if variant.order != "" {
+		w.order = variant.order
+		w.s.WithOrder(w.order)
+	}
 	routeRandom := rand.New(rand.NewPCG(seed, 20261207))
 	if variant.routes {
 		for i, id := range sortedKeys(w.fleet) {
--- a/hfplan/objective.go
+++ b/hfplan/objective.go
@@ -2,48 +2,45 @@
 
 import (
 	"time"
-)
-
-// overdueFactor is the multiple of its objective after which a job has lost its
-// value to the caller.
-const overdueFactor = 3
 
-// maxObjective limits both parts of an objective, so that sums and products with it stay within
-// a time.Duration.
-const maxObjective = 20 * 365 * 24 * time.Hour
+	"github.com/heatherfront/heatherfront/hfcost"
+)
 
 // objectiveStatus is the best result that a job can still reach if its waiting group
 // starts now.
-type objectiveStatus int
+type objectiveStatus = hfcost.Standing
 
 const (
-	onTime  objectiveStatus = iota // meets its objective
-	late                           // misses its objective but is still useful
-	overdue                        // has lost its value; goes after all others of its priority
+	onTime  = hfcost.OnTime
+	late    = hfcost.Late
+	overdue = hfcost.Overdue
 )
 
 // objectiveStatus returns the best result that the job of a group can still reach,
 // based on declared run times. Lasting tasks and queues without an objective are
 // always on time.
-func (g *group) objectiveStatus(now time.Time) objectiveStatus {
+func (g *group) objectiveStatus(now time.Time) objectiveStatus { return g.claim(1).Standing(now) }
+
+// claim returns what is known of the job of a group for the weighing of its delay. work is what remains of it in
+// core-seconds.
+func (g *group) claim(work float64) hfcost.Claim {
 	j := g.job
-	if g.spec.GetLasting() || j.queue == nil || j.queue.GetStretch() <= 0 {
-		return onTime
-	}
 	start := time.UnixMilli(j.spec.GetReceived())
 	if !g.due.IsZero() {
 		start = g.due
 	}
-	total, remaining := j.criticalPath(g.occurrence)
-	objective := time.Duration(min(j.queue.GetStretch()*float64(total), float64(maxObjective)))
-	objective += min(time.Duration(j.queue.GetObjective())*time.Millisecond, maxObjective)
-	switch end := now.Add(remaining); {
-	case !end.After(start.Add(objective)):
-		return onTime
-	case !end.After(start.Add(overdueFactor * objective)):
-		return late
+	if j.queue == nil {
+		return hfcost.NewClaim(0, start, work)
+	}
+	c := hfcost.NewClaim(j.queue.GetPriority(), start, work).Guaranteed(j.guaranteed).Rescued(g.rescued)
+	if g.spec.GetLasting() {
+		return c.Lasting(g.assignedAt)
 	}
-	return overdue
+	if j.queue.GetStretch() <= 0 {
+		return c // its age does not matter
+	}
+	total, remaining := j.criticalPath(g.occurrence)
+	return c.WithObjective(hfcost.NewObjective(j.queue.GetStretch(), time.Duration(j.queue.GetObjective())*time.Millisecond), total, remaining)
 }
 
 // criticalPath returns the length of the longest chain of dependent steps in one
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -1,7 +1,6 @@
 package hfplan
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -104,43 +103,6 @@
 	}
 }
 
-// candidate is a group with waiting tasks, and its sort keys in scheduling order.
-type candidate struct {
-	group           *group
-	priority        uint32
-	beyondGuarantee int // 1 for jobs of priority 0 that their account's guarantee does not cover, else 0
-	objective       objectiveStatus
-	rank            float64 // lower ranks are placed first
-}
-
-// candidates returns the groups that may be placed now, in scheduling order.
-func (s *Scheduler) candidates(now time.Time) []candidate {
-	var list []candidate
-	for _, g := range s.groups {
-		if g.waiting() == 0 || g.job.queue == nil || !g.ready(now) {
-			continue
-		}
-		if g.gang() && g.active > 0 {
-			continue
-		}
-		if g.gang() && g.awaitingPrior > 0 {
-			continue
-		}
-		c := candidate{group: g, priority: g.job.queue.GetPriority(), objective: g.objectiveStatus(now), rank: s.rank(g)}
-		if c.priority == 0 && !g.job.guaranteed {
-			c.beyondGuarantee = 1
-		}
-		list = append(list, c)
-	}
-	slices.SortStableFunc(list, func(a, b candidate) int {
-		return cmp.Or(
-			cmp.Compare(a.priority, b.priority), cmp.Compare(a.beyondGuarantee, b.beyondGuarantee), cmp.Compare(a.objective, b.objective), cmp.Compare(a.rank, b.rank),
-			cmp.Compare(a.group.job.id(), b.group.job.id()), cmp.Compare(a.group.step, b.group.step),
-		)
-	})
-	return list
-}
-
 // rank returns the remaining core-seconds of a job. Jobs with the least remaining
 // work go first, which keeps the number of jobs in progress low. Lasting tasks take
 // turns: those assigned longest ago go first.
@@ -282,7 +244,7 @@
 		if smallest, ok := smallestFailed[shape]; ok && count >= smallest && c.priority > 0 && g.unconstrained(now) {
 			continue
 		}
-		budget, budgeted := budgets[g.job.queue.GetPool()], c.priority > 0 && g.uncheckpointedGang()
+		budget, budgeted := budgets[g.job.queue.GetPool()], c.priority > 0 && g.uncheckpointedGang() && !g.goesFirst
 		if budgeted && !budget.take(g) {
 			if !s.waitsInVain(g, s.placementNeed(g, now), count, now) {
 				continue
@@ -367,6 +329,7 @@
 		return
 	}
 	g.assignedAt, g.reservedRack, g.rackSoughtAt, g.ampleSince, g.avoidsRoomSince = now, "", time.Time{}, time.Time{}, time.Time{}
+	g.rescued = g.rescued || g.goesFirst
 	s.markDirty(g.job)
 	g.requiredSequence = s.sequence + 1
 	gangNumber := s.runNumberBase + 1
--- a/hfplan/preempt.go
+++ b/hfplan/preempt.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/heatherfront/heatherfront/hfcost"
 	"github.com/heatherfront/heatherfront/hfplacement"
 )
 
@@ -57,10 +58,13 @@
 // preemptFor stops the chosen victims and assigns the freed resources to a group.
 func (s *Scheduler) preemptFor(g *group, need hfplacement.Need, count int, compact bool, chosen []hfplacement.Victim[victim], now time.Time) bool {
 	for _, v := range chosen {
+		other := v.Value().group
+		note := NoteCmd{note: NotePreempted, job: other.job.id(), step: other.step, tasks: len(v.Value().runs), reason: "for job " + g.job.id()}
 		for _, r := range v.Value().runs {
+			note.thrownAway += other.repeated(r, now).Seconds() * other.cores()
 			s.stopRun(r, now)
 		}
-		s.emit(NoteCmd{note: NotePreempted, job: v.Value().group.job.id(), step: v.Value().group.step, tasks: len(v.Value().runs), reason: "for job " + g.job.id()})
+		s.emit(note)
 	}
 	if compact {
 		if placements, ok := s.resources.PlaceInOneRack(need, count); ok {
@@ -99,13 +103,27 @@
 func (s *Scheduler) victims(preemptor *group, now time.Time) []hfplacement.Victim[victim] {
 	var list []hfplacement.Victim[victim]
 	queue := preemptor.job.queue
+	preempting := preemption{claim: preemptor.claim(s.rank(preemptor)), guaranteed: preemptor.job.guaranteed}
+	add := func(v victim, weighed stopWeight) {
+		cost, ok := preempting.stopCost(v, weighed, now)
+		if !ok {
+			s.delays.spared++
+			return
+		}
+		allocations := make([]hfplacement.Allocation, 0, len(v.runs))
+		for _, r := range v.runs {
+			allocations = append(allocations, hfplacement.NewAllocation(r.worker.resources, v.group.size))
+		}
+		list = append(list, hfplacement.NewVictim(v, cost, allocations))
+	}
 	for _, g := range s.groups {
 		if g.active == 0 || g.job.queue == nil || g.job.queue.GetPool() != queue.GetPool() || !preemptor.mayPreempt(g) {
 			continue
 		}
+		weight := s.stopWeight(g)
 		if g.gang() {
-			if v, ok := gangVictim(g, now); ok && !g.spec.GetLasting() {
-				list = append(list, v)
+			if v, ok := gangVictim(g); ok && !g.spec.GetLasting() {
+				add(v, weight)
 			}
 			continue
 		}
@@ -113,13 +131,74 @@
 		for i := range g.tasks {
 			if r := g.tasks[i].run; r != nil && r.phase != stopping && (allowance > 0 || !r.startedUp()) {
 				allowance--
-				list = append(list, hfplacement.NewVictim(victim{group: g, runs: []*run{r}}, g.loss(r, now), []hfplacement.Allocation{hfplacement.NewAllocation(r.worker.resources, g.size)}))
+				add(victim{group: g, runs: []*run{r}}, weight)
 			}
 		}
 	}
 	return list
 }
 
+// stopTime is how long it takes from a stop until its room can be used: the order, the end on the worker, which
+// normally takes 200 ms, and the report of it.
+const stopTime = 300 * time.Millisecond
+
+// preemption is the search for victims for one group.
+type preemption struct {
+	claim      hfcost.Claim // of the preemptor
+	guaranteed bool
+}
+
+// stopWeight is what is weighed for all runs of a group.
+type stopWeight struct {
+	claim hfcost.Claim
+	rest  time.Duration // what remains of the chain of its job beside its own step; may be negative
+	timed bool          // it has an objective
+}
+
+func (s *Scheduler) stopWeight(g *group) stopWeight {
+	if s.bySize || g.spec.GetLasting() || g.job.queue.GetStretch() <= 0 {
+		return stopWeight{}
+	}
+	_, remaining := g.job.criticalPath(g.occurrence)
+	return stopWeight{claim: g.claim(s.rank(g)), rest: remaining - g.estimate(), timed: true}
+}
+
+// stopCost returns the weighted core-seconds that callers lose if the runs are stopped. It reports false if they
+// should go on: they end before the preemptor could start in their place, or their caller would lose more than the
+// preemptor's gains.
+func (p preemption) stopCost(v victim, weight stopWeight, now time.Time) (float64, bool) {
+	g := v.group
+	cost := 0.0
+	if !weight.timed {
+		for _, r := range v.runs {
+			cost += g.repeated(r, now).Seconds() * g.cores()
+		}
+		return cost * g.lossFactor(), true
+	}
+	if !p.guaranteed && v.endsWithin(stopTime, now) {
+		return 0, false
+	}
+	for _, r := range v.runs {
+		h := hfcost.NewHolding(weight.claim, g.cores(), g.repeated(r, now), weight.rest+r.expectedEnd(now).Sub(now))
+		if !p.claim.MayStop(h, now) {
+			return 0, false
+		}
+		cost += h.StopCost()
+	}
+	return cost * g.lossFactor(), true
+}
+
+// endsWithin reports whether the runs are at work and are measured to end all within a time.
+func (v victim) endsWithin(d time.Duration, now time.Time) bool {
+	for _, r := range v.runs {
+		at, measured := r.progress.expectedEnd()
+		if r.phase != running || !measured || !at.After(now) || at.After(now.Add(d)) {
+			return false
+		}
+	}
+	return true
+}
+
 // startedUp reports whether a lasting task has finished its startup.
 func (r *run) startedUp() bool { return r.phase == running && r.progress.percent >= fullProgress }
 
@@ -140,39 +219,40 @@
 
 // gangVictim returns the runs of a gang as one victim. It reports false if the gang
 // is already stopping.
-func gangVictim(g *group, now time.Time) (hfplacement.Victim[victim], bool) {
-	v, loss := victim{group: g}, 0.0
-	var allocations []hfplacement.Allocation
+func gangVictim(g *group) (victim, bool) {
+	v := victim{group: g}
 	for i := range g.tasks {
 		r := g.tasks[i].run
 		if r == nil {
 			continue
 		}
 		if r.phase == stopping {
-			return hfplacement.Victim[victim]{}, false
+			return victim{}, false
 		}
 		v.runs = append(v.runs, r)
-		allocations = append(allocations, hfplacement.NewAllocation(r.worker.resources, g.size))
-		loss += g.loss(r, now)
 	}
-	return hfplacement.NewVictim(v, loss, allocations), true
+	return v, true
 }
 
 // restartCost is the time that stopping and restarting a task costs even with a
 // checkpoint.
 const restartCost = 500 * time.Millisecond
 
-// loss returns the weighted core-seconds that are lost when a run is stopped.
-func (g *group) loss(r *run, now time.Time) float64 {
-	if r.phase == assigned {
+// repeated returns the run time that is spent again when a run is stopped.
+func (g *group) repeated(r *run, now time.Time) time.Duration {
+	switch {
+	case r.phase == assigned:
 		return 0
+	case g.spec.GetSaves() || g.spec.GetLasting():
+		return restartCost
 	}
-	lost := restartCost
-	if !g.spec.GetSaves() && !g.spec.GetLasting() {
-		lost += now.Sub(r.startedAt)
-	}
+	return restartCost + now.Sub(r.startedAt)
+}
+
+// lossFactor returns the weight of lost work by priority.
+func (g *group) lossFactor() float64 {
 	if g.job.queue.GetPriority() == 0 {
-		lost *= urgentLossFactor
+		return urgentLossFactor
 	}
-	return lost.Seconds() * g.cores()
+	return 1
 }
--- a/hfplan/reservation.go
+++ b/hfplan/reservation.go
@@ -22,9 +22,9 @@
 
 // reserveWorkers reserves the workers on which a waiting gang is expected to fit
 // first. Without a reservation, smaller tasks would fill each gap before it is large
-// enough. For a compact gang, all workers of one rack are reserved.
+// enough. For a compact gang, all workers of one rack are reserved. A step that starves gets a worker for one task.
 func (s *Scheduler) reserveWorkers(g *group, now time.Time) {
-	if !g.gang() {
+	if !g.gang() && !g.goesFirst {
 		return
 	}
 	pool, need := g.job.queue.GetPool(), s.generalNeed(g, now).Excluding(func(id string) bool { return g.avoid[id] })
@@ -44,7 +44,7 @@
 	if len(all)-len(unreserved) >= maxReserved {
 		return
 	}
-	if !g.spec.GetCompact() {
+	if !g.gang() || !g.spec.GetCompact() {
 		if r, ok := s.findReservation(g, need, unreserved, now); ok {
 			r.apply(g)
 		}
@@ -106,11 +106,11 @@
 // whole gang, and the workers that the gang uses then. It reports false if they never do.
 func (s *Scheduler) findReservation(g *group, need hfplacement.Need, workers []*hfplacement.Worker, now time.Time) (reservation, bool) {
 	f := s.newForecast(need, workers, now)
-	startsAt, ok := f.roomFor(len(g.tasks))
+	startsAt, ok := f.roomFor(g.leastTasks())
 	if !ok {
 		return reservation{}, false
 	}
-	return reservation{startsAt: startsAt, workers: f.workersFor(len(g.tasks))}, true
+	return reservation{startsAt: startsAt, workers: f.workersFor(g.leastTasks())}, true
 }
 
 // expectedEnd estimates when a run ends: from its measured progress rate if there is
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/heatherfront/heatherfront/hfbudget"
+	"github.com/heatherfront/heatherfront/hfcost"
 	"github.com/heatherfront/heatherfront/hfplacement"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
@@ -100,8 +101,11 @@
 	notAmple         map[placementShape]int      // smallest number of tasks for which this pass found no room, see hasAmpleRoom
 	suspectReserved  map[string]int              // workers that this pass has reserved for suspects, by pool
 	hasAdvisedQueue  bool
-	adviceInFlight   bool      // an AdviceCmd is in flight
-	adviceNotBefore  time.Time // earliest next AdviceCmd
+	bySize           bool // order and victims go by core-seconds alone, see WithOrder
+	delays           Delays
+	waitingList      []hfcost.Waiting[*group] // of the last call of candidates; kept for its memory
+	adviceInFlight   bool                     // an AdviceCmd is in flight
+	adviceNotBefore  time.Time                // earliest next AdviceCmd
 	cmds             []Cmd
 	needsPass        bool  // a change may allow a task to start
 	invariantErr     error // first violated invariant
@@ -222,8 +226,12 @@
 	stopping int    // runs that were sent a stop and have not ended
 	free     hfplacement.Resources
 	capacity hfplacement.Resources
+	delays   Delays
 }
 
+// Delays returns what the last pass put behind others.
+func (l Load) Delays() Delays { return l.delays }
+
 // Waiting returns the number of tasks without a worker for priority 0, 1, and 2 and
 // above.
 func (l Load) Waiting() [3]int { return l.waiting }
@@ -246,7 +254,7 @@
 
 // Load returns the current load.
 func (s *Scheduler) Load(now time.Time) Load {
-	var l Load
+	l := Load{delays: s.delays}
 	for _, g := range s.groups {
 		if g.job.queue == nil {
 			continue
--- a/hfplan/world_test.go
+++ b/hfplan/world_test.go
@@ -50,6 +50,8 @@
 	allowedWorkers map[string]bool      // workers that may run the steps of advised queues
 	adviceRequests int                  // number of AdviceCmds
 	interrupted    int                  // runs ended by an upkeep
+	order          Order                // of each scheduler, "" for the default
+	thrownAway     float64              // core-seconds of runs that were stopped and are done again
 	lostTime       time.Duration        // accelerator time of runs without checkpoints that ended early
 	network        *network             // between the leader and the workers; nil if orders and reports arrive at once
 	deadly         map[string]bool      // tasks that crash the worker that starts them
@@ -246,6 +248,7 @@
 	if w.memory > 0 {
 		w.s.WithMemory(w.memory)
 	}
+	w.s.WithOrder(w.order)
 	if w.network != nil {
 		w.network.connect()
 	}
@@ -586,6 +589,7 @@
 		saved = fmt.Sprint("at ", w.now.UnixMilli())
 	}
 	if endReason != hfwork.Done && !r.checkpoints {
+		w.thrownAway += w.now.Sub(r.startedAt).Seconds() * r.size.CoreEquivalents()
 		w.lostTime += w.now.Sub(r.startedAt) * time.Duration(r.size.Accelerators())
 	}
 	f.lastEnd++
