hfentry: tell callers that are refused for want of room when they can still be served

Cause: a job for which there is no memory was answered with Retry-After 10 s whatever it asked for. A short urgent job with an objective of 3.5 s has lost it by then, and all that were refused together came back together.

Change: hfcost.RetryAfter, from the objective and the longest chain of steps: while the job can still meet its objective, at most 10 s as before, spread over half of the time by the job's id. Queues without an objective, scheduled jobs and `--order size` keep 10 s.

Result: TestRefusedCallersComeBackInTime (hfcost), TestRefusedUrgentCallersComeBackWhileTheyCanBeServed (hfentry).

--- a/hfcost/cost_test.go
+++ b/hfcost/cost_test.go
@@ -243,3 +243,33 @@
 	list = append(list, hfcost.NewWaiting(4, hfcost.NewClaim(1, start, 0).Lasting(start), "pool", "a", 1, "4", 0))
 	require.Equal(t, []int{3, 1, 2, 0, 4}, values(hfcost.Order(list, hfcost.NewShares(), start)))
 }
+
+// A refused caller comes back while its job can still meet its objective, those with less time first, and not all at once.
+func TestRefusedCallersComeBackInTime(t *testing.T) {
+	const room = 10 * time.Second
+	objective := hfcost.NewObjective(1.5, 400*time.Millisecond)
+	refuse := func(chain time.Duration, id string) time.Duration {
+		return hfcost.RetryAfter(hfcost.NewClaim(0, start, 10).WithObjective(objective, chain, chain), id, room, start)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		id := rapid.String().Draw(t, "id")
+		chain := time.Second + seconds(t, 100, "chain")
+		after := refuse(chain, id)
+		require.GreaterOrEqual(t, after, time.Second)
+		require.LessOrEqual(t, after, room)
+		require.LessOrEqual(t, after, max(objective.Limit(chain)-chain, time.Second))
+		require.LessOrEqual(t, after, refuse(chain+seconds(t, 100, "longer"), id), "who has more time comes back later")
+	})
+	var early, late int
+	for i := range 1000 {
+		switch after := refuse(time.Minute, fmt.Sprint(i)); {
+		case after < 6*time.Second:
+			early++
+		case after > 9*time.Second:
+			late++
+		}
+	}
+	require.InDelta(t, 200, early, 60)
+	require.InDelta(t, 200, late, 60)
+	require.Equal(t, room, hfcost.RetryAfter(hfcost.NewClaim(0, start, 10), "a", room, start), "without an objective")
+}
--- a/hfentry/memory.go
+++ b/hfentry/memory.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/heatherfront/heatherfront/hfbudget"
+	"github.com/heatherfront/heatherfront/hfcost"
 	"github.com/heatherfront/heatherfront/hfloop"
+	"github.com/heatherfront/heatherfront/hfplan"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
 
@@ -20,8 +22,8 @@
 	loadedShare   = 3 // tasks that a leader has loaded may take 1/loadedShare; see hfbudget for why it is twice as much
 	// defaultMemoryMB counts if no instance has a memory limit: what a process may use for control.
 	defaultMemoryMB = 128
-	// memoryRetryAfter is when a submission may be repeated for which there was no memory. Most jobs
-	// end within this time.
+	// memoryRetryAfter is when a submission may be repeated for which there was no memory, unless its
+	// objective asks for less. Most jobs end within this time.
 	memoryRetryAfter = 10 * time.Second
 )
 
@@ -84,7 +86,10 @@
 		case !m.memory.Possible(size):
 			return owner, fmt.Errorf("%w: it needs %d bytes of memory, more than the %d of one account", hfwork.ErrInvalidJob, size, m.memory.Limit()/2)
 		case !m.memory.Fits(owner, size):
-			return owner, fmt.Errorf("%w: there is no memory for another %d bytes", ErrTooManyJobs, size)
+			return owner, &refusedError{
+				cause:      fmt.Errorf("%w: there is no memory for another %d bytes", ErrTooManyJobs, size),
+				retryAfter: n.memoryRetryAfter(job, time.Now()),
+			}
 		}
 		m.memory.Add(owner, size)
 		return owner, nil
@@ -114,8 +119,33 @@
 	return nil
 }
 
+// refusedError refuses a job for want of room, and knows when its caller should come back.
+type refusedError struct {
+	cause      error
+	retryAfter time.Duration
+}
+
+func (e *refusedError) Error() string { return e.cause.Error() }
+func (e *refusedError) Unwrap() error { return e.cause }
+
+// memoryRetryAfter returns when the submission of a job for which there is no memory may be repeated.
+func (n *Node) memoryRetryAfter(job *hfwork.Job, now time.Time) time.Duration {
+	q := job.GetSettings()
+	if n.order == hfplan.BySize || q.GetStretch() <= 0 || job.GetTimes() > 0 {
+		return memoryRetryAfter
+	}
+	chain := hfwork.Chain(job)
+	objective := hfcost.NewObjective(q.GetStretch(), time.Duration(q.GetObjective())*time.Millisecond)
+	c := hfcost.NewClaim(q.GetPriority(), now, 0).WithObjective(objective, chain, chain)
+	return hfcost.RetryAfter(c, job.GetId(), memoryRetryAfter, now)
+}
+
 // RetryAfter returns when a call that failed may be repeated.
 func (n *Node) RetryAfter(err error) time.Duration {
+	var refused *refusedError
+	if errors.As(err, &refused) {
+		return refused.retryAfter
+	}
 	if errors.Is(err, ErrTooManyJobs) {
 		return memoryRetryAfter
 	}
--- a/hfentry/memory_test.go
+++ b/hfentry/memory_test.go
@@ -217,3 +217,22 @@
 		require.NoError(t, n.Submit(t.Context(), access("b", "b"), newTestJob(fmt.Sprintf("%016x", 7000+len(n.name)))))
 	}
 }
+
+// Guards against urgent callers that are told to come back after their objective is lost.
+func TestRefusedUrgentCallersComeBackWhileTheyCanBeServed(t *testing.T) {
+	n, _ := newSmallNode(t, newFakeStore())
+	now := time.Unix(1_000_000, 0)
+	j := newTestJob("0000000000000001")
+	j.Steps = []*hfwork.Step{{Count: 1, Estimate: 5000}, {Count: 1, Estimate: 1000, After: []uint32{0}}, {Count: 1, Estimate: 2000}}
+	j.Settings = &hfwork.Queue{Stretch: 1.5, Objective: 400}
+	require.Equal(t, 6*time.Second, hfwork.Chain(j))
+	after := n.memoryRetryAfter(j, now)
+	require.LessOrEqual(t, after, 3400*time.Millisecond, "half of its chain and 400 ms")
+	refusal := fmt.Errorf("submit: %w", &refusedError{cause: ErrTooManyJobs, retryAfter: after})
+	require.ErrorIs(t, refusal, ErrTooManyJobs)
+	require.Equal(t, after, n.RetryAfter(refusal))
+	j.Settings = &hfwork.Queue{}
+	require.Equal(t, memoryRetryAfter, n.memoryRetryAfter(j, now), "a queue without an objective")
+	j.Settings = &hfwork.Queue{Stretch: 1.5, Objective: 400}
+	require.Equal(t, memoryRetryAfter, n.WithOrder(hfplan.BySize).memoryRetryAfter(j, now))
+}
--- a/hfwork/shape.go
+++ b/hfwork/shape.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 )
 
 // SummarizeSteps returns a one-line summary of the steps of a job for logs. For example,
@@ -41,3 +42,19 @@
 	}
 	return b.String()
 }
+
+// Chain returns the length of the longest chain of dependent steps of a job, by declared run times.
+func Chain(job *Job) time.Duration {
+	longest := time.Duration(0)
+	ends := make([]time.Duration, len(job.GetSteps()))
+	for i, step := range job.GetSteps() {
+		for _, after := range step.GetAfter() {
+			if int(after) < i {
+				ends[i] = max(ends[i], ends[after])
+			}
+		}
+		ends[i] += time.Duration(max(step.GetEstimate(), 1)) * time.Millisecond
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
