hfplan: let urgent work wait for runs that end in time instead of stopping others

Cause: an urgent job that finds no room stops runs at once, although it has slack (half of its chain and 400 ms on the operators' queues) and, in a fleet of hundreds of runs of some seconds, room for it comes free many times a second. The stopped runs are done again, and gangs without checkpoints lose all.

Change: an urgent group, other than a gang that asks for one rack, waits while its room is expected within a third of its slack, as long as the slack is above 0.6 s, enough to stop others in two tries. The workers are reserved for it meanwhile. What a guarantee covers waits half a second at most. Eight groups wait so in a pass, which bounds the forecasts. Shares of accounts are kept behind pointers: the order looked each account up several times.

--- a/hfcost/claim.go
+++ b/hfcost/claim.go
@@ -120,6 +120,9 @@
 // timed reports whether the claim has an objective.
 func (c Claim) timed() bool { return !c.lasting && c.objective.Set() }
 
+// Slack returns how long the claim can wait and still meet its objective; it is negative if it can't.
+func (c Claim) Slack(now time.Time) time.Duration { return c.slack(now, 1) }
+
 // slack returns how long the claim can wait and still end within a multiple of its objective.
 func (c Claim) slack(now time.Time, objectives time.Duration) time.Duration {
 	return objectives*c.objective.Limit(c.chain) - c.remaining - now.Sub(c.received)
--- a/hfcost/order.go
+++ b/hfcost/order.go
@@ -21,7 +21,9 @@
 	first    bool    // goes first because it starves
 	level    uint64  // what decides before urgency, see setLevel
 	overuse  float64 // what its account uses, as a multiple of an equal share; at least 1
-	urgency  float64 // logarithm of its delay cost for each core-second that it needs, over overuse
+	use      *classUse
+	used     *float64 // what its account uses
+	urgency  float64  // logarithm of its delay cost for each core-second that it needs, over overuse
 }
 
 // Class is what competes for the same room at the same priority.
@@ -87,34 +89,39 @@
 // use already; it is left with what they would use in all. A class without any objective is in order of the
 // remaining core-seconds.
 func Order[T any](list []Waiting[T], shares *Shares, now time.Time) []*Waiting[T] {
-	waits := typicalWaits(list) // of the classes with objectives
 	order := make([]*Waiting[T], len(list))
 	for i := range list {
 		w := &list[i]
 		order[i] = w
+		w.use = shares.class(w.class)
 		w.standing, w.first, w.overuse, w.urgency = w.claim.Standing(now), false, 1, 0
-		if w.claim.lasting {
-			continue
-		}
-		w.urgency = -math.Log(w.claim.work)
-		if wait, timed := waits[w.class]; timed {
-			w.urgency += math.Log(max(w.claim.delayCost(w.standing, wait, now), leastCost)) // the logarithm, as small costs would all be 0
-			shares.join(w.class, w.account)
+		if w.claim.timed() {
+			w.use.timed++
+			w.use.chains += min(w.claim.remaining, MaxObjective/time.Duration(len(list)))
 		}
 	}
-	markStarving(list, shares, now)
+	markStarving(list, now)
 	for _, w := range order {
+		if !w.claim.lasting {
+			w.urgency = -math.Log(w.claim.work)
+		}
+		if !w.claim.lasting && w.use.timed > 0 {
+			w.urgency += math.Log(max(w.claim.delayCost(w.standing, w.use.typicalWait(), now), leastCost)) // the logarithm, as small costs would all be 0
+			w.used = w.use.join(w.account)
+		}
 		w.setLevel()
 	}
 	slices.SortFunc(order, Compare[T])
 	changed := false
 	for _, w := range order {
-		if _, timed := waits[w.class]; timed && !w.claim.lasting && !w.ahead() {
-			if w.overuse = shares.take(w.class, w.account, w.share); w.overuse > 1 {
-				w.urgency -= math.Log(w.overuse)
-				changed = true
-			}
+		if w.use.timed == 0 || w.claim.lasting || w.ahead() {
+			continue
 		}
+		if w.overuse = w.use.overuse(*w.used); w.overuse > 1 {
+			w.urgency -= math.Log(w.overuse)
+			changed = true
+		}
+		*w.used += w.share
 	}
 	if changed {
 		slices.SortFunc(order, Compare[T])
@@ -126,40 +133,28 @@
 // known well enough to tell such costs apart.
 const leastCost = 0.05
 
-// typicalWaits returns the mean remaining chain of the claims of each class: about how long one waits
-// that lets another one go first.
-func typicalWaits[T any](list []Waiting[T]) map[Class]time.Duration {
-	sums, counts := map[Class]time.Duration{}, map[Class]int{}
-	for i := range list {
-		if w := &list[i]; w.claim.timed() {
-			sums[w.class] += min(w.claim.remaining, MaxObjective/time.Duration(len(list)))
-			counts[w.class]++
-		}
-	}
-	for class, n := range counts {
-		sums[class] /= time.Duration(n)
-	}
-	return sums
-}
-
 // markStarving lets the oldest starving claim of each class go first. There is one at a time, until it has ended,
 // so that a long backlog does not turn the order into that of arrival, in which all become late.
-func markStarving[T any](list []Waiting[T], shares *Shares, now time.Time) {
-	first := map[Class]int{}
+func markStarving[T any](list []Waiting[T], now time.Time) {
 	for i := range list {
 		w := &list[i]
-		if w.ahead() || !w.claim.rescued && (shares.rescuing[w.class] || !w.claim.Starving(now)) {
-			continue
-		}
-		best, ok := first[w.class]
-		if ok && list[best].claim.rescued && !w.claim.rescued {
+		if w.ahead() || !w.claim.rescued && (w.use.rescuing || !w.claim.Starving(now)) {
 			continue
 		}
-		if !ok || w.claim.rescued && !list[best].claim.rescued || cmp.Or(w.claim.received.Compare(list[best].claim.received), cmp.Compare(w.id, list[best].id), cmp.Compare(w.step, list[best].step)) < 0 {
-			first[w.class] = i
+		if w.use.first < 0 || w.starvesLonger(&list[w.use.first]) {
+			w.use.first = i
 		}
 	}
-	for _, i := range first {
-		list[i].first = true
+	for i := range list {
+		list[i].first = list[i].use.first == i
+	}
+}
+
+// starvesLonger reports whether the claim goes before another one that starves: what has got a part of its room, then
+// the oldest.
+func (w *Waiting[T]) starvesLonger(o *Waiting[T]) bool {
+	if w.claim.rescued != o.claim.rescued {
+		return w.claim.rescued
 	}
+	return cmp.Or(w.claim.received.Compare(o.claim.received), cmp.Compare(w.id, o.id), cmp.Compare(w.step, o.step)) < 0
 }
--- a/hfcost/shares.go
+++ b/hfcost/shares.go
@@ -1,47 +1,57 @@
 package hfcost
 
+import "time"
+
 // Shares counts which part of a pool the accounts use, and would use, in each class. All accounts that
 // use some or wait have an equal share; what one leaves is free for the others.
-type Shares struct {
-	used     map[holder]float64
-	accounts map[Class]int // number of accounts in used
-	rescuing map[Class]bool
-}
+type Shares struct{ classes map[Class]*classUse }
 
-// holder is an account in a class.
-type holder struct {
-	class   Class
-	account string
+// classUse is what is used and waits in one class.
+type classUse struct {
+	used     map[string]*float64 // by account
+	rescuing bool                // a job that went first because it starved has not ended
+	timed    int                 // claims with an objective that wait
+	chains   time.Duration       // sum of their remaining chains
+	first    int                 // index of the starving claim that goes first, or -1
 }
 
 // NewShares returns shares of which nothing is used.
-func NewShares() *Shares {
-	return &Shares{used: map[holder]float64{}, accounts: map[Class]int{}, rescuing: map[Class]bool{}}
-}
+func NewShares() *Shares { return &Shares{classes: map[Class]*classUse{}} }
 
 // Use counts a part of a pool that an account uses.
-func (s *Shares) Use(c Class, account string, share float64) {
-	s.join(c, account)
-	s.used[holder{class: c, account: account}] += share
+func (s *Shares) Use(c Class, account string, share float64) { *s.class(c).join(account) += share }
+
+// Rescue counts a job that went first because it starved and has not ended.
+func (s *Shares) Rescue(c Class) { s.class(c).rescuing = true }
+
+func (s *Shares) class(c Class) *classUse {
+	u := s.classes[c]
+	if u == nil {
+		u = &classUse{used: map[string]*float64{}, first: -1}
+		s.classes[c] = u
+	}
+	return u
 }
 
-// join counts an account as one of those that share a pool.
-func (s *Shares) join(c Class, account string) {
-	h := holder{class: c, account: account}
-	if _, ok := s.used[h]; !ok {
-		s.used[h] = 0
-		s.accounts[c]++
+// join counts an account as one of those that share the pool, and returns what it uses.
+func (u *classUse) join(account string) *float64 {
+	used := u.used[account]
+	if used == nil {
+		used = new(float64)
+		u.used[account] = used
 	}
+	return used
 }
 
-// Rescue counts a job that went first because it starved and has not ended.
-func (s *Shares) Rescue(c Class) { s.rescuing[c] = true }
-
-// take counts what an account would use if one more claim got room. It returns what the account uses before that, as
-// a multiple of an equal share, 1 at least.
-func (s *Shares) take(c Class, account string, share float64) float64 {
-	h := holder{class: c, account: account}
-	before := s.used[h]
-	s.used[h] += share
-	return max(1, before*float64(s.accounts[c]))
+// overuse returns what an account uses as a multiple of an equal share, 1 at least. There is nobody to share with
+// for one account alone.
+func (u *classUse) overuse(used float64) float64 {
+	if len(u.used) == 1 {
+		return 1
+	}
+	return max(1, used*float64(len(u.used)))
 }
+
+// typicalWait returns the mean remaining chain of the claims that wait with an objective: about how long one waits
+// that lets another one go first.
+func (u *classUse) typicalWait() time.Duration { return u.chains / time.Duration(u.timed) }
--- a/hfplan/bench_test.go
+++ b/hfplan/bench_test.go
@@ -86,3 +86,31 @@
 		})
 	}
 }
+
+// BenchmarkPassUnderContention measures a pass on fully used workers while short urgent jobs of ten accounts wait, one
+// for each worker, in both orders.
+func BenchmarkPassUnderContention(b *testing.B) {
+	for _, racks := range []int{44, 90} {
+		for _, order := range Orders() {
+			b.Run(fmt.Sprintf("workers-%d/%s", racks*8, order), func(b *testing.B) {
+				w := newWorld(&testing.T{}, racks, 8)
+				w.order = order
+				w.replaceScheduler()
+				w.advance(time.Second)
+				for i := range racks {
+					w.submitFor(fmt.Sprint("a", i%10), fmt.Sprintf("b%04d", i), "usual", single(64, 30*time.Second))
+				}
+				w.advance(2 * time.Second)
+				for i := range racks * 8 {
+					w.submitFor(fmt.Sprint("a", i%10), fmt.Sprintf("u%04d", i), "urgent", single(uint32(12+i%4), 2*time.Second))
+				}
+				w.advance(100 * time.Millisecond)
+				b.ReportAllocs()
+				for b.Loop() {
+					w.s.needsPass = true
+					w.s.Update(PassMsg{}, w.now)
+				}
+			})
+		}
+	}
+}
--- a/hfplan/cost_test.go
+++ b/hfplan/cost_test.go
@@ -105,6 +105,39 @@
 	require.True(t, urgent)
 }
 
+// A burst of short urgent jobs over a full fleet: the room that they need comes free by itself while they have time.
+func TestUrgentJobsWaitForRunsThatEndInTime(t *testing.T) {
+	play := func(order Order) (starts int, urgent bool) {
+		w := newContendedWorld(t, order)
+		w.submit("usual", "usual", wide(4, 6*time.Second))
+		w.advance(5650 * time.Millisecond)
+		w.submit("urgent", "urgent", wide(4, 2*time.Second)) // may wait 1.4 s
+		urgent = w.finishedWithin("urgent", 3400*time.Millisecond)
+		return w.startCounts[fmt.Sprint(hfwork.NewTaskID("usual", 0, 0, 0))], urgent
+	}
+	starts, urgent := play(ByCost)
+	require.Equal(t, 1, starts)
+	require.True(t, urgent)
+	starts, urgent = play(BySize)
+	require.Equal(t, 2, starts, "thrown away for 0.4 s")
+	require.True(t, urgent)
+}
+
+// Run times are declared too short: an urgent job waits for no end that does not come until it is late, whether a
+// guarantee covers it or not.
+func TestUrgentJobsStopRunsThatTakeLongerThanDeclared(t *testing.T) {
+	for _, guaranteed := range []int64{0, 32} {
+		w := newContendedWorld(t, ByCost)
+		w.policy.Accounts = []*hfwork.Account{{Name: "plants", Guaranteed: guaranteed}}
+		w.send(Policy(w.policy))
+		w.durations["usual"] = 42 * time.Second
+		w.submit("usual", "usual", wide(4, 6*time.Second))
+		w.advance(5650 * time.Millisecond)
+		w.submit("urgent", "urgent", wide(4, 2*time.Second)) // may wait 1.4 s
+		require.True(t, w.finishedWithin("urgent", 3400*time.Millisecond))
+	}
+}
+
 // Guarantees go before everything: a guaranteed job stops what is near its objective, however late it is itself.
 func TestGuaranteedJobsDisplaceWhatIsNearItsObjective(t *testing.T) {
 	w := newContendedWorld(t, ByCost)
--- a/hfplan/preempt.go
+++ b/hfplan/preempt.go
@@ -24,6 +24,9 @@
 	if count == 0 {
 		return false
 	}
+	if s.awaitsEnds(g, count, now) {
+		return false
+	}
 	victims := s.victims(g, now)
 	if len(victims) == 0 {
 		return false
@@ -43,6 +46,56 @@
 	return false
 }
 
+const (
+	// endWaitShare is the part of its slack that an urgent group spends on waiting for runs that end by themselves.
+	// Run times are declared too short by a factor of up to 1.9, so that the wait may be twice as long as expected.
+	endWaitShare = 1.0 / 3
+	// minSlack is the slack with which a group stops others at the latest: enough to stop them in two tries.
+	minSlack = 2 * stopTime
+	// maxGuaranteedEndWait limits that wait for what a guarantee covers, which has to start within a few seconds.
+	maxGuaranteedEndWait = 500 * time.Millisecond
+	// maxAwaitingEnds is the number of groups that wait so in a pass. A forecast goes over all runs, and takes 0.2 ms
+	// with 720 workers; further groups stop others at once.
+	maxAwaitingEnds = 8
+)
+
+// awaitsEnds reports whether a group waits for runs that are expected to end by themselves in time, rather than throw
+// work away. It reserves their workers for it.
+func (s *Scheduler) awaitsEnds(g *group, count int, now time.Time) bool {
+	if s.bySize || s.awaitingEnds >= maxAwaitingEnds || g.job.queue.GetPriority() > 0 || g.job.queue.GetStretch() <= 0 || g.spec.GetLasting() || g.gang() && g.spec.GetCompact() {
+		return false
+	}
+	if g.job.guaranteed && now.Sub(g.job.learnedAt) >= maxGuaranteedEndWait {
+		return false
+	}
+	slack := g.claim(1).Slack(now)
+	if slack < minSlack {
+		return false
+	}
+	unreserved, total := s.unreservedWorkers(g.job.queue.GetPool())
+	if float64(total-len(unreserved)) >= maxReservedShare*float64(total) {
+		return false
+	}
+	r, ok := s.findReservation(s.reservationNeed(g, now), unreserved, count, now)
+	if !ok || r.startsAt.Sub(now) > time.Duration(endWaitShare*float64(slack)) {
+		return false
+	}
+	r.apply(g)
+	s.awaitingEnds++
+	return true
+}
+
+// unreservedWorkers returns the workers of a pool that are not reserved, and how many workers it has.
+func (s *Scheduler) unreservedWorkers(pool string) (unreserved []*hfplacement.Worker, total int) {
+	s.resources.EachWorker(pool, func(w *hfplacement.Worker) {
+		total++
+		if !w.Reserved() {
+			unreserved = append(unreserved, w)
+		}
+	})
+	return unreserved, total
+}
+
 // preemptedShapes returns whether the room for a group may be freed in one rack (true) or anywhere
 // (false), in the order in which to try.
 func (g *group) preemptedShapes(now time.Time) []bool {
--- a/hfplan/reservation.go
+++ b/hfplan/reservation.go
@@ -27,7 +27,7 @@
 	if !g.gang() && !g.goesFirst {
 		return
 	}
-	pool, need := g.job.queue.GetPool(), s.generalNeed(g, now).Excluding(func(id string) bool { return g.avoid[id] })
+	pool, need := g.job.queue.GetPool(), s.reservationNeed(g, now)
 	var all, unreserved []*hfplacement.Worker
 	unreservedByRack := map[string][]*hfplacement.Worker{}
 	reservedRacks := map[string]bool{}
@@ -45,7 +45,7 @@
 		return
 	}
 	if !g.gang() || !g.spec.GetCompact() {
-		if r, ok := s.findReservation(g, need, unreserved, now); ok {
+		if r, ok := s.findReservation(need, unreserved, g.leastTasks(), now); ok {
 			r.apply(g)
 		}
 		return
@@ -56,7 +56,7 @@
 		if reservedRacks[rack] {
 			continue
 		}
-		r, ok := s.findReservation(g, need, unreservedByRack[rack], now)
+		r, ok := s.findReservation(need, unreservedByRack[rack], len(g.tasks), now)
 		if ok && (!found || r.startsAt.Before(best.startsAt) || (rack == g.reservedRack && !r.startsAt.After(best.startsAt))) {
 			best, found, g.reservedRack = r, true, rack
 		}
@@ -66,6 +66,11 @@
 	}
 }
 
+// reservationNeed returns the requirements of a group on workers that are reserved for it.
+func (s *Scheduler) reservationNeed(g *group, now time.Time) hfplacement.Need {
+	return s.generalNeed(g, now).Excluding(func(id string) bool { return g.avoid[id] })
+}
+
 // reservation is the expected start of a gang and the workers that it starts on.
 type reservation struct {
 	startsAt time.Time
@@ -102,15 +107,15 @@
 // forgetReleases drops the expected ends, as the worker's runs change.
 func (w *worker) forgetReleases() { w.releasesAt = time.Time{} }
 
-// findReservation returns the earliest expected time at which the given workers have room for a
-// whole gang, and the workers that the gang uses then. It reports false if they never do.
-func (s *Scheduler) findReservation(g *group, need hfplacement.Need, workers []*hfplacement.Worker, now time.Time) (reservation, bool) {
+// findReservation returns the earliest expected time at which the given workers have room for count tasks, and the
+// workers that they use then. It reports false if they never do.
+func (s *Scheduler) findReservation(need hfplacement.Need, workers []*hfplacement.Worker, count int, now time.Time) (reservation, bool) {
 	f := s.newForecast(need, workers, now)
-	startsAt, ok := f.roomFor(g.leastTasks())
+	startsAt, ok := f.roomFor(count)
 	if !ok {
 		return reservation{}, false
 	}
-	return reservation{startsAt: startsAt, workers: f.workersFor(g.leastTasks())}, true
+	return reservation{startsAt: startsAt, workers: f.workersFor(count)}, true
 }
 
 // expectedEnd estimates when a run ends: from its measured progress rate if there is
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -100,6 +100,7 @@
 	urgentWaits      map[string]bool             // pools for which urgent work waited when this pass began
 	notAmple         map[placementShape]int      // smallest number of tasks for which this pass found no room, see hasAmpleRoom
 	suspectReserved  map[string]int              // workers that this pass has reserved for suspects, by pool
+	awaitingEnds     int                         // groups for which this pass waits for runs that end
 	hasAdvisedQueue  bool
 	bySize           bool // order and victims go by core-seconds alone, see WithOrder
 	delays           Delays
