hfrequest: reject queued requests that cannot end before their deadline

Cause: a request was dropped from the queue when its deadline had passed. One with a moment left still got a slot, could not end in time, and its slot was missing for one that could.

Change: it is rejected at once when less than half of the usual slot time of its kind is left. A kind of work that has not run yet is dropped at its deadline as before.

Result: TestRequestsThatCannotEndInTimeAreRejectedAtOnce; on the code before, the hopeless one got the slot. The order itself stays: class, account and caller by slot time received, then age.

--- a/hfrequest/dispatcher.go
+++ b/hfrequest/dispatcher.go
@@ -103,7 +103,7 @@
 	return d.queue.Len(), d.queue.InFlight()
 }
 
-// Sweep drops requests whose deadline has passed and dispatches the eligible ones.
+// Sweep drops requests that cannot end before their deadline and dispatches the eligible ones.
 func (d *Dispatcher) Sweep(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -282,7 +282,7 @@
 func queueRefusal(decision QueueResult) Answer {
 	switch decision {
 	case Expired:
-		return NotRun("its deadline passed in the queue")
+		return NotRun("it waited in the queue until it could not end before its deadline")
 	case Evicted:
 		return NotRun("the queue is full")
 	default:
--- a/hfrequest/queue.go
+++ b/hfrequest/queue.go
@@ -45,7 +45,7 @@
 const (
 	Granted QueueResult = iota // it got a slot
 	Evicted                    // removed from a full queue in favour of another ticket, or no endpoint took it
-	Expired                    // its deadline passed in the queue
+	Expired                    // its deadline passed in the queue, or it could not end before it
 )
 
 // NewTicket returns a ticket. notify is called once, when the ticket gets a slot or is
@@ -219,7 +219,7 @@
 
 // Next removes and returns the next ticket in fair order that may get a slot, or nil.
 // free is the number of free slots and total the number of all slots lent to this
-// instance. Tickets found past their deadline are dropped.
+// instance. Tickets found that cannot end before their deadline are dropped.
 func (q *Queue) Next(free, total int, now time.Time) *Ticket {
 	if free <= 0 {
 		return nil
@@ -266,11 +266,11 @@
 }
 
 // popEligible removes and returns the oldest ticket of a caller, unless the caller or
-// its account may not get a slot now. It drops tickets past their deadline.
+// its account may not get a slot now. It drops tickets that cannot end before their deadline.
 func (q *Queue) popEligible(caller *node, idleOnly bool, now time.Time) *Ticket {
 	for len(caller.tickets) > 0 {
 		t := caller.tickets[0]
-		if !now.Before(t.deadline) {
+		if q.hopeless(t, now) {
 			caller.tickets = caller.tickets[1:]
 			q.decrementQueued(t)
 			t.notify(Expired)
@@ -319,7 +319,20 @@
 	}
 }
 
-// Sweep drops tickets whose deadline has passed and removes idle callers and accounts.
+// hopelessShare is the part of the usual slot time that must be left before the deadline. With half of it, few
+// requests end in time, and a slot is better given to another one; its caller can turn elsewhere at once.
+const hopelessShare = 0.5
+
+// hopeless reports whether a ticket has too little time left to end before its deadline.
+func (q *Queue) hopeless(t *Ticket, now time.Time) bool {
+	least := time.Duration(0)
+	if average, ok := q.slotTimes[t.work]; ok {
+		least = time.Duration(hopelessShare * average.seconds * float64(time.Second))
+	}
+	return !now.Add(least).Before(t.deadline)
+}
+
+// Sweep drops tickets that cannot end before their deadline and removes idle callers and accounts.
 func (q *Queue) Sweep(now time.Time) {
 	for _, class := range q.root.children {
 		for accountName, account := range class.children {
@@ -339,7 +352,7 @@
 func (q *Queue) sweepCaller(caller *node, now time.Time) {
 	kept := caller.tickets[:0]
 	for _, t := range caller.tickets {
-		if now.Before(t.deadline) {
+		if !q.hopeless(t, now) {
 			kept = append(kept, t)
 			continue
 		}
--- a/hfrequest/request_test.go
+++ b/hfrequest/request_test.go
@@ -373,3 +373,29 @@
 		})
 	})
 }
+
+// A burst of requests over all slots: those that can't end in time any more are rejected at once, and their slots go
+// to requests that can.
+func TestRequestsThatCannotEndInTimeAreRejectedAtOnce(t *testing.T) {
+	q, now := NewQueue(10), time.Unix(1_000_000, 0)
+	decisions := map[string]QueueResult{}
+	push := func(id string, deadline time.Duration) {
+		require.True(t, q.Push(NewTicket(id, hfconfig.ClassUrgent, "a", "caller", "render", now.Add(deadline), 1, 0, func(r QueueResult) { decisions[id] = r })))
+	}
+	push("first", time.Minute)
+	first := q.Next(1, 1, now)
+	now = now.Add(2 * time.Second)
+	q.Finish(first, true, now) // a render takes 2 s
+	push("hopeless", 1500*time.Millisecond)
+	push("late", 4*time.Second)
+	push("fresh", 10*time.Second)
+	require.Empty(t, decisions)
+	now = now.Add(600 * time.Millisecond)
+	require.Equal(t, "late", q.Next(1, 1, now).ID())
+	require.Equal(t, map[string]QueueResult{"hopeless": Expired}, decisions, "0.9 s are left for 2 s of work")
+	push("other", time.Second)
+	q.Sweep(now.Add(10 * time.Millisecond))
+	require.Equal(t, Expired, decisions["other"])
+	require.Equal(t, "fresh", q.Next(1, 1, now).ID())
+	require.NoError(t, q.Check())
+}
