hfcost: let a starving step go first for one task at a time, within its account's share

Cause: all tasks of the oldest starving job went before the rest of their class until it had ended, past shares and budgets. One overdue job of 200 tasks took all four workers of a world from the callers of small jobs (2 of 150 on time).

Change: one task, or the gang, goes first at a time, and only while the account is below an equal share. The other tasks of the step keep their usual place. What went first is kept by run, so that it ends with the run.

Result: TestOverdueGiantLeavesSmallAccountsTheirShare passes with nine tenths of the small jobs on time, and the giant goes on.

--- a/hfcost/claim.go
+++ b/hfcost/claim.go
@@ -47,7 +47,6 @@
 	work       float64       // remaining core-seconds, with accelerators as cores; above 0
 	lasting    bool          // its tasks never end
 	lastTurn   time.Time     // of lasting tasks: when they got room last
-	rescued    bool          // got room before others because it starved, and has not got all of it
 }
 
 // minWork is the least work that counts, so that a job without any has a finite cost per core-second.
@@ -69,9 +68,6 @@
 // Guaranteed marks a job that the guarantee of its account covers.
 func (c Claim) Guaranteed(guaranteed bool) Claim { c.guaranteed = guaranteed; return c }
 
-// Rescued marks a job that went first because it starved, and waits for more room.
-func (c Claim) Rescued(rescued bool) Claim { c.rescued = rescued; return c }
-
 // Lasting marks tasks that never end. They take turns: those that got room longest ago go first.
 func (c Claim) Lasting(lastTurn time.Time) Claim { c.lasting, c.lastTurn = true, lastTurn; return c }
 
--- a/hfcost/cost_test.go
+++ b/hfcost/cost_test.go
@@ -188,6 +188,28 @@
 	require.Equal(t, []int{0, 2, 1}, values(hfcost.Order(list(), shares, start)), "on time first, then age")
 }
 
+// A starving claim of many tasks goes first with one of them, and with none while its account uses an equal share.
+func TestStarvingClaimGoesFirstForOneTaskWithinItsShare(t *testing.T) {
+	objective := hfcost.NewObjective(1.5, 400*time.Millisecond)
+	claim := func(age time.Duration, work float64) hfcost.Claim {
+		return hfcost.NewClaim(0, start.Add(-age), work).WithObjective(objective, 2*time.Second, 2*time.Second)
+	}
+	list := func() []hfcost.Waiting[int] {
+		return []hfcost.Waiting[int]{
+			hfcost.NewWaiting(0, claim(time.Second, 10), "pool", "small", 0.1, "a", 0),
+			hfcost.NewWaiting(1, claim(time.Minute, 400), "pool", "giant", 40, "b", 0).InParts(),
+			hfcost.NewWaiting(2, claim(50*time.Second, 10), "pool", "small", 0.1, "c", 0),
+		}
+	}
+	order := hfcost.Order(list(), hfcost.NewShares(), start)
+	require.Equal(t, []int{1, 0, 2, 1}, values(order), "its other tasks keep their place")
+	require.True(t, order[0].IsPart())
+	require.False(t, order[3].First())
+	shares := hfcost.NewShares()
+	shares.Use(hfcost.NewClass("pool", 0), "giant", 0.5)
+	require.Equal(t, []int{2, 0, 1}, values(hfcost.Order(list(), shares, start)), "the next one within its share goes first")
+}
+
 // However many jobs a large account hands in, a job of another account waits for no more of them than fit into an
 // equal share, if they are alike.
 func TestSmallAccountsDoNotPayForABurst(t *testing.T) {
--- a/hfcost/order.go
+++ b/hfcost/order.go
@@ -16,6 +16,7 @@
 	share   float64 // of the pool, that all of it would take
 	id      string  // breaks ties
 	step    int     // breaks ties
+	parts   bool    // can use room for a part of it
 
 	standing Standing
 	first    bool    // goes first because it starves
@@ -41,6 +42,10 @@
 	return Waiting[T]{value: value, claim: c, class: NewClass(pool, c.priority), account: account, share: share, id: id, step: step}
 }
 
+// InParts marks a claim of several tasks that can get room one by one. If it starves, only the first of them goes
+// before others, and the claim is in the order twice.
+func (w Waiting[T]) InParts() Waiting[T] { w.parts = true; return w }
+
 // Value returns the value that was given to NewWaiting.
 func (w Waiting[T]) Value() T { return w.value }
 
@@ -50,9 +55,12 @@
 // Standing returns the standing of the claim when it was put in order.
 func (w Waiting[T]) Standing() Standing { return w.standing }
 
-// First reports whether the claim goes first because it starves.
+// First reports whether the claim goes first because it starves. Of one in parts, this is its first task.
 func (w Waiting[T]) First() bool { return w.first }
 
+// IsPart reports whether it is only the first task of a claim, whose others have a place of their own in the order.
+func (w Waiting[T]) IsPart() bool { return w.first && w.parts }
+
 // Overuse returns what its account uses of the pool with what goes before the claim, as a multiple of an equal
 // share. It is 1 if that is less.
 func (w Waiting[T]) Overuse() float64 { return w.overuse }
@@ -100,21 +108,25 @@
 			w.use.chains += min(w.claim.remaining, MaxObjective/time.Duration(len(list)))
 		}
 	}
-	markStarving(list, now)
+	for _, w := range order {
+		if !w.claim.lasting && w.use.timed > 0 {
+			w.used = w.use.join(w.account)
+		}
+	}
+	order = putStarvingFirst(order, now)
 	for _, w := range order {
 		if !w.claim.lasting {
 			w.urgency = -math.Log(w.claim.work)
 		}
 		if !w.claim.lasting && w.use.timed > 0 {
 			w.urgency += math.Log(max(w.claim.delayCost(w.standing, w.use.typicalWait(), now), leastCost)) // the logarithm, as small costs would all be 0
-			w.used = w.use.join(w.account)
 		}
 		w.setLevel()
 	}
 	slices.SortFunc(order, Compare[T])
 	changed := false
 	for _, w := range order {
-		if w.use.timed == 0 || w.claim.lasting || w.ahead() {
+		if w.use.timed == 0 || w.claim.lasting || w.ahead() || w.IsPart() {
 			continue
 		}
 		if w.overuse = w.use.overuse(*w.used); w.overuse > 1 {
@@ -133,28 +145,37 @@
 // known well enough to tell such costs apart.
 const leastCost = 0.05
 
-// markStarving lets the oldest starving claim of each class go first. There is one at a time, until it has ended,
-// so that a long backlog does not turn the order into that of arrival, in which all become late.
-func markStarving[T any](list []Waiting[T], now time.Time) {
-	for i := range list {
-		w := &list[i]
-		if w.ahead() || !w.claim.rescued && (w.use.rescuing || !w.claim.Starving(now)) {
+// putStarvingFirst lets the oldest starving claim of each class go first: one task or one gang at a time, until it has
+// ended, and only while its account is below an equal share. Otherwise a long backlog would turn the order into that
+// of arrival, in which all become late, and one large job would take all room.
+func putStarvingFirst[T any](list []*Waiting[T], now time.Time) []*Waiting[T] {
+	var classes []*classUse
+	first := map[*classUse]*Waiting[T]{}
+	for _, w := range list {
+		if w.ahead() || w.use.rescuing || !w.claim.Starving(now) || !w.use.belowShare(w.account) {
 			continue
 		}
-		if w.use.first < 0 || w.starvesLonger(&list[w.use.first]) {
-			w.use.first = i
+		o := first[w.use]
+		if o == nil {
+			classes = append(classes, w.use)
+		}
+		if o == nil || w.starvesLonger(o) {
+			first[w.use] = w
 		}
 	}
-	for i := range list {
-		list[i].first = list[i].use.first == i
+	for _, use := range classes {
+		w := first[use]
+		if w.parts {
+			part := *w
+			w = &part
+			list = append(list, w)
+		}
+		w.first = true
 	}
+	return list
 }
 
-// starvesLonger reports whether the claim goes before another one that starves: what has got a part of its room, then
-// the oldest.
+// starvesLonger reports whether the claim goes before another one that starves: the oldest does.
 func (w *Waiting[T]) starvesLonger(o *Waiting[T]) bool {
-	if w.claim.rescued != o.claim.rescued {
-		return w.claim.rescued
-	}
 	return cmp.Or(w.claim.received.Compare(o.claim.received), cmp.Compare(w.id, o.id), cmp.Compare(w.step, o.step)) < 0
 }
--- a/hfcost/shares.go
+++ b/hfcost/shares.go
@@ -9,10 +9,9 @@
 // classUse is what is used and waits in one class.
 type classUse struct {
 	used     map[string]*float64 // by account
-	rescuing bool                // a job that went first because it starved has not ended
+	rescuing bool                // what went first because it starved has not ended
 	timed    int                 // claims with an objective that wait
 	chains   time.Duration       // sum of their remaining chains
-	first    int                 // index of the starving claim that goes first, or -1
 }
 
 // NewShares returns shares of which nothing is used.
@@ -21,13 +20,13 @@
 // Use counts a part of a pool that an account uses.
 func (s *Shares) Use(c Class, account string, share float64) { *s.class(c).join(account) += share }
 
-// Rescue counts a job that went first because it starved and has not ended.
+// Rescue counts what went first because it starved and has not ended. Until then, nothing else of the class does.
 func (s *Shares) Rescue(c Class) { s.class(c).rescuing = true }
 
 func (s *Shares) class(c Class) *classUse {
 	u := s.classes[c]
 	if u == nil {
-		u = &classUse{used: map[string]*float64{}, first: -1}
+		u = &classUse{used: map[string]*float64{}}
 		s.classes[c] = u
 	}
 	return u
@@ -52,6 +51,11 @@
 	return max(1, used*float64(len(u.used)))
 }
 
+// belowShare reports whether an account uses less than an equal share.
+func (u *classUse) belowShare(account string) bool {
+	return len(u.used) <= 1 || *u.join(account)*float64(len(u.used)) < 1
+}
+
 // typicalWait returns the mean remaining chain of the claims that wait with an objective: about how long one waits
 // that lets another one go first.
 func (u *classUse) typicalWait() time.Duration { return u.chains / time.Duration(u.timed) }
--- a/hfplan/cost_test.go
+++ b/hfplan/cost_test.go
@@ -191,5 +191,36 @@
 	require.False(t, play(BySize))
 }
 
+// A job that has waited for as long as others may overtake it does not take the fleet from the callers of small jobs,
+// which need half of it.
+func TestOverdueGiantLeavesSmallAccountsTheirShare(t *testing.T) {
+	const interval, length, objective = 400 * time.Millisecond, 800 * time.Millisecond, 1600 * time.Millisecond
+	w := newContendedWorld(t, ByCost)
+	var small []string
+	onTime := map[string]bool{}
+	stream := func(d time.Duration) (handedIn, onTimeThen int) {
+		from, before := len(small), len(onTime)
+		for range int(d / interval) {
+			id := fmt.Sprintf("small%04d", len(small))
+			small = append(small, id)
+			w.submitFor(fmt.Sprint("s", len(small)%5), id, "urgent", wide(1, length))
+			w.advance(interval)
+			for _, id := range small {
+				if w.state(id) == hfwork.StateCompleted && w.now.Sub(time.UnixMilli(w.jobs[id].GetReceived())) <= objective {
+					onTime[id] = true
+				}
+			}
+		}
+		return len(small) - from, len(onTime) - before
+	}
+	stream(time.Second)
+	w.submitFor("giant", "giant", "urgent", wide(200, 2*time.Second))
+	stream(patience(3400 * time.Millisecond))
+	before := len(w.startCounts)
+	handedIn, served := stream(60 * time.Second)
+	require.GreaterOrEqual(t, served, handedIn*9/10)
+	require.Greater(t, len(w.startCounts)-before, handedIn, "it goes on")
+}
+
 // patience returns for how long others may overtake a job with the given objective.
 func patience(objective time.Duration) time.Duration { return 4 * 3 * objective }
--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -59,8 +59,8 @@
 	awaitingRack     bool              // in this pass, a compact gang had room on several racks and waited for one
 	crashed          bool              // a worker has crashed under one of its tasks
 	durations        []durationSample  // of its ended tasks
-	goesFirst        bool              // in this pass, it goes before others because it starves
-	rescued          bool              // got room before others because it starved
+	goesFirst        bool              // one task or the gang is being placed before others because it starves
+	rescue           *run              // latest run that got room before others because it starved; of a gang, its first member
 	durationsUsed    int               // number of durations from which workers' speeds were learned
 }
 
@@ -70,6 +70,9 @@
 // waiting returns the number of tasks that need a worker.
 func (g *group) waiting() int { return g.open - (g.active - g.completedActive) - g.awaitingPrior }
 
+// rescuing reports whether a run that got room before others has not ended.
+func (g *group) rescuing() bool { return g.rescue != nil && g.rescue.task.run == g.rescue }
+
 // cores returns the cost of one task in core equivalents.
 func (g *group) cores() float64 { return max(g.size.CoreEquivalents(), 0.1) }
 
--- a/hfplan/objective.go
+++ b/hfplan/objective.go
@@ -32,7 +32,7 @@
 	if j.queue == nil {
 		return hfcost.NewClaim(0, start, work)
 	}
-	c := hfcost.NewClaim(j.queue.GetPriority(), start, work).Guaranteed(j.guaranteed).Rescued(g.rescued)
+	c := hfcost.NewClaim(j.queue.GetPriority(), start, work).Guaranteed(j.guaranteed)
 	if g.spec.GetLasting() {
 		return c.Lasting(g.assignedAt)
 	}
--- a/hfplan/order.go
+++ b/hfplan/order.go
@@ -60,6 +60,7 @@
 type candidate struct {
 	group    *group
 	priority uint32
+	first    bool // one task or the gang goes first because it starves
 }
 
 // candidates returns the groups that may be placed now, in scheduling order.
@@ -74,7 +75,11 @@
 			continue
 		}
 		share := float64(g.waiting()) * g.size.DominantShare(capacity[g.job.queue.GetPool()])
-		list = append(list, hfcost.NewWaiting(g, g.claim(s.rank(g)), g.job.queue.GetPool(), s.owner(g.job), share, g.job.id(), int(g.step)))
+		w := hfcost.NewWaiting(g, g.claim(s.rank(g)), g.job.queue.GetPool(), s.owner(g.job), share, g.job.id(), int(g.step))
+		if !g.gang() && g.waiting() > 1 {
+			w = w.InParts()
+		}
+		list = append(list, w)
 	}
 	s.waitingList = list
 	if s.bySize {
@@ -84,14 +89,19 @@
 	candidates := make([]candidate, 0, len(list))
 	for _, w := range hfcost.Order(list, s.shares(capacity), now) {
 		s.delays.count(w)
-		w.Value().goesFirst = w.First()
-		candidates = append(candidates, candidate{group: w.Value(), priority: w.Value().job.queue.GetPriority()})
+		candidates = append(candidates, candidate{group: w.Value(), priority: w.Value().job.queue.GetPriority(), first: w.First()})
 	}
 	return candidates
 }
 
 // count adds a step that waits.
 func (d *Delays) count(w *hfcost.Waiting[*group]) {
+	if w.First() {
+		d.starving++
+		if w.IsPart() {
+			return // the step is counted in its usual place
+		}
+	}
 	switch w.Standing() {
 	case hfcost.Late:
 		d.late++
@@ -101,9 +111,6 @@
 	if w.Overuse() > 1 {
 		d.large++
 	}
-	if w.First() {
-		d.starving++
-	}
 }
 
 // shares returns what accounts use of each pool beside their guarantees.
@@ -115,7 +122,7 @@
 			continue
 		}
 		class := hfcost.NewClass(q.GetPool(), q.GetPriority())
-		if g.rescued {
+		if g.rescuing() {
 			shares.Rescue(class)
 		}
 		shares.Use(class, s.owner(g.job), float64(g.active)*g.size.DominantShare(capacity[q.GetPool()]))
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -178,6 +178,15 @@
 	return 1
 }
 
+// placedTogether returns the number of tasks to be placed now that may share a worker: one if it goes first, unless it is a
+// gang, or else all.
+func (g *group) placedTogether(now time.Time) int {
+	if g.goesFirst {
+		return min(g.waitingShared(now), g.leastTasks())
+	}
+	return g.waitingShared(now)
+}
+
 // tasksOf returns the number of tasks of a group that may be running on the worker, or will be: with
 // their run, an orphan that is being stopped, or a run of an earlier scheduler.
 func (w *worker) tasksOf(g *group) int {
@@ -237,6 +246,9 @@
 	}
 	for _, c := range candidates {
 		g := c.group
+		if g.goesFirst = c.first; g.waiting() == 0 {
+			continue // all of it went first
+		}
 		shape := g.placementShape()
 		count := g.waiting()
 		if !g.gang() {
@@ -290,11 +302,11 @@
 // placeOn assigns the waiting tasks of a group that need not be isolated to workers that meet the
 // given requirements.
 func (s *Scheduler) placeOn(g *group, need hfplacement.Need, now time.Time) bool {
-	count := g.waitingShared(now)
+	count := g.placedTogether(now)
 	if !g.gang() {
 		placements, placed := s.resources.PlaceAcrossRacks(need, count)
 		s.assign(g, placements, now)
-		return placed == count && g.waiting() == 0
+		return placed == count && (count > 0 && g.goesFirst || g.waiting() == 0)
 	}
 	if count == 0 {
 		return g.waiting() == 0
@@ -330,7 +342,6 @@
 		return
 	}
 	g.assignedAt, g.reservedRack, g.rackSoughtAt, g.ampleSince, g.avoidsRoomSince = now, "", time.Time{}, time.Time{}, time.Time{}
-	g.rescued = g.rescued || g.goesFirst
 	s.markDirty(g.job)
 	g.requiredSequence = s.sequence + 1
 	gangNumber := s.runNumberBase + 1
@@ -362,6 +373,9 @@
 			if isolated {
 				s.isolate(t.run)
 			}
+			if g.goesFirst && placed == 0 {
+				g.rescue = t.run
+			}
 			g.active++
 			g.assigned++
 			placed++
--- a/hfplan/preempt.go
+++ b/hfplan/preempt.go
@@ -20,7 +20,7 @@
 	if now.Before(g.preemptNotBefore) {
 		return false
 	}
-	need, count := s.placementNeed(g, now), g.waitingShared(now)
+	need, count := s.placementNeed(g, now), g.placedTogether(now)
 	if count == 0 {
 		return false
 	}
