--- a/hfcost/order.go
+++ b/hfcost/order.go
@@ -18,6 +18,8 @@
 	step    int     // breaks ties
 	parts   bool    // can use room for a part of it
 
+	placeable func() bool // whether there could be room for it; nil if there could
+
 	standing Standing
 	first    bool    // goes first because it starves
 	level    uint64  // what decides before urgency, see setLevel
@@ -46,6 +48,13 @@
 // before others, and the claim is in the order twice.
 func (w Waiting[T]) InParts() Waiting[T] { w.parts = true; return w }
 
+// IfPlaceable lets the claim go first only if there could be room for it. The function is called if the claim starves,
+// at most once for each Order.
+func (w Waiting[T]) IfPlaceable(placeable func() bool) Waiting[T] {
+	w.placeable = placeable
+	return w
+}
+
 // Value returns the value that was given to NewWaiting.
 func (w Waiting[T]) Value() T { return w.value }
 
@@ -75,7 +84,7 @@
 	if c := cmp.Compare(b.urgency, a.urgency); c != 0 {
 		return c
 	}
-	return cmp.Or(a.claim.lastTurn.Compare(b.claim.lastTurn), a.claim.received.Compare(b.claim.received), cmp.Compare(a.id, b.id), cmp.Compare(a.step, b.step))
+	return cmp.Or(a.claim.lastTurn.Compare(b.claim.lastTurn), compareAge(a, b))
 }
 
 // setLevel packs what decides before urgency into one number, the first of it highest.
@@ -146,25 +155,22 @@
 const leastCost = 0.05
 
 // putStarvingFirst lets the oldest starving claim of each class go first: one task or one gang at a time, until it has
-// ended, and only while its account is below an equal share. Otherwise a long backlog would turn the order into that
+// ended, and only while its account is below an equal share and there could be room for it. Otherwise a long backlog would turn the order into that
 // of arrival, in which all become late, and one large job would take all room.
 func putStarvingFirst[T any](list []*Waiting[T], now time.Time) []*Waiting[T] {
-	var classes []*classUse
-	first := map[*classUse]*Waiting[T]{}
+	var starving []*Waiting[T]
 	for _, w := range list {
-		if w.ahead() || w.use.rescuing || !w.claim.Starving(now) || !w.use.belowShare(w.account) {
-			continue
-		}
-		o := first[w.use]
-		if o == nil {
-			classes = append(classes, w.use)
-		}
-		if o == nil || w.starvesLonger(o) {
-			first[w.use] = w
+		if !w.ahead() && !w.use.rescuing && w.claim.Starving(now) && w.use.belowShare(w.account) {
+			starving = append(starving, w)
 		}
 	}
-	for _, use := range classes {
-		w := first[use]
+	slices.SortFunc(starving, compareAge[T])
+	chosen := map[*classUse]bool{}
+	for _, w := range starving {
+		if chosen[w.use] || w.placeable != nil && !w.placeable() {
+			continue
+		}
+		chosen[w.use] = true
 		if w.parts {
 			part := *w
 			w = &part
@@ -175,7 +181,7 @@
 	return list
 }
 
-// starvesLonger reports whether the claim goes before another one that starves: the oldest does.
-func (w *Waiting[T]) starvesLonger(o *Waiting[T]) bool {
-	return cmp.Or(w.claim.received.Compare(o.claim.received), cmp.Compare(w.id, o.id), cmp.Compare(w.step, o.step)) < 0
+// compareAge orders claims by age, the oldest first.
+func compareAge[T any](a, b *Waiting[T]) int {
+	return cmp.Or(a.claim.received.Compare(b.claim.received), cmp.Compare(a.id, b.id), cmp.Compare(a.step, b.step))
 }
--- a/hfplan/cost_test.go
+++ b/hfplan/cost_test.go
@@ -191,6 +191,27 @@
 	require.False(t, play(BySize))
 }
 
+// A job that no worker can take does not keep the others from their turn, however long it waits.
+func TestUnplaceableJobDoesNotKeepOthersStarving(t *testing.T) {
+	w := newContendedWorld(t, ByCost)
+	unplaceable := wide(1, 100*time.Millisecond)
+	unplaceable.Label = "none"
+	w.submit("unplaceable", "urgent", unplaceable)
+	n := 0
+	stream := func(d time.Duration) {
+		for range int(d / (100 * time.Millisecond)) {
+			w.submit(fmt.Sprintf("small%04d", n), "urgent", wide(1, 800*time.Millisecond))
+			n++
+			w.advance(100 * time.Millisecond)
+		}
+	}
+	stream(time.Second)
+	w.submit("wide", "urgent", wide(4, 2*time.Second))
+	stream(patience(3400*time.Millisecond) + 20*time.Second)
+	require.Equal(t, hfwork.StateCompleted, w.state("wide"))
+	require.Zero(t, w.running("unplaceable"))
+}
+
 // A job that has waited for as long as others may overtake it does not take the fleet from the callers of small jobs,
 // which need half of it.
 func TestOverdueGiantLeavesSmallAccountsTheirShare(t *testing.T) {
--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -60,6 +60,7 @@
 	crashed          bool              // a worker has crashed under one of its tasks
 	durations        []durationSample  // of its ended tasks
 	goesFirst        bool              // one task or the gang is being placed before others because it starves
+	goFirstNotBefore time.Time         // earliest next time that it may go first, after it got neither room nor a reservation
 	rescue           *run              // latest run that got room before others because it starved; of a gang, its first member
 	durationsUsed    int               // number of durations from which workers' speeds were learned
 }
--- a/hfplan/order.go
+++ b/hfplan/order.go
@@ -79,6 +79,9 @@
 		if !g.gang() && g.waiting() > 1 {
 			w = w.InParts()
 		}
+		if !s.bySize && w.Claim().Starving(now) {
+			w = w.IfPlaceable(func() bool { return s.mayGoFirst(g, now) })
+		}
 		list = append(list, w)
 	}
 	s.waitingList = list
@@ -94,6 +97,22 @@
 	return candidates
 }
 
+// goFirstRetryInterval is how long a group that got neither room nor a reservation waits before it may go first again,
+// so that the others of its class have their turn.
+const goFirstRetryInterval = time.Second
+
+// mayGoFirst reports whether a group that starves could use the first place.
+func (s *Scheduler) mayGoFirst(g *group, now time.Time) bool {
+	if now.Before(g.goFirstNotBefore) {
+		return false
+	}
+	if _, fits := s.resources.FitsWhenEmpty(s.permittedNeed(g, now), g.leastTasks()); !fits {
+		g.goFirstNotBefore = now.Add(goFirstRetryInterval)
+		return false
+	}
+	return true
+}
+
 // count adds a step that waits.
 func (d *Delays) count(w *hfcost.Waiting[*group]) {
 	if w.First() {
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -274,7 +274,9 @@
 		if budgeted {
 			budget.refund(g)
 		}
-		s.reserveWorkers(g, now)
+		if !s.reserveWorkers(g, now) && g.goesFirst {
+			g.goFirstNotBefore = now.Add(goFirstRetryInterval)
+		}
 		if smallest, ok := smallestFailed[shape]; g.unconstrained(now) && !g.awaitingRack && (!ok || count < smallest) {
 			smallestFailed[shape] = count
 		}
--- a/hfplan/reservation.go
+++ b/hfplan/reservation.go
@@ -22,10 +22,11 @@
 
 // reserveWorkers reserves the workers on which a waiting gang is expected to fit
 // first. Without a reservation, smaller tasks would fill each gap before it is large
-// enough. For a compact gang, all workers of one rack are reserved. A step that starves gets a worker for one task.
-func (s *Scheduler) reserveWorkers(g *group, now time.Time) {
+// enough. For a compact gang, all workers of one rack are reserved. A step that starves gets a worker for one task. It reports
+// whether there are such workers.
+func (s *Scheduler) reserveWorkers(g *group, now time.Time) bool {
 	if !g.gang() && !g.goesFirst {
-		return
+		return false
 	}
 	pool, need := g.job.queue.GetPool(), s.reservationNeed(g, now)
 	var all, unreserved []*hfplacement.Worker
@@ -42,13 +43,14 @@
 	})
 	maxReserved := max(minReservableRacks*len(all)/max(len(s.resources.Racks(pool)), 1), int(maxReservedShare*float64(len(all))))
 	if len(all)-len(unreserved) >= maxReserved {
-		return
+		return false
 	}
 	if !g.gang() || !g.spec.GetCompact() {
-		if r, ok := s.findReservation(need, unreserved, g.leastTasks(), now); ok {
+		r, ok := s.findReservation(need, unreserved, g.leastTasks(), now)
+		if ok {
 			r.apply(g)
 		}
-		return
+		return ok
 	}
 	var best reservation
 	found := false
@@ -64,6 +66,7 @@
 	if found {
 		s.resources.EachInRack(pool, g.reservedRack, func(w *hfplacement.Worker) { w.Reserve(g, best.startsAt) })
 	}
+	return found
 }
 
 // reservationNeed returns the requirements of a group on workers that are reserved for it.
