hfplan: reserve room once for a group that waits for runs that end

Cause: awaitsEnds reserved workers, but preempt then said that the group has no room, so that placeGroups reserved a second set: 8 workers for a gang of 4.

Change: preempt returns one of three results, and nothing more is reserved for a group that waits.

Result: TestWaitingForEndsReservesRoomOnce, compact and not.

--- a/hfplan/cost_test.go
+++ b/hfplan/cost_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/heatherfront/heatherfront/hfplacement"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
 
@@ -123,6 +124,35 @@
 	require.True(t, urgent)
 }
 
+// An urgent gang that waits for runs that end in time reserves room once.
+func TestWaitingForEndsReservesRoomOnce(t *testing.T) {
+	for _, compact := range []bool{false, true} {
+		w := newWorld(t, 6, 4)
+		w.policy.Accounts = nil
+		for k, objective := range []int64{400, 1200, 3000} {
+			w.policy.Queues[k].Stretch, w.policy.Queues[k].Objective = 1.5, objective
+		}
+		w.replaceScheduler()
+		w.advance(time.Second)
+		w.submit("usual", "usual", wide(24, 6*time.Second))
+		w.advance(5650 * time.Millisecond)
+		step := wide(4, 4*time.Second) // may wait 2.4 s
+		step.Gang, step.Compact = true, compact
+		w.submit("urgent", "urgent", step)
+		w.advance(50 * time.Millisecond)
+		reserved := 0
+		w.s.resources.EachWorker(w.policy.Queues[0].GetPool(), func(k *hfplacement.Worker) {
+			if k.Reserved() {
+				reserved++
+			}
+		})
+		require.LessOrEqual(t, reserved, 4, "compact: %v", compact)
+		if !compact {
+			require.Equal(t, 4, reserved)
+		}
+	}
+}
+
 // Run times are declared too short: an urgent job waits for no end that does not come until it is late, whether a
 // guarantee covers it or not.
 func TestUrgentJobsStopRunsThatTakeLongerThanDeclared(t *testing.T) {
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -268,13 +268,14 @@
 		if s.placeGroup(g, now) {
 			continue
 		}
-		if s.preempt(g, now) {
+		preempted := s.preempt(g, now)
+		if preempted == allAssigned {
 			continue
 		}
 		if budgeted {
 			budget.refund(g)
 		}
-		if !s.reserveWorkers(g, now) && g.goesFirst {
+		if preempted != awaitsReserved && !s.reserveWorkers(g, now) && g.goesFirst {
 			g.goFirstNotBefore = now.Add(goFirstRetryInterval)
 		}
 		if smallest, ok := smallestFailed[shape]; g.unconstrained(now) && !g.awaitingRack && (!ok || count < smallest) {
--- a/hfplan/preempt.go
+++ b/hfplan/preempt.go
@@ -13,23 +13,32 @@
 	runs  []*run
 }
 
+// preemptResult is what came of the search for runs to stop.
+type preemptResult int
+
+const (
+	noRoom         preemptResult = iota // some tasks have no room yet
+	allAssigned                         // every waiting task was assigned
+	awaitsReserved                      // the group waits for runs that end in time, whose workers are reserved for it
+)
+
 // preempt stops runs that the group may preempt, preferring those that lose the
 // least work, and assigns the freed resources to the group. Urgent tasks get slow workers only if there
-// is not enough on others. It reports whether every waiting task was assigned.
-func (s *Scheduler) preempt(g *group, now time.Time) bool {
+// is not enough on others.
+func (s *Scheduler) preempt(g *group, now time.Time) preemptResult {
 	if now.Before(g.preemptNotBefore) {
-		return false
+		return noRoom
 	}
 	need, count := s.placementNeed(g, now), g.placedTogether(now)
 	if count == 0 {
-		return false
+		return noRoom
 	}
 	if s.awaitsEnds(g, count, now) {
-		return false
+		return awaitsReserved
 	}
 	victims := s.victims(g, now)
 	if len(victims) == 0 {
-		return false
+		return noRoom
 	}
 	needs := []hfplacement.Need{need}
 	if fast, ok := s.withoutSlow(g, need); ok {
@@ -38,12 +47,15 @@
 	for _, compact := range g.preemptedShapes(now) {
 		for _, n := range needs {
 			if chosen, ok := hfplacement.SelectVictims(s.resources, n, count, compact, victims); ok {
-				return s.preemptFor(g, n, count, compact, chosen, now)
+				if s.preemptFor(g, n, count, compact, chosen, now) {
+					return allAssigned
+				}
+				return noRoom
 			}
 		}
 	}
 	g.preemptNotBefore = now.Add(preemptRetryInterval)
-	return false
+	return noRoom
 }
 
 const (
