hfcost: let lasting tasks that never ran go before waiting work, as by size

Cause: by size, a zero time of the last turn ranks before all work; by cost, such tasks came after it. A lasting task waited 140 s behind three batch jobs, by size 20 s.

Change: lasting tasks that never had room go before the rest of their standing.

Result: TestNewLastingTasksDoNotWaitForABacklog in both orders, with and without objectives (by cost it failed before). TestClassesWithoutObjectivesGoByWork has one more claim, of tasks that never ran.

--- a/hfcost/claim.go
+++ b/hfcost/claim.go
@@ -46,7 +46,7 @@
 	remaining  time.Duration // of the chain
 	work       float64       // remaining core-seconds, with accelerators as cores; above 0
 	lasting    bool          // its tasks never end
-	lastTurn   time.Time     // of lasting tasks: when they got room last
+	lastTurn   time.Time     // of lasting tasks: when they got room last; zero if never
 }
 
 // minWork is the least work that counts, so that a job without any has a finite cost per core-second.
@@ -68,9 +68,13 @@
 // Guaranteed marks a job that the guarantee of its account covers.
 func (c Claim) Guaranteed(guaranteed bool) Claim { c.guaranteed = guaranteed; return c }
 
-// Lasting marks tasks that never end. They take turns: those that got room longest ago go first.
+// Lasting marks tasks that never end. They take turns: those that got room longest ago go first. Those that never
+// did, with a zero time, go before work that ends.
 func (c Claim) Lasting(lastTurn time.Time) Claim { c.lasting, c.lastTurn = true, lastTurn; return c }
 
+// neverRan reports whether the claim is that of lasting tasks that had no room yet.
+func (c *Claim) neverRan() bool { return c.lasting && c.lastTurn.IsZero() }
+
 // IsLasting reports whether the claim is that of lasting tasks.
 func (c Claim) IsLasting() bool { return c.lasting }
 
--- a/hfcost/cost_test.go
+++ b/hfcost/cost_test.go
@@ -284,7 +284,8 @@
 		list = append(list, hfcost.NewWaiting(i, hfcost.NewClaim(1, start.Add(-time.Duration(i)*time.Hour), work), "pool", "a", 1, fmt.Sprint(i), 0))
 	}
 	list = append(list, hfcost.NewWaiting(4, hfcost.NewClaim(1, start, 0).Lasting(start), "pool", "a", 1, "4", 0))
-	require.Equal(t, []int{3, 1, 2, 0, 4}, values(hfcost.Order(list, hfcost.NewShares(), start)))
+	list = append(list, hfcost.NewWaiting(5, hfcost.NewClaim(1, start, 0).Lasting(time.Time{}), "pool", "a", 1, "5", 0))
+	require.Equal(t, []int{5, 3, 1, 2, 0, 4}, values(hfcost.Order(list, hfcost.NewShares(), start)))
 }
 
 // A refused caller comes back while its job can still meet its objective, those with less time first, and not all at once.
--- a/hfcost/order.go
+++ b/hfcost/order.go
@@ -75,8 +75,8 @@
 func (w Waiting[T]) Overuse() float64 { return w.overuse }
 
 // Compare orders two claims that were prepared by Order: priority; guaranteed before other urgent work; the
-// one that starves; what can still meet its objective, what is still of use, and the rest; work that ends before what
-// lasts; the dearest delay for each core-second; then age.
+// one that starves; what can still meet its objective, what is still of use, and the rest; lasting tasks that never had
+// room, then work that ends, then what lasts; the dearest delay for each core-second; then age.
 func Compare[T any](a, b *Waiting[T]) int {
 	if c := cmp.Compare(a.level, b.level); c != 0 {
 		return c
@@ -90,7 +90,7 @@
 // setLevel packs what decides before urgency into one number, the first of it highest.
 func (w *Waiting[T]) setLevel() {
 	level := uint64(w.claim.priority)
-	for _, last := range []bool{!w.ahead(), !w.first, w.standing == Overdue, w.standing == Late, w.claim.lasting} {
+	for _, last := range []bool{!w.ahead(), !w.first, w.standing == Overdue, w.standing == Late, !w.claim.neverRan(), w.claim.lasting} {
 		level <<= 1
 		if last {
 			level |= 1
--- a/hfplan/cost_test.go
+++ b/hfplan/cost_test.go
@@ -153,6 +153,32 @@
 	}
 }
 
+// Lasting tasks that never ran go before waiting work of their priority, with and without objectives.
+func TestNewLastingTasksDoNotWaitForABacklog(t *testing.T) {
+	for _, objectives := range []bool{false, true} {
+		for _, order := range Orders() {
+			w := newContendedWorld(t, order)
+			if !objectives {
+				for _, q := range w.policy.Queues {
+					q.Stretch = 0
+				}
+				w.replaceScheduler()
+				w.advance(time.Second)
+			}
+			w.submit("full", "usual", wide(4, 20*time.Second))
+			w.advance(500 * time.Millisecond)
+			for i := range 3 {
+				w.submit(fmt.Sprintf("batch%d", i), "usual", wide(4, time.Minute))
+			}
+			lasting := wide(1, time.Hour)
+			lasting.Lasting = true
+			w.submit("lasting", "usual", lasting)
+			w.advance(25 * time.Second)
+			require.Equal(t, 1, w.running("lasting"), "%v, objectives: %v", order, objectives)
+		}
+	}
+}
+
 // Run times are declared too short: an urgent job waits for no end that does not come until it is late, whether a
 // guarantee covers it or not.
 func TestUrgentJobsStopRunsThatTakeLongerThanDeclared(t *testing.T) {
