hfcost: order equal work without objectives by id, as by size

Cause: equal core-seconds went by the time of hand-in before the id, so that queues without objectives were not ordered as before.

Change: age counts only in classes with an objective.

Result: TestEqualJobsWithoutObjectivesGoAlikeInBothOrders (it gave the reverse order before).

--- a/hfcost/order.go
+++ b/hfcost/order.go
@@ -25,8 +25,9 @@
 	level    uint64  // what decides before urgency, see setLevel
 	overuse  float64 // what its account uses, as a multiple of an equal share; at least 1
 	use      *classUse
-	used     *float64 // what its account uses
-	urgency  float64  // logarithm of its delay cost for each core-second that it needs, over overuse
+	used     *float64  // what its account uses
+	age      time.Time // when it was received; zero in a class without any objective, where age does not matter
+	urgency  float64   // logarithm of its delay cost for each core-second that it needs, over overuse
 }
 
 // Class is what competes for the same room at the same priority.
@@ -76,7 +77,7 @@
 
 // Compare orders two claims that were prepared by Order: priority; guaranteed before other urgent work; the
 // one that starves; what can still meet its objective, what is still of use, and the rest; lasting tasks that never had
-// room, then work that ends, then what lasts; the dearest delay for each core-second; then age.
+// room, then work that ends, then what lasts; the dearest delay for each core-second; then age, unless the class has no objective; then id.
 func Compare[T any](a, b *Waiting[T]) int {
 	if c := cmp.Compare(a.level, b.level); c != 0 {
 		return c
@@ -84,7 +85,7 @@
 	if c := cmp.Compare(b.urgency, a.urgency); c != 0 {
 		return c
 	}
-	return cmp.Or(a.claim.lastTurn.Compare(b.claim.lastTurn), compareAge(a, b))
+	return cmp.Or(a.claim.lastTurn.Compare(b.claim.lastTurn), a.age.Compare(b.age), cmp.Compare(a.id, b.id), cmp.Compare(a.step, b.step))
 }
 
 // setLevel packs what decides before urgency into one number, the first of it highest.
@@ -104,21 +105,25 @@
 
 // Order returns claims so that what costs callers most to delay goes first. shares counts what accounts
 // use already; it is left with what they would use in all. A class without any objective is in order of the
-// remaining core-seconds.
+// remaining core-seconds, then of the ids.
 func Order[T any](list []Waiting[T], shares *Shares, now time.Time) []*Waiting[T] {
 	order := make([]*Waiting[T], len(list))
 	for i := range list {
 		w := &list[i]
 		order[i] = w
 		w.use = shares.class(w.class)
-		w.standing, w.first, w.overuse, w.urgency = w.claim.Standing(now), false, 1, 0
+		w.standing, w.first, w.overuse, w.urgency, w.age = w.claim.Standing(now), false, 1, 0, time.Time{}
 		if w.claim.timed() {
 			w.use.timed++
 			w.use.chains += min(w.claim.remaining, MaxObjective/time.Duration(len(list)))
 		}
 	}
 	for _, w := range order {
-		if !w.claim.lasting && w.use.timed > 0 {
+		if w.use.timed == 0 {
+			continue
+		}
+		w.age = w.claim.received
+		if !w.claim.lasting {
 			w.used = w.use.join(w.account)
 		}
 	}
--- a/hfplan/cost_test.go
+++ b/hfplan/cost_test.go
@@ -179,6 +179,30 @@
 	}
 }
 
+// Without objectives, equal jobs go by id in both orders.
+func TestEqualJobsWithoutObjectivesGoAlikeInBothOrders(t *testing.T) {
+	order := func(o Order) (ids []string) {
+		w := newWorld(t, 1, 4)
+		w.order, w.policy.Accounts = o, nil
+		for _, q := range w.policy.Queues {
+			q.Stretch = 0
+		}
+		w.replaceScheduler()
+		w.advance(time.Second)
+		w.submit("full", "usual", wide(4, 20*time.Second))
+		w.advance(500 * time.Millisecond)
+		for i := range 4 {
+			w.submit(fmt.Sprint("b", 9-i), "usual", wide(4, time.Minute))
+			w.advance(100 * time.Millisecond)
+		}
+		for _, c := range w.s.candidates(w.now) {
+			ids = append(ids, c.group.job.id())
+		}
+		return ids
+	}
+	require.Equal(t, order(BySize), order(ByCost))
+}
+
 // Run times are declared too short: an urgent job waits for no end that does not come until it is late, whether a
 // guarantee covers it or not.
 func TestUrgentJobsStopRunsThatTakeLongerThanDeclared(t *testing.T) {
