hfplan: find unbound starts in both orders

Cause: the worlds with starts that reach the next incarnation of their worker were played only by size, which is not what the product runs.

--- a/hfplan/network_test.go
+++ b/hfplan/network_test.go
@@ -539,11 +539,18 @@
 // TestUnboundStartsAreFoundToRunTasksTwice shows that the world finds a start that reaches the next
 // incarnation of its worker.
 func TestUnboundStartsAreFoundToRunTasksTwice(t *testing.T) {
-	for _, seed := range []uint64{140, 2187, 2738} {
-		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
-			failure := failureOf(func(f *failureRecorder) { playLateNetwork(f, seed, lateNetwork{unbound: true, order: BySize}) }) // as they were found
-			require.Regexp(t, `was started after its end as done|runs on .* already`, failure)
-		})
+	for _, world := range []struct {
+		order Order
+		seeds []uint64 // of the first 3,000
+	}{{BySize, []uint64{140, 2187, 2738}}, {ByCost, []uint64{569, 797, 879, 2187}}} {
+		for _, seed := range world.seeds {
+			t.Run(fmt.Sprintf("by %s, seed%d", world.order, seed), func(t *testing.T) {
+				failure := failureOf(func(f *failureRecorder) {
+					playLateNetwork(f, seed, lateNetwork{unbound: true, order: world.order})
+				})
+				require.Regexp(t, `was started after its end as done|runs on .* already`, failure)
+			})
+		}
 	}
 }
 
