hfrequest: drop queued requests by the shortest recent slot time of their kind

Cause: half of the average was taken, so that of a kind with calls of 0.1 s and of 10 s a short one with 2 s left was dropped.

Change: half of the shortest of the last 16 slot times of the kind.

Result: TestShortCallsAreNotDroppedForTheAverageOfTheirKind.

--- a/hfrequest/queue.go
+++ b/hfrequest/queue.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -319,15 +320,16 @@
 	}
 }
 
-// hopelessShare is the part of the usual slot time that must be left before the deadline. With half of it, few
-// requests end in time, and a slot is better given to another one; its caller can turn elsewhere at once.
+// hopelessShare is the part of the shortest recent slot time of its kind that a request must have left before its
+// deadline. With less, hardly any ends in time, and a slot is better given to another one; its caller can turn elsewhere
+// at once.
 const hopelessShare = 0.5
 
 // hopeless reports whether a ticket has too little time left to end before its deadline.
 func (q *Queue) hopeless(t *Ticket, now time.Time) bool {
 	least := time.Duration(0)
 	if average, ok := q.slotTimes[t.work]; ok {
-		least = time.Duration(hopelessShare * average.seconds * float64(time.Second))
+		least = time.Duration(hopelessShare * float64(slices.Min(average.recent)))
 	}
 	return !now.Add(least).Before(t.deadline)
 }
--- a/hfrequest/request_test.go
+++ b/hfrequest/request_test.go
@@ -374,6 +374,38 @@
 	})
 }
 
+// Calls of one kind take from 0.1 s to 10 s: a short one is not dropped because of the average.
+func TestShortCallsAreNotDroppedForTheAverageOfTheirKind(t *testing.T) {
+	q, now := NewQueue(10), time.Unix(1_000_000, 0)
+	decisions := map[string]QueueResult{}
+	push := func(id string, deadline time.Duration) {
+		require.True(t, q.Push(NewTicket(id, hfconfig.ClassUrgent, "a", "caller", "render", now.Add(deadline), 1, 0, func(r QueueResult) { decisions[id] = r })))
+	}
+	for i := range 20 {
+		id := fmt.Sprint("earlier", i)
+		push(id, time.Minute)
+		earlier := q.Next(1, 1, now)
+		require.Equal(t, id, earlier.ID())
+		now = now.Add([]time.Duration{100 * time.Millisecond, 10 * time.Second}[i%2])
+		q.Finish(earlier, true, now)
+	}
+	push("short", 2*time.Second)
+	q.Sweep(now)
+	require.Empty(t, decisions)
+	require.Equal(t, "short", q.Next(1, 1, now).ID())
+	for i := range recentSlotTimes { // the fast ones are long ago
+		id := fmt.Sprint("later", i)
+		push(id, time.Minute)
+		later := q.Next(2, 2, now)
+		require.Equal(t, id, later.ID())
+		now = now.Add(10 * time.Second)
+		q.Finish(later, true, now)
+	}
+	push("late", 2*time.Second)
+	q.Sweep(now)
+	require.Equal(t, map[string]QueueResult{"late": Expired}, decisions)
+}
+
 // A burst of requests over all slots: those that can't end in time any more are rejected at once, and their slots go
 // to requests that can.
 func TestRequestsThatCannotEndInTimeAreRejectedAtOnce(t *testing.T) {
--- a/hfrequest/wait_estimate.go
+++ b/hfrequest/wait_estimate.go
@@ -9,18 +9,33 @@
 const (
 	slotTimeSmoothing = 0.1 // weight of the newest request in the slot time average
 	defaultSlotTime   = 100 * time.Millisecond
+	recentSlotTimes   = 16 // requests of a kind of which the shortest slot time is known
 )
 
 // slotTimeAverage is the exponential moving average of the slot time of one kind of
-// work.
-type slotTimeAverage struct{ seconds float64 }
+// work, and its latest slot times.
+type slotTimeAverage struct {
+	seconds float64
+	recent  []time.Duration // up to recentSlotTimes
+	next    int             // index in recent of the next one
+}
+
+func (a *slotTimeAverage) add(used time.Duration) {
+	if len(a.recent) < recentSlotTimes {
+		a.recent = append(a.recent, used)
+		return
+	}
+	a.recent[a.next] = used
+	a.next = (a.next + 1) % recentSlotTimes
+}
 
 func (q *Queue) recordSlotTime(work string, used time.Duration) {
 	average, ok := q.slotTimes[work]
 	if !ok {
-		q.slotTimes[work] = &slotTimeAverage{seconds: used.Seconds()}
-		return
+		average = &slotTimeAverage{seconds: used.Seconds()}
+		q.slotTimes[work] = average
 	}
+	average.add(used)
 	average.seconds += slotTimeSmoothing * (used.Seconds() - average.seconds)
 }
 
