hfplan: bound the forecasts of a pass, not only those that show room

Cause: the bound of 8 counted groups that wait for ends, so that each group for which no end comes in time was forecast as well, over all runs.

Change: it counts forecasts; the workers of a pool are listed once in a pass.

Result: TestPassMakesFewForecastsOfEnds.

--- a/hfplan/cost_test.go
+++ b/hfplan/cost_test.go
@@ -153,6 +153,18 @@
 	}
 }
 
+// Forecasts go over all runs, so that a pass makes few of them, also if none shows room in time.
+func TestPassMakesFewForecastsOfEnds(t *testing.T) {
+	w := newContendedWorld(t, ByCost)
+	w.submit("running", "urgent", wide(4, 20*time.Second))
+	w.advance(time.Second)
+	for i := range 3 * maxEndForecasts {
+		w.submit(fmt.Sprintf("waiting%02d", i), "urgent", wide(1, 4*time.Second)) // may wait 2.4 s
+	}
+	w.advance(200 * time.Millisecond)
+	require.Equal(t, maxEndForecasts, w.s.endForecasts)
+}
+
 // Lasting tasks that never ran go before waiting work of their priority, with and without objectives.
 func TestNewLastingTasksDoNotWaitForABacklog(t *testing.T) {
 	for _, objectives := range []bool{false, true} {
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -232,7 +232,8 @@
 func (s *Scheduler) placeGroups(now time.Time) {
 	smallestFailed := map[placementShape]int{} // smallest task count that was not placed
 	clear(s.notAmple)
-	s.awaitingEnds = 0
+	s.endForecasts = 0
+	clear(s.poolWorkers)
 	s.clearReservations()
 	s.listSlowWorkers()
 	s.assignGuarantees()
--- a/hfplan/preempt.go
+++ b/hfplan/preempt.go
@@ -1,6 +1,7 @@
 package hfplan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/heatherfront/heatherfront/hfcost"
@@ -66,15 +67,15 @@
 	minSlack = 2 * stopTime
 	// maxGuaranteedEndWait limits that wait for what a guarantee covers, which has to start within a few seconds.
 	maxGuaranteedEndWait = 500 * time.Millisecond
-	// maxAwaitingEnds is the number of groups that wait so in a pass. A forecast goes over all runs, and takes 0.2 ms
-	// with 720 workers; further groups stop others at once.
-	maxAwaitingEnds = 8
+	// maxEndForecasts is the number of groups in a pass for which ends are forecast. A forecast goes over all runs;
+	// further groups stop others at once.
+	maxEndForecasts = 8
 )
 
 // awaitsEnds reports whether a group waits for runs that are expected to end by themselves in time, rather than throw
 // work away. It reserves their workers for it.
 func (s *Scheduler) awaitsEnds(g *group, count int, now time.Time) bool {
-	if s.bySize || s.awaitingEnds >= maxAwaitingEnds || g.job.queue.GetPriority() > 0 || g.job.queue.GetStretch() <= 0 || g.spec.GetLasting() || g.gang() && g.spec.GetCompact() {
+	if s.bySize || s.endForecasts >= maxEndForecasts || g.job.queue.GetPriority() > 0 || g.job.queue.GetStretch() <= 0 || g.spec.GetLasting() || g.gang() && g.spec.GetCompact() {
 		return false
 	}
 	if g.job.guaranteed && now.Sub(g.job.learnedAt) >= maxGuaranteedEndWait {
@@ -84,28 +85,39 @@
 	if slack < minSlack {
 		return false
 	}
-	unreserved, total := s.unreservedWorkers(g.job.queue.GetPool())
-	if float64(total-len(unreserved)) >= maxReservedShare*float64(total) {
+	workers := s.unreservedWorkers(g.job.queue.GetPool())
+	unreserved := workers.unreserved
+	if float64(workers.total-len(unreserved)) >= maxReservedShare*float64(workers.total) { // what the group needs itself may go beyond it
 		return false
 	}
+	s.endForecasts++
 	r, ok := s.findReservation(s.reservationNeed(g, now), unreserved, count, now)
 	if !ok || r.startsAt.Sub(now) > time.Duration(endWaitShare*float64(slack)) {
 		return false
 	}
 	r.apply(g)
-	s.awaitingEnds++
 	return true
 }
 
-// unreservedWorkers returns the workers of a pool that are not reserved, and how many workers it has.
-func (s *Scheduler) unreservedWorkers(pool string) (unreserved []*hfplacement.Worker, total int) {
-	s.resources.EachWorker(pool, func(w *hfplacement.Worker) {
-		total++
-		if !w.Reserved() {
-			unreserved = append(unreserved, w)
-		}
-	})
-	return unreserved, total
+// poolWorkers is the workers of a pool, listed once in a pass.
+type poolWorkers struct {
+	unreserved []*hfplacement.Worker
+	total      int
+}
+
+// unreservedWorkers returns the workers of a pool that are not reserved, until more are.
+func (s *Scheduler) unreservedWorkers(pool string) *poolWorkers {
+	p := s.poolWorkers[pool]
+	if p == nil {
+		p = &poolWorkers{}
+		s.poolWorkers[pool] = p
+		s.resources.EachWorker(pool, func(w *hfplacement.Worker) {
+			p.unreserved = append(p.unreserved, w)
+			p.total++
+		})
+	}
+	p.unreserved = slices.DeleteFunc(p.unreserved, (*hfplacement.Worker).Reserved)
+	return p
 }
 
 // preemptedShapes returns whether the room for a group may be freed in one rack (true) or anywhere
