hfplan: count spared runs once, end guarantees with priority 0, weigh stops once a pass

Result: TestSparedRunsCountOnce and TestGuaranteeEndsWithPriorityZero (both failed before). Nothing was measured of the computations.

--- a/hfplan/cost_test.go
+++ b/hfplan/cost_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/heatherfront/heatherfront/hfplacement"
+	"github.com/heatherfront/heatherfront/hfwire"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
 
@@ -165,6 +166,36 @@
 	require.Equal(t, maxEndForecasts, w.s.endForecasts)
 }
 
+// A run that is spared counts once, however many jobs ask for its room, and however often.
+func TestSparedRunsCountOnce(t *testing.T) {
+	w := newContendedWorld(t, ByCost)
+	w.submit("long", "usual", wide(4, 6*time.Second))
+	w.advance(5 * time.Second)
+	for i := range 3 {
+		id := fmt.Sprint("late", i)
+		w.jobs[id] = &hfwork.Job{Id: id, Queue: "urgent", Account: "plants", Steps: []*hfwork.Step{wide(4, time.Second)}, Received: w.now.Add(-1500 * time.Millisecond).UnixMilli()}
+		w.send(Job(w.jobs[id], nil, false))
+	}
+	w.advance(900 * time.Millisecond)
+	require.Equal(t, 4, w.s.delays.Spared())
+}
+
+// A job whose queue leaves priority 0 is not covered by a guarantee any more.
+func TestGuaranteeEndsWithPriorityZero(t *testing.T) {
+	w := newContendedWorld(t, ByCost)
+	w.policy.Accounts = []*hfwork.Account{{Name: "plants", Guaranteed: 32}}
+	w.send(Policy(w.policy))
+	w.submit("full", "urgent", wide(4, 20*time.Second))
+	w.submit("waiting", "urgent", wide(1, time.Second))
+	w.advance(time.Second)
+	require.True(t, w.s.jobs["full"].guaranteed)
+	changed := hfwire.Copy(w.policy)
+	changed.Queues[0].Priority = 1
+	w.send(Policy(changed))
+	w.advance(time.Second)
+	require.False(t, w.s.jobs["full"].guaranteed)
+}
+
 // Lasting tasks that never ran go before waiting work of their priority, with and without objectives.
 func TestNewLastingTasksDoNotWaitForABacklog(t *testing.T) {
 	for _, objectives := range []bool{false, true} {
--- a/hfplan/guarantee.go
+++ b/hfplan/guarantee.go
@@ -13,11 +13,13 @@
 	byAccount := map[string][]*job{}
 	seen := map[*job]bool{}
 	add := func(j *job) {
-		if seen[j] || j.queue == nil || j.queue.GetPriority() > 0 {
+		if seen[j] || j.queue == nil {
 			return
 		}
 		seen[j] = true
-		j.guaranteed = false
+		if j.guaranteed = false; j.queue.GetPriority() > 0 {
+			return
+		}
 		owner := s.accounts.Owner(j.spec.GetAccount(), j.spec.GetPolicy())
 		byAccount[owner] = append(byAccount[owner], j)
 	}
--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -150,6 +150,7 @@
 	isolated          bool  // a run of a suspect: no other group is placed on its worker
 	pace              int64 // percentage confirmed by the worker, or unknownPace
 	requestedPace     int64 // percentage in the PaceCmd in flight, or unknownPace
+	spared            bool  // was not stopped for urgent work once, see Delays.Spared
 	fromStart         bool  // this scheduler started it, and not from a checkpoint
 }
 
--- a/hfplan/order.go
+++ b/hfplan/order.go
@@ -52,8 +52,8 @@
 // Starving returns the number of steps that went first as others had overtaken them for as long as they may.
 func (d Delays) Starving() int { return d.starving }
 
-// Spared returns how many times in this term a run was not stopped for urgent work, as it was about to end or its
-// caller would have lost more than the other one gained.
+// Spared returns how many runs were once not stopped for urgent work in this term, as they were about to end or their
+// callers would have lost more than the other one gained.
 func (d Delays) Spared() int { return d.spared }
 
 // candidate is a group with waiting tasks.
@@ -85,6 +85,7 @@
 		list = append(list, w)
 	}
 	s.waitingList = list
+	defer clear(list) // keeps no group alive
 	if s.bySize {
 		return candidatesBySize(list, now)
 	}
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -234,6 +234,7 @@
 	clear(s.notAmple)
 	s.endForecasts = 0
 	clear(s.poolWorkers)
+	defer clear(s.stopWeights)
 	s.clearReservations()
 	s.listSlowWorkers()
 	s.assignGuarantees()
--- a/hfplan/preempt.go
+++ b/hfplan/preempt.go
@@ -184,7 +184,7 @@
 	add := func(v victim, weighed stopWeight) {
 		cost, ok := preempting.stopCost(v, weighed, now)
 		if !ok {
-			s.delays.spared++
+			s.countSpared(v.runs)
 			return
 		}
 		allocations := make([]hfplacement.Allocation, 0, len(v.runs))
@@ -197,7 +197,11 @@
 		if g.active == 0 || g.job.queue == nil || g.job.queue.GetPool() != queue.GetPool() || !preemptor.mayPreempt(g) {
 			continue
 		}
-		weight := s.stopWeight(g)
+		weight, known := s.stopWeights[g]
+		if !known {
+			weight = s.stopWeight(g)
+			s.stopWeights[g] = weight
+		}
 		if g.gang() {
 			if v, ok := gangVictim(g); ok && !g.spec.GetLasting() {
 				add(v, weight)
@@ -215,6 +219,16 @@
 	return list
 }
 
+// countSpared counts runs that are not stopped, each once.
+func (s *Scheduler) countSpared(runs []*run) {
+	for _, r := range runs {
+		if !r.spared {
+			r.spared = true
+			s.delays.spared++
+		}
+	}
+}
+
 // stopTime is how long it takes from a stop until its room can be used: the order, the end on the worker, which
 // normally takes 200 ms, and the report of it.
 const stopTime = 300 * time.Millisecond
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -102,6 +102,7 @@
 	suspectReserved  map[string]int              // workers that this pass has reserved for suspects, by pool
 	endForecasts     int                         // groups for which this pass has forecast the ends of runs
 	poolWorkers      map[string]*poolWorkers     // listed in this pass, by pool
+	stopWeights      map[*group]stopWeight       // weighed in this pass
 	hasAdvisedQueue  bool
 	bySize           bool // order and victims go by core-seconds alone, see WithOrder
 	delays           Delays
@@ -122,7 +123,7 @@
 		timing: timing, runNumberBase: max(term-1, 0) * runsPerTerm, policy: &hfwork.Policy{}, queues: map[string]*hfwork.Queue{},
 		resources: hfplacement.New(), workers: map[string]*worker{}, jobs: map[string]*job{}, unloaded: map[string]*job{}, memory: hfbudget.New(defaultMemory), orphans: map[hfwork.TaskID]int{},
 		recoveryDeadline: now.Add(timing.leaseExpiryDelay()), pendingAcks: map[*worker]int64{}, dirtyJobs: map[string]*job{}, usage: map[string]*poolUsage{},
-		waves: map[int64]*wave{}, dirtyWaves: map[int64]*hfwork.Wave{}, missing: map[string]*missingWorker{}, unstable: map[string]time.Time{}, suspectReserved: map[string]int{}, urgentWaits: map[string]bool{}, notAmple: map[placementShape]int{}, slowWorkers: map[string]bool{}, poolWorkers: map[string]*poolWorkers{},
+		waves: map[int64]*wave{}, dirtyWaves: map[int64]*hfwork.Wave{}, missing: map[string]*missingWorker{}, unstable: map[string]time.Time{}, suspectReserved: map[string]int{}, urgentWaits: map[string]bool{}, notAmple: map[placementShape]int{}, slowWorkers: map[string]bool{}, poolWorkers: map[string]*poolWorkers{}, stopWeights: map[*group]stopWeight{},
 	}
 }
 
