--- a/hfcommand/entry.go
+++ b/hfcommand/entry.go
@@ -27,7 +27,7 @@
 	fs := newFlagSet("entry", s)
 	path := fs.String("settings", "", "settings file that the platform writes")
 	level := fs.String("log-level", "info", "debug, info, warn or error")
-	order := fs.String("order", string(hfplan.ByCost), "who waits where room is short: cost (what costs callers least) or size (the most work)")
+	order := fs.String("order", string(hfplan.DefaultOrder), "who waits where room is short: cost (what costs callers least) or size (the most work)")
 	return &ffcli.Command{
 		Name: "entry", ShortUsage: "heatherfront entry [flags]", ShortHelp: "run one entry instance on the operators' platform until SIGTERM",
 		LongHelp: "Takes jobs for the platform's queues and schedules them on its workers. The log is JSON on\nstandard output; its events are listed in docs/EVENTS.md.",
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -83,7 +83,7 @@
 func New(s Settings, store hfstore.Committer, f Formats, minions hforder.Minions, adviser hforder.Adviser, machines hforder.Machines, dialer hfpeer.Dialer, log *hfevent.Log, registry metrics.Registry) *Node {
 	n := &Node{
 		name: s.Name(), settings: s, formats: f, minions: minions, adviser: adviser, machines: machines, log: log, registry: registry,
-		mirror: hfloop.NewGuarded(NewMirror(f, s.HeartbeatInterval())), health: NewStoreHealth(func(down bool, silent time.Duration) {
+		order: hfplan.DefaultOrder, mirror: hfloop.NewGuarded(NewMirror(f, s.HeartbeatInterval())), health: NewStoreHealth(func(down bool, silent time.Duration) {
 			event := hfevent.StoreUp
 			if down {
 				event = hfevent.StoreDown
--- a/hfplan/cost_test.go
+++ b/hfplan/cost_test.go
@@ -27,6 +27,14 @@
 	return w
 }
 
+func TestOrderIsTheDefaultUnlessItIsSet(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	for order, bySize := range map[Order]bool{"": DefaultOrder == BySize, ByCost: false, BySize: true} {
+		require.Equal(t, bySize, New(1, NewTiming(time.Second), now).WithOrder(order).bySize, order)
+	}
+	require.Equal(t, DefaultOrder == BySize, New(1, NewTiming(time.Second), now).bySize)
+}
+
 // finishedWithin reports whether a job completes until a time after it was handed in.
 func (w *world) finishedWithin(id string, d time.Duration) bool {
 	w.advance(time.UnixMilli(w.jobs[id].GetReceived()).Add(d).Sub(w.now))
@@ -129,6 +137,7 @@
 func TestWaitingForEndsReservesRoomOnce(t *testing.T) {
 	for _, compact := range []bool{false, true} {
 		w := newWorld(t, 6, 4)
+		w.order = ByCost
 		w.policy.Accounts = nil
 		for k, objective := range []int64{400, 1200, 3000} {
 			w.policy.Queues[k].Stretch, w.policy.Queues[k].Objective = 1.5, objective
--- a/hfplan/order.go
+++ b/hfplan/order.go
@@ -20,14 +20,17 @@
 	// BySize takes what can meet its objective first, then the least remaining core-seconds, and
 	// stops what loses the fewest core-seconds.
 	BySize Order = "size"
+
+	// DefaultOrder is the order of a scheduler that is not given one.
+	DefaultOrder = ByCost
 )
 
 // Orders returns all orders.
 func Orders() []Order { return []Order{ByCost, BySize} }
 
-// WithOrder sets the order, which is ByCost unless it is set.
+// WithOrder sets the order. It is DefaultOrder unless it is set, or if it is empty.
 func (s *Scheduler) WithOrder(o Order) *Scheduler {
-	s.bySize = o == BySize
+	s.bySize = cmp.Or(o, DefaultOrder) == BySize
 	return s
 }
 
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -119,12 +119,13 @@
 //
 //	s := hfplan.New(1, hfplan.NewTiming(6*time.Second), time.Now())
 func New(term int64, timing Timing, now time.Time) *Scheduler {
-	return &Scheduler{
+	s := &Scheduler{
 		timing: timing, runNumberBase: max(term-1, 0) * runsPerTerm, policy: &hfwork.Policy{}, queues: map[string]*hfwork.Queue{},
 		resources: hfplacement.New(), workers: map[string]*worker{}, jobs: map[string]*job{}, unloaded: map[string]*job{}, memory: hfbudget.New(defaultMemory), orphans: map[hfwork.TaskID]int{},
 		recoveryDeadline: now.Add(timing.leaseExpiryDelay()), pendingAcks: map[*worker]int64{}, dirtyJobs: map[string]*job{}, usage: map[string]*poolUsage{},
 		waves: map[int64]*wave{}, dirtyWaves: map[int64]*hfwork.Wave{}, missing: map[string]*missingWorker{}, unstable: map[string]time.Time{}, suspectReserved: map[string]int{}, urgentWaits: map[string]bool{}, notAmple: map[placementShape]int{}, slowWorkers: map[string]bool{}, poolWorkers: map[string]*poolWorkers{}, stopWeights: map[*group]stopWeight{},
 	}
+	return s.WithOrder(DefaultOrder)
 }
 
 // Update processes one message and returns the commands that result.
