--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -81,15 +81,16 @@
 	hints        chan hfstore.Item
 	takers       *hfloop.Guarded[*takers] // of the jobs that hints told of
 	pushes       chan push
-	endedJobs    chan string // jobs that may be shown as completed before that is stored
-	peerAddress  string      // at which the other instances reach this one; set before the goroutines start
+	endedJobs    chan string  // jobs that may be shown as completed before that is stored
+	order        hfplan.Order // in which this instance schedules as the leader; set before the goroutines start
+	peerAddress  string       // at which the other instances reach this one; set before the goroutines start
 }
 
 // New returns a node that has not started.
 func New(s Settings, store hfstore.Committer, f Formats, minions hforder.Minions, adviser hforder.Adviser, machines hforder.Machines, dialer hfpeer.Dialer, log *hfevent.Log, registry metrics.Registry) *Node {
 	n := &Node{
 		name: s.Name(), settings: s, formats: f, minions: minions, adviser: adviser, machines: machines, log: log, registry: registry,
-		mirror: hfloop.NewGuarded(NewMirror(f, s.HeartbeatInterval())), health: NewStoreHealth(func(down bool, silent time.Duration) {
+		order: hfplan.DefaultOrder, mirror: hfloop.NewGuarded(NewMirror(f, s.HeartbeatInterval())), health: NewStoreHealth(func(down bool, silent time.Duration) {
 			event := hfevent.StoreUp
 			if down {
 				event = hfevent.StoreDown
@@ -118,6 +119,12 @@
 	return n
 }
 
+// WithOrder sets the order in which the instance schedules as the leader. It must be called before Run.
+func (n *Node) WithOrder(o hfplan.Order) *Node {
+	n.order = o
+	return n
+}
+
 // Run keeps the mirror current, takes part in the leader election, and serves the other
 // instances on ln, until ctx ends.
 func (n *Node) Run(ctx context.Context, ln net.Listener) error {
--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -59,6 +59,9 @@
 	awaitingRack     bool              // in this pass, a compact gang had room on several racks and waited for one
 	crashed          bool              // a worker has crashed under one of its tasks
 	durations        []durationSample  // of its measured tasks
+	goesFirst        bool              // one task or the gang is being placed before others because it starves
+	goFirstNotBefore time.Time         // earliest next time that it may go first, after it got neither room nor a reservation
+	rescue           *run              // latest run that got room before others because it starved; of a gang, its first member
 	durationsUsed    int               // number of durations from which workers' speeds were learned
 }
 
@@ -68,6 +71,9 @@
 // waiting returns the number of tasks that need a worker.
 func (g *group) waiting() int { return g.open - (g.active - g.completedActive) - g.awaitingPrior }
 
+// rescuing reports whether a run that got room before others has not ended.
+func (g *group) rescuing() bool { return g.rescue != nil && g.rescue.task.run == g.rescue }
+
 // cores returns the cost of one task in core equivalents.
 func (g *group) cores() float64 { return max(g.size.CoreEquivalents(), 0.1) }
 
@@ -144,6 +150,7 @@
 	isolated          bool  // a run of a suspect: no other group is placed on its worker
 	pace              int64 // percentage confirmed by the worker, or unknownPace
 	requestedPace     int64 // percentage in the PaceCmd in flight, or unknownPace
+	spared            bool  // was not stopped for urgent work once, see Delays.Spared
 	fromStart         bool  // this scheduler started it, and not from a checkpoint
 	measured          bool  // its run time is in the durations of its group
 }
--- a/hfplan/network_test.go
+++ b/hfplan/network_test.go
@@ -515,6 +515,9 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { playLateNetwork(t, seed, lateNetwork{}) })
 	}
+	for _, seed := range failedNetworkSeeds { // in the order in which they were found
+		t.Run(fmt.Sprint("by size, seed", seed), func(t *testing.T) { playLateNetwork(t, seed, lateNetwork{order: BySize}) })
+	}
 }
 
 // Guards against two runs of one task, or a run after its end, as workers crash and come back under
@@ -544,11 +547,18 @@
 // TestUnboundStartsAreFoundToRunTasksTwice shows that the world finds a start that reaches the next
 // incarnation of its worker.
 func TestUnboundStartsAreFoundToRunTasksTwice(t *testing.T) {
-	for _, seed := range []uint64{140, 2187, 2738} {
-		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
-			failure := failureOf(func(f *failureRecorder) { playLateNetwork(f, seed, lateNetwork{unbound: true}) })
-			require.Regexp(t, `was started after its end as done|runs on .* already`, failure)
-		})
+	for _, world := range []struct {
+		order Order
+		seeds []uint64 // of the first 3,000
+	}{{BySize, []uint64{140, 2187, 2738}}, {ByCost, []uint64{569, 797, 879, 2187}}} {
+		for _, seed := range world.seeds {
+			t.Run(fmt.Sprintf("by %s, seed%d", world.order, seed), func(t *testing.T) {
+				failure := failureOf(func(f *failureRecorder) {
+					playLateNetwork(f, seed, lateNetwork{unbound: true, order: world.order})
+				})
+				require.Regexp(t, `was started after its end as done|runs on .* already`, failure)
+			})
+		}
 	}
 }
 
@@ -568,6 +578,7 @@
 	parts   bool // records are stored in two batches
 	crashes bool // workers crash
 	unbound bool // starts reach whichever incarnation of their worker answers
+	order   Order
 	routes  bool // steps limit their tasks on one worker or ask for a label
 }
 
@@ -578,6 +589,10 @@
 	random, crashRandom := rand.New(rand.NewPCG(seed, 20261205)), rand.New(rand.NewPCG(seed, 20261206))
 	w := newWorld(t, 2, 4)
 	w.storesParts = variant.parts
+	if variant.order != "" {
+		w.order = variant.order
+		w.s.WithOrder(w.order)
+	}
 	routeRandom := rand.New(rand.NewPCG(seed, 20261207))
 	if variant.routes {
 		for i, id := range sortedKeys(w.fleet) {
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -1,7 +1,6 @@
 package hfplan
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -103,43 +102,6 @@
 	}
 }
 
-// candidate is a group with waiting tasks, and its sort keys in scheduling order.
-type candidate struct {
-	group           *group
-	priority        uint32
-	beyondGuarantee int // 1 for jobs of priority 0 that their account's guarantee does not cover, else 0
-	objective       objectiveStatus
-	rank            float64 // lower ranks are placed first
-}
-
-// candidates returns the groups that may be placed now, in scheduling order.
-func (s *Scheduler) candidates(now time.Time) []candidate {
-	var list []candidate
-	for _, g := range s.groups {
-		if g.waiting() == 0 || g.job.queue == nil || !g.ready(now) {
-			continue
-		}
-		if g.gang() && g.active > 0 {
-			continue
-		}
-		if g.gang() && g.awaitingPrior > 0 {
-			continue
-		}
-		c := candidate{group: g, priority: g.job.queue.GetPriority(), objective: g.objectiveStatus(now), rank: s.rank(g)}
-		if c.priority == 0 && !g.job.guaranteed {
-			c.beyondGuarantee = 1
-		}
-		list = append(list, c)
-	}
-	slices.SortStableFunc(list, func(a, b candidate) int {
-		return cmp.Or(
-			cmp.Compare(a.priority, b.priority), cmp.Compare(a.beyondGuarantee, b.beyondGuarantee), cmp.Compare(a.objective, b.objective), cmp.Compare(a.rank, b.rank),
-			cmp.Compare(a.group.job.id(), b.group.job.id()), cmp.Compare(a.group.step, b.group.step),
-		)
-	})
-	return list
-}
-
 // rank returns the remaining core-seconds of a job. Jobs with the least remaining
 // work go first, which keeps the number of jobs in progress low. Lasting tasks take
 // turns: those assigned longest ago go first.
@@ -215,6 +177,15 @@
 	return 1
 }
 
+// placedTogether returns the number of tasks to be placed now that may share a worker: one if it goes first, unless it is a
+// gang, or else all.
+func (g *group) placedTogether(now time.Time) int {
+	if g.goesFirst {
+		return min(g.waitingShared(now), g.leastTasks())
+	}
+	return g.waitingShared(now)
+}
+
 // tasksOf returns the number of tasks of a group that may be running on the worker, or will be: with
 // their run, an orphan that is being stopped, or a run of an earlier scheduler.
 func (w *worker) tasksOf(g *group) int {
@@ -260,6 +231,9 @@
 func (s *Scheduler) placeGroups(now time.Time) {
 	smallestFailed := map[placementShape]int{} // smallest task count that was not placed
 	clear(s.notAmple)
+	s.endForecasts = 0
+	clear(s.poolWorkers)
+	defer clear(s.stopWeights)
 	s.clearReservations()
 	s.listSlowWorkers()
 	s.assignGuarantees()
@@ -273,6 +247,9 @@
 	}
 	for _, c := range candidates {
 		g := c.group
+		if g.goesFirst = c.first; g.waiting() == 0 {
+			continue // all of it went first
+		}
 		shape := g.placementShape()
 		count := g.waiting()
 		if !g.gang() {
@@ -281,7 +258,7 @@
 		if smallest, ok := smallestFailed[shape]; ok && count >= smallest && c.priority > 0 && g.unconstrained(now) {
 			continue
 		}
-		budget, budgeted := budgets[g.job.queue.GetPool()], c.priority > 0 && g.uncheckpointedGang()
+		budget, budgeted := budgets[g.job.queue.GetPool()], c.priority > 0 && g.uncheckpointedGang() && !g.goesFirst
 		if budgeted && !budget.take(g) {
 			if !s.waitsInVain(g, s.placementNeed(g, now), count, now) {
 				continue
@@ -292,13 +269,16 @@
 		if s.placeGroup(g, now) {
 			continue
 		}
-		if s.preempt(g, now) {
+		preempted := s.preempt(g, now)
+		if preempted == allAssigned {
 			continue
 		}
 		if budgeted {
 			budget.refund(g)
 		}
-		s.reserveWorkers(g, now)
+		if preempted != awaitsReserved && !s.reserveWorkers(g, now) && g.goesFirst {
+			g.goFirstNotBefore = now.Add(goFirstRetryInterval)
+		}
 		if smallest, ok := smallestFailed[shape]; g.unconstrained(now) && !g.awaitingRack && (!ok || count < smallest) {
 			smallestFailed[shape] = count
 		}
@@ -326,11 +306,11 @@
 // placeOn assigns the waiting tasks of a group that need not be isolated to workers that meet the
 // given requirements.
 func (s *Scheduler) placeOn(g *group, need hfplacement.Need, now time.Time) bool {
-	count := g.waitingShared(now)
+	count := g.placedTogether(now)
 	if !g.gang() {
 		placements, placed := s.resources.PlaceAcrossRacks(need, count)
 		s.assign(g, placements, now)
-		return placed == count && g.waiting() == 0
+		return placed == count && (count > 0 && g.goesFirst || g.waiting() == 0)
 	}
 	if count == 0 {
 		return g.waiting() == 0
@@ -397,6 +377,9 @@
 			if isolated {
 				s.isolate(t.run)
 			}
+			if g.goesFirst && placed == 0 {
+				g.rescue = t.run
+			}
 			g.active++
 			g.assigned++
 			placed++
--- a/hfplan/reservation.go
+++ b/hfplan/reservation.go
@@ -22,12 +22,13 @@
 
 // reserveWorkers reserves the workers on which a waiting gang is expected to fit
 // first. Without a reservation, smaller tasks would fill each gap before it is large
-// enough. For a compact gang, all workers of one rack are reserved.
-func (s *Scheduler) reserveWorkers(g *group, now time.Time) {
-	if !g.gang() {
-		return
+// enough. For a compact gang, all workers of one rack are reserved. A step that starves gets a worker for one task. It reports
+// whether there are such workers.
+func (s *Scheduler) reserveWorkers(g *group, now time.Time) bool {
+	if !g.gang() && !g.goesFirst {
+		return false
 	}
-	pool, need := g.job.queue.GetPool(), s.generalNeed(g, now).Excluding(func(id string) bool { return g.avoid[id] })
+	pool, need := g.job.queue.GetPool(), s.reservationNeed(g, now)
 	var all, unreserved []*hfplacement.Worker
 	unreservedByRack := map[string][]*hfplacement.Worker{}
 	reservedRacks := map[string]bool{}
@@ -42,13 +43,14 @@
 	})
 	maxReserved := max(minReservableRacks*len(all)/max(len(s.resources.Racks(pool)), 1), int(maxReservedShare*float64(len(all))))
 	if len(all)-len(unreserved) >= maxReserved {
-		return
+		return false
 	}
-	if !g.spec.GetCompact() {
-		if r, ok := s.findReservation(g, need, unreserved, now); ok {
+	if !g.gang() || !g.spec.GetCompact() {
+		r, ok := s.findReservation(need, unreserved, g.leastTasks(), now)
+		if ok {
 			r.apply(g)
 		}
-		return
+		return ok
 	}
 	var best reservation
 	found := false
@@ -56,7 +58,7 @@
 		if reservedRacks[rack] {
 			continue
 		}
-		r, ok := s.findReservation(g, need, unreservedByRack[rack], now)
+		r, ok := s.findReservation(need, unreservedByRack[rack], len(g.tasks), now)
 		if ok && (!found || r.startsAt.Before(best.startsAt) || (rack == g.reservedRack && !r.startsAt.After(best.startsAt))) {
 			best, found, g.reservedRack = r, true, rack
 		}
@@ -64,6 +66,12 @@
 	if found {
 		s.resources.EachInRack(pool, g.reservedRack, func(w *hfplacement.Worker) { w.Reserve(g, best.startsAt) })
 	}
+	return found
+}
+
+// reservationNeed returns the requirements of a group on workers that are reserved for it.
+func (s *Scheduler) reservationNeed(g *group, now time.Time) hfplacement.Need {
+	return s.generalNeed(g, now).Excluding(func(id string) bool { return g.avoid[id] })
 }
 
 // reservation is the expected start of a gang and the workers that it starts on.
@@ -102,15 +110,15 @@
 // forgetReleases drops the expected ends, as the worker's runs change.
 func (w *worker) forgetReleases() { w.releasesAt = time.Time{} }
 
-// findReservation returns the earliest expected time at which the given workers have room for a
-// whole gang, and the workers that the gang uses then. It reports false if they never do.
-func (s *Scheduler) findReservation(g *group, need hfplacement.Need, workers []*hfplacement.Worker, now time.Time) (reservation, bool) {
+// findReservation returns the earliest expected time at which the given workers have room for count tasks, and the
+// workers that they use then. It reports false if they never do.
+func (s *Scheduler) findReservation(need hfplacement.Need, workers []*hfplacement.Worker, count int, now time.Time) (reservation, bool) {
 	f := s.newForecast(need, workers, now)
-	startsAt, ok := f.roomFor(len(g.tasks))
+	startsAt, ok := f.roomFor(count)
 	if !ok {
 		return reservation{}, false
 	}
-	return reservation{startsAt: startsAt, workers: f.workersFor(len(g.tasks))}, true
+	return reservation{startsAt: startsAt, workers: f.workersFor(count)}, true
 }
 
 // expectedEnd estimates when a run ends: from its measured progress rate if there is
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/heatherfront/heatherfront/hfbudget"
+	"github.com/heatherfront/heatherfront/hfcost"
 	"github.com/heatherfront/heatherfront/hfplacement"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
@@ -123,9 +124,15 @@
 	urgentWaits      map[string]bool             // pools for which urgent work waited when this pass began
 	notAmple         map[placementShape]int      // smallest number of tasks for which this pass found no room, see hasAmpleRoom
 	suspectReserved  map[string]int              // workers that this pass has reserved for suspects, by pool
+	endForecasts     int                         // groups for which this pass has forecast the ends of runs
+	poolWorkers      map[string]*poolWorkers     // listed in this pass, by pool
+	stopWeights      map[*group]stopWeight       // weighed in this pass
 	hasAdvisedQueue  bool
-	adviceInFlight   bool      // an AdviceCmd is in flight
-	adviceNotBefore  time.Time // earliest next AdviceCmd
+	bySize           bool // order and victims go by core-seconds alone, see WithOrder
+	delays           Delays
+	waitingList      []hfcost.Waiting[*group] // of the last call of candidates; kept for its memory
+	adviceInFlight   bool                     // an AdviceCmd is in flight
+	adviceNotBefore  time.Time                // earliest next AdviceCmd
 	cmds             []Cmd
 	needsPass        bool  // a change may allow a task to start
 	invariantErr     error // first violated invariant
@@ -136,12 +143,13 @@
 //
 //	s := hfplan.New(1, hfplan.NewTiming(6*time.Second), time.Now())
 func New(term int64, timing Timing, now time.Time) *Scheduler {
-	return &Scheduler{
+	s := &Scheduler{
 		timing: timing, runNumberBase: max(term-1, 0) * runsPerTerm, policy: &hfwork.Policy{}, queues: map[string]*hfwork.Queue{},
 		resources: hfplacement.New(), workers: map[string]*worker{}, jobs: map[string]*job{}, unloaded: map[string]*job{}, memory: hfbudget.New(defaultMemory), orphans: map[hfwork.TaskID]int{},
 		recoveryDeadline: now.Add(timing.leaseExpiryDelay()), pendingAcks: map[*worker]int64{}, dirtyJobs: map[string]*job{}, usage: map[string]*poolUsage{},
-		unstored: newUnstored(), waves: map[int64]*wave{}, dirtyWaves: map[int64]*hfwork.Wave{}, missing: map[string]*missingWorker{}, unstable: map[string]time.Time{}, suspectReserved: map[string]int{}, urgentWaits: map[string]bool{}, notAmple: map[placementShape]int{}, slowWorkers: map[string]bool{},
+		unstored: newUnstored(), waves: map[int64]*wave{}, dirtyWaves: map[int64]*hfwork.Wave{}, missing: map[string]*missingWorker{}, unstable: map[string]time.Time{}, suspectReserved: map[string]int{}, urgentWaits: map[string]bool{}, notAmple: map[placementShape]int{}, slowWorkers: map[string]bool{}, poolWorkers: map[string]*poolWorkers{}, stopWeights: map[*group]stopWeight{},
 	}
+	return s.WithOrder(DefaultOrder)
 }
 
 // Update processes one message and returns the commands that result.
@@ -262,8 +270,12 @@
 	capacity hfplacement.Resources
 	stranded hfplacement.Resources // free where none of the waiting tasks fits
 	slow     int                   // workers known to be slow
+	delays   Delays
 }
 
+// Delays returns what the last pass put behind others.
+func (l Load) Delays() Delays { return l.delays }
+
 // Waiting returns the number of tasks without a worker for priority 0, 1, and 2 and
 // above.
 func (l Load) Waiting() [3]int { return l.waiting }
@@ -292,7 +304,7 @@
 
 // Load returns the current load.
 func (s *Scheduler) Load(now time.Time) Load {
-	l := Load{stranded: s.stranded(now)}
+	l := Load{stranded: s.stranded(now), delays: s.delays}
 	for _, g := range s.groups {
 		if g.job.queue == nil {
 			continue
--- a/hfplan/world_test.go
+++ b/hfplan/world_test.go
@@ -58,6 +58,8 @@
 	timing         Timing
 	preempted      int                  // runs that were stopped to make room for others
 	storesParts    bool                 // a StoreCmd with several records is stored in two batches
+	order          Order                // of each scheduler, "" for the default
+	thrownAway     float64              // core-seconds of runs that were stopped and are done again
 	storeAway      bool                 // a StoreCmd is carried out when the store is back
 	mayEnd         map[string]time.Time // earliest times at which draining workers may end
 	rename         bool                 // a worker that crashed is back under another id
@@ -251,6 +253,7 @@
 	if w.memory > 0 {
 		w.s.WithMemory(w.memory)
 	}
+	w.s.WithOrder(w.order)
 	if w.network != nil {
 		w.network.connect()
 	}
@@ -605,6 +608,7 @@
 		saved = fmt.Sprint("at ", w.now.UnixMilli())
 	}
 	if endReason != hfwork.Done && !r.checkpoints {
+		w.thrownAway += w.now.Sub(r.startedAt).Seconds() * r.size.CoreEquivalents()
 		w.lostTime += w.now.Sub(r.startedAt) * time.Duration(r.size.Accelerators())
 	}
 	f.lastEnd++
