Give last attempts proved workers, and try suspects with work that can afford it

Cause: 26 of 350 workers fail everything that they start for 6 s. Urgent gangs have two attempts: they lost the first to one bad worker and the second to another. A worker that fails at once is also the emptiest one.

Change: hfplan uses hfsuspect. While there are suspects or an outbreak, gangs and urgent tasks prefer workers that have proved sound since, then any but suspects; with one attempt left they wait for these: 0.9 s, then while the objective can be met, 6 s at most, 1.8 s in a lightly used pool (callers expect a start within 3 s). Suspects get one task at a time, of those with three attempts left; a proof clears them. A job whose tasks fail on more workers than they run well on is at fault, and its failures are withdrawn. A new leader that finds failures in the records distrusts all workers until they have proved sound. Without an early failure no pass is vigilant and nothing is decided differently.

--- a/hfplan/isolation.go
+++ b/hfplan/isolation.go
@@ -51,12 +51,12 @@
 
 // waitingShared returns the number of tasks that need a worker and may share it.
 func (g *group) waitingShared(now time.Time) int {
-	if !g.crashed {
+	if !g.crashed && g.sparedTasks == 0 {
 		return g.waiting()
 	}
 	n := 0
 	for i := range g.tasks {
-		if t := &g.tasks[i]; t.waiting() && !t.held() && !t.isolates(now) {
+		if t := &g.tasks[i]; t.waiting() && !t.held() && !t.isolates(now) && !t.spared {
 			n++
 		}
 	}
--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -58,6 +58,15 @@
 	ampleSince       time.Time         // since when a waiting gang has had ample room; zero if it has not
 	awaitingRack     bool              // in this pass, a compact gang had room on several racks and waited for one
 	crashed          bool              // a worker has crashed under one of its tasks
+	failedOn         map[string]bool   // workers on which a task failed early
+	failedStart      time.Time         // start of its last run that failed early
+	distrustUntil    time.Time         // until when that run's failure counts as a sign of bad workers
+	atFault          bool              // its failures say nothing against workers
+	cautious         bool              // kept off workers that may be bad, see cautiousNeed
+	awaitsProof      bool              // such workers have room; for the log
+	provedBy         time.Time         // until when it may wait for workers that have proved sound; zero before it was tried
+	trustedBy        time.Time         // until when it may wait for workers that are no suspects
+	sparedTasks      int               // number of tasks that are spared
 	durations        []durationSample  // of its ended tasks
 	durationsUsed    int               // number of durations from which workers' speeds were learned
 }
@@ -97,6 +106,7 @@
 	checkpoint  string // latest checkpoint; gangs keep it in their primary task
 	priorWorker string // worker on which an earlier scheduler may have started the task, or that has an orphan of it, or ""
 	crashes     crashes
+	spared      bool      // not to be placed now
 	sharedFrom  time.Time // when it may be placed beside others although it is a suspect; zero before it had to wait
 }
 
@@ -145,6 +155,7 @@
 	pace              int64 // percentage confirmed by the worker, or unknownPace
 	requestedPace     int64 // percentage in the PaceCmd in flight, or unknownPace
 	fromStart         bool  // this scheduler started it, and not from a checkpoint
+	adopted           bool  // it is not known when it was started
 }
 
 // worker is the scheduler's view of one worker.
@@ -171,8 +182,6 @@
 	lastEnd          int64                            // sequence number of the last end that was processed
 	quarantinedUntil time.Time                        // no tasks are assigned before this time
 	upkeepPending    bool                             // its machine is being drained or is down for upkeep
-	failedJobs       map[string]bool                  // jobs with a failure here since the last success
-	quarantines      int                              // number of quarantines since the last success
 	refusedUntil     time.Time                        // no tasks are assigned before this time, after it refused a start
 	releases         []expectedRelease                // expected ends of its runs as of releasesAt
 	releasesAt       time.Time                        // time of the pass that listed releases; zero if runs have changed since
--- a/hfplan/message.go
+++ b/hfplan/message.go
@@ -282,6 +282,11 @@
 	NotePreempted   Note = "preempted" // runs were stopped to make room for another job
 	NoteRetry       Note = "retry"     // a run ended early or has stalled, and its task is run again
 	NoteQuarantined Note = "aside"     // a worker was quarantined
+	NoteSuspected   Note = "suspected" // a worker became a suspect
+	NoteProved      Note = "proved"    // a suspect has proved sound
+	NoteTrial       Note = "trial"     // a task was placed on a suspect to try it
+	NoteAwaitsProof Note = "awaits"    // a step waits, as only workers that may be bad have room
+	NoteFaulty      Note = "faulty"    // a job is at fault for its failures, not the workers
 	NoteSilent      Note = "silent"    // a worker stopped reporting
 	NoteReporting   Note = "heard"     // a worker reports for the first time or again, or has restarted
 	NoteRemoved     Note = "gone"      // a worker was removed
@@ -291,6 +296,8 @@
 	NoteIsolated    Note = "isolated"  // a task was placed with no other group on its worker
 	NoteGaveUp      Note = "gave-up"   // workers crashed under a task as often as they may
 	NoteDeferred    Note = "deferred"  // occurrences of a job are due, but there is no memory for their tasks
+
+	NoteTooManySuspects Note = "too-many" // more workers seem to be bad than may be avoided
 )
 
 // NoteCmd asks to log a decision or state change.
--- a/hfplan/occurrence.go
+++ b/hfplan/occurrence.go
@@ -130,6 +130,7 @@
 		}
 		o.open++
 		s.groups = append(s.groups, g)
+		s.distrust(g, now)
 	}
 	if o.open == 0 {
 		s.completeOccurrence(j, k)
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -184,15 +184,15 @@
 func (s *Scheduler) placementNeed(g *group, now time.Time) hfplacement.Need {
 	need := s.permittedNeed(g, now)
 	if len(g.avoid) == 0 {
-		return need
+		return s.cautiousNeed(g, need, now)
 	}
 	avoiding := need.AlsoExcluding(func(id string) bool { return g.avoid[id] })
 	if _, possible := s.resources.FitsWhenEmpty(avoiding, g.leastTasks()); !possible {
 		// The group cannot be placed without the avoided workers, so try them again.
 		clear(g.avoid)
-		return need
+		return s.cautiousNeed(g, need, now)
 	}
-	return avoiding
+	return s.cautiousNeed(g, avoiding, now)
 }
 
 // permittedNeed returns the requirements of a group on the workers for its tasks, regardless of the
@@ -252,7 +252,7 @@
 // unconstrained reports whether the group can use any worker of its pool that has
 // enough room.
 func (g *group) unconstrained(now time.Time) bool {
-	return g.spec.GetLabel() == "" && g.spec.GetApart() == 0 && !g.job.queue.GetAdvised() && len(g.avoid) == 0 && !g.hasSuspects(now)
+	return g.spec.GetLabel() == "" && g.spec.GetApart() == 0 && !g.job.queue.GetAdvised() && len(g.avoid) == 0 && !g.cautious && !g.hasSuspects(now)
 }
 
 // placeGroups assigns the waiting groups to workers in scheduling order. Except for
@@ -263,6 +263,7 @@
 	clear(s.notAmple)
 	s.clearReservations()
 	s.listSlowWorkers()
+	s.reviewSuspects(now)
 	s.assignGuarantees()
 	budgets := s.gangBudgets(now)
 	candidates := s.candidates(now)
@@ -310,18 +311,28 @@
 // gang or none, and as many single tasks as fit. Urgent tasks get slow workers only if there is no
 // room on others. It reports whether every task was assigned.
 func (s *Scheduler) placeGroup(g *group, now time.Time) bool {
-	need := s.placementNeed(g, now)
+	placed := false
+	if s.vigilant {
+		placed = s.placeVigilantly(g, now)
+	} else {
+		placed = s.placeWithin(g, s.placementNeed(g, now), now)
+	}
+	if !placed {
+		s.liftAvoidance(g, now)
+	}
+	return placed
+}
+
+// placeWithin assigns the waiting tasks of a group to workers that meet the given requirements. It
+// reports whether every task was assigned.
+func (s *Scheduler) placeWithin(g *group, need hfplacement.Need, now time.Time) bool {
 	if g.hasSuspects(now) {
 		s.placeSuspects(g, need, now)
 	}
 	if fast, ok := s.withoutSlow(g, need); ok && s.placeOn(g, fast, now) {
 		return true
 	}
-	if s.placeOn(g, need, now) {
-		return true
-	}
-	s.liftAvoidance(g, now)
-	return false
+	return s.placeOn(g, need, now)
 }
 
 // placeOn assigns the waiting tasks of a group that need not be isolated to workers that meet the
@@ -367,6 +378,7 @@
 		return
 	}
 	g.assignedAt, g.reservedRack, g.rackSoughtAt, g.ampleSince, g.avoidsRoomSince = now, "", time.Time{}, time.Time{}, time.Time{}
+	g.provedBy, g.trustedBy, g.awaitsProof = time.Time{}, time.Time{}, false
 	s.markDirty(g.job)
 	g.requiredSequence = s.sequence + 1
 	gangNumber := s.runNumberBase + 1
@@ -379,7 +391,7 @@
 	for _, p := range placements {
 		w := s.workers[p.Worker().ID()]
 		for range p.Tasks() {
-			for !g.tasks[next].waiting() || g.tasks[next].held() || g.tasks[next].isolates(now) != isolated {
+			for !g.tasks[next].waiting() || g.tasks[next].held() || g.tasks[next].isolates(now) != isolated || g.tasks[next].spared && !isolated {
 				next++
 			}
 			t := &g.tasks[next]
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -9,6 +9,7 @@
 
 	"github.com/heatherfront/heatherfront/hfbudget"
 	"github.com/heatherfront/heatherfront/hfplacement"
+	"github.com/heatherfront/heatherfront/hfsuspect"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
 
@@ -99,6 +100,13 @@
 	urgentWaits      map[string]bool             // pools for which urgent work waited when this pass began
 	notAmple         map[placementShape]int      // smallest number of tasks for which this pass found no room, see hasAmpleRoom
 	suspectReserved  map[string]int              // workers that this pass has reserved for suspects, by pool
+	judge            *hfsuspect.Judge            // of workers that may be bad
+	vigilant         bool                        // in this pass, some workers may be bad
+	onTrial          map[string]bool             // suspects with a run whose outcome is not known yet
+	proofsDue        time.Time                   // when the runs are next gone through for proofs
+	sparedSuspects   int                         // suspects that are not avoided, as there are too many
+	trials           int                         // tasks that were placed on suspects on purpose
+	proofWaits       int                         // groups that waited for workers that have proved sound
 	hasAdvisedQueue  bool
 	adviceInFlight   bool      // an AdviceCmd is in flight
 	adviceNotBefore  time.Time // earliest next AdviceCmd
@@ -116,7 +124,7 @@
 		timing: timing, runNumberBase: max(term-1, 0) * runsPerTerm, policy: &hfwork.Policy{}, queues: map[string]*hfwork.Queue{},
 		resources: hfplacement.New(), workers: map[string]*worker{}, jobs: map[string]*job{}, unloaded: map[string]*job{}, memory: hfbudget.New(defaultMemory), orphans: map[hfwork.TaskID]int{},
 		recoveryDeadline: now.Add(timing.leaseExpiryDelay()), pendingAcks: map[*worker]int64{}, dirtyJobs: map[string]*job{}, usage: map[string]*poolUsage{},
-		waves: map[int64]*wave{}, dirtyWaves: map[int64]*hfwork.Wave{}, missing: map[string]*missingWorker{}, unstable: map[string]time.Time{}, suspectReserved: map[string]int{}, urgentWaits: map[string]bool{}, notAmple: map[placementShape]int{}, slowWorkers: map[string]bool{},
+		waves: map[int64]*wave{}, dirtyWaves: map[int64]*hfwork.Wave{}, missing: map[string]*missingWorker{}, unstable: map[string]time.Time{}, judge: hfsuspect.New(), onTrial: map[string]bool{}, suspectReserved: map[string]int{}, urgentWaits: map[string]bool{}, notAmple: map[placementShape]int{}, slowWorkers: map[string]bool{},
 	}
 }
 
--- /dev/null
+++ b/hfplan/suspicion_test.go
@@ -0,0 +1,409 @@
+package hfplan
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/heatherfront/heatherfront/hfsuspect"
+	"github.com/heatherfront/heatherfront/hfwork"
+)
+
+const (
+	sickRacks, sickPerRack = 35, 10 // 350 workers
+	sickCount              = 26     // of these fail everything that they start
+	sickTime               = 6 * time.Second
+)
+
+// sickDay is a day of a customer: urgent gangs with two attempts, wide gangs, and bulk of single tasks that keep
+// two fifths of the pool busy. Some workers fail everything that they start for a while.
+type sickDay struct {
+	*world
+
+	random *rand.Rand
+	urgent []string // ids of the urgent jobs
+	others []string
+}
+
+func newSickDay(t worldTest, seed uint64) *sickDay {
+	t.Helper()
+	d := &sickDay{world: newWorld(t, sickRacks, sickPerRack), random: rand.New(rand.NewPCG(seed, 20261207))}
+	for _, f := range d.fleet {
+		f.registration.Cpu, f.registration.Memory = 32_000, 65_536
+	}
+	d.policy.Queues[0].Attempts, d.policy.Queues[1].Attempts = 2, 2
+	d.replaceScheduler()
+	return d
+}
+
+// play submits the load of the given number of seconds.
+func (d *sickDay) play(seconds int) {
+	for range seconds * 10 {
+		if d.random.Float64() < 0.6 {
+			width := uint32(1 + d.random.IntN(9))
+			if d.random.IntN(20) == 0 {
+				width = 32
+			}
+			d.urgent = append(d.urgent, d.submitNext("urgent", &hfwork.Step{
+				Count: width, Cpu: 3700, Memory: 9800, Accelerators: int64(1 + d.random.IntN(3)), Estimate: 1500 + d.random.Int64N(2000), Gang: true,
+			}))
+		}
+		if d.random.Float64() < 0.17 {
+			d.others = append(d.others, d.submitNext("usual", &hfwork.Step{Count: uint32(4 + d.random.IntN(18)), Cpu: 13_000, Memory: 26_000, Accelerators: 1, Estimate: 8500, Gang: true, Saves: true}))
+		}
+		if d.random.Float64() < 0.14 {
+			d.others = append(d.others, d.submitNext("spare", &hfwork.Step{Count: uint32(10 + d.random.IntN(60)), Cpu: 2800, Memory: 5700, Accelerators: 1, Estimate: 9500}))
+		}
+		d.advance(100 * time.Millisecond)
+	}
+}
+
+func (d *sickDay) submitNext(queue string, step *hfwork.Step) string {
+	id := fmt.Sprintf("%s%04d", queue, len(d.urgent)+len(d.others))
+	d.submit(id, queue, step)
+	return id
+}
+
+// fall makes count workers fail everything that they start.
+func (d *sickDay) fall(count int) []*fakeWorker {
+	var sick []*fakeWorker
+	ids := sortedKeys(d.fleet)
+	for _, i := range d.random.Perm(len(ids))[:count] {
+		d.fleet[ids[i]].failsRuns = true
+		sick = append(sick, d.fleet[ids[i]])
+	}
+	return sick
+}
+
+func heal(sick []*fakeWorker) {
+	for _, f := range sick {
+		f.failsRuns = false
+	}
+}
+
+// failed returns the number of the given jobs that have failed.
+func (d *sickDay) failed(ids []string) int {
+	n := 0
+	for _, id := range ids {
+		if d.state(id) == hfwork.StateFailed {
+			n++
+		}
+	}
+	return n
+}
+
+// Urgent gangs lost their first run to one bad worker and their second to another: 26 of 350 workers failed
+// everything that they started for 6 s, and nearly all jobs that failed were urgent ones. Of those that are
+// handed in meanwhile 99 of 100 have to be served.
+func TestUrgentGangsSurviveWorkersThatFailEverything(t *testing.T) {
+	const seeds = 6
+	jobs, urgent, others := 0, 0, 0
+	for seed := range uint64(seeds) {
+		d := newSickDay(t, seed)
+		d.play(10)
+		sick := d.fall(sickCount)
+		before := len(d.urgent) + len(d.others)
+		d.play(int(sickTime / time.Second))
+		heal(sick)
+		jobs += len(d.urgent) + len(d.others) - before
+		d.play(2)
+		d.advance(60 * time.Second)
+		urgent, others = urgent+d.failed(d.urgent), others+d.failed(d.others)
+	}
+	t.Logf("%d urgent jobs and %d others failed; %d were handed in meanwhile", urgent, others, jobs)
+	require.LessOrEqual(t, urgent+others, jobs/100)
+}
+
+// usable returns the number of workers that get tasks.
+func (w *world) usable() int {
+	n := 0
+	for _, o := range w.s.workers {
+		if o.resources.Usable() {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against jobs that fail everywhere and make the scheduler avoid the fleet.
+func TestPoisonedJobsDoNotEmptyTheFleet(t *testing.T) {
+	w := newWorld(t, 8, 5)
+	w.advance(time.Second)
+	for i := range 6 {
+		id := fmt.Sprint("poisoned", i)
+		w.failingJobs[id] = true
+		step := single(40, 4*time.Second)
+		if i%2 == 1 {
+			step = gang(8, 1, 4*time.Second)
+		}
+		w.submit(id, []string{"urgent", "usual", "spare"}[i%3], step)
+		w.submit(fmt.Sprint("sound", i), "usual", gang(4, 2, time.Second))
+		for range 10 {
+			w.advance(50 * time.Millisecond)
+			require.GreaterOrEqual(t, w.usable(), 30, "three quarters of the workers")
+		}
+	}
+	require.Contains(t, w.notes, NoteFaulty)
+	w.advance(10 * time.Second)
+	require.Equal(t, 40, w.usable())
+	for i := range 6 {
+		require.Equal(t, hfwork.StateFailed, w.state(fmt.Sprint("poisoned", i)))
+		require.Equal(t, hfwork.StateCompleted, w.state(fmt.Sprint("sound", i)))
+	}
+}
+
+// Half of the workers fail what they start: no more than a quarter may be kept off work, and all work goes
+// on once they have recovered.
+func TestHalfOfTheFleetLooksBad(t *testing.T) {
+	w := newWorld(t, 8, 5)
+	for _, q := range w.policy.Queues {
+		q.Attempts = 20
+	}
+	w.replaceScheduler()
+	w.advance(time.Second)
+	sick := 0
+	for _, id := range sortedKeys(w.fleet) {
+		w.fleet[id].failsRuns = sick%2 == 0
+		sick++
+	}
+	for i := range 60 {
+		w.submit(fmt.Sprint("a", i), []string{"urgent", "usual", "spare"}[i%3], single(uint32(24+i%16), time.Second)) // fills all workers
+		w.advance(100 * time.Millisecond)
+		require.GreaterOrEqual(t, w.usable(), 30)
+	}
+	require.Contains(t, w.notes, NoteTooManySuspects)
+	for _, f := range w.fleet {
+		f.failsRuns = false
+	}
+	w.advance(20 * time.Second)
+	for i := range 60 {
+		require.Equal(t, hfwork.StateCompleted, w.state(fmt.Sprint("a", i)), i)
+	}
+	require.Zero(t, w.s.judge.Suspects())
+}
+
+// Guards against a recovered worker that stays idle: it is tried again once its quarantine is over, and what
+// succeeds there makes it like the others.
+func TestRecoveredWorkerIsTriedAndUsedAgain(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.advance(time.Second)
+	f := w.fleet["w0-0"]
+	f.failsRuns = true
+	next := 0
+	load := func(d time.Duration, each func()) {
+		for end := w.now.Add(d); w.now.Before(end); {
+			next++
+			w.submit(fmt.Sprint("a", next), "spare", single(4, time.Second))
+			w.advance(250 * time.Millisecond)
+			each()
+		}
+	}
+	load(10*time.Second, func() {})
+	require.Contains(t, w.notes, NoteQuarantined)
+	require.Contains(t, w.notes, NoteTrial)
+	failures := 0
+	for _, n := range w.notes {
+		if n == NoteRetry {
+			failures++
+		}
+	}
+	require.LessOrEqual(t, failures, 32+3, "once the first tasks there have failed, one is tried after each quarantine")
+	f.failsRuns = false
+	usedAgain, healed := time.Time{}, w.now
+	load(hfsuspect.MaxQuarantine+hfsuspect.TrialTime, func() {
+		if usedAgain.IsZero() && len(f.runs) > 0 {
+			usedAgain = w.now
+		}
+	})
+	require.False(t, usedAgain.IsZero())
+	require.LessOrEqual(t, usedAgain.Sub(healed), hfsuspect.MaxQuarantine+250*time.Millisecond)
+	require.Zero(t, w.s.judge.Suspects())
+	w.advance(10 * time.Second)
+	for i := range next {
+		require.Equal(t, hfwork.StateCompleted, w.state(fmt.Sprint("a", i+1)))
+	}
+}
+
+// A gang that has lost all attempts but one waits for workers that have proved sound, but no longer than its
+// callers can use: in a lightly used pool it must start within 3 s.
+func TestLastAttemptWaitsForProofButNotForGood(t *testing.T) {
+	const startLimit = 3 * time.Second
+	for name, step := range map[string]*hfwork.Step{
+		"of any racks": {Count: 4, Cpu: 15_000, Memory: 22_000, Accelerators: 8, Estimate: 2000, Gang: true},
+		"in one rack":  gang(4, 8, 2*time.Second),
+	} {
+		for _, queue := range []string{"urgent", "usual"} {
+			t.Run(name+" "+queue, func(t *testing.T) {
+				w := newWorld(t, 5, 5)
+				for _, q := range w.policy.Queues {
+					q.Attempts = 2
+				}
+				w.replaceScheduler()
+				w.advance(time.Second)
+				for _, f := range w.fleet {
+					f.failsRuns = true
+				}
+				w.submit("a", queue, step)
+				w.advance(400 * time.Millisecond)
+				require.Zero(t, w.running("a"), "its first run has failed, and nothing has proved any worker")
+				require.Contains(t, w.notes, NoteAwaitsProof)
+				for _, f := range w.fleet {
+					f.failsRuns = false
+				}
+				w.advance(startLimit - 400*time.Millisecond)
+				require.Equal(t, 4, w.running("a"))
+				w.advance(5 * time.Second)
+				require.Equal(t, hfwork.StateCompleted, w.state("a"))
+			})
+		}
+	}
+}
+
+// Guards against a new leader that trusts all workers, as suspects are not stored: a job whose record has a
+// failure shows that some may be bad.
+func TestNewLeaderDoesNotTrustBlindly(t *testing.T) {
+	w := newWorld(t, 5, 5)
+	for _, q := range w.policy.Queues {
+		q.Attempts = 2
+	}
+	w.replaceScheduler()
+	w.advance(time.Second)
+	for _, f := range w.fleet {
+		f.failsRuns = true
+	}
+	w.submit("a", "urgent", gang(4, 8, 2*time.Second))
+	w.advance(300 * time.Millisecond)
+	require.Equal(t, uint32(1), w.records["a"].GetSteps()[0].GetFailures()[0])
+	bad, failed := map[string]bool{}, 0
+	for id, f := range w.fleet {
+		bad[id] = w.s.judge.Avoided("pool", id)
+		f.failsRuns = bad[id]
+		if bad[id] {
+			failed++
+		}
+	}
+	require.Positive(t, failed)
+	w.replaceScheduler()
+	w.advance(100 * time.Millisecond)
+	require.False(t, w.s.judge.Calm(w.now))
+	require.Zero(t, w.running("a"), "no worker has proved sound to the new leader")
+	w.submit("b", "spare", single(200, time.Second)) // tries all workers
+	w.advance(20 * time.Second)
+	require.Equal(t, hfwork.StateCompleted, w.state("a"))
+	require.Equal(t, hfwork.StateCompleted, w.state("b"))
+	require.True(t, w.s.judge.Calm(w.now))
+}
+
+// Workers that lose power, restart, stall or are cut off are no suspects, and without failures all is decided
+// as if there were no suspects at all: no pass is vigilant.
+func TestNothingIsSuspectedWithoutFailures(t *testing.T) {
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 20261210))
+		w := newWorld(t, 4, 4)
+		w.advance(time.Second)
+		for i := range 40 {
+			f := w.fleet[fmt.Sprintf("w%d-%d", random.IntN(4), random.IntN(4))]
+			switch random.IntN(6) {
+			case 0:
+				w.partition(f, time.Duration(500+random.IntN(9000))*time.Millisecond)
+			case 1:
+				w.restart(f)
+			case 2:
+				f.stalledSince = w.now
+				w.at(3*time.Second, func() { f.stalledSince = time.Time{} })
+			case 3:
+				if random.IntN(4) == 0 {
+					w.replaceScheduler()
+				}
+			case 4:
+				for _, o := range w.fleet { // a rack loses power
+					if o.registration.GetRack() == f.registration.GetRack() {
+						w.restart(o)
+					}
+				}
+			default:
+				w.submit(fmt.Sprint("a", i), []string{"urgent", "usual", "spare"}[i%3], []*hfwork.Step{single(uint32(1+random.IntN(12)), time.Second), gang(4, 4, 2*time.Second)}[i%2])
+			}
+			for range 10 {
+				w.advance(50 * time.Millisecond)
+				require.False(t, w.s.vigilant)
+				require.Zero(t, w.s.judge.Suspects())
+			}
+		}
+	}
+}
+
+// Under random failures of workers, poisoned jobs and changes of the leader no sound job fails that had
+// attempts to spare, no job waits for 3 s with nothing running while its pool is empty, no more than a quarter of
+// the workers is kept off work for failures, and in the end nothing is suspected.
+func TestSuspicionUnderRandomFailures(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 20261211))
+			w := newWorld(t, 4, 5)
+			for _, q := range w.policy.Queues {
+				q.Attempts = uint32(2 + random.IntN(3))
+			}
+			w.replaceScheduler()
+			w.advance(time.Second)
+			idleSince := map[string]time.Time{}
+			step := func() {
+				w.advance(100 * time.Millisecond)
+				require.GreaterOrEqual(t, w.usable(), 15)
+				busy := int64(0)
+				for _, f := range w.fleet {
+					for _, r := range f.runs {
+						busy += r.size.Accelerators()
+					}
+				}
+				for id := range w.jobs {
+					if hfwork.IsFinal(w.state(id)) || w.running(id) > 0 || busy > 16 { // a tenth of the accelerators
+						delete(idleSince, id)
+						continue
+					}
+					if idleSince[id].IsZero() {
+						idleSince[id] = w.now
+					}
+					require.Less(t, w.now.Sub(idleSince[id]), 3*time.Second, "%s waits beside free workers", id)
+				}
+			}
+			for i := range 60 {
+				f := w.fleet[fmt.Sprintf("w%d-%d", random.IntN(4), random.IntN(5))]
+				switch random.IntN(10) {
+				case 0:
+					f.failsRuns = true
+				case 1:
+					f.failsRuns = false
+				case 2:
+					if random.IntN(6) == 0 {
+						w.replaceScheduler()
+						w.advance(time.Second)
+					}
+				case 3:
+					w.failingJobs[fmt.Sprint("a", i)] = true
+					fallthrough
+				default:
+					w.submit(fmt.Sprint("a", i), []string{"urgent", "usual", "spare"}[random.IntN(3)],
+						[]*hfwork.Step{single(uint32(1+random.IntN(20)), 2*time.Second), gang(uint32(2+random.IntN(5)), 4, 2*time.Second)}[random.IntN(2)])
+				}
+				for range 3 {
+					step()
+				}
+			}
+			for _, f := range w.fleet {
+				f.failsRuns = false
+			}
+			for range 300 {
+				step()
+			}
+			for id := range w.jobs {
+				require.True(t, hfwork.IsFinal(w.state(id)), "%s is %q", id, w.state(id))
+			}
+			require.Zero(t, w.s.judge.Suspects())
+			require.Equal(t, 20, w.usable())
+		})
+	}
+}
--- a/hfplan/worker.go
+++ b/hfplan/worker.go
@@ -24,7 +24,7 @@
 func (s *Scheduler) addWorker(registration *hfwork.Worker) *worker {
 	w := &worker{
 		registration: registration, resources: s.addResources(registration), leaseExpiry: s.recoveryDeadline,
-		runs: map[*run]struct{}{}, orphans: map[orphan]hfplacement.Resources{}, failedJobs: map[string]bool{}, fillerPace: fullPace,
+		runs: map[*run]struct{}{}, orphans: map[orphan]hfplacement.Resources{}, fillerPace: fullPace,
 	}
 	s.workers[registration.GetId()] = w
 	s.rosterChanged = true
@@ -142,7 +142,8 @@
 	s.identifyCrashes(w, m.report.Incarnation(), now)
 	if w.incarnation != 0 && m.report.Incarnation() != w.incarnation {
 		s.handleRestart(w, m.sent, now)
-		w.lastEnd, w.failedJobs, w.quarantines = 0, map[string]bool{}, 0
+		w.lastEnd = 0
+		s.judge.Forget(w.id())
 		w.durationLog, w.durationSamples = 0, 0
 		delete(s.pendingAcks, w)
 		delete(s.acksInFlight, w)
@@ -249,7 +250,7 @@
 	s.releaseOrphan(w, orphan{task: reported.Task(), number: reported.Number()})
 	r := &run{
 		task: t, worker: w, number: reported.Number(), phase: running, confirmedAt: now, startedAt: now, orderedAt: now,
-		pace: unknownPace, requestedPace: unknownPace,
+		pace: unknownPace, requestedPace: unknownPace, adopted: true,
 	}
 	r.progress.update(reported.Progress(), now)
 	t.run, t.lastRun = r, max(t.lastRun, reported.Number())
@@ -297,7 +298,7 @@
 	if !t.done && (late.current != 0 || end.Reason() == hfwork.Done) {
 		s.emit(late)
 	}
-	s.applyEnd(w, t, end.Number(), end.Reason(), end.Checkpoint(), now)
+	s.applyEnd(w, t, nil, end.Number(), end.Reason(), end.Checkpoint(), now)
 }
 
 // finishRun ends a run, frees its resources and updates its task.
@@ -307,7 +308,7 @@
 		return // already ended with another member of its gang
 	}
 	s.releaseRun(r)
-	s.applyEnd(r.worker, t, r.number, endReason, checkpoint, now)
+	s.applyEnd(r.worker, t, r, r.number, endReason, checkpoint, now)
 	if endReason != hfwork.Done && !t.done && !t.group.job.final() {
 		s.emit(NoteCmd{note: NoteRetry, job: t.group.job.id(), worker: r.worker.id(), step: t.group.step, tasks: 1, reason: reason, task: t.index, number: r.number})
 	}
@@ -338,8 +339,9 @@
 	s.needsPass = true
 }
 
-// applyEnd updates task, gang, job and worker after the end of a run.
-func (s *Scheduler) applyEnd(w *worker, t *task, number int64, endReason hfwork.EndReason, checkpoint string, now time.Time) {
+// applyEnd updates task, gang, job and worker after the end of a run, which is nil if it was given up or
+// is that of an earlier scheduler.
+func (s *Scheduler) applyEnd(w *worker, t *task, r *run, number int64, endReason hfwork.EndReason, checkpoint string, now time.Time) {
 	g := t.group
 	if t.done {
 		return
@@ -351,11 +353,11 @@
 	}
 	switch endReason {
 	case hfwork.Done:
-		s.recordSuccess(w)
+		s.recordSuccess(w, r)
 		s.completeTask(t, number, now)
 		return
 	case hfwork.Failed:
-		s.recordFailure(w, g.job, now)
+		s.recordFailure(w, g, r, now)
 		g.avoid[w.id()] = true
 		if number > primary.countedRun {
 			// Count each run once: its end can be reported again, to a later scheduler or by
@@ -443,6 +445,7 @@
 	s.expireRuns(w, reason, now)
 	s.emit(NoteCmd{note: NoteRemoved, worker: w.id(), reason: reason})
 	s.resources.Remove(w.id())
+	s.judge.Forget(w.id())
 	delete(s.workers, w.id())
 	delete(s.pendingAcks, w)
 	delete(s.acksInFlight, w)
