Log and count suspects, trials and waits for proved workers

Cause: what hfsuspect decides could not be seen.

Result: go test ./hfevent passes (page and catalogue agree, each event is written).

--- a/hfentry/observe.go
+++ b/hfentry/observe.go
@@ -44,6 +44,18 @@
 		n.log.Event(hfevent.JobDeferred, append(fields, zap.Int("occurrences", c.Tasks()))...)
 	case hfplan.NoteQuarantined:
 		n.log.Event(hfevent.WorkerQuarantined, append(fields, zap.String("worker", c.Worker()))...)
+	case hfplan.NoteSuspected:
+		n.log.Event(hfevent.WorkerSuspected, append(fields, zap.String("worker", c.Worker()))...)
+	case hfplan.NoteProved:
+		n.log.Event(hfevent.WorkerProved, zap.String("worker", c.Worker()), zap.String("reason", c.Reason()))
+	case hfplan.NoteTrial:
+		n.log.Event(hfevent.WorkerTried, append(fields, zap.Uint32("step", c.Step()), zap.String("worker", c.Worker()))...)
+	case hfplan.NoteAwaitsProof:
+		n.log.Event(hfevent.ProofAwaited, append(fields, zap.Uint32("step", c.Step()), zap.Int("tasks", c.Tasks()))...)
+	case hfplan.NoteFaulty:
+		n.log.Event(hfevent.JobAtFault, append(fields, zap.Uint32("step", c.Step()), zap.Int("workers", c.Tasks()))...)
+	case hfplan.NoteTooManySuspects:
+		n.log.Event(hfevent.SuspectsSpared, zap.Int("workers", c.Tasks()), zap.String("reason", c.Reason()))
 	case hfplan.NoteSilent:
 		n.log.Event(hfevent.WorkerSilent, zap.String("worker", c.Worker()), zap.Time("expires", c.Expires()))
 	case hfplan.NoteReporting:
@@ -106,6 +118,10 @@
 		metrics.GetOrRegisterGauge(fmt.Sprintf("plan.waiting.%d", class), n.registry).Update(int64(waiting[class]))
 		metrics.GetOrRegisterGauge(fmt.Sprintf("plan.running.%d", class), n.registry).Update(int64(running[class]))
 	}
+	metrics.GetOrRegisterGauge("plan.suspects", n.registry).Update(int64(l.Suspects()))
+	metrics.GetOrRegisterGauge("plan.quarantined", n.registry).Update(int64(l.Quarantined()))
+	metrics.GetOrRegisterGauge("plan.trials", n.registry).Update(int64(l.Trials()))
+	metrics.GetOrRegisterGauge("plan.proof.waits", n.registry).Update(int64(l.ProofWaits()))
 	n.log.Event(hfevent.PlanLoad, zap.Ints("waiting", waiting[:]), zap.Ints("running", running[:]), zap.Int("promised", l.Assigned()),
 		zap.Int("stopping", l.Stopping()), zap.Int64("free", l.Free().Accelerators()), zap.Int64("accelerators", l.Capacity().Accelerators()),
 		zap.Int64("cpu", l.Free().CPU()/milliPerCore), zap.Int64("memory", l.Free().Memory()), zap.Any("traffic", n.traffic()))
--- a/hfevent/catalogue.go
+++ b/hfevent/catalogue.go
@@ -86,6 +86,12 @@
 	TaskGivenUp       = Event{832, "task-given-up", zapcore.WarnLevel, "Workers crashed under a task as often as they may; its job has failed."}
 	PolicyConfirmed   = Event{833, "policy-confirmed", zapcore.WarnLevel, "The configuration of the queues was confirmed again after it had not been for longer than is allowed; the fields tell how old it was and which call confirmed it."}
 	JobDeferred       = Event{834, "job-deferred", zapcore.WarnLevel, "Occurrences of a job are due, but the scheduling instance has no memory for their tasks now; they run once other tasks have ended."}
+	WorkerSuspected   = Event{840, "worker-suspected", zapcore.InfoLevel, "A task failed on a worker soon after its start; until a later run goes well there, only tasks with attempts to spare are tried on it, one at a time."}
+	WorkerProved      = Event{841, "worker-proved", zapcore.InfoLevel, "A run that was started on a suspected worker after its last failure went well; it takes work like the others."}
+	WorkerTried       = Event{842, "worker-tried", zapcore.InfoLevel, "A task with attempts to spare was placed on a suspected worker to try it."}
+	ProofAwaited      = Event{843, "proof-awaited", zapcore.InfoLevel, "Tasks with one attempt left wait for a limited time, as only workers that may be bad have room."}
+	JobAtFault        = Event{844, "job-at-fault", zapcore.WarnLevel, "The tasks of a step fail on more workers than they run well on; its failures no longer count against workers."}
+	SuspectsSpared    = Event{845, "suspects-spared", zapcore.WarnLevel, "More workers of a pool seem to be bad than may be kept off work; the rest are used like the others. Logged when that begins."}
 )
 
 // Catalogue returns every event.
@@ -103,5 +109,6 @@
 		OrderFailed, PlanRecovered, WorkerSilent, WorkerReporting, WorkerRemoved, EntryRejected, PolicyApplied, MirrorReset,
 		SettingsRead, SettingsInvalid, LinesDropped, PlanLoad, HintsUnavailable, AnnounceFailed, LeaseRevoked,
 		LeaseState, EndLate, DetailsLoaded, RecordRejected, JobWithdrawn, AccountsNotStored, WorkerCrashed, TaskIsolated, TaskGivenUp, PolicyConfirmed, JobDeferred,
+		WorkerSuspected, WorkerProved, WorkerTried, ProofAwaited, JobAtFault, SuspectsSpared,
 	}
 }
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -230,8 +230,25 @@
 	stopping int    // runs that were sent a stop and have not ended
 	free     hfplacement.Resources
 	capacity hfplacement.Resources
+
+	suspects, quarantined int // workers
+	trials, proofWaits    int // since the scheduler began
 }
 
+// Suspects returns the number of workers on which a task failed early, with no proof since that they are
+// sound.
+func (l Load) Suspects() int { return l.suspects }
+
+// Quarantined returns the number of workers that are quarantined.
+func (l Load) Quarantined() int { return l.quarantined }
+
+// Trials returns how many tasks this scheduler has placed on suspects to try them.
+func (l Load) Trials() int { return l.trials }
+
+// ProofWaits returns how often tasks with one attempt left have waited under this scheduler, as only
+// workers that may be bad had room.
+func (l Load) ProofWaits() int { return l.proofWaits }
+
 // Waiting returns the number of tasks without a worker for priority 0, 1, and 2 and
 // above.
 func (l Load) Waiting() [3]int { return l.waiting }
@@ -254,7 +271,7 @@
 
 // Load returns the current load.
 func (s *Scheduler) Load(now time.Time) Load {
-	var l Load
+	l := Load{suspects: s.judge.Suspects(), trials: s.trials, proofWaits: s.proofWaits}
 	for _, g := range s.groups {
 		if g.job.queue == nil {
 			continue
@@ -272,6 +289,9 @@
 				l.stopping++
 			}
 		}
+		if now.Before(w.quarantinedUntil) {
+			l.quarantined++
+		}
 		if w.resources.Usable() {
 			l.free = l.free.Plus(w.resources.Free(), 1)
 			l.capacity = l.capacity.Plus(w.resources.Capacity(), 1)
