Let a new leader wait less for proved workers, and go through suspects only

Cause: TestSuspicionUnderRandomFailures with 3,000 seeds failed for 532 and 907: a job's last attempt waited for 3 s in a pool with nine tenths free. Three leaders in 4.6 s each began the wait of 1.8 s anew. Each pass also went through all workers while one was a suspect.

Change: a group whose failures an earlier scheduler has counted waits 0.9 s in a lightly used pool; the clock of a wait ends with the suspicion. Judge keeps its suspects apart. Both seeds stay in the test.

Result: go test ./hfplan -run SuspicionUnder -suspectseeds 3000 passes.

--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -62,6 +62,7 @@
 	failedStart      time.Time         // start of its last run that failed early
 	distrustUntil    time.Time         // until when that run's failure counts as a sign of bad workers
 	atFault          bool              // its failures say nothing against workers
+	inherited        bool              // an earlier scheduler counted a failure, and this one has not assigned it yet
 	cautious         bool              // kept off workers that may be bad, see cautiousNeed
 	awaitsProof      bool              // such workers have room; for the log
 	provedBy         time.Time         // until when it may wait for workers that have proved sound; zero before it was tried
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -378,7 +378,7 @@
 		return
 	}
 	g.assignedAt, g.reservedRack, g.rackSoughtAt, g.ampleSince, g.avoidsRoomSince = now, "", time.Time{}, time.Time{}, time.Time{}
-	g.provedBy, g.trustedBy, g.awaitsProof = time.Time{}, time.Time{}, false
+	g.provedBy, g.trustedBy, g.awaitsProof, g.inherited = time.Time{}, time.Time{}, false, false
 	s.markDirty(g.job)
 	g.requiredSequence = s.sequence + 1
 	gangNumber := s.runNumberBase + 1
--- a/hfplan/suspicion.go
+++ b/hfplan/suspicion.go
@@ -31,22 +31,15 @@
 		s.proofsDue = now.Add(proofInterval)
 		s.collectProofs(now)
 	}
-	sizes := map[string]int{}
-	for _, w := range s.workers {
-		sizes[w.registration.GetPool()]++
-	}
-	spared := s.judge.Review(sizes, now)
+	spared := s.judge.Review(s.poolSize, now)
 	if spared > 0 && s.sparedSuspects == 0 {
 		s.emit(NoteCmd{note: NoteTooManySuspects, tasks: spared, reason: "too many workers seem to be bad"})
 	}
 	s.sparedSuspects = spared
 	clear(s.onTrial)
-	for id, w := range s.workers {
+	for _, id := range s.judge.AllSuspects() {
 		last := s.judge.LastStart(id)
-		if last.IsZero() {
-			continue
-		}
-		for r := range w.runs {
+		for r := range s.workers[id].runs {
 			if !r.startedAt.Before(last) && r.phase != stopping || r.phase == assigned {
 				s.onTrial[id] = true
 			}
@@ -88,6 +81,7 @@
 	for i := range g.tasks {
 		if t := &g.tasks[i]; t.failures > 0 && !t.done {
 			s.judge.Distrust(g.job.queue.GetPool(), now)
+			g.inherited = true
 			return
 		}
 	}
@@ -125,6 +119,7 @@
 func (s *Scheduler) cautiousNeed(g *group, need hfplacement.Need, now time.Time) hfplacement.Need {
 	g.cautious = false
 	if !s.vigilant {
+		g.provedBy = time.Time{}
 		return need
 	}
 	pool := g.job.queue.GetPool()
@@ -178,9 +173,10 @@
 		return true
 	}
 	// In a lightly used pool it must start within 3 s. Gangs that ask for a rack, or have none of the room
-	// that is kept for urgent work, have another wait of maxIdleWait before them.
+	// that is kept for urgent work, have another wait of maxIdleWait before them. Others may have waited under
+	// an earlier scheduler.
 	waitsAgain := g.spec.GetCompact() || g.job.queue.GetPriority() > 0 && g.uncheckpointedGang()
-	return !waitsAgain && now.Before(g.provedBy.Add(maxIdleWait-proofWait))
+	return !waitsAgain && !g.inherited && now.Before(g.provedBy.Add(maxIdleWait-proofWait))
 }
 
 // placeVigilantly assigns the waiting tasks of a group in a pool with bad workers. Tasks that have other
--- a/hfplan/suspicion_test.go
+++ b/hfplan/suspicion_test.go
@@ -1,6 +1,7 @@
 package hfplan
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -204,6 +205,8 @@
 	load(10*time.Second, func() {})
 	require.Contains(t, w.notes, NoteQuarantined)
 	require.Contains(t, w.notes, NoteTrial)
+	require.Positive(t, w.s.Load(w.now).Trials())
+	require.Equal(t, 1, w.s.Load(w.now).Suspects())
 	failures := 0
 	for _, n := range w.notes {
 		if n == NoteRetry {
@@ -336,11 +339,21 @@
 	}
 }
 
+// failedSuspectSeeds holds seeds that once failed, beyond the default ones: each of several leaders in a row
+// began the wait for proved workers anew.
+var failedSuspectSeeds = []uint64{532, 907}
+
+var suspectSeeds = flag.Uint64("suspectseeds", 40, "number of worlds of TestSuspicionUnderRandomFailures")
+
 // Under random failures of workers, poisoned jobs and changes of the leader no sound job fails that had
 // attempts to spare, no job waits for 3 s with nothing running while its pool is empty, no more than a quarter of
 // the workers is kept off work for failures, and in the end nothing is suspected.
 func TestSuspicionUnderRandomFailures(t *testing.T) {
-	for seed := range uint64(40) {
+	seeds := failedSuspectSeeds
+	for seed := range *suspectSeeds {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, 20261211))
 			w := newWorld(t, 4, 5)
--- a/hfsuspect/judge.go
+++ b/hfsuspect/judge.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -85,13 +86,15 @@
 
 // Judge weighs the failures on all workers. It is a state machine without a clock.
 type Judge struct {
-	workers map[string]*worker
-	pools   map[string]*pool
-	active  int // workers that are suspects
+	workers  map[string]*worker
+	suspects map[string]*worker // those of workers that are suspects
+	pools    map[string]*pool
 }
 
 // New returns a Judge that trusts all workers.
-func New() *Judge { return &Judge{workers: map[string]*worker{}, pools: map[string]*pool{}} }
+func New() *Judge {
+	return &Judge{workers: map[string]*worker{}, suspects: map[string]*worker{}, pools: map[string]*pool{}}
+}
 
 func (j *Judge) worker(id, poolName string) *worker {
 	w := j.workers[id]
@@ -114,10 +117,8 @@
 
 // Forget drops the record of a worker that has left or restarted.
 func (j *Judge) Forget(id string) {
-	if w := j.workers[id]; w != nil && w.suspect() {
-		j.active--
-	}
 	delete(j.workers, id)
+	delete(j.suspects, id)
 }
 
 // Failed weighs a failure against a worker. It reports whether the worker is to be quarantined: at
@@ -130,9 +131,7 @@
 	case f.Started.Before(w.provedStart):
 		return false // what was started later went well
 	default:
-		if !w.suspect() {
-			j.active++
-		}
+		j.suspects[f.Worker] = w
 		if first, counted := w.early[f.Job]; !counted || f.Started.Before(first) {
 			w.early[f.Job] = f.Started
 		}
@@ -182,7 +181,7 @@
 	if !w.suspect() || started.Before(w.lastStart) {
 		return false
 	}
-	j.active--
+	delete(j.suspects, id)
 	w.lapse()
 	w.quarantines = 0
 	return true
@@ -212,7 +211,7 @@
 		delete(w.early, job)
 		delete(w.other, job)
 		if early && len(w.early) == 0 {
-			j.active--
+			delete(j.suspects, id)
 			w.lastStart = time.Time{}
 		}
 		if before >= QuarantineJobs && w.jobs() < QuarantineJobs && w.quarantines > 0 {
@@ -233,7 +232,7 @@
 
 // Calm reports whether no worker is a suspect and there is no outbreak.
 func (j *Judge) Calm(now time.Time) bool {
-	if j.active > 0 {
+	if len(j.suspects) > 0 {
 		return false
 	}
 	for _, p := range j.pools {
@@ -245,16 +244,13 @@
 }
 
 // Review updates what the answers below are based on: it ends suspicions that have lapsed, chooses the
-// workers to avoid, and decides whether there is an outbreak. sizes holds the number of workers by pool.
+// workers to avoid, and decides whether there is an outbreak. size returns the number of workers of a pool.
 // It returns the suspects that are not avoided, as too many seem to be bad.
-func (j *Judge) Review(sizes map[string]int, now time.Time) (spared int) {
+func (j *Judge) Review(size func(poolName string) int, now time.Time) (spared int) {
 	suspects := map[string][]string{}
-	for id, w := range j.workers {
-		if !w.suspect() {
-			continue
-		}
+	for id, w := range j.suspects {
 		if !now.Before(w.lapsesAt) {
-			j.active--
+			delete(j.suspects, id)
 			w.lapse()
 			continue
 		}
@@ -269,8 +265,8 @@
 			x, y := j.workers[a], j.workers[b]
 			return cmp.Or(cmp.Compare(y.jobs(), x.jobs()), cmp.Compare(y.quarantines, x.quarantines), y.failedAt.Compare(x.failedAt), cmp.Compare(a, b))
 		})
-		size := sizes[name]
-		outbreak := len(ids) >= max(MinOutbreak, int(OutbreakShare*float64(size)))
+		workers := size(name)
+		outbreak := len(ids) >= max(MinOutbreak, int(OutbreakShare*float64(workers)))
 		first := now
 		for _, id := range ids {
 			w := j.workers[id]
@@ -287,7 +283,7 @@
 			}
 			p.until = now.Add(OutbreakTime)
 		}
-		avoided := ids[:min(len(ids), limit(size))]
+		avoided := ids[:min(len(ids), limit(workers))]
 		for _, id := range avoided {
 			p.avoided[id] = true
 		}
@@ -314,12 +310,7 @@
 	if p == nil {
 		return nil
 	}
-	ids := make([]string, 0, len(p.avoided))
-	for id := range p.avoided {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
+	return slices.Sorted(maps.Keys(p.avoided))
 }
 
 // Outbreak reports whether several workers of a pool seem to be bad, or one seems so to several jobs, and
@@ -339,6 +330,9 @@
 	return w != nil && !w.suspect() && !w.provedStart.IsZero() && !w.provedStart.Before(since) && !w.provedStart.Before(w.failedStart)
 }
 
+// AllSuspects returns the suspects of all pools, in order.
+func (j *Judge) AllSuspects() []string { return slices.Sorted(maps.Keys(j.suspects)) }
+
 // LastStart returns the start of the latest run that failed early on a suspect. What was started there
 // later, and has not failed, may prove that it is sound.
 func (j *Judge) LastStart(id string) time.Time {
@@ -349,4 +343,4 @@
 }
 
 // Suspects returns the number of suspects in all pools.
-func (j *Judge) Suspects() int { return j.active }
+func (j *Judge) Suspects() int { return len(j.suspects) }
--- a/hfsuspect/judge_test.go
+++ b/hfsuspect/judge_test.go
@@ -19,6 +19,9 @@
 	return start.Add(time.Duration(seconds * float64(time.Second)))
 }
 
+// poolOf returns the size of all pools.
+func poolOf(workers int) func(string) int { return func(string) int { return workers } }
+
 func early(worker, job string, started float64) Failure {
 	return Failure{Worker: worker, Pool: "pool", Job: job, Started: at(started), Early: true}
 }
@@ -59,7 +62,7 @@
 		}
 	}
 	require.Equal(t, 25, quarantined)
-	require.Equal(t, 75, j.Review(map[string]int{"pool": 100}, at(1.3)))
+	require.Equal(t, 75, j.Review(poolOf(100), at(1.3)))
 	require.Len(t, j.AvoidedWorkers("pool"), 25)
 	require.Subset(t, j.AvoidedWorkers("pool"), []string{"w00", "w24"}, "those that were quarantined come first")
 }
@@ -77,7 +80,7 @@
 }
 
 func TestSuspicionLapses(t *testing.T) {
-	j, sizes := New(), map[string]int{"pool": 100}
+	j, sizes := New(), poolOf(100)
 	j.Failed(early("a", "j1", 1), 100, at(1))
 	j.Review(sizes, at(1))
 	require.True(t, j.Avoided("pool", "a"))
@@ -87,7 +90,7 @@
 }
 
 func TestOutbreak(t *testing.T) {
-	sizes := map[string]int{"pool": 100}
+	sizes := poolOf(100)
 	for name, c := range map[string]struct {
 		failures []Failure
 		outbreak bool
@@ -155,7 +158,7 @@
 			case 6:
 				j.Forget(id)
 			}
-			spared := j.Review(map[string]int{"pool": size}, now)
+			spared := j.Review(poolOf(size), now)
 			suspects, quarantined := 0, 0
 			for id, w := range j.workers {
 				if w.suspect() {
@@ -172,7 +175,7 @@
 			require.LessOrEqual(t, len(j.AvoidedWorkers("pool")), max(1, size/4))
 			require.LessOrEqual(t, quarantined, max(1, size/4))
 		}
-		j.Review(map[string]int{"pool": size}, lastFailure.Add(MaxQuarantine+TrialTime))
+		j.Review(poolOf(size), lastFailure.Add(MaxQuarantine+TrialTime))
 		require.Zero(t, j.Suspects(), "a worker is trusted again in time")
 	})
 }
