Try workers that have proved nothing while a last attempt waits

Cause: in a lightly used pool tasks fill one worker after the other, so that few workers had proved sound when a wide gang with one attempt left had waited for as long as it may (1.8 s). Jobs that could not meet their objective any more stopped waiting after 0.9 s, though they are of use for three times as long.

Last attempts wait for proved workers while their job is of use.

--- a/hfplan/suspicion.go
+++ b/hfplan/suspicion.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/heatherfront/heatherfront/hfplacement"
+	"github.com/heatherfront/heatherfront/hfsuspect"
 )
 
 const (
@@ -111,8 +112,8 @@
 // cautiousNeed restricts the requirements of a group to the workers that it may use now, in a pool with
 // bad workers:
 //
-//   - with one attempt left, workers that have proved sound, for proofWait and then as long as the job can
-//     meet its objective; after that any but suspects; both for suspectWait at most;
+//   - with one attempt left, workers that have proved sound, for proofWait and then as long as the job is of
+//     use to its caller; after that any but suspects; both for suspectWait at most;
 //   - other gangs and urgent tasks, during an outbreak, any but suspects, for proofWait;
 //   - single tasks, any but the suspects with a run whose outcome is not known yet; in a lightly used pool,
 //     and if they last, for proofWait.
@@ -136,7 +137,7 @@
 	}
 	awaits := last && s.mayAwaitProof(g, need, now)
 	switch {
-	case awaits && outbreak && (now.Before(g.provedBy) || g.objectiveStatus(now) == onTime):
+	case awaits && outbreak && (now.Before(g.provedBy) || g.objectiveStatus(now) != overdue):
 		g.cautious = true
 		return need.AlsoExcluding(func(id string) bool { return !s.judge.ProvedSince(id, since) })
 	case awaits:
@@ -214,7 +215,7 @@
 	}
 	if g.cautious {
 		if _, placed := s.resources.PlaceAcrossRacks(s.permittedNeed(g, now), g.leastTasks()); placed >= g.leastTasks() && !g.awaitsProof {
-			g.awaitsProof = true
+			g.awaitsProof, s.proofsWanted[pool] = true, now.Add(hfsuspect.OutbreakTime)
 			s.proofWaits++
 			s.emit(NoteCmd{note: NoteAwaitsProof, job: g.job.id(), step: g.step, tasks: g.waiting(), reason: "only workers that may be bad have room"})
 		}
@@ -254,17 +255,19 @@
 }
 
 // placeTrials assigns tasks that can afford to fail to suspects, one on each that has nothing else to
-// prove it.
+// prove it. While others wait for workers that have proved sound, it also assigns them to workers that have
+// proved nothing yet.
 func (s *Scheduler) placeTrials(g *group, now time.Time) {
 	if g.gang() || g.spec.GetLasting() || g.spec.GetApart() > 0 || g.job.queue.GetPriority() == 0 {
 		return
 	}
 	pool := g.job.queue.GetPool()
-	ready := map[string]bool{}
-	for _, id := range s.judge.AvoidedWorkers(pool) {
-		if !s.onTrial[id] {
-			ready[id] = true
-		}
+	ready, suspects := map[string]bool{}, s.judge.AvoidedWorkers(pool)
+	for _, id := range suspects {
+		ready[id] = !s.onTrial[id]
+	}
+	if now.Before(s.proofsWanted[pool]) {
+		s.addUnproved(pool, ready, now)
 	}
 	if len(ready) == 0 {
 		return
@@ -276,7 +279,31 @@
 	s.assign(g, placements, now)
 	s.trials += placed
 	for _, p := range placements {
-		s.onTrial[p.Worker().ID()] = true
-		s.emit(NoteCmd{note: NoteTrial, job: g.job.id(), worker: p.Worker().ID(), step: g.step, tasks: p.Tasks(), reason: "a suspect is tried"})
+		id := p.Worker().ID()
+		if s.judge.Avoided(pool, id) {
+			s.onTrial[id] = true
+			s.emit(NoteCmd{note: NoteTrial, job: g.job.id(), worker: id, step: g.step, tasks: p.Tasks(), reason: "a suspect is tried"})
+		}
+	}
+}
+
+// addUnproved adds the workers of a pool that have proved nothing since the outbreak began, and have no run
+// that may do so.
+func (s *Scheduler) addUnproved(pool string, ready map[string]bool, now time.Time) {
+	since, ok := s.judge.Outbreak(pool, now)
+	if !ok {
+		return
 	}
+	s.resources.EachWorker(pool, func(resources *hfplacement.Worker) {
+		id := resources.ID()
+		if !resources.Usable() || s.judge.Avoided(pool, id) || s.judge.ProvedSince(id, since) {
+			return
+		}
+		for r := range s.workers[id].runs {
+			if r.phase == assigned || !r.startedAt.Before(since) {
+				return
+			}
+		}
+		ready[id] = true
+	})
 }
--- a/hfplan/suspicion_test.go
+++ b/hfplan/suspicion_test.go
@@ -96,13 +96,14 @@
 	return n
 }
 
+var sickSeeds = flag.Uint64("sickseeds", 6, "number of days of TestUrgentGangsSurviveWorkersThatFailEverything")
+
 // Urgent gangs lost their first run to one bad worker and their second to another: 26 of 350 workers failed
 // everything that they started for 6 s, and nearly all jobs that failed were urgent ones. Of those that are
 // handed in meanwhile 99 of 100 have to be served.
 func TestUrgentGangsSurviveWorkersThatFailEverything(t *testing.T) {
-	const seeds = 6
 	jobs, urgent, others := 0, 0, 0
-	for seed := range uint64(seeds) {
+	for seed := range *sickSeeds {
 		d := newSickDay(t, seed)
 		d.play(10)
 		sick := d.fall(sickCount)
@@ -265,6 +266,50 @@
 	}
 }
 
+// While a last attempt waits, tasks that can afford to fail are spread over the workers that have proved
+// nothing, so that it need not wait for long; on calm days they fill one worker after the other.
+func TestUnprovedWorkersAreTriedWhileALastAttemptWaits(t *testing.T) {
+	for name, waits := range map[string]bool{"calm": false, "waits": true} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 5, 5)
+			w.policy.Queues[1].Attempts = 2
+			w.replaceScheduler()
+			w.advance(time.Second)
+			if waits {
+				for _, f := range w.fleet {
+					f.failsRuns = true
+				}
+				w.submit("b", "spare", single(1, time.Second))
+				w.submit("c", "spare", single(1, time.Second))
+				w.submit("a", "usual", &hfwork.Step{Count: 4, Cpu: 15_000, Memory: 22_000, Accelerators: 8, Estimate: 2000, Gang: true})
+				w.advance(300 * time.Millisecond)
+				require.Zero(t, w.running("a"))
+				for _, f := range w.fleet {
+					f.failsRuns = false
+				}
+			}
+			w.submit("bulk", "spare", single(25, 2*time.Second))
+			w.advance(50 * time.Millisecond)
+			used := 0
+			for _, f := range w.fleet {
+				for _, r := range f.runs {
+					if r.task.Job() == "bulk" {
+						used++
+						break
+					}
+				}
+			}
+			if !waits {
+				require.LessOrEqual(t, used, 4)
+				return
+			}
+			require.GreaterOrEqual(t, used, 25-4-3, "all but those that the gang has reserved, and the suspects")
+			w.advance(10 * time.Second)
+			require.Equal(t, hfwork.StateCompleted, w.state("a"))
+		})
+	}
+}
+
 // Guards against a new leader that trusts all workers, as suspects are not stored: a job whose record has a
 // failure shows that some may be bad.
 func TestNewLeaderDoesNotTrustBlindly(t *testing.T) {
