Place tasks that must be isolated once in a pass with bad workers

Cause: the placement of a group is tried with several requirements while there are suspects, and each try looked for empty workers, and reserved them, for tasks under which workers had crashed.

Change: placeGroup does that once, before, as without suspects.

Result: go test ./hfplan passes.

--- a/hfplan/message.go
+++ b/hfplan/message.go
@@ -337,7 +337,7 @@
 // Step returns the step of the job.
 func (c NoteCmd) Step() uint32 { return c.step }
 
-// Tasks returns the number of affected tasks.
+// Tasks returns the number of affected tasks, or of workers for a NoteFaulty and a NoteTooManySuspects.
 func (c NoteCmd) Tasks() int { return c.tasks }
 
 // Reason returns the cause, or the new state for a NoteState.
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -311,24 +311,20 @@
 // gang or none, and as many single tasks as fit. Urgent tasks get slow workers only if there is no
 // room on others. It reports whether every task was assigned.
 func (s *Scheduler) placeGroup(g *group, now time.Time) bool {
-	placed := false
-	if s.vigilant {
-		placed = s.placeVigilantly(g, now)
-	} else {
-		placed = s.placeWithin(g, s.placementNeed(g, now), now)
+	need := s.placementNeed(g, now)
+	if g.hasSuspects(now) {
+		s.placeSuspects(g, need, now)
 	}
-	if !placed {
-		s.liftAvoidance(g, now)
+	if s.vigilant && s.placeVigilantly(g, now) || !s.vigilant && s.placeWithin(g, need, now) {
+		return true
 	}
-	return placed
+	s.liftAvoidance(g, now)
+	return false
 }
 
-// placeWithin assigns the waiting tasks of a group to workers that meet the given requirements. It
-// reports whether every task was assigned.
+// placeWithin assigns the waiting tasks of a group that need not be isolated to workers that meet the given
+// requirements. It reports whether every task was assigned.
 func (s *Scheduler) placeWithin(g *group, need hfplacement.Need, now time.Time) bool {
-	if g.hasSuspects(now) {
-		s.placeSuspects(g, need, now)
-	}
 	if fast, ok := s.withoutSlow(g, need); ok && s.placeOn(g, fast, now) {
 		return true
 	}
