Count members of a gang that fail in one run once

Cause: a gang was judged at fault after two runs instead of three if several of its members failed in one of them, as each added one to the failures that were counted already. Its bad workers were cleared.

Change: blameJob adds a failure only for a run that is not counted yet.

Result: the new test fails before (faulty after two runs, no suspects) and passes now; go test ./hfplan ./hfsuspect passes.

--- a/hfplan/quarantine.go
+++ b/hfplan/quarantine.go
@@ -94,7 +94,12 @@
 		return false
 	}
 	if g.gang() { // its members end together, so that those which did not fail say nothing
-		g.atFault = g.tasks[0].failures+1 >= faultyWorkers
+		primary := &g.tasks[0]
+		runs := primary.failures
+		if failed.number > primary.countedRun { // the first of its members to fail
+			runs++
+		}
+		g.atFault = runs >= faultyWorkers
 		return g.atFault
 	}
 	sound, least := 0, now.Sub(failed.startedAt)
--- a/hfplan/suspicion_test.go
+++ b/hfplan/suspicion_test.go
@@ -465,3 +465,56 @@
 		})
 	}
 }
+
+// failTogether ends several members of a gang's run as failed, before the others hear of it.
+func (w *world) failTogether(members ...member) {
+	for _, m := range members {
+		delete(m.worker.runs, fmt.Sprint(m.run.task))
+		m.worker.lastEnd++
+		m.worker.ended = append(m.worker.ended, hfwork.NewEnd(m.worker.lastEnd, m.run.task, m.run.number, hfwork.Failed, ""))
+	}
+	for _, m := range members {
+		w.deliverReport(w.term, m.worker)
+	}
+}
+
+// gangRun returns the members of the current run of a gang of one step.
+func (w *world) gangRun(job string) []member {
+	for _, id := range sortedKeys(w.fleet) {
+		f := w.fleet[id]
+		for _, name := range sortedKeys(f.runs) {
+			if r := f.runs[name]; r.task.Job() == job {
+				return w.gangOf(r)
+			}
+		}
+	}
+	return nil
+}
+
+// Guards against a gang that is judged at fault after two runs, as two of its members failed in one of them: that
+// cleared the workers that were bad.
+func TestMembersThatFailInOneRunCountAsOneFailureOfTheGang(t *testing.T) {
+	w := newWorld(t, 4, 5)
+	w.policy.Queues[1].Attempts = 4
+	w.replaceScheduler()
+	w.advance(time.Second)
+	w.submit("a", "usual", gang(3, 8, 4*time.Second))
+	w.advance(300 * time.Millisecond)
+	restarted := func() []member {
+		for i := 0; i < 100 && w.running("a") < 3; i++ {
+			w.advance(20 * time.Millisecond)
+		}
+		require.Equal(t, 3, w.running("a"))
+		return w.gangRun("a")
+	}
+	w.failTogether(restarted()[0])
+	w.advance(100 * time.Millisecond)
+	w.failTogether(restarted()[:2]...)
+	require.NotContains(t, w.notes, NoteFaulty, "two runs")
+	require.Equal(t, 3, w.s.judge.Suspects())
+	w.advance(100 * time.Millisecond)
+	require.Equal(t, uint32(2), w.records["a"].GetSteps()[0].GetFailures()[0])
+	w.failTogether(restarted()[0])
+	require.Contains(t, w.notes, NoteFaulty, "three runs")
+	require.Zero(t, w.s.judge.Suspects())
+}
