Stop nothing for a group that waits for better workers

Cause: preempt searched for victims with the requirements that caution had narrowed. An urgent gang on its last attempt stopped 16 bulk tasks on proved workers while two workers stood empty that had proved nothing. reserveWorkers reserved those two, so that no trial could prove them.

Change: a cautious group counts the room on workers other than suspects as its own. Gangs that have it stop nothing and reserve nothing, single tasks stop others only for what does not fit there. Room on suspects only does not count: the group may stop others then, as before.

Result: the new tests fail before (16 stopped; no trial) and pass now; go test ./hfplan passes. Last attempts no longer take proved workers from bulk at once.

--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -182,17 +182,23 @@
 
 // placementNeed returns the requirements of a group on the workers for its tasks.
 func (s *Scheduler) placementNeed(g *group, now time.Time) hfplacement.Need {
+	return s.cautiousNeed(g, s.avoidingNeed(g, now), now)
+}
+
+// avoidingNeed returns the requirements of a group on the workers for its tasks, regardless of other
+// workers that may be bad than those that it avoids.
+func (s *Scheduler) avoidingNeed(g *group, now time.Time) hfplacement.Need {
 	need := s.permittedNeed(g, now)
 	if len(g.avoid) == 0 {
-		return s.cautiousNeed(g, need, now)
+		return need
 	}
 	avoiding := need.AlsoExcluding(func(id string) bool { return g.avoid[id] })
 	if _, possible := s.resources.FitsWhenEmpty(avoiding, g.leastTasks()); !possible {
 		// The group cannot be placed without the avoided workers, so try them again.
 		clear(g.avoid)
-		return s.cautiousNeed(g, need, now)
+		return need
 	}
-	return s.cautiousNeed(g, avoiding, now)
+	return avoiding
 }
 
 // permittedNeed returns the requirements of a group on the workers for its tasks, regardless of the
--- a/hfplan/preempt.go
+++ b/hfplan/preempt.go
@@ -23,6 +23,11 @@
 	if count == 0 {
 		return false
 	}
+	if g.cautious {
+		if count -= s.roomBesidesSuspects(g, count, now); count <= 0 {
+			return false // it waits for better workers, not for room
+		}
+	}
 	victims := s.victims(g, now)
 	if len(victims) == 0 {
 		return false
--- a/hfplan/reservation.go
+++ b/hfplan/reservation.go
@@ -24,7 +24,7 @@
 // first. Without a reservation, smaller tasks would fill each gap before it is large
 // enough. For a compact gang, all workers of one rack are reserved.
 func (s *Scheduler) reserveWorkers(g *group, now time.Time) {
-	if !g.gang() {
+	if !g.gang() || g.cautious && s.roomBesidesSuspects(g, len(g.tasks), now) > 0 {
 		return
 	}
 	pool, need := g.job.queue.GetPool(), s.generalNeed(g, now).Excluding(func(id string) bool { return g.avoid[id] })
--- a/hfplan/suspicion.go
+++ b/hfplan/suspicion.go
@@ -152,6 +152,18 @@
 	return need
 }
 
+// roomBesidesSuspects returns how many of count tasks of a group have room on workers that are no suspects, whether
+// these have proved sound or not: all of a gang or none.
+func (s *Scheduler) roomBesidesSuspects(g *group, count int, now time.Time) int {
+	pool := g.job.queue.GetPool()
+	need := s.avoidingNeed(g, now).AlsoExcluding(func(id string) bool { return s.judge.Avoided(pool, id) })
+	_, placed := s.resources.PlaceAcrossRacks(need, count)
+	if g.gang() && placed < count {
+		return 0
+	}
+	return placed
+}
+
 // badSince returns since when workers of the group's pool seem to be bad: there is an outbreak, or a run of
 // the group, a gang, failed early a short time ago. A single task meets one worker, which it avoids from then
 // on; a gang meets several at once.
--- a/hfplan/suspicion_test.go
+++ b/hfplan/suspicion_test.go
@@ -518,3 +518,94 @@
 	require.Contains(t, w.notes, NoteFaulty, "three runs")
 	require.Zero(t, w.s.judge.Suspects())
 }
+
+// newProvedWorld returns four workers during an outbreak: w0-0 and w0-1 have proved sound and are full of bulk,
+// w0-2 and w0-3 are empty and have proved nothing.
+func newProvedWorld(t *testing.T) *world {
+	t.Helper()
+	w := newWorld(t, 1, 4)
+	w.policy.Queues[0].Attempts = 2
+	w.replaceScheduler()
+	w.advance(time.Second)
+	w.submit("bulk", "spare", single(16, 30*time.Second))
+	w.advance(500 * time.Millisecond)
+	require.Equal(t, 16, w.running("bulk"))
+	require.Len(t, w.fleet["w0-0"].runs, 8)
+	require.Len(t, w.fleet["w0-1"].runs, 8)
+	w.s.judge.Distrust("pool", w.now)
+	for _, id := range []string{"w0-0", "w0-1"} {
+		w.s.judge.Proved(id, "pool", w.now)
+	}
+	return w
+}
+
+func (w *world) preemptions() int {
+	n := 0
+	for _, note := range w.notes {
+		if note == NotePreempted {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against urgent work that stops others while workers stand empty, as these have proved nothing: what has
+// one attempt left waits for proof, and the rest takes them.
+func TestNothingIsStoppedWhilePermittedWorkersHaveRoom(t *testing.T) {
+	steps := map[string]*hfwork.Step{
+		"gang":       {Count: 2, Cpu: 100_000, Memory: 200_000, Accelerators: 8, Estimate: 2000, Gang: true},
+		"in a rack":  gang(2, 8, 2*time.Second),
+		"singletons": {Count: 2, Cpu: 100_000, Memory: 200_000, Accelerators: 8, Estimate: 2000},
+	}
+	for name, step := range steps {
+		for _, last := range []bool{true, false} {
+			t.Run(fmt.Sprint(name, " last ", last), func(t *testing.T) {
+				w := newProvedWorld(t)
+				w.jobs["a"] = &hfwork.Job{Id: "a", Queue: "urgent", Account: "plants", Steps: []*hfwork.Step{step}, Received: w.now.UnixMilli()}
+				failures := map[uint32]uint32{}
+				if last {
+					failures = map[uint32]uint32{0: 1, 1: 1}
+				}
+				w.records["a"] = &hfwork.Progress{Steps: []*hfwork.StepProgress{{Failures: failures}}}
+				w.send(Job(w.jobs["a"], w.records["a"], false))
+				started := false
+				for range 70 {
+					w.advance(100 * time.Millisecond)
+					require.Zero(t, w.preemptions())
+					require.Equal(t, 16, w.running("bulk"))
+					started = started || w.running("a") == 2
+				}
+				require.True(t, started, "the wait is bounded")
+			})
+		}
+	}
+}
+
+// What does not fit on the permitted workers stops others as before.
+func TestUrgentWorkStopsOthersIfPermittedWorkersAreFull(t *testing.T) {
+	w := newProvedWorld(t)
+	w.submit("more", "spare", single(16, 30*time.Second))
+	w.advance(500 * time.Millisecond)
+	require.Equal(t, 16, w.running("more"))
+	w.submit("a", "urgent", gang(2, 8, 2*time.Second))
+	w.advance(500 * time.Millisecond)
+	require.Equal(t, 2, w.running("a"))
+	require.NotZero(t, w.preemptions())
+}
+
+// Guards against a gang that reserves the workers for whose proof it waits, so that nothing can prove them.
+func TestAGangThatWaitsForProofLeavesWorkersToBeTried(t *testing.T) {
+	w := newProvedWorld(t)
+	step := &hfwork.Step{Count: 2, Cpu: 90_000, Memory: 190_000, Accelerators: 6, Estimate: 2000, Gang: true}
+	w.jobs["a"] = &hfwork.Job{Id: "a", Queue: "urgent", Account: "plants", Steps: []*hfwork.Step{step}, Received: w.now.UnixMilli()}
+	w.records["a"] = &hfwork.Progress{Steps: []*hfwork.StepProgress{{Failures: map[uint32]uint32{0: 1}}}}
+	w.send(Job(w.jobs["a"], w.records["a"], false))
+	w.advance(100 * time.Millisecond)
+	w.submit("tried", "spare", single(2, 4*time.Second))
+	w.advance(100 * time.Millisecond)
+	require.Len(t, w.fleet["w0-2"].runs, 1)
+	require.Len(t, w.fleet["w0-3"].runs, 1)
+	w.advance(650 * time.Millisecond)
+	require.Equal(t, 2, w.running("a"), "they have proved sound before the wait of %s ends", proofWait)
+	require.Zero(t, w.preemptions())
+}
