Let the wait of last attempts end while their siblings start

Cause: each start of another task of the step cleared the times until which its last attempts wait, so that in a wide step whose tasks start all the time the bound of 6 s never passed.

Change: the times are kept while a task with one attempt left waits. The comment of lastAttempts no longer says that others have failed before: with one attempt a queue's every start is the last one.

Result: the new test fails before (no start after 7.3 s) and passes now, and so do the other tests of hfplan.

--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -380,7 +380,6 @@
 		return
 	}
 	g.assignedAt, g.reservedRack, g.rackSoughtAt, g.ampleSince, g.avoidsRoomSince = now, "", time.Time{}, time.Time{}, time.Time{}
-	g.provedBy, g.trustedBy, g.awaitsProof, g.inherited = time.Time{}, time.Time{}, false, false
 	s.markDirty(g.job)
 	g.requiredSequence = s.sequence + 1
 	gangNumber := s.runNumberBase + 1
@@ -417,5 +416,8 @@
 			placed++
 		}
 	}
+	if !g.lastAttemptWaits() {
+		g.provedBy, g.trustedBy, g.awaitsProof, g.inherited = time.Time{}, time.Time{}, false, false
+	}
 	s.emit(NoteCmd{note: NotePlaced, job: g.job.id(), step: g.step, tasks: placed})
 }
--- a/hfplan/suspicion.go
+++ b/hfplan/suspicion.go
@@ -96,7 +96,8 @@
 	return max(int(g.job.queue.GetAttempts()), 1) - int(g.primary(t).failures)
 }
 
-// lastAttempts returns the number of waiting tasks that have one attempt left, after others failed.
+// lastAttempts returns the number of waiting tasks to be placed now that have one attempt left. If their queue
+// gives no more than one, these are all tasks.
 func (g *group) lastAttempts() int {
 	n := 0
 	for i := range g.tasks {
@@ -107,6 +108,16 @@
 	return n
 }
 
+// lastAttemptWaits reports whether a task that has one attempt left has no run, though it may be spared.
+func (g *group) lastAttemptWaits() bool {
+	for i := range g.tasks {
+		if t := &g.tasks[i]; t.waiting() && g.lastAttempt(t) {
+			return true
+		}
+	}
+	return false
+}
+
 func (g *group) lastAttempt(t *task) bool { return g.attemptsLeft(t) <= 1 }
 
 // cautiousNeed restricts the requirements of a group to the workers that it may use now, in a pool with
--- a/hfplan/suspicion_test.go
+++ b/hfplan/suspicion_test.go
@@ -609,3 +609,33 @@
 	require.Equal(t, 2, w.running("a"), "they have proved sound before the wait of %s ends", proofWait)
 	require.Zero(t, w.preemptions())
 }
+
+// keepOutbreak makes all workers look as if some were bad, and none had proved sound, for good.
+func (w *world) keepOutbreak() {
+	w.s.judge.Distrust("pool", w.now)
+	w.at(hfsuspect.OutbreakTime, w.keepOutbreak)
+}
+
+// Guards against a last attempt that waits for good, as each start of another task of its step began the wait anew.
+func TestPlacedSiblingsDoNotProlongTheWaitOfALastAttempt(t *testing.T) {
+	for _, queue := range []string{"urgent", "usual"} {
+		t.Run(queue, func(t *testing.T) {
+			w := newWorld(t, 1, 4)
+			w.advance(time.Second)
+			w.jobs["a"] = &hfwork.Job{Id: "a", Queue: queue, Account: "plants", Steps: []*hfwork.Step{single(18, 2*time.Minute)}, Received: w.now.UnixMilli()}
+			w.records["a"] = &hfwork.Progress{Steps: []*hfwork.StepProgress{{Failures: map[uint32]uint32{0: 2}}}}
+			began := w.now
+			w.keepOutbreak()
+			w.send(Job(w.jobs["a"], w.records["a"], false))
+			w.advance(300 * time.Millisecond)
+			require.Equal(t, 17, w.running("a"), "the last attempt waits")
+			for w.running("a") < 18 {
+				require.Less(t, w.now.Sub(began), suspectWait+time.Second)
+				for _, m := range w.gangRun("a")[:1] { // ends without a failure, and starts again
+					w.finish(m.worker, m.run, hfwork.LeaseExpired)
+				}
+				w.advance(500 * time.Millisecond)
+			}
+		})
+	}
+}
