Let last attempts with room start within the limit of callers

Cause: they might wait for 6 s unless there was ample room, which a pool that is half in use never has. The share in use left out the workers in quarantine: with a quarter of them there, 40% of a pool counted as 53%.

Change: the bound of 1.8 s asks for room for twice the tasks alone. In passes with bad workers the share in use is that of all registered workers; other passes go on as before.

Result: both cases of the new test fail before (nothing started after 3 s) and pass now.

--- a/hfplan/ample.go
+++ b/hfplan/ample.go
@@ -22,13 +22,18 @@
 	pool := g.job.queue.GetPool()
 	capacity, free := s.resources.Total(pool)
 	used := capacity.Plus(free, -1)
+	if s.vigilant {
+		capacity, used = s.registeredUse(pool)
+	}
 	light := used.LeastShare(capacity) < lightUse
 	if s.urgentWaits[pool] { // it may need that room soon, unless there is plenty
 		light = used.CoreEquivalents() < lightUse*capacity.CoreEquivalents()
 	}
-	if !light {
-		return false
-	}
+	return light && s.hasRoomTwice(g, need, count, now)
+}
+
+// hasRoomTwice reports whether twice as many tasks of a group as count would fit.
+func (s *Scheduler) hasRoomTwice(g *group, need hfplacement.Need, count int, now time.Time) bool {
 	shape := g.placementShape()
 	if smallest, ok := s.notAmple[shape]; ok && 2*count >= smallest && g.unconstrained(now) {
 		return false
@@ -40,6 +45,18 @@
 	return placed >= 2*count
 }
 
+// registeredUse returns the summed capacity of the registered workers of a pool and how much of it is in use. Those
+// in quarantine count: to callers they are part of the pool.
+func (s *Scheduler) registeredUse(pool string) (capacity, used hfplacement.Resources) {
+	s.resources.EachWorker(pool, func(resources *hfplacement.Worker) {
+		if s.workers[resources.ID()].registered {
+			capacity = capacity.Plus(resources.Capacity(), 1)
+			used = used.Plus(resources.Capacity(), 1).Plus(resources.Free(), -1)
+		}
+	})
+	return capacity, used
+}
+
 // waitsInVain reports whether a gang has had ample room for maxIdleWait. It is called in each pass in
 // which the gang has to wait for better conditions.
 func (s *Scheduler) waitsInVain(g *group, need hfplacement.Need, count int, now time.Time) bool {
--- a/hfplan/suspicion.go
+++ b/hfplan/suspicion.go
@@ -12,7 +12,7 @@
 	// that have room. With maxIdleWait it stays below the 3 s within which callers expect a start.
 	proofWait = 900 * time.Millisecond
 	// suspectWait is how long a task with one attempt left waits for another worker than a suspect in
-	// all, unless its pool is lightly used. It covers the longest quarantine.
+	// all, unless there is enough room for it. It covers the longest quarantine.
 	suspectWait = 6 * time.Second
 	// trialAttempts is how many attempts a task must have left to be tried on a suspect, so that its
 	// next one is not its last.
@@ -193,10 +193,10 @@
 	if !now.Before(g.trustedBy) {
 		return false
 	}
-	if !s.hasAmpleRoom(g, need, g.leastTasks(), now) {
+	if !s.hasRoomTwice(g, need, g.leastTasks(), now) {
 		return true
 	}
-	// In a lightly used pool it must start within 3 s. Gangs that ask for a rack, or have none of the room
+	// With enough room it must start within 3 s, however much of the pool is in use. Gangs that ask for a rack, or have none of the room
 	// that is kept for urgent work, have another wait of maxIdleWait before them. Others may have waited under
 	// an earlier scheduler.
 	waitsAgain := g.spec.GetCompact() || g.job.queue.GetPriority() > 0 && g.uncheckpointedGang()
--- a/hfplan/suspicion_test.go
+++ b/hfplan/suspicion_test.go
@@ -639,3 +639,35 @@
 		})
 	}
 }
+
+// Guards against last attempts that wait for 6 s beside free workers, as more than half of the workers that are not
+// in quarantine is in use.
+func TestLastAttemptWithRoomStartsWithinTheLimitOfCallers(t *testing.T) {
+	for name, load := range map[string]struct{ busy, quarantined int }{
+		"more than half in use":           {busy: 40},
+		"less than half, but for outages": {busy: 28, quarantined: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 2, 4)
+			w.policy.Queues[2].Attempts = 2 // tries nothing
+			w.replaceScheduler()
+			w.advance(time.Second)
+			w.submit("bulk", "spare", &hfwork.Step{Count: uint32(load.busy), Cpu: 15_000, Memory: 30_000, Accelerators: 1, Estimate: 60_000})
+			w.advance(300 * time.Millisecond)
+			require.Equal(t, load.busy, w.running("bulk"))
+			for _, id := range []string{"w1-2", "w1-3"}[:load.quarantined] {
+				w.s.workers[id].quarantinedUntil = w.now.Add(time.Minute)
+				w.s.updateUsable(w.s.workers[id], w.now)
+			}
+			w.keepOutbreak()
+			step := &hfwork.Step{Count: 2, Cpu: 11_000, Memory: 22_000, Accelerators: 2, Estimate: 20_000, Gang: true, Saves: true}
+			w.jobs["a"] = &hfwork.Job{Id: "a", Queue: "usual", Account: "plants", Steps: []*hfwork.Step{step}, Received: w.now.UnixMilli()}
+			w.records["a"] = &hfwork.Progress{Steps: []*hfwork.StepProgress{{Failures: map[uint32]uint32{0: 2}}}}
+			w.send(Job(w.jobs["a"], w.records["a"], false))
+			w.advance(500 * time.Millisecond)
+			require.Zero(t, w.running("a"))
+			w.advance(2500 * time.Millisecond)
+			require.Equal(t, 2, w.running("a"))
+		})
+	}
+}
