Check the bound on waiting jobs in pools up to half in use

Cause: the test looked at idle jobs only while a tenth of the accelerators was in use; the rule says half.

Change: it skips the check from half on.

--- a/hfplan/suspicion_test.go
+++ b/hfplan/suspicion_test.go
@@ -418,7 +418,7 @@
 					}
 				}
 				for id := range w.jobs {
-					if hfwork.IsFinal(w.state(id)) || w.running(id) > 0 || busy > 16 { // a tenth of the accelerators
+					if hfwork.IsFinal(w.state(id)) || w.running(id) > 0 || busy >= 80 { // half of the accelerators
 						delete(idleSince, id)
 						continue
 					}
