Make passes with bad workers about as cheap as others

Cause: a group that was kept off workers that may be bad was never skipped after an equal one had found no room, so that each waiting gang was tried, and sought a reservation, in each pass. Each group of single tasks listed the workers to try anew, and searched for room also if none of its tasks could be tried.

Change: such a group is skipped like others, and counts for the skip if it had no room on any worker. The workers to try are listed once in a pass and pool; trials end early without workers or tasks. New benchmark with 720 workers, where all gangs are cautious.

--- a/hfplan/bench_test.go
+++ b/hfplan/bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/heatherfront/heatherfront/hfcrash"
+	"github.com/heatherfront/heatherfront/hfsuspect"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
 
@@ -86,3 +87,26 @@
 		})
 	}
 }
+
+// BenchmarkPassWithSuspects measures a pass on 720 workers, without bad ones and during an outbreak in which a last
+// attempt waits for workers that have proved sound.
+func BenchmarkPassWithSuspects(b *testing.B) {
+	for _, name := range []string{"none", "outbreak"} {
+		b.Run(name, func(b *testing.B) {
+			w := newBusyWorld(b, 90)
+			if name == "outbreak" {
+				for i := range 12 {
+					for _, job := range []string{"x", "y"} {
+						w.s.judge.Failed(hfsuspect.Failure{Worker: fmt.Sprintf("w%d-3", i), Pool: "pool", Job: job, Started: w.now, Early: true}, 720, w.now)
+					}
+				}
+				w.s.proofsWanted["pool"] = w.now.Add(time.Hour)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				w.s.needsPass = true
+				w.s.Update(PassMsg{}, w.now)
+			}
+		})
+	}
+}
--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -64,6 +64,7 @@
 	atFault          bool              // its failures say nothing against workers
 	inherited        bool              // an earlier scheduler counted a failure, and this one has not assigned it yet
 	cautious         bool              // kept off workers that may be bad, see cautiousNeed
+	lacksRoom        bool              // in this pass, a cautious group had no room on any worker
 	awaitsProof      bool              // such workers have room; for the log
 	provedBy         time.Time         // until when it may wait for workers that have proved sound; zero before it was tried
 	trustedBy        time.Time         // until when it may wait for workers that are no suspects
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -258,7 +258,12 @@
 // unconstrained reports whether the group can use any worker of its pool that has
 // enough room.
 func (g *group) unconstrained(now time.Time) bool {
-	return g.spec.GetLabel() == "" && g.spec.GetApart() == 0 && !g.job.queue.GetAdvised() && len(g.avoid) == 0 && !g.cautious && !g.hasSuspects(now)
+	return !g.cautious && g.unconstrainedButForCaution(now)
+}
+
+// unconstrainedButForCaution reports whether the group can use any such worker, unless it may be bad.
+func (g *group) unconstrainedButForCaution(now time.Time) bool {
+	return g.spec.GetLabel() == "" && g.spec.GetApart() == 0 && !g.job.queue.GetAdvised() && len(g.avoid) == 0 && !g.hasSuspects(now)
 }
 
 // placeGroups assigns the waiting groups to workers in scheduling order. Except for
@@ -286,7 +291,7 @@
 		if !g.gang() {
 			count = 1
 		}
-		if smallest, ok := smallestFailed[shape]; ok && count >= smallest && c.priority > 0 && g.unconstrained(now) {
+		if smallest, ok := smallestFailed[shape]; ok && count >= smallest && c.priority > 0 && g.unconstrainedButForCaution(now) {
 			continue
 		}
 		budget, budgeted := budgets[g.job.queue.GetPool()], c.priority > 0 && g.uncheckpointedGang()
@@ -307,7 +312,7 @@
 			budget.refund(g)
 		}
 		s.reserveWorkers(g, now)
-		if smallest, ok := smallestFailed[shape]; g.unconstrained(now) && !g.awaitingRack && (!ok || count < smallest) {
+		if smallest, ok := smallestFailed[shape]; g.unconstrainedButForCaution(now) && (!g.cautious || g.lacksRoom) && !g.awaitingRack && (!ok || count < smallest) {
 			smallestFailed[shape] = count
 		}
 	}
@@ -391,6 +396,7 @@
 	next, placed := 0, 0
 	for _, p := range placements {
 		w := s.workers[p.Worker().ID()]
+		delete(s.trialWorkers[g.job.queue.GetPool()], w.id())
 		for range p.Tasks() {
 			for !g.tasks[next].waiting() || g.tasks[next].held() || g.tasks[next].isolates(now) != isolated || g.tasks[next].spared && !isolated {
 				next++
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -103,6 +103,7 @@
 	judge            *hfsuspect.Judge            // of workers that may be bad
 	vigilant         bool                        // in this pass, some workers may be bad
 	onTrial          map[string]bool             // suspects with a run whose outcome is not known yet
+	trialWorkers     map[string]map[string]bool  // workers on which tasks may be tried in this pass, by pool
 	proofsDue        time.Time                   // when the runs are next gone through for proofs
 	proofsWanted     map[string]time.Time        // until when workers are tried that have proved nothing, by pool
 	sparedSuspects   int                         // suspects that are not avoided, as there are too many
@@ -125,7 +126,7 @@
 		timing: timing, runNumberBase: max(term-1, 0) * runsPerTerm, policy: &hfwork.Policy{}, queues: map[string]*hfwork.Queue{},
 		resources: hfplacement.New(), workers: map[string]*worker{}, jobs: map[string]*job{}, unloaded: map[string]*job{}, memory: hfbudget.New(defaultMemory), orphans: map[hfwork.TaskID]int{},
 		recoveryDeadline: now.Add(timing.leaseExpiryDelay()), pendingAcks: map[*worker]int64{}, dirtyJobs: map[string]*job{}, usage: map[string]*poolUsage{},
-		waves: map[int64]*wave{}, dirtyWaves: map[int64]*hfwork.Wave{}, missing: map[string]*missingWorker{}, unstable: map[string]time.Time{}, judge: hfsuspect.New(), onTrial: map[string]bool{}, proofsWanted: map[string]time.Time{}, suspectReserved: map[string]int{}, urgentWaits: map[string]bool{}, notAmple: map[placementShape]int{}, slowWorkers: map[string]bool{},
+		waves: map[int64]*wave{}, dirtyWaves: map[int64]*hfwork.Wave{}, missing: map[string]*missingWorker{}, unstable: map[string]time.Time{}, judge: hfsuspect.New(), onTrial: map[string]bool{}, proofsWanted: map[string]time.Time{}, trialWorkers: map[string]map[string]bool{}, suspectReserved: map[string]int{}, urgentWaits: map[string]bool{}, notAmple: map[placementShape]int{}, slowWorkers: map[string]bool{},
 	}
 }
 
--- a/hfplan/suspicion.go
+++ b/hfplan/suspicion.go
@@ -38,6 +38,7 @@
 	}
 	s.sparedSuspects = spared
 	clear(s.onTrial)
+	clear(s.trialWorkers)
 	for _, id := range s.judge.AllSuspects() {
 		last := s.judge.LastStart(id)
 		for r := range s.workers[id].runs {
@@ -237,8 +238,11 @@
 		return false
 	}
 	if g.cautious {
-		if _, placed := s.resources.PlaceAcrossRacks(s.permittedNeed(g, now), g.leastTasks()); placed >= g.leastTasks() && !g.awaitsProof {
+		_, placed := s.resources.PlaceAcrossRacks(s.permittedNeed(g, now), g.leastTasks())
+		g.lacksRoom = placed < g.leastTasks()
+		if !g.lacksRoom && !g.awaitsProof {
 			g.awaitsProof, s.proofsWanted[pool] = true, now.Add(hfsuspect.OutbreakTime)
+			delete(s.trialWorkers, pool) // those that have proved nothing join them
 			s.proofWaits++
 			s.emit(NoteCmd{note: NoteAwaitsProof, job: g.job.id(), step: g.step, tasks: g.waiting(), reason: "only workers that may be bad have room"})
 		}
@@ -285,20 +289,18 @@
 		return
 	}
 	pool := g.job.queue.GetPool()
-	ready, suspects := map[string]bool{}, s.judge.AvoidedWorkers(pool)
-	for _, id := range suspects {
-		ready[id] = !s.onTrial[id]
-	}
-	if now.Before(s.proofsWanted[pool]) {
-		s.addUnproved(pool, ready, now)
-	}
+	ready := s.readyForTrial(pool, now)
 	if len(ready) == 0 {
 		return
 	}
 	g.spare(func(t *task) bool { return g.attemptsLeft(t) < trialAttempts })
 	defer g.spare(nil)
+	count := g.waitingShared(now)
+	if count == 0 {
+		return
+	}
 	need := s.permittedNeed(g, now).AlsoExcluding(func(id string) bool { return !ready[id] || g.avoid[id] }).MaxPerWorker(1, nil)
-	placements, placed := s.resources.PlaceAcrossRacks(need, g.waitingShared(now))
+	placements, placed := s.resources.PlaceAcrossRacks(need, count)
 	s.assign(g, placements, now)
 	s.trials += placed
 	for _, p := range placements {
@@ -310,6 +312,26 @@
 	}
 }
 
+// readyForTrial returns the workers of a pool on which a task may be tried: suspects with nothing that may prove
+// them, and for a while after a last attempt had to wait, those that have proved nothing since the outbreak began. They
+// are listed once in a pass; assignRuns removes those that get a task.
+func (s *Scheduler) readyForTrial(pool string, now time.Time) map[string]bool {
+	if ready, listed := s.trialWorkers[pool]; listed {
+		return ready
+	}
+	ready := map[string]bool{}
+	s.trialWorkers[pool] = ready
+	for _, id := range s.judge.AvoidedWorkers(pool) {
+		if !s.onTrial[id] && s.workers[id].resources.Usable() {
+			ready[id] = true
+		}
+	}
+	if now.Before(s.proofsWanted[pool]) {
+		s.addUnproved(pool, ready, now)
+	}
+	return ready
+}
+
 // addUnproved adds the workers of a pool that have proved nothing since the outbreak began, and have no run
 // that may do so.
 func (s *Scheduler) addUnproved(pool string, ready map[string]bool, now time.Time) {
