Add a switch for the suspicion of workers

Cause: the avoidance of bad workers could not be turned off, nor compared with its absence in one build.

Off: only quarantines after failures of two jobs, unbounded, as on. One flag for the process, not one per queue or pool: queues are the operators', and without failures no pass differs anyhow.

New tests of off and of a wrong value. go test ./hfplan ./hfsuspect ./hfentry ./hfevent ./hfcommand passes.

--- a/config_test.go
+++ b/config_test.go
@@ -190,6 +190,7 @@
 		"bad seed":             {nil, append(serve, "--seeds", "e1"), hfcommand.ExitUsage, "--seeds"},
 		"unknown flag":         {nil, append(serve, "--colour"), hfcommand.ExitUsage, "colour"},
 		"unknown log level":    {nil, append(serve, "--log-level", "loud"), hfcommand.ExitUsage, "--log-level"},
+		"unknown suspicion":    {nil, []string{"entry", "--settings", "s.json", "--suspicion", "maybe"}, hfcommand.ExitUsage, "--suspicion"},
 		"no manifest":          {p, []string{"apply"}, hfcommand.ExitUsage, "-f is required"},
 		"missing resource":     {p, []string{"get", "account/none"}, hfcommand.ExitNotFound, "no account none"},
 		"missing kind":         {p, []string{"get", "none/none"}, hfcommand.ExitNotFound, "no kind of resource"},
--- a/hfcommand/entry.go
+++ b/hfcommand/entry.go
@@ -21,10 +21,17 @@
 // output.
 const logBufferLines = 4096
 
+// Values of --suspicion.
+const (
+	suspicionOn  = "on"
+	suspicionOff = "off"
+)
+
 func entryCommand(s Streams) *ffcli.Command {
 	fs := newFlagSet("entry", s)
 	path := fs.String("settings", "", "settings file that the platform writes")
 	level := fs.String("log-level", "info", "debug, info, warn or error")
+	suspicion := fs.String("suspicion", suspicionOn, "whether workers on which tasks fail soon after their start are avoided and tried: on or off")
 	return &ffcli.Command{
 		Name: "entry", ShortUsage: "heatherfront entry [flags]", ShortHelp: "run one entry instance on the operators' platform until SIGTERM",
 		LongHelp: "Takes jobs for the platform's queues and schedules them on its workers. The log is JSON on\nstandard output; its events are listed in docs/EVENTS.md.",
@@ -38,6 +45,9 @@
 			if err != nil {
 				return fmt.Errorf("%w: --log-level: %q is not debug, info, warn or error", ErrUsage, *level)
 			}
+			if *suspicion != suspicionOn && *suspicion != suspicionOff {
+				return fmt.Errorf("%w: --suspicion: %q is not on or off", ErrUsage, *suspicion)
+			}
 			// The platform sends SIGHUP when the settings file has changed. It is not needed,
 			// as the file is polled for changes, and its default action would end the process.
 			signal.Ignore(syscall.SIGHUP)
@@ -45,7 +55,7 @@
 			config := zap.NewProductionEncoderConfig()
 			config.EncodeTime = zapcore.ISO8601TimeEncoder
 			logger := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), sink, parsed))
-			if err := hfplatform.Run(ctx, *path, logger, sink); err != nil {
+			if err := hfplatform.Run(ctx, *path, *suspicion == suspicionOn, logger, sink); err != nil {
 				return &exitError{exit: ExitFailed, reason: err.Error()}
 			}
 			return nil
--- a/hfentry/leader.go
+++ b/hfentry/leader.go
@@ -143,7 +143,7 @@
 		return struct{}{}
 	})
 	timing := hfplan.NewTiming(n.settings.TaskLease()).WithSpreadFactor(n.settings.SpreadFactor())
-	scheduler := hfplan.New(writer.Term(), timing, time.Now()).WithMemory(hfloop.With(n.mirror, (*Mirror).loadableMemory))
+	scheduler := hfplan.New(writer.Term(), timing, time.Now()).WithMemory(hfloop.With(n.mirror, (*Mirror).loadableMemory)).WithSuspicion(!n.trusting)
 	leader := hforder.NewLeader(scheduler, tenure, n.minions, n.adviser, n.machines, n.name, writer, n, timing)
 	hfloop.With(n.mirror, func(m *Mirror) struct{} {
 		m.withholdDepartures(writer.version)
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -75,6 +75,7 @@
 	stopStarted  chan struct{}                  // closed when a planned stop begins
 	links        *hfpeer.Links
 	hints        chan hfstore.Item
+	trusting     bool   // as the leader, it suspects no workers; set before the goroutines start
 	peerAddress  string // at which the other instances reach this one; set before the goroutines start
 }
 
@@ -108,6 +109,13 @@
 	return n
 }
 
+// WithSuspicion sets whether the instance as the leader avoids workers on which tasks fail early, as it does unless this is
+// set. It must be called before Run.
+func (n *Node) WithSuspicion(on bool) *Node {
+	n.trusting = !on
+	return n
+}
+
 // Run keeps the mirror current, takes part in the leader election, and serves the other
 // instances on ln, until ctx ends.
 func (n *Node) Run(ctx context.Context, ln net.Listener) error {
--- a/hfplan/quarantine.go
+++ b/hfplan/quarantine.go
@@ -11,6 +11,12 @@
 // work: that of an earlier scheduler.
 func (s *Scheduler) recordFailure(w *worker, g *group, r *run, now time.Time) {
 	f := hfsuspect.Failure{Worker: w.id(), Pool: w.registration.GetPool(), Job: g.job.id()}
+	if s.trusting {
+		if s.judge.Failed(f, unboundedPool, now) {
+			s.quarantine(w, g.job, "tasks of several jobs failed in a row", now)
+		}
+		return
+	}
 	if r != nil && !r.adopted {
 		f.Started, f.Early = r.startedAt, now.Sub(r.startedAt) < g.earlyFailure()
 	}
@@ -32,8 +38,11 @@
 // each quarantine since the last sign that the worker is sound.
 func (s *Scheduler) quarantine(w *worker, j *job, reason string, now time.Time) {
 	w.quarantinedUntil = s.judge.Quarantine(w.id(), w.registration.GetPool(), now)
-	for _, o := range s.workers { // those whose quarantine has just ended make room for this one
-		s.updateUsable(o, now)
+	s.updateUsable(w, now)
+	if !s.trusting {
+		for _, o := range s.workers { // those whose quarantine has just ended make room for this one
+			s.updateUsable(o, now)
+		}
 	}
 	s.emit(NoteCmd{note: NoteQuarantined, worker: w.id(), job: j.id(), reason: reason})
 }
@@ -41,7 +50,7 @@
 // recordSuccess notes that a run ended as done on a worker.
 func (s *Scheduler) recordSuccess(w *worker, r *run) {
 	s.judge.Succeeded(w.id())
-	if r != nil && !r.adopted {
+	if r != nil && !r.adopted && !s.trusting {
 		s.recordProof(w, r.startedAt)
 	}
 }
@@ -69,6 +78,8 @@
 	minEarly = 500 * time.Millisecond
 	// maxEarly is the same for tasks that run for hours: what is wrong with a worker shows at the start.
 	maxEarly = 10 * time.Second
+	// unboundedPool is a number of workers at which the share that may be quarantined is never reached.
+	unboundedPool = 1 << 30
 	// faultyWorkers is how many workers a step must have failed on for its job to be at fault.
 	faultyWorkers = 3
 )
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -101,6 +101,7 @@
 	notAmple         map[placementShape]int      // smallest number of tasks for which this pass found no room, see hasAmpleRoom
 	suspectReserved  map[string]int              // workers that this pass has reserved for suspects, by pool
 	judge            *hfsuspect.Judge            // of workers that may be bad
+	trusting         bool                        // no worker is taken for bad, see WithSuspicion
 	vigilant         bool                        // in this pass, some workers may be bad
 	onTrial          map[string]bool             // suspects with a run whose outcome is not known yet
 	trialWorkers     map[string]map[string]bool  // workers on which tasks may be tried in this pass, by pool
--- a/hfplan/suspicion.go
+++ b/hfplan/suspicion.go
@@ -22,6 +22,13 @@
 	unlimitedAttempts = 1 << 30
 )
 
+// WithSuspicion sets whether workers on which runs fail early are avoided and tried, as they are unless it is set. Without
+// that, failures only quarantine workers. It returns the scheduler.
+func (s *Scheduler) WithSuspicion(on bool) *Scheduler {
+	s.trusting = !on
+	return s
+}
+
 // reviewSuspects updates what is known of bad workers, at the start of a pass.
 func (s *Scheduler) reviewSuspects(now time.Time) {
 	s.vigilant = !s.judge.Calm(now)
@@ -77,7 +84,7 @@
 // distrust begins an outbreak if a job has failures that an earlier scheduler counted, as that one's
 // suspects are not stored.
 func (s *Scheduler) distrust(g *group, now time.Time) {
-	if s.recovered || g.job.queue == nil {
+	if s.trusting || s.recovered || g.job.queue == nil {
 		return
 	}
 	for i := range g.tasks {
--- a/hfplan/suspicion_test.go
+++ b/hfplan/suspicion_test.go
@@ -36,6 +36,7 @@
 		f.registration.Cpu, f.registration.Memory = 32_000, 65_536
 	}
 	d.policy.Queues[0].Attempts, d.policy.Queues[1].Attempts = 2, 2
+	d.trusting = !*sickSuspicion
 	d.replaceScheduler()
 	return d
 }
@@ -96,6 +97,8 @@
 	return n
 }
 
+var sickSuspicion = flag.Bool("sicksuspicion", true, "whether workers are suspected on the days of TestUrgentGangsSurvive; it fails without")
+
 var sickSeeds = flag.Uint64("sickseeds", 6, "number of days of TestUrgentGangsSurviveWorkersThatFailEverything")
 
 // Urgent gangs lost their first run to one bad worker and their second to another: 26 of 350 workers failed
@@ -671,3 +674,41 @@
 		})
 	}
 }
+
+// Without suspicion failures only quarantine workers, however many.
+func TestWithoutSuspicionFailuresOnlyQuarantine(t *testing.T) {
+	w := newWorld(t, 2, 4)
+	w.trusting = true
+	for _, q := range w.policy.Queues {
+		q.Attempts = 1000 // all workers fail everything for a while
+	}
+	w.replaceScheduler()
+	w.advance(time.Second)
+	for _, f := range w.fleet {
+		f.failsRuns = true
+	}
+	least := w.usable()
+	for i := range 20 {
+		w.submit(fmt.Sprint("a", i), []string{"urgent", "usual", "spare"}[i%3], []*hfwork.Step{single(32, time.Second), gang(2, 8, time.Second)}[i%2])
+		for range 10 {
+			w.advance(20 * time.Millisecond)
+			require.False(t, w.s.vigilant)
+			require.Zero(t, w.s.judge.Suspects())
+			least = min(least, w.usable())
+		}
+		if i == 10 {
+			w.replaceScheduler()
+		}
+	}
+	require.Less(t, least, 6, "more than a quarter is quarantined")
+	for _, note := range []Note{NoteSuspected, NoteTrial, NoteProved, NoteFaulty, NoteAwaitsProof, NoteTooManySuspects} {
+		require.NotContains(t, w.notes, note)
+	}
+	for _, f := range w.fleet {
+		f.failsRuns = false
+	}
+	w.advance(20 * time.Second)
+	for i := range 20 {
+		require.Equal(t, hfwork.StateCompleted, w.state(fmt.Sprint("a", i)))
+	}
+}
--- a/hfplan/world_test.go
+++ b/hfplan/world_test.go
@@ -42,6 +42,7 @@
 	roster         []*hfwork.Worker
 	policy         *hfwork.Policy
 	durations      map[string]time.Duration // run time by job id; the declared run time by default
+	trusting       bool                     // schedulers suspect no workers
 	failingJobs    map[string]bool          // jobs whose tasks fail after a tenth of their run time
 	notes          []Note
 	gangTimeouts   int                  // gang members that waited in vain for the others
@@ -242,7 +243,7 @@
 	w.term++
 	w.fence++
 	term := w.term
-	w.s = New(int64(w.term), NewTiming(6*time.Second), w.now)
+	w.s = New(int64(w.term), NewTiming(6*time.Second), w.now).WithSuspicion(!w.trusting)
 	if w.memory > 0 {
 		w.s.WithMemory(w.memory)
 	}
