--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -83,6 +83,7 @@
 	pushes       chan push
 	endedJobs    chan string  // jobs that may be shown as completed before that is stored
 	order        hfplan.Order // in which this instance schedules as the leader; set before the goroutines start
+	trusting     bool         // as the leader, it suspects no workers; set before the goroutines start
 	peerAddress  string       // at which the other instances reach this one; set before the goroutines start
 }
 
@@ -125,6 +126,13 @@
 	return n
 }
 
+// WithSuspicion sets whether the instance as the leader avoids workers on which tasks fail early, as it does unless this is
+// set. It must be called before Run.
+func (n *Node) WithSuspicion(on bool) *Node {
+	n.trusting = !on
+	return n
+}
+
 // Run keeps the mirror current, takes part in the leader election, and serves the other
 // instances on ln, until ctx ends.
 func (n *Node) Run(ctx context.Context, ln net.Listener) error {
--- a/hfevent/catalogue.go
+++ b/hfevent/catalogue.go
@@ -91,6 +91,12 @@
 	EndsShown         = Event{838, "ends-shown", zapcore.InfoLevel, "Jobs have completed, which could not be stored; instances were told, and show it if each failure domain knows. Workers keep these ends until they are stored."}
 	EndsTakenOver     = Event{839, "ends-taken-over", zapcore.WarnLevel, "A new scheduling instance takes jobs as completed that an earlier one had told other instances of before that was stored."}
 	LeaderCaughtUp    = Event{837, "leader-caught-up", zapcore.InfoLevel, "The scheduling instance has read what was written while its leadership was suspended, and starts tasks again."}
+	WorkerSuspected   = Event{840, "worker-suspected", zapcore.InfoLevel, "A task failed on a worker soon after its start; until a later run goes well there, only tasks with attempts to spare are tried on it, one at a time."}
+	WorkerProved      = Event{841, "worker-proved", zapcore.InfoLevel, "A run that was started on a suspected worker after its last failure went well; it takes work like the others."}
+	WorkerTried       = Event{842, "worker-tried", zapcore.InfoLevel, "A task with attempts to spare was placed on a suspected worker to try it."}
+	ProofAwaited      = Event{843, "proof-awaited", zapcore.InfoLevel, "Tasks with one attempt left wait for a limited time, as only workers that may be bad have room."}
+	JobAtFault        = Event{844, "job-at-fault", zapcore.WarnLevel, "The tasks of a step fail on more workers than they run well on; its failures no longer count against workers."}
+	SuspectsSpared    = Event{845, "suspects-spared", zapcore.WarnLevel, "More workers of a pool seem to be bad than may be kept off work; the rest are used like the others. Logged when that begins."}
 )
 
 // Catalogue returns every event.
@@ -109,5 +115,6 @@
 		SettingsRead, SettingsInvalid, LinesDropped, PlanLoad, HintsUnavailable, AnnounceFailed, LeaseRevoked,
 		LeaseState, EndLate, DetailsLoaded, RecordRejected, JobWithdrawn, AccountsNotStored, WorkerCrashed, TaskIsolated, TaskGivenUp, PolicyConfirmed, JobDeferred,
 		LeaderSuspended, LeaderResumed, LeaderCaughtUp, EndsShown, EndsTakenOver,
+		WorkerSuspected, WorkerProved, WorkerTried, ProofAwaited, JobAtFault, SuspectsSpared,
 	}
 }
--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -62,6 +62,17 @@
 	goesFirst        bool              // one task or the gang is being placed before others because it starves
 	goFirstNotBefore time.Time         // earliest next time that it may go first, after it got neither room nor a reservation
 	rescue           *run              // latest run that got room before others because it starved; of a gang, its first member
+	failedOn         map[string]bool   // workers on which a task failed early
+	failedStart      time.Time         // start of its last run that failed early
+	distrustUntil    time.Time         // until when that run's failure counts as a sign of bad workers
+	atFault          bool              // its failures say nothing against workers
+	inherited        bool              // an earlier scheduler counted a failure, and this one has not assigned it yet
+	cautious         bool              // kept off workers that may be bad, see cautiousNeed
+	lacksRoom        bool              // in this pass, a cautious group had no room on any worker
+	awaitsProof      bool              // such workers have room; for the log
+	provedBy         time.Time         // until when it may wait for workers that have proved sound; zero before it was tried
+	trustedBy        time.Time         // until when it may wait for workers that are no suspects
+	sparedTasks      int               // number of tasks that are spared
 	durationsUsed    int               // number of durations from which workers' speeds were learned
 }
 
@@ -103,6 +114,7 @@
 	checkpoint  string // latest checkpoint; gangs keep it in their primary task
 	priorWorker string // worker on which an earlier scheduler may have started the task, or that has an orphan of it, or ""
 	crashes     crashes
+	spared      bool      // not to be placed now
 	sharedFrom  time.Time // when it may be placed beside others although it is a suspect; zero before it had to wait
 }
 
@@ -153,6 +165,7 @@
 	spared            bool  // was not stopped for urgent work once, see Delays.Spared
 	fromStart         bool  // this scheduler started it, and not from a checkpoint
 	measured          bool  // its run time is in the durations of its group
+	adopted           bool  // it is not known when it was started
 }
 
 // worker is the scheduler's view of one worker.
@@ -179,8 +192,6 @@
 	lastEnd          int64                            // sequence number of the last end that was processed
 	quarantinedUntil time.Time                        // no tasks are assigned before this time
 	upkeepPending    bool                             // its machine is being drained or is down for upkeep
-	failedJobs       map[string]bool                  // jobs with a failure here since the last success
-	quarantines      int                              // number of quarantines since the last success
 	refusedUntil     time.Time                        // no tasks are assigned before this time, after it refused a start
 	releases         []expectedRelease                // expected ends of its runs as of releasesAt
 	releasesAt       time.Time                        // time of the pass that listed releases; zero if runs have changed since
--- a/hfplan/message.go
+++ b/hfplan/message.go
@@ -306,6 +306,11 @@
 	NotePreempted   Note = "preempted" // runs were stopped to make room for another job
 	NoteRetry       Note = "retry"     // a run ended early or has stalled, and its task is run again
 	NoteQuarantined Note = "aside"     // a worker was quarantined
+	NoteSuspected   Note = "suspected" // a worker became a suspect
+	NoteProved      Note = "proved"    // a suspect has proved sound
+	NoteTrial       Note = "trial"     // a task was placed on a suspect to try it
+	NoteAwaitsProof Note = "awaits"    // a step waits, as only workers that may be bad have room
+	NoteFaulty      Note = "faulty"    // a job is at fault for its failures, not the workers
 	NoteSilent      Note = "silent"    // a worker stopped reporting
 	NoteReporting   Note = "heard"     // a worker reports for the first time or again, or has restarted
 	NoteRemoved     Note = "gone"      // a worker was removed
@@ -316,6 +321,8 @@
 	NoteGaveUp      Note = "gave-up"   // workers crashed under a task as often as they may
 	NoteEnded       Note = "ended"     // a job has completed, which cannot be stored at the moment but may be shown
 	NoteDeferred    Note = "deferred"  // occurrences of a job are due, but there is no memory for their tasks
+
+	NoteTooManySuspects Note = "too-many" // more workers seem to be bad than may be avoided
 )
 
 // NoteCmd asks to log a decision or state change.
@@ -360,7 +367,7 @@
 // Step returns the step of the job.
 func (c NoteCmd) Step() uint32 { return c.step }
 
-// Tasks returns the number of affected tasks.
+// Tasks returns the number of affected tasks, or of workers for a NoteFaulty and a NoteTooManySuspects.
 func (c NoteCmd) Tasks() int { return c.tasks }
 
 // Reason returns the cause, or the new state for a NoteState.
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -143,6 +143,12 @@
 
 // placementNeed returns the requirements of a group on the workers for its tasks.
 func (s *Scheduler) placementNeed(g *group, now time.Time) hfplacement.Need {
+	return s.cautiousNeed(g, s.avoidingNeed(g, now), now)
+}
+
+// avoidingNeed returns the requirements of a group on the workers for its tasks, regardless of other
+// workers that may be bad than those that it avoids.
+func (s *Scheduler) avoidingNeed(g *group, now time.Time) hfplacement.Need {
 	need := s.permittedNeed(g, now)
 	if len(g.avoid) == 0 {
 		return need
@@ -222,6 +228,11 @@
 // unconstrained reports whether the group can use any worker of its pool that has
 // enough room.
 func (g *group) unconstrained(now time.Time) bool {
+	return !g.cautious && g.unconstrainedButForCaution(now)
+}
+
+// unconstrainedButForCaution reports whether the group can use any such worker, unless it may be bad.
+func (g *group) unconstrainedButForCaution(now time.Time) bool {
 	return g.spec.GetLabel() == "" && g.spec.GetApart() == 0 && !g.job.queue.GetAdvised() && len(g.avoid) == 0 && !g.hasSuspects(now)
 }
 
@@ -236,6 +247,7 @@
 	defer clear(s.stopWeights)
 	s.clearReservations()
 	s.listSlowWorkers()
+	s.reviewSuspects(now)
 	s.assignGuarantees()
 	budgets := s.gangBudgets(now)
 	candidates := s.candidates(now)
@@ -255,7 +267,7 @@
 		if !g.gang() {
 			count = 1
 		}
-		if smallest, ok := smallestFailed[shape]; ok && count >= smallest && c.priority > 0 && g.unconstrained(now) {
+		if smallest, ok := smallestFailed[shape]; ok && count >= smallest && c.priority > 0 && g.unconstrainedButForCaution(now) {
 			continue
 		}
 		budget, budgeted := budgets[g.job.queue.GetPool()], c.priority > 0 && g.uncheckpointedGang() && !g.goesFirst
@@ -279,7 +291,7 @@
 		if preempted != awaitsReserved && !s.reserveWorkers(g, now) && g.goesFirst {
 			g.goFirstNotBefore = now.Add(goFirstRetryInterval)
 		}
-		if smallest, ok := smallestFailed[shape]; g.unconstrained(now) && !g.awaitingRack && (!ok || count < smallest) {
+		if smallest, ok := smallestFailed[shape]; g.unconstrainedButForCaution(now) && (!g.cautious || g.lacksRoom) && !g.awaitingRack && (!ok || count < smallest) {
 			smallestFailed[shape] = count
 		}
 	}
@@ -293,16 +305,22 @@
 	if g.hasSuspects(now) {
 		s.placeSuspects(g, need, now)
 	}
-	if fast, ok := s.withoutSlow(g, need); ok && s.placeOn(g, fast, now) {
-		return true
-	}
-	if s.placeOn(g, need, now) {
+	if s.vigilant && s.placeVigilantly(g, now) || !s.vigilant && s.placeWithin(g, need, now) {
 		return true
 	}
 	s.liftAvoidance(g, now)
 	return false
 }
 
+// placeWithin assigns the waiting tasks of a group that need not be isolated to workers that meet the given
+// requirements. It reports whether every task was assigned.
+func (s *Scheduler) placeWithin(g *group, need hfplacement.Need, now time.Time) bool {
+	if fast, ok := s.withoutSlow(g, need); ok && s.placeOn(g, fast, now) {
+		return true
+	}
+	return s.placeOn(g, need, now)
+}
+
 // placeOn assigns the waiting tasks of a group that need not be isolated to workers that meet the
 // given requirements.
 func (s *Scheduler) placeOn(g *group, need hfplacement.Need, now time.Time) bool {
@@ -357,8 +375,9 @@
 	next, placed := 0, 0
 	for _, p := range placements {
 		w := s.workers[p.Worker().ID()]
+		delete(s.trialWorkers[g.job.queue.GetPool()], w.id())
 		for range p.Tasks() {
-			for !g.tasks[next].waiting() || g.tasks[next].held() || g.tasks[next].isolates(now) != isolated {
+			for !g.tasks[next].waiting() || g.tasks[next].held() || g.tasks[next].isolates(now) != isolated || g.tasks[next].spared && !isolated {
 				next++
 			}
 			t := &g.tasks[next]
@@ -385,5 +404,8 @@
 			placed++
 		}
 	}
+	if !g.lastAttemptWaits() {
+		g.provedBy, g.trustedBy, g.awaitsProof, g.inherited = time.Time{}, time.Time{}, false, false
+	}
 	s.emit(NoteCmd{note: NotePlaced, job: g.job.id(), step: g.step, tasks: placed})
 }
--- a/hfplan/preempt.go
+++ b/hfplan/preempt.go
@@ -34,6 +34,11 @@
 	if count == 0 {
 		return noRoom
 	}
+	if g.cautious {
+		if count -= s.roomBesidesSuspects(g, count, now); count <= 0 {
+			return noRoom // it waits for better workers, not for room
+		}
+	}
 	if s.awaitsEnds(g, count, now) {
 		return awaitsReserved
 	}
--- a/hfplan/reservation.go
+++ b/hfplan/reservation.go
@@ -25,7 +25,7 @@
 // enough. For a compact gang, all workers of one rack are reserved. A step that starves gets a worker for one task. It reports
 // whether there are such workers.
 func (s *Scheduler) reserveWorkers(g *group, now time.Time) bool {
-	if !g.gang() && !g.goesFirst {
+	if !g.gang() && !g.goesFirst || g.cautious && s.roomBesidesSuspects(g, g.leastTasks(), now) > 0 {
 		return false
 	}
 	pool, need := g.job.queue.GetPool(), s.reservationNeed(g, now)
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -10,6 +10,7 @@
 	"github.com/heatherfront/heatherfront/hfbudget"
 	"github.com/heatherfront/heatherfront/hfcost"
 	"github.com/heatherfront/heatherfront/hfplacement"
+	"github.com/heatherfront/heatherfront/hfsuspect"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
 
@@ -127,6 +128,16 @@
 	endForecasts     int                         // groups for which this pass has forecast the ends of runs
 	poolWorkers      map[string]*poolWorkers     // listed in this pass, by pool
 	stopWeights      map[*group]stopWeight       // weighed in this pass
+	judge            *hfsuspect.Judge            // of workers that may be bad
+	trusting         bool                        // no worker is taken for bad, see WithSuspicion
+	vigilant         bool                        // in this pass, some workers may be bad
+	onTrial          map[string]bool             // suspects with a run whose outcome is not known yet
+	trialWorkers     map[string]map[string]bool  // workers on which tasks may be tried in this pass, by pool
+	proofsDue        time.Time                   // when the runs are next gone through for proofs
+	proofsWanted     map[string]time.Time        // until when workers are tried that have proved nothing, by pool
+	sparedSuspects   int                         // suspects that are not avoided, as there are too many
+	trials           int                         // tasks that were placed on suspects on purpose
+	proofWaits       int                         // groups that waited for workers that have proved sound
 	hasAdvisedQueue  bool
 	bySize           bool // order and victims go by core-seconds alone, see WithOrder
 	delays           Delays
@@ -147,7 +158,7 @@
 		timing: timing, runNumberBase: max(term-1, 0) * runsPerTerm, policy: &hfwork.Policy{}, queues: map[string]*hfwork.Queue{},
 		resources: hfplacement.New(), workers: map[string]*worker{}, jobs: map[string]*job{}, unloaded: map[string]*job{}, memory: hfbudget.New(defaultMemory), orphans: map[hfwork.TaskID]int{},
 		recoveryDeadline: now.Add(timing.leaseExpiryDelay()), pendingAcks: map[*worker]int64{}, dirtyJobs: map[string]*job{}, usage: map[string]*poolUsage{},
-		unstored: newUnstored(), waves: map[int64]*wave{}, dirtyWaves: map[int64]*hfwork.Wave{}, missing: map[string]*missingWorker{}, unstable: map[string]time.Time{}, suspectReserved: map[string]int{}, urgentWaits: map[string]bool{}, notAmple: map[placementShape]int{}, slowWorkers: map[string]bool{}, poolWorkers: map[string]*poolWorkers{}, stopWeights: map[*group]stopWeight{},
+		unstored: newUnstored(), waves: map[int64]*wave{}, dirtyWaves: map[int64]*hfwork.Wave{}, missing: map[string]*missingWorker{}, unstable: map[string]time.Time{}, judge: hfsuspect.New(), onTrial: map[string]bool{}, proofsWanted: map[string]time.Time{}, trialWorkers: map[string]map[string]bool{}, suspectReserved: map[string]int{}, urgentWaits: map[string]bool{}, notAmple: map[placementShape]int{}, slowWorkers: map[string]bool{}, poolWorkers: map[string]*poolWorkers{}, stopWeights: map[*group]stopWeight{},
 	}
 	return s.WithOrder(DefaultOrder)
 }
@@ -271,11 +282,29 @@
 	stranded hfplacement.Resources // free where none of the waiting tasks fits
 	slow     int                   // workers known to be slow
 	delays   Delays
+
+	suspects, quarantined int // workers
+	trials, proofWaits    int // since the scheduler began
 }
 
 // Delays returns what the last pass put behind others.
 func (l Load) Delays() Delays { return l.delays }
 
+// Suspects returns the number of workers on which a task failed early, with no proof since that they are
+// sound.
+func (l Load) Suspects() int { return l.suspects }
+
+// Quarantined returns the number of workers that are quarantined.
+func (l Load) Quarantined() int { return l.quarantined }
+
+// Trials returns how many tasks this scheduler has placed on suspects, or on workers that had proved
+// nothing, to try these.
+func (l Load) Trials() int { return l.trials }
+
+// ProofWaits returns how often tasks with one attempt left have waited under this scheduler, as only
+// workers that may be bad had room.
+func (l Load) ProofWaits() int { return l.proofWaits }
+
 // Waiting returns the number of tasks without a worker for priority 0, 1, and 2 and
 // above.
 func (l Load) Waiting() [3]int { return l.waiting }
@@ -304,7 +333,7 @@
 
 // Load returns the current load.
 func (s *Scheduler) Load(now time.Time) Load {
-	l := Load{stranded: s.stranded(now), delays: s.delays}
+	l := Load{stranded: s.stranded(now), delays: s.delays, suspects: s.judge.Suspects(), trials: s.trials, proofWaits: s.proofWaits}
 	for _, g := range s.groups {
 		if g.job.queue == nil {
 			continue
@@ -325,6 +354,9 @@
 				l.stopping++
 			}
 		}
+		if now.Before(w.quarantinedUntil) {
+			l.quarantined++
+		}
 		if w.resources.Usable() {
 			l.free = l.free.Plus(w.resources.Free(), 1)
 			l.capacity = l.capacity.Plus(w.resources.Capacity(), 1)
