Hold calls until the next answer while a read before a write is silent

Cause: since probes wait as long as other calls, the store counts as down later. Until then each call waited 0.6 s for a read before its write, held calls once more for each try and beyond the end of their hold.

Change: a read that is silent for 0.6 s is recorded as silence, which counts as no failure; calls are then held until the next answer, also a late one, and probes are sent.

Result: TestCallsAreHeldInTimeWhileAReadIsSilent, which failed before, passes; a slow store is still not down.

--- a/hfentry/health.go
+++ b/hfentry/health.go
@@ -18,10 +18,11 @@
 type StoreHealth struct {
 	mu         sync.Mutex
 	failures   int           // consecutive
+	silent     bool          // a read before a write has no answer yet
 	nextProbe  time.Time     // while the store is down, no call is let through before this time
 	lastAnswer time.Time     // when the store last answered
 	upSince    time.Time     // when the store last answered after it had been down; zero if it never was
-	answered   chan struct{} // closed by the next answer; nil unless the last call failed
+	answered   chan struct{} // closed by the next answer; nil unless the last call failed or is silent
 	onChange   func(down bool, silent time.Duration)
 }
 
@@ -42,7 +43,7 @@
 		}
 		h.nextProbe = now.Add(probeInterval)
 	} else {
-		h.failures, h.lastAnswer = 0, now
+		h.failures, h.silent, h.lastAnswer = 0, false, now
 		if h.answered != nil {
 			close(h.answered)
 			h.answered = nil
@@ -58,6 +59,19 @@
 	}
 }
 
+// RecordSilence records that a call that was sent at the given time has no answer yet. It counts as no failure,
+// as the answer may be late, but calls that wait for the store are not sent before the next answer.
+func (h *StoreHealth) RecordSilence(sent time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.lastAnswer.Before(sent) {
+		return
+	}
+	if h.silent = true; h.answered == nil {
+		h.answered = make(chan struct{})
+	}
+}
+
 // Allow reports whether a call may be sent now.
 func (h *StoreHealth) Allow(now time.Time) bool {
 	h.mu.Lock()
@@ -79,11 +93,18 @@
 	return h.failures >= maxFailures
 }
 
-// Failing reports whether the last call got no answer.
+// Silent reports whether a call was silent and the store has not answered since.
+func (h *StoreHealth) Silent() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.silent
+}
+
+// Failing reports whether the last call failed, or has been silent, and the store has not answered since.
 func (h *StoreHealth) Failing() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.failures > 0
+	return h.answered != nil
 }
 
 // Answered returns a channel that is closed once the store answers.
--- a/hfentry/outage.go
+++ b/hfentry/outage.go
@@ -153,16 +153,18 @@
 // knock fails with ErrNotDone if the store does not answer at the moment. It asks the store only if that has
 // not answered for knockAfter, once for all that call it at the same time.
 func (n *Node) knock(ctx context.Context) error {
-	if n.health.Down() {
+	if n.health.Down() || n.health.Silent() {
 		return ErrNotDone // probeStore finds out when it answers
 	}
 	if time.Since(n.health.LastAnswer()) <= knockAfter {
 		return nil
 	}
+	sent := time.Now()
 	probe := n.probes.DoChan("", func() (any, error) { return nil, n.probe(ctx, storeTimeout) })
 	select {
 	case <-time.After(knockTimeout): // the store may be slow; its answer is still awaited
-		n.probes.Forget("") // or it was lost, and the next caller sends another
+		n.health.RecordSilence(sent)
+		n.probes.Forget("") // or it was lost, and the next one sends another
 		return ErrNotDone
 	case r := <-probe:
 		if r.Err != nil {
--- a/hfentry/outage_test.go
+++ b/hfentry/outage_test.go
@@ -285,7 +285,25 @@
 	require.Equal(t, int32(1), s.reads.Load(), "the store has just answered")
 }
 
-// Callers must not go on waiting for a shared read whose answer was lost.
+// While a read before a write is silent, callers wait for the next answer of the store: those that each waited for
+// a read of their own were held for longer than they were to be, and came back too late.
+func TestCallsAreHeldInTimeWhileAReadIsSilent(t *testing.T) {
+	s := &slowStore{fakeStore: newFakeStore(), delay: time.Minute}
+	s.lost.Store(true)
+	n := newTestNode("one")
+	n.store, n.settings, n.health = s, outageSettings{}, NewStoreHealth(func(bool, time.Duration) {})
+	require.ErrorIs(t, n.knock(t.Context()), ErrNotDone)
+	require.False(t, n.health.Down())
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	began := time.Now()
+	require.ErrorIs(t, submitOne(ctx, n), ErrNotDone)
+	require.Less(t, time.Since(began), 750*time.Millisecond, "of 650 ms")
+	require.True(t, n.health.Failing(), "it is probed")
+	require.Equal(t, int32(1), s.reads.Load())
+}
+
+// A shared read whose answer was lost must not keep callers from sending another.
 func TestReadThatWasLostIsSentAgain(t *testing.T) {
 	s := &slowStore{fakeStore: newFakeStore(), delay: time.Minute}
 	s.lost.Store(true)
@@ -294,6 +312,7 @@
 	for reads := range int32(2) {
 		require.ErrorIs(t, n.knock(t.Context()), ErrNotDone)
 		require.Equal(t, reads+1, s.reads.Load())
+		n.health.Record(nil, time.Now().Add(-2*knockAfter)) // another call was answered a while ago
 	}
 }
 
