Keep room for urgent work where stops are slow

Cause: on the new deployments a stop takes up to 900 ms. Urgent jobs (objective 1.5 times their work and 400 ms) that find no room wait for runs that are stopped for them, and are late unless they run for well over a second; what is stopped is thrown away.

Change: where a stop takes longer than the constant part of the objective of a pool's urgent queues, other work that ends leaves the peak of urgent work of the last ten seconds free: single tasks get what is beyond it, gangs wait while there is nothing beyond it. Lasting tasks and fillers are not counted, work that has had ample room for 1.8 s is placed, and what starves goes first as before. Where stops are fast nothing changes.

Ruled out: racks kept free for urgent work, which stay full of urgent work itself; stopping earlier, before urgent work comes.

TestUrgentGangsFindRoomBesideBacklogWhereStopsTakeLong: 0 of 20 urgent gangs were at work after 200 ms before, now at least 18, with at most 32 runs stopped for the 20; TestRoomIsNotKeptWhereStopsAreFast, TestRoomIsKeptOnlyForRecentUrgentWork.

--- a/hfplan/budget.go
+++ b/hfplan/budget.go
@@ -1,6 +1,7 @@
 package hfplan
 
 import (
+	"math"
 	"time"
 
 	"github.com/heatherfront/heatherfront/hfplacement"
@@ -47,11 +48,43 @@
 	all    usagePeaks // usage by all priorities
 }
 
-// budget limits how much of a pool may be used by gangs without checkpoints.
+// budget limits how much of a pool may be used by gangs without checkpoints, and by all less urgent work
+// where stops are slow.
 type budget struct {
 	capacity   hfplacement.Resources
 	remaining  float64 // share of the pool
 	idleMargin float64 // share by which recent usage is below idleThreshold; above 0, there is no limit
+
+	slowStops bool    // a stop takes longer than urgent work can wait, so that room must be free before it comes
+	room      float64 // share of the pool that less urgent work may still take beside the recent peak of urgent work
+}
+
+// keepBack returns how many of a number of waiting tasks get no worker, as room is kept for urgent work that
+// may come. A gang is kept back as a whole, or not at all while there is some room.
+func (b *budget) keepBack(g *group, waiting int) int {
+	share := g.size.DominantShare(b.capacity)
+	switch {
+	case !b.slowStops || !g.usesRoom() || share <= 0:
+		return 0
+	case b.room <= 0:
+		return waiting
+	case g.gang():
+		return 0
+	}
+	return max(0, waiting-int(math.Ceil(min(b.room, 1)/share)))
+}
+
+// use deducts tasks of a group that were placed.
+func (b *budget) use(g *group, tasks int) {
+	if g.usesRoom() {
+		b.room -= float64(tasks) * g.size.DominantShare(b.capacity)
+	}
+}
+
+// usesRoom reports whether a group takes room that urgent work would have to wait for. Lasting tasks and
+// fillers are stopped or paced down for any other work.
+func (g *group) usesRoom() bool {
+	return g.job.queue.GetPriority() > 0 && !g.spec.GetLasting() && !g.spec.GetFiller()
 }
 
 // take deducts a gang from the budget. It reports false and deducts nothing if the
@@ -74,13 +107,19 @@
 }
 
 // gangBudgets returns the budget of each pool. Capacity that priority 0 has used
-// recently is left to tasks that lose little work when they are preempted again.
+// recently is left to tasks that lose little work when they are preempted again, or kept free
+// where stops are slow.
 func (s *Scheduler) gangBudgets(now time.Time) map[string]*budget {
 	byPool := map[string]*budget{}
 	for _, q := range s.queues {
 		if byPool[q.GetPool()] == nil {
 			capacity, _ := s.resources.Total(q.GetPool())
-			byPool[q.GetPool()] = &budget{capacity: capacity, remaining: 1, idleMargin: idleThreshold}
+			byPool[q.GetPool()] = &budget{capacity: capacity, remaining: 1, idleMargin: idleThreshold, room: 1}
+		}
+	}
+	for _, q := range s.queues {
+		if q.GetPriority() == 0 && q.GetStretch() > 0 && s.timing.stop() > time.Duration(q.GetObjective())*time.Millisecond {
+			byPool[q.GetPool()].slowStops = true
 		}
 	}
 	urgent, used := map[string]float64{}, map[string]float64{}
@@ -92,6 +131,7 @@
 		b, share := byPool[q.GetPool()], g.size.DominantShare(byPool[q.GetPool()].capacity)
 		usedShare := float64(g.active) * share
 		used[q.GetPool()] += usedShare
+		b.use(g, g.active)
 		switch {
 		case q.GetPriority() == 0 && g.ready(now):
 			urgent[q.GetPool()] += usedShare + float64(g.waiting())*share
@@ -109,7 +149,9 @@
 		}
 		usage.urgent.record(urgent[pool], now)
 		usage.all.record(used[pool], now)
-		b.remaining -= usage.urgent.peak(len(usage.urgent.peaks))
+		peak := usage.urgent.peak(len(usage.urgent.peaks))
+		b.remaining -= peak
+		b.room -= peak
 		b.idleMargin -= usage.all.peak(idleSteps)
 	}
 	return byPool
--- a/hfplan/isolation.go
+++ b/hfplan/isolation.go
@@ -49,8 +49,13 @@
 	return t.suspect() && (sharedFrom.IsZero() || now.Before(sharedFrom))
 }
 
-// waitingShared returns the number of tasks that need a worker and may share it.
+// waitingShared returns the number of tasks that may get a worker now and may share it.
 func (g *group) waitingShared(now time.Time) int {
+	return max(0, g.waitingBesideOthers(now)-g.keptBack)
+}
+
+// waitingBesideOthers returns the number of tasks that need a worker and may share it.
+func (g *group) waitingBesideOthers(now time.Time) int {
 	if !g.crashed {
 		return g.waiting()
 	}
@@ -71,7 +76,7 @@
 
 // hasSuspects reports whether tasks need a worker that may not share it.
 func (g *group) hasSuspects(now time.Time) bool {
-	return g.crashed && g.waitingShared(now) < g.waiting()
+	return g.crashed && g.waitingBesideOthers(now) < g.waiting()
 }
 
 // isolate keeps other tasks off the worker of a run.
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -259,6 +259,12 @@
 			continue
 		}
 		budget, budgeted := budgets[g.job.queue.GetPool()], c.priority > 0 && g.uncheckpointedGang() && !g.goesFirst
+		g.keptBack = 0
+		if kept := budget.keepBack(g, g.waiting()); kept > 0 && !g.goesFirst && !s.waitsInVain(g, s.placementNeed(g, now), count, now) {
+			if g.keptBack = kept; kept == g.waiting() {
+				continue
+			}
+		}
 		if budgeted && !budget.take(g) {
 			if !s.waitsInVain(g, s.placementNeed(g, now), count, now) {
 				continue
@@ -266,7 +272,10 @@
 			budgeted = false
 		}
 		g.awaitingRack = false
-		if s.placeGroup(g, now) {
+		active := g.active
+		placed := s.placeGroup(g, now)
+		budget.use(g, g.active-active)
+		if placed || g.keptBack > 0 {
 			continue
 		}
 		preempted := s.preempt(g, now)
