--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -64,10 +64,11 @@
 	mirror       *hfloop.Guarded[*Mirror]
 	rejectedRows *hfloop.Guarded[*hfevent.Rejections] // parts of workers' reports, by worker and reason
 	health       *StoreHealth
-	recordWatch  prefixWatch        // watches our own records
-	policyWatch  prefixWatch        // watches what operators write
-	workerWatch  prefixWatch        // watches the workers' entries
-	policyReads  singleflight.Group // reads of the configuration beside its watch, one at a time
+	held         *hfloop.Guarded[*holdingRoom] // calls that wait for the store
+	recordWatch  prefixWatch                   // watches our own records
+	policyWatch  prefixWatch                   // watches what operators write
+	workerWatch  prefixWatch                   // watches the workers' entries
+	policyReads  singleflight.Group            // reads of the configuration beside its watch, one at a time
 	stopping     atomic.Bool
 	claiming     atomic.Bool                    // this instance tries to become the leader, or is the leader
 	leader       atomic.Pointer[hforder.Leader] // nil unless this instance is the leader
@@ -77,7 +78,8 @@
 	stopStarted  chan struct{}                  // closed when a planned stop begins
 	links        *hfpeer.Links
 	hints        chan hfstore.Item
-	peerAddress  string // at which the other instances reach this one; set before the goroutines start
+	endedJobs    chan string // jobs that may be shown as completed before that is stored
+	peerAddress  string      // at which the other instances reach this one; set before the goroutines start
 }
 
 // New returns a node that has not started.
@@ -91,13 +93,15 @@
 			}
 			log.Event(event, zap.Duration("silent", silent))
 		}),
+		held:         hfloop.NewGuarded(&holdingRoom{}),
 		rejectedRows: hfloop.NewGuarded(hfevent.NewRejections(maxKeyBytes + hfevent.MaxReasonBytes)),
 		leaderless:   make(chan struct{}, 1), stopStarted: make(chan struct{}),
-		links: hfpeer.NewLinks(s.Name(), uuid.NewString(), dialer, registry), hints: make(chan hfstore.Item, hintQueueSize),
+		links: hfpeer.NewLinks(s.Name(), uuid.NewString(), dialer, registry), hints: make(chan hfstore.Item, hintQueueSize), endedJobs: make(chan string, endedQueueSize),
 		followNow: make(chan struct{}, 1),
 	}
 	n.relay = hfrelay.New(store, n.links, n.otherInstances, func(direct bool, cause error) {
 		if direct {
+			n.health.Record(nil, time.Now()) // a probe was answered
 			log.Event(hfevent.StoreDirect)
 			return
 		}
@@ -124,6 +128,8 @@
 		func(ctx context.Context) { n.relay.Run(ctx, leadKey) },
 		n.keepPolicyFresh,
 		n.sendHints,
+		n.shareEnded,
+		n.probeStore,
 		n.announce,
 		n.campaign,
 	} {
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -93,14 +93,16 @@
 	resources        *hfplacement.Inventory
 	workers          map[string]*worker
 	jobs             map[string]*job
-	unloaded         map[string]*job             // jobs with occurrences that were never loaded
-	memory           *hfbudget.Budget            // of the loaded occurrences
-	oversized        *occurrence                 // the one that is loaded beside the budget, or nil
-	orphans          map[hfwork.TaskID]int       // number of orphans of each task, on all workers
-	groups           []*group                    // groups with open tasks, of jobs that are not final
-	recoveryDeadline time.Time                   // when the leases of an earlier scheduler have expired
-	recovered        bool                        // all runs of earlier schedulers are accounted for
-	usage            map[string]*poolUsage       // by pool
+	unloaded         map[string]*job       // jobs with occurrences that were never loaded
+	memory           *hfbudget.Budget      // of the loaded occurrences
+	oversized        *occurrence           // the one that is loaded beside the budget, or nil
+	orphans          map[hfwork.TaskID]int // number of orphans of each task, on all workers
+	groups           []*group              // groups with open tasks, of jobs that are not final
+	recoveryDeadline time.Time             // when the leases of an earlier scheduler have expired
+	recovered        bool                  // all runs of earlier schedulers are accounted for
+	usage            map[string]*poolUsage // by pool
+	suspension       suspension
+	unstored         unstored                    // ends that are not known to be stored
 	sequence         uint64                      // of the last StoreCmd
 	storedSequence   uint64                      // of the last StoreCmd that was stored
 	recordsInFlight  map[string]*hfwork.Progress // records of the StoreCmd in flight, nil if there is none
@@ -136,7 +138,7 @@
 		timing: timing, runNumberBase: max(term-1, 0) * runsPerTerm, policy: &hfwork.Policy{}, queues: map[string]*hfwork.Queue{},
 		resources: hfplacement.New(), workers: map[string]*worker{}, jobs: map[string]*job{}, unloaded: map[string]*job{}, memory: hfbudget.New(defaultMemory), orphans: map[hfwork.TaskID]int{},
 		recoveryDeadline: now.Add(timing.leaseExpiryDelay()), pendingAcks: map[*worker]int64{}, dirtyJobs: map[string]*job{}, usage: map[string]*poolUsage{},
-		waves: map[int64]*wave{}, dirtyWaves: map[int64]*hfwork.Wave{}, missing: map[string]*missingWorker{}, unstable: map[string]time.Time{}, suspectReserved: map[string]int{}, urgentWaits: map[string]bool{}, notAmple: map[placementShape]int{}, slowWorkers: map[string]bool{},
+		unstored: newUnstored(), waves: map[int64]*wave{}, dirtyWaves: map[int64]*hfwork.Wave{}, missing: map[string]*missingWorker{}, unstable: map[string]time.Time{}, suspectReserved: map[string]int{}, urgentWaits: map[string]bool{}, notAmple: map[placementShape]int{}, slowWorkers: map[string]bool{},
 	}
 }
 
@@ -183,8 +185,16 @@
 		s.handleAdvice(m, now)
 	case TickMsg:
 		s.tick(now)
+	case SuspendMsg:
+		s.suspend(m)
+	case ResumeMsg:
+		s.resume(m)
 	case PassMsg:
-		s.pass(now)
+		if s.suspension.suspended {
+			s.flush()
+		} else {
+			s.pass(now)
+		}
 	}
 	cmds := s.cmds
 	s.cmds = nil
