--- a/hfstand/platform_worker.go
+++ b/hfstand/platform_worker.go
@@ -171,6 +171,7 @@
 	highestRun    map[string]int64 // by task; starts up to this run number are refused
 	wake          chan struct{}    // closed and replaced when a run ends
 	dropOrders    bool             // the connection of each order is dropped
+	failsRuns     bool             // each run fails soon after it has begun to work
 	accelerators  int64            // now; they may shrink below what is in use
 	shrunk        []shrink
 	process       chan struct{} // closed and replaced when the process ends, by a crash or a restart
@@ -402,6 +403,16 @@
 	w.late = f
 }
 
+// FailRuns sets whether each run that begins to work from now on fails soon after, whatever its task.
+func (w *PlatformWorker) FailRuns(fails bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failsRuns = fails
+}
+
+// earlyFailure is the time until a run fails on a worker that fails all its runs.
+const earlyFailure = 50 * time.Millisecond
+
 // SetRefusals sets which orders are refused.
 func (w *PlatformWorker) SetRefusals(f Refusals) {
 	w.mu.Lock()
@@ -610,7 +621,10 @@
 	}
 	active.working = true
 	runTime, outcome := active.profile.RunTime, "done"
-	if active.profile.Fails {
+	switch {
+	case w.failsRuns:
+		runTime, outcome = earlyFailure, "failed"
+	case active.profile.Fails:
 		runTime, outcome = runTime/2, "failed"
 	}
 	time.AfterFunc(runTime, func() {
