Bound what uncontrolled clients' unfinished requests take

Cause: nothing bounded what unfinished requests hold together. In serve bodies were bounded one at a time. Connections were bounded by the descriptors only, idle ones stayed for a minute or two, and answers that nobody read for ever.

hfintake keeps a listener within limits that follow from the process's memory and descriptors: memory for bodies is reserved before it is read, in blocks as they come; heads, bodies and answers have deadlines, bodies with a least rate; connections are bounded. When there is no room the stalled go before the moving, those of a source that has most before others, the large before the small; small bodies keep a quarter; a body alone is always served.

A refused body never reaches Submit or the dispatcher: 503, in serve with the outcome that an instance that is not ready gives. The id of a request is checked before its body now, as the refusal depends on it.

--- a/hfapi/job.go
+++ b/hfapi/job.go
@@ -1,10 +1,10 @@
 package hfapi
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/heatherfront/heatherfront/hfconfig"
+	"github.com/heatherfront/heatherfront/hfintake"
 	"github.com/heatherfront/heatherfront/hfrequest"
 	"github.com/heatherfront/heatherfront/hfwire"
 )
@@ -61,7 +62,15 @@
 
 func readJob(c echo.Context) (JobRequest, error) {
 	var request JobRequest
-	decoder := json.NewDecoder(io.LimitReader(c.Request().Body, maxJobBytes))
+	// The body is read whole first, so that its caller keeps an answer that is under way.
+	body, err := readBody(c, maxJobBytes)
+	if errors.Is(err, hfintake.ErrFull) || errors.Is(err, hfintake.ErrSlow) {
+		return request, outcomeProblem(http.StatusServiceUnavailable, hfrequest.OutcomeNotRun, err.Error())
+	}
+	if err != nil {
+		return request, fmt.Errorf("job: %w", err)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&request); err != nil {
 		return request, outcomeProblem(http.StatusBadRequest, hfrequest.OutcomeNotRun, "job: "+err.Error())
--- a/hfapi/problem.go
+++ b/hfapi/problem.go
@@ -7,6 +7,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/heatherfront/heatherfront/hfconfig"
+	"github.com/heatherfront/heatherfront/hfintake"
 	"github.com/heatherfront/heatherfront/hfrequest"
 )
 
@@ -36,7 +37,7 @@
 		return problem(http.StatusConflict, err.Error())
 	case errors.Is(err, hfconfig.ErrNotFound), errors.Is(err, ErrNotFound):
 		return problem(http.StatusNotFound, err.Error())
-	case errors.Is(err, hfconfig.ErrStaleStore), errors.Is(err, ErrNotRun):
+	case errors.Is(err, hfconfig.ErrStaleStore), errors.Is(err, ErrNotRun), errors.Is(err, hfintake.ErrFull), errors.Is(err, hfintake.ErrSlow):
 		return outcomeProblem(http.StatusServiceUnavailable, hfrequest.OutcomeNotRun, err.Error())
 	default:
 		return outcomeProblem(http.StatusGatewayTimeout, hfrequest.OutcomeUnknown, err.Error())
--- a/hfapi/request.go
+++ b/hfapi/request.go
@@ -1,6 +1,7 @@
 package hfapi
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +13,7 @@
 
 	"github.com/heatherfront/heatherfront/hfaccount"
 	"github.com/heatherfront/heatherfront/hfconfig"
+	"github.com/heatherfront/heatherfront/hfintake"
 	"github.com/heatherfront/heatherfront/hfreport"
 	"github.com/heatherfront/heatherfront/hfrequest"
 )
@@ -31,15 +33,18 @@
 	if !ok || work.Type != hfconfig.TypeRequest {
 		return outcomeProblem(http.StatusNotFound, hfrequest.OutcomeNotRun, "no kind of request "+name+" for this account")
 	}
-	body, err := a.readBody(c)
+	timeout, err := requestTimeout(c, work)
 	if err != nil {
 		return fmt.Errorf("request: %w", err)
 	}
-	timeout, err := requestTimeout(c, work)
+	id, claim, err := requestID(c, work)
 	if err != nil {
 		return fmt.Errorf("request: %w", err)
 	}
-	id, claim, err := requestID(c, work)
+	body, err := readBody(c, a.maxBody)
+	if errors.Is(err, hfintake.ErrFull) || errors.Is(err, hfintake.ErrSlow) {
+		return notReadyProblem(claim, err.Error())
+	}
 	if err != nil {
 		return fmt.Errorf("request: %w", err)
 	}
@@ -87,15 +92,19 @@
 	return live
 }
 
-// readBody reads the request body, up to the size limit.
-func (a *API) readBody(c echo.Context) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(c.Request().Body, a.maxBody+1))
+// readBody reads the request body of at most limit bytes. It fails with hfintake.ErrFull or ErrSlow if
+// there is no memory for it or it comes too slowly.
+func readBody(c echo.Context, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(c.Request().Body, limit+1))
+	if errors.Is(err, hfintake.ErrFull) || errors.Is(err, hfintake.ErrSlow) {
+		return nil, fmt.Errorf("read body: %w", err)
+	}
 	if err != nil {
 		return nil, outcomeProblem(http.StatusBadRequest, hfrequest.OutcomeNotRun, "the body broke off: "+err.Error())
 	}
-	if int64(len(body)) > a.maxBody {
+	if int64(len(body)) > limit {
 		return nil, outcomeProblem(http.StatusRequestEntityTooLarge, hfrequest.OutcomeNotRun,
-			"the body is larger than "+strconv.FormatInt(a.maxBody, 10)+" bytes")
+			"the body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
 	}
 	return body, nil
 }
--- a/hfapi/server.go
+++ b/hfapi/server.go
@@ -12,13 +12,12 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/heatherfront/heatherfront/hfaccount"
+	"github.com/heatherfront/heatherfront/hfintake"
 )
 
 const (
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 32 << 10
-	identityKey       = "identity"
+	idleTimeout = 2 * time.Minute
+	identityKey = "identity"
 )
 
 // API serves the HTTP API.
@@ -31,12 +30,10 @@
 }
 
 // New returns the API of a backend. operatorHash is the hash of the operator's secret
-// from the settings, or ""; maxBody bounds request bodies in bytes.
-func New(backend Backend, dispatcher Dispatcher, operatorHash string, maxBody int64) *API {
+// from the settings, or ""; maxBody bounds request bodies in bytes, and intake what all of them take.
+func New(backend Backend, dispatcher Dispatcher, operatorHash string, maxBody int64, intake *hfintake.Intake) *API {
 	a := &API{backend: backend, dispatcher: dispatcher, operatorHash: operatorHash, maxBody: maxBody}
-	a.server = &http.Server{
-		Handler: a.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	a.server = intake.Server(a.Handler(), idleTimeout)
 	return a
 }
 
--- a/hfevent/catalogue.go
+++ b/hfevent/catalogue.go
@@ -11,6 +11,7 @@
 	StopForced        = Event{103, "stop-forced", zapcore.WarnLevel, "Requests were still running at the stop deadline."}
 	InvariantViolated = Event{104, "invariant-lost", zapcore.ErrorLevel, "A decision violated an invariant; report it with the fields."}
 	CallPanicked      = Event{105, "call-panicked", zapcore.ErrorLevel, "A call or a decision failed in an unexpected way; only the call, or this instance's leadership, ended. Report it with the fields."}
+	ClientsRefused    = Event{106, "clients-refused", zapcore.WarnLevel, "Clients were refused or let go because of what they held or how slow they were; the fields count them by reason since the last line, at most one every 10 s for a listener."}
 
 	PeerUp         = Event{200, "peer-up", zapcore.InfoLevel, "Another instance was heard under a new incarnation."}
 	PeerSuspect    = Event{201, "peer-suspect", zapcore.WarnLevel, "An instance was not heard for the suspicion time; its work moves to other instances."}
@@ -91,7 +92,7 @@
 // Catalogue returns every event.
 func Catalogue() []Event {
 	return []Event{
-		Started, Stopping, Stopped, StopForced, InvariantViolated, CallPanicked,
+		Started, Stopping, Stopped, StopForced, InvariantViolated, CallPanicked, ClientsRefused,
 		PeerUp, PeerSuspect, PeerGone, ListFailed, MessageUnknown, SelfPaused, MemberRejected,
 		ConfigApplied, ConfigRejected, StoreReverted, StoreDown, StoreUp, ConfigAccepted, StoreRelayed, StoreDirect,
 		MergeStep, MergeDone, MergeFailed,
--- /dev/null
+++ b/hfintake/body.go
@@ -0,0 +1,116 @@
+package hfintake
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+)
+
+// Handler returns a handler whose request bodies are admitted as they come and have deadlines. Requests that
+// do not come through a listener of Listen are passed on as they are.
+func (i *Intake) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, _ := r.Context().Value(connKey{}).(*conn)
+		if c == nil || r.Body == nil || r.ContentLength == 0 {
+			next.ServeHTTP(w, r)
+			return
+		}
+		b := &body{ReadCloser: r.Body, conn: c, declared: r.ContentLength, control: http.NewResponseController(w)}
+		i.with(func(t *table, now time.Time) {
+			t.enter(c.id, phaseBody, now)
+			b.start = now
+		})
+		b.extend()
+		defer b.finish()
+		// The server keeps its own body in r, by which it decides what to do with the rest.
+		r = r.WithContext(r.Context())
+		r.Body = b
+		next.ServeHTTP(w, r)
+	})
+}
+
+// body is the body of a request.
+type body struct {
+	io.ReadCloser
+	conn     *conn
+	control  *http.ResponseController
+	declared int64     // length, or -1 if it is not known
+	start    time.Time // when the head was whole
+	received int64
+	reserved int64
+	whole    bool
+	err      error // of a reader that must not read on
+}
+
+// Read implements io.Reader. Memory is reserved before bytes are read into it.
+func (b *body) Read(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
+	if b.received == b.reserved && !b.whole && len(p) > 0 {
+		n := int64(blockBytes)
+		if b.declared >= 0 {
+			n = min(n, b.declared-b.received)
+		}
+		if n > 0 && !b.conn.intake.reserve(b.conn, n) {
+			b.err = ErrFull
+			return 0, b.err
+		}
+		b.reserved += n
+		b.extend()
+	}
+	if room := b.reserved - b.received; room > 0 && int64(len(p)) > room {
+		p = p[:room]
+	}
+	n, err := b.ReadCloser.Read(p)
+	b.received += int64(n)
+	b.conn.intake.with(func(t *table, _ time.Time) {
+		if s := t.clients[b.conn.id]; s != nil {
+			s.received = b.received
+		}
+	})
+	switch {
+	case errors.Is(err, io.EOF), b.received == b.declared:
+		b.complete()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		b.conn.intake.mu.Lock()
+		b.conn.intake.refuse(ReasonSlow, time.Now())
+		b.conn.intake.mu.Unlock()
+		b.err = fmt.Errorf("%w: %w", ErrSlow, err)
+		return n, b.err
+	}
+	return n, err //nolint:wrapcheck // readers compare it with io.EOF
+}
+
+// extend sets the deadline of the body by what has been received.
+func (b *body) extend() {
+	deadline := b.start.Add(bodyTimeout + time.Duration(b.received)*time.Second/minRate)
+	_ = b.control.SetReadDeadline(deadline) // fails only for a closed connection
+}
+
+// complete ends the deadline, which must not end the handler.
+func (b *body) complete() {
+	if b.whole {
+		return
+	}
+	b.whole = true
+	_ = b.control.SetReadDeadline(time.Time{})
+	b.conn.intake.with(func(t *table, now time.Time) { t.enter(b.conn.id, phaseAnswer, now) })
+}
+
+// finish frees what the body holds, and waits a little for the rest of one that was not read.
+func (b *body) finish() {
+	if !b.whole {
+		_ = b.control.SetReadDeadline(time.Now().Add(drainTimeout))
+	}
+	b.conn.intake.with(func(t *table, now time.Time) {
+		t.release(b.conn.id)
+		if !b.whole {
+			t.enter(b.conn.id, phaseDrain, now)
+		}
+		b.conn.intake.updateGauges()
+	})
+}
--- /dev/null
+++ b/hfintake/intake.go
@@ -0,0 +1,179 @@
+// Package hfintake bounds what the unfinished requests of uncontrolled clients take of a process: memory,
+// connections and time (docs/design/uncontrolled-clients.md). It admits a byte of a body before it is kept,
+// and lets the stalled clients go when there is no room.
+package hfintake
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
+)
+
+// Why a client was refused or let go.
+const (
+	ReasonConnections = "connections" // a new connection, as there were too many
+	ReasonLetGo       = "let-go"      // a stalled or idle client, to make room
+	ReasonMemory      = "memory"      // a body, as those in progress take too much memory
+	ReasonHead        = "head"        // a head of too many lines
+	ReasonSlow        = "slow"        // a body that came too slowly
+)
+
+var (
+	// ErrFull is returned by the body of a request for which there is no memory. The request has not run.
+	ErrFull = eris.New("too many request bodies at once")
+	// ErrSlow is returned by the body of a request that came too slowly.
+	ErrSlow = eris.New("the body came too slowly")
+
+	errHead = eris.New("the head has too many lines")
+)
+
+// Reporter is told how many clients were refused since the last report, by reason.
+type Reporter func(refused map[string]int64)
+
+// Intake keeps one listener within its limits.
+type Intake struct {
+	mu       sync.Mutex
+	table    *table
+	conns    map[uint64]*conn
+	refused  map[string]int64 // by reason, since the last report
+	reportAt time.Time        // no report before
+
+	name     string // of the listener, in the metrics
+	sealed   bool   // the bytes of connections are encrypted
+	report   Reporter
+	registry metrics.Registry
+}
+
+// New returns the Intake of a listener with a name. sealed is set for one under TLS. registry counts what is
+// refused.
+func New(name string, l Limits, sealed bool, report Reporter, registry metrics.Registry) *Intake {
+	return &Intake{
+		table: newTable(l), conns: map[uint64]*conn{}, refused: map[string]int64{}, name: name, sealed: sealed,
+		report: report, registry: registry,
+	}
+}
+
+// Listen opens a listener that keeps to the limits. Its connections receive little before they are read.
+func (i *Intake) Listen(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		// Without this option there is only more memory in use.
+		return raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBytes) })
+	}}
+	ln, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("intake: %w", err)
+	}
+	return &listener{Listener: ln, intake: i}, nil
+}
+
+// Server returns a server for a listener of Listen.
+func (i *Intake) Server(handler http.Handler, idleTimeout time.Duration) *http.Server {
+	return &http.Server{
+		Handler: i.Handler(handler), ReadHeaderTimeout: HeadTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: MaxHeadBytes,
+		ConnState: i.connState,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, connOf(c))
+		},
+	}
+}
+
+type connKey struct{}
+
+// connOf returns the connection of this package in or below c, or nil.
+func connOf(c net.Conn) *conn {
+	for {
+		switch layer := c.(type) {
+		case *conn:
+			return layer
+		case interface{ NetConn() net.Conn }:
+			c = layer.NetConn()
+		default:
+			return nil
+		}
+	}
+}
+
+func (i *Intake) connState(raw net.Conn, state http.ConnState) {
+	c := connOf(raw)
+	if c == nil {
+		return
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	switch state {
+	case http.StateActive:
+		i.table.enter(c.id, phaseAnswer, time.Now())
+	case http.StateIdle:
+		i.table.release(c.id)
+		i.table.enter(c.id, phaseIdle, time.Now())
+		c.head = headScanner{}
+	}
+}
+
+// refuse counts a refusal and reports the refusals, at most once per reportInterval. The caller holds mu.
+func (i *Intake) refuse(reason string, now time.Time) {
+	metrics.GetOrRegisterCounter("intake."+i.name+".refused."+reason, i.registry).Inc(1)
+	i.refused[reason]++
+	if now.Before(i.reportAt) {
+		return
+	}
+	i.reportAt = now.Add(reportInterval)
+	i.report(maps.Clone(i.refused))
+	clear(i.refused)
+}
+
+// drop forgets clients and returns their connections, which the caller closes without mu.
+func (i *Intake) drop(victims []uint64, now time.Time) []*conn {
+	var dropped []*conn
+	for _, id := range victims {
+		i.refuse(ReasonLetGo, now)
+		if c := i.conns[id]; c != nil {
+			dropped = append(dropped, c)
+			delete(i.conns, id)
+		}
+	}
+	return dropped
+}
+
+// updateGauges shows the connections and the bytes in use. The caller holds mu.
+func (i *Intake) updateGauges() {
+	metrics.GetOrRegisterGauge("intake."+i.name+".connections", i.registry).Update(int64(len(i.table.clients)))
+	metrics.GetOrRegisterGauge("intake."+i.name+".bytes", i.registry).Update(i.table.held)
+}
+
+// reserve reserves n bytes for the body of a connection.
+func (i *Intake) reserve(c *conn, n int64) bool {
+	i.mu.Lock()
+	now := time.Now()
+	victims, ok := i.table.reserve(c.id, n, now)
+	if !ok {
+		i.refuse(ReasonMemory, now)
+	}
+	dropped := i.drop(victims, now)
+	i.updateGauges()
+	i.mu.Unlock()
+	closeAll(dropped)
+	return ok
+}
+
+func closeAll(conns []*conn) {
+	for _, c := range conns {
+		_ = c.Conn.Close()
+	}
+}
+
+// with calls f with the table.
+func (i *Intake) with(f func(t *table, now time.Time)) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	f(i.table, time.Now())
+}
--- /dev/null
+++ b/hfintake/limits.go
@@ -0,0 +1,99 @@
+package hfintake
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// What unfinished requests may take. Calls inside the limits of the pages meet none of these figures: their
+// bodies have a few kilobytes, arrive at once, and their answers are read.
+const (
+	MaxHeadBytes = 16 << 10 // of a head; the library reads 4 KiB more before it refuses one
+	MaxHeadLines = 128      // of a head, with the empty lines before it
+
+	// HeadTimeout is how long a head may take from its first byte, and a new connection until then.
+	HeadTimeout = 5 * time.Second
+	// bodyTimeout and minRate bound a body: it may take bodyTimeout and a second for each minRate bytes.
+	bodyTimeout = 10 * time.Second
+	minRate     = 8 << 10 // bytes a second
+	// answerTimeout is how long a caller may take to read writePart bytes of an answer.
+	answerTimeout = 30 * time.Second
+	writePart     = 64 << 10 // bytes
+	// drainTimeout is how long the rest of a body that nobody reads is awaited after the answer.
+	drainTimeout = time.Second
+	// stallTime is the pause after which a client counts as stalled. It matters only when there is no room.
+	stallTime = time.Second
+
+	blockBytes = 4 << 10  // by which the reservation of a body grows
+	smallBody  = 16 << 10 // bytes; four times a job of the largest spec
+	// largeShare is the part of the memory for bodies, as a fraction, that bodies above smallBody may take.
+	largeShareOf, largeShareBy = 3, 4
+	// sourceShare is the part of the connections, as a divisor, above which a source gives way to others.
+	sourceShare = 2
+
+	// receiveBytes is the receive buffer of a connection. The kernel holds it beside the process.
+	receiveBytes = 32 << 10
+	// connBytes is what a connection takes: receive buffer, head, and 32 KiB for stacks and buffers.
+	connBytes = receiveBytes + MaxHeadBytes + 32<<10
+	// sealedConnBytes is the same under TLS, where lines are not counted as they come: the library takes
+	// about 100 bytes for each of 5,000 short lines.
+	sealedConnBytes = 512 << 10
+	// connShare is the part of the memory, as a divisor, that connections may take.
+	connShare = 4
+	// descriptorShare is the part of the descriptors, as a divisor, that connections may take. The others
+	// are for what the instance itself opens.
+	descriptorShare = 2
+
+	reportInterval = 10 * time.Second // between two reports of what was refused
+)
+
+// Limits are the limits of one listener.
+type Limits struct {
+	bodies int64 // bytes of the bodies in progress together
+	conns  int
+}
+
+// NewLimits returns the limits of the callers' listener in a process that may take memory bytes and open a
+// number of descriptors. bodyShare is the part of the memory, as a divisor, that bodies may take.
+func NewLimits(memory, bodyShare, descriptors int64, sealed bool) Limits {
+	cost := int64(connBytes)
+	if sealed {
+		cost = sealedConnBytes
+	}
+	conns := min(memory/connShare/cost, descriptors/descriptorShare)
+	return Limits{bodies: memory / bodyShare, conns: int(max(conns, 1))}
+}
+
+// WithConns returns the limits with another number of connections.
+func (l Limits) WithConns(conns int) Limits {
+	l.conns = conns
+	return l
+}
+
+// Conns returns the number of connections at once.
+func (l Limits) Conns() int { return l.conns }
+
+// Descriptors returns how many descriptors this process may open.
+func Descriptors() int64 {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > maxDescriptors {
+		return maxDescriptors
+	}
+	return int64(limit.Cur)
+}
+
+// maxDescriptors is assumed where the number is not limited.
+const maxDescriptors = 1 << 20
+
+// MachineMemory returns the memory of the machine in bytes, or defaultMemory if it is not known.
+func MachineMemory() int64 {
+	var info unix.Sysinfo_t
+	if err := unix.Sysinfo(&info); err != nil {
+		return DefaultMemory
+	}
+	return int64(info.Totalram) * int64(info.Unit)
+}
+
+// DefaultMemory is assumed where the memory is not known: that of a node for control.
+const DefaultMemory = 128 << 20
--- /dev/null
+++ b/hfintake/table.go
@@ -0,0 +1,210 @@
+package hfintake
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// phase is what a connection is busy with.
+type phase int
+
+const (
+	phaseIdle   phase = iota // no byte of a request has come
+	phaseHead                // a head is under way
+	phaseBody                // a body is under way
+	phaseAnswer              // the request is whole, or has no body
+	phaseDrain               // the request was answered before its body was whole
+)
+
+// client is what is known of a connection.
+type client struct {
+	id       uint64
+	source   string // address without the port
+	phase    phase
+	writing  bool      // a part of an answer is being written
+	since    time.Time // when the phase began
+	progress time.Time // when a byte was last read or written
+	received int64     // bytes of the body
+	held     int64     // bytes reserved for the body and the answer
+}
+
+// stalled reports whether a client keeps the instance waiting.
+func (c *client) stalled(now time.Time) bool {
+	paused := now.Sub(c.progress) > stallTime
+	switch c.phase {
+	case phaseHead, phaseDrain:
+		return paused || now.Sub(c.since) > stallTime
+	case phaseBody:
+		due := c.since.Add(stallTime + time.Duration(c.received)*time.Second/minRate)
+		return paused || now.After(due)
+	case phaseAnswer:
+		return c.writing && paused
+	}
+	return false
+}
+
+// table decides which clients are served and which are let go. It is not safe for concurrent use.
+type table struct {
+	limits  Limits
+	clients map[uint64]*client
+	sources map[string]int // connections by source; the sum is len(clients)
+	held    int64          // sum of what the clients hold
+	lastID  uint64
+}
+
+func newTable(l Limits) *table {
+	return &table{limits: l, clients: map[uint64]*client{}, sources: map[string]int{}}
+}
+
+// open adds a connection. If there is no room, it lets another one go, or returns false.
+func (t *table) open(source string, now time.Time) (id uint64, victims []uint64, ok bool) {
+	if len(t.clients) >= t.limits.conns {
+		v := t.victim(now, func(c *client) bool {
+			return c.stalled(now) || c.phase == phaseIdle && now.Sub(c.progress) > stallTime || t.heavy(c.source) && c.source != source && c.moving()
+		})
+		if v == nil {
+			return 0, nil, false
+		}
+		t.remove(v.id)
+		victims = append(victims, v.id)
+	}
+	t.lastID++
+	t.clients[t.lastID] = &client{id: t.lastID, source: source, since: now, progress: now}
+	t.sources[source]++
+	return t.lastID, victims, true
+}
+
+// heavy reports whether a source has more than its share of the connections.
+func (t *table) heavy(source string) bool { return t.sources[source] > t.limits.conns/sourceShare }
+
+// moving reports whether a client's request is not whole yet, or not begun.
+func (c *client) moving() bool { return c.phase != phaseAnswer }
+
+// victim returns the client to let go first among those that may be let go, or nil: the stalled before the
+// moving, those of a heavy source before others, the large before the small, the silent before the recent.
+func (t *table) victim(now time.Time, may func(*client) bool) *client {
+	var first *client
+	for _, c := range t.clients {
+		if may(c) && (first == nil || t.compare(c, first, now) < 0) {
+			first = c
+		}
+	}
+	return first
+}
+
+func (t *table) compare(a, b *client, now time.Time) int {
+	return cmp.Or(
+		-compareBool(a.stalled(now), b.stalled(now)), -compareBool(t.heavy(a.source), t.heavy(b.source)),
+		-cmp.Compare(a.held, b.held), a.progress.Compare(b.progress), cmp.Compare(a.id, b.id),
+	)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+// reserve adds n bytes to what a client holds. If there is no room, it lets stalled clients go, for a small
+// body also large ones that still move, or returns false.
+func (t *table) reserve(id uint64, n int64, now time.Time) (victims []uint64, ok bool) {
+	c := t.clients[id]
+	if c == nil {
+		return nil, false
+	}
+	small := c.held+n <= smallBody
+	limit := t.limits.bodies
+	if !small {
+		limit = limit / largeShareBy * largeShareOf
+	}
+	for t.held+n > limit && t.held > c.held { // a large one alone is served
+		v := t.victim(now, func(o *client) bool {
+			return o != c && o.held > 0 && (o.stalled(now) || small && o.phase == phaseBody && o.held > smallBody)
+		})
+		if v == nil {
+			return victims, false
+		}
+		t.remove(v.id)
+		victims = append(victims, v.id)
+	}
+	c.held += n
+	t.held += n
+	return victims, true
+}
+
+// answer adds n bytes of an answer to what a client holds. They are held whether or not there is room, and
+// stalled clients are let go for them.
+func (t *table) answer(id uint64, n int64, now time.Time) (victims []uint64) {
+	c := t.clients[id]
+	if c == nil {
+		return nil
+	}
+	c.held += n
+	t.held += n
+	for t.held > t.limits.bodies {
+		v := t.victim(now, func(o *client) bool { return o != c && o.held > 0 && o.stalled(now) })
+		if v == nil {
+			break
+		}
+		t.remove(v.id)
+		victims = append(victims, v.id)
+	}
+	return victims
+}
+
+// release frees what a client holds.
+func (t *table) release(id uint64) {
+	if c := t.clients[id]; c != nil {
+		t.held -= c.held
+		c.held, c.received = 0, 0
+	}
+}
+
+// enter begins a phase of a client.
+func (t *table) enter(id uint64, p phase, now time.Time) {
+	if c := t.clients[id]; c != nil && c.phase != p {
+		c.phase, c.since, c.progress = p, now, now
+	}
+}
+
+func (t *table) remove(id uint64) {
+	c := t.clients[id]
+	if c == nil {
+		return
+	}
+	t.release(id)
+	delete(t.clients, id)
+	if t.sources[c.source]--; t.sources[c.source] == 0 {
+		delete(t.sources, c.source)
+	}
+}
+
+// Check returns the first broken invariant.
+func (t *table) Check() error {
+	var held int64
+	sources := map[string]int{}
+	for _, id := range slices.Sorted(maps.Keys(t.clients)) {
+		c := t.clients[id]
+		held += c.held
+		sources[c.source]++
+		if c.held < 0 {
+			return fmt.Errorf("client %d holds %d bytes", id, c.held)
+		}
+	}
+	switch {
+	case held != t.held:
+		return fmt.Errorf("clients hold %d bytes, counted are %d", held, t.held)
+	case len(t.clients) > t.limits.conns:
+		return fmt.Errorf("%d connections of %d", len(t.clients), t.limits.conns)
+	case len(sources) != len(t.sources):
+		return fmt.Errorf("%d sources, counted are %d", len(sources), len(t.sources))
+	}
+	return nil
+}
--- a/hfserve/node.go
+++ b/hfserve/node.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -14,6 +15,7 @@
 
 	"github.com/heatherfront/heatherfront/hfapi"
 	"github.com/heatherfront/heatherfront/hfevent"
+	"github.com/heatherfront/heatherfront/hfintake"
 	"github.com/heatherfront/heatherfront/hfkey"
 	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hfsettings"
@@ -27,6 +29,10 @@
 	// load balancer and the other instances can notice the stop. It is limited to a
 	// third of the stop timeout in the settings.
 	drainTime = 2 * time.Second
+	// bodyMemoryShare is the part of the memory, as a divisor, that callers' bodies may take. The answers take
+	// as much again.
+	bodyMemoryShare  = 8
+	heapLimitPercent = 80 // of --memory; above it the garbage collector works harder
 )
 
 // Node is a Server with its listeners and HTTP API.
@@ -52,10 +58,19 @@
 		}
 		dialer = keys.Dialer(bound)
 	}
-	public, err := net.Listen("tcp", s.Listen())
+	registry := metrics.NewRegistry()
+	log := hfevent.New(logger, registry)
+	limits := hfintake.NewLimits(s.Memory(), bodyMemoryShare, hfintake.Descriptors(), keys != nil)
+	intake := hfintake.New("callers", limits, keys != nil, func(refused map[string]int64) {
+		log.Event(hfevent.ClientsRefused, zap.Any("refused", refused))
+	}, registry)
+	public, err := intake.Listen(context.Background(), s.Listen())
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
 	}
+	if s.MemoryLimited() {
+		debug.SetMemoryLimit(s.Memory() / 100 * heapLimitPercent)
+	}
 	peer, err := net.Listen("tcp", s.Peer())
 	if err != nil {
 		_ = public.Close()
@@ -68,10 +83,10 @@
 	counting := &countingDialer{dialer: bound, registry: metrics.NewRegistry()}
 	transport := &http.Transport{DialContext: counting.DialContext, MaxIdleConnsPerHost: maxIdlePlatformConns, IdleConnTimeout: time.Minute}
 	platform := &http.Client{Transport: transport}
-	server := New(s, logger, hfstore.New(s.StoreURL(), platform, storeTimeout), platform, dialer)
+	server := New(s, log, registry, hfstore.New(s.StoreURL(), platform, storeTimeout), platform, dialer)
 	counting.registerCounters(server.Registry())
 	return &Node{
-		server: server, api: hfapi.New(server, server.Dispatcher(), s.OperatorHash(), s.MaxBody()),
+		server: server, api: hfapi.New(server, server.Dispatcher(), s.OperatorHash(), s.MaxBody(), intake),
 		public: public, peer: peer, stopTimeout: s.StopTimeout,
 	}, nil
 }
--- a/hfserve/server.go
+++ b/hfserve/server.go
@@ -72,12 +72,11 @@
 
 // New returns an instance that has not been started. platform is the client for the
 // membership list, the workers and the endpoints' health checks.
-func New(s *hfsettings.Settings, logger *zap.Logger, store hfstore.Store, platform *http.Client, dialer Dialer) *Server {
-	registry := metrics.NewRegistry()
+func New(s *hfsettings.Settings, log *hfevent.Log, registry metrics.Registry, store hfstore.Store, platform *http.Client, dialer Dialer) *Server {
 	now := time.Now()
 	incarnation := uuid.NewString()
 	srv := &Server{
-		settings: s, log: hfevent.New(logger, registry), registry: registry, incarnation: incarnation,
+		settings: s, log: log, registry: registry, incarnation: incarnation,
 		store:        hfstore.NewBudget(store, registry),
 		platform:     platform,
 		links:        hfpeer.NewLinks(s.Name(), incarnation, dialer, registry),
--- a/hfsettings/access.go
+++ b/hfsettings/access.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/heatherfront/heatherfront/hfintake"
 )
 
 // Name returns the instance's name.
@@ -79,6 +81,17 @@
 // MaxBody returns the maximum size of the body of a request or answer in bytes.
 func (s *Settings) MaxBody() int64 { return s.maxBodyBytes }
 
+// Memory returns the memory that this process may take in bytes.
+func (s *Settings) Memory() int64 {
+	if s.memoryMB == 0 {
+		return hfintake.MachineMemory()
+	}
+	return s.memoryMB << 20
+}
+
+// MemoryLimited reports whether the memory is less than that of the machine.
+func (s *Settings) MemoryLimited() bool { return s.memoryMB > 0 }
+
 // MaxQueued returns the maximum number of requests that wait in this instance.
 func (s *Settings) MaxQueued() int { return s.maxQueued }
 
--- a/hfsettings/settings.go
+++ b/hfsettings/settings.go
@@ -44,6 +44,7 @@
 	retention         *time.Duration
 	maxBodyBytes      int64
 	maxQueued         int
+	memoryMB          int64 // 0: that of the machine
 	logLevel          string
 
 	certificateFile string
@@ -73,6 +74,7 @@
 	s.stopTimeout = fs.Duration("stop", 30*time.Second, "timeout of a graceful shutdown, 1s to 10m")
 	s.retention = fs.Duration("retain", 7*24*time.Hour, "retention time of finished jobs, 1m to 90 days")
 	fs.Int64Var(&s.maxBodyBytes, "max-body", 1<<20, "maximum body size of a request or answer in bytes, 1 to 16 MiB")
+	fs.Int64Var(&s.memoryMB, "memory", 0, "memory that this process may take in MB, 64 to 1048576, or 0 for that of the machine; callers' bodies take an eighth, connections a quarter at most")
 	fs.IntVar(&s.maxQueued, "queue", 4096, "maximum number of requests that wait in this instance, 1 to 100000")
 	fs.StringVar(&s.logLevel, "log-level", "info", "minimum level of logged events: debug, info, warn or error")
 	fs.StringVar(&s.certificateFile, "tls-certificate", "", "PEM file of this instance's certificate; turns on TLS between instances and for callers")
@@ -115,6 +117,7 @@
 		checkDurationRange("retain", *s.retention, time.Minute, 90*24*time.Hour),
 		checkDurationRange("lease", *s.taskLease, *s.suspectTimeout+2**s.pollInterval+2**s.heartbeatInterval, 5*time.Minute),
 		checkIntRange("max-body", s.maxBodyBytes, 1, 16<<20),
+		s.checkMemory(),
 		checkIntRange("queue", int64(s.maxQueued), 1, 100000),
 		s.checkSeeds(), s.checkTLS(),
 	}
@@ -174,6 +177,13 @@
 	return nil
 }
 
+func (s *Settings) checkMemory() error {
+	if s.memoryMB == 0 {
+		return nil
+	}
+	return checkIntRange("memory", s.memoryMB, 64, 1<<20)
+}
+
 func (s *Settings) checkSeeds() error {
 	for name, address := range s.Seeds() {
 		if name == "" {
--- a/hfsettings/settings_test.go
+++ b/hfsettings/settings_test.go
@@ -47,6 +47,8 @@
 		{"retain", "1s"},
 		{"max-body", "0"},
 		{"queue", "0"},
+		{"memory", "1"},
+		{"memory", "-1"},
 		{"seeds", "x"},
 		{"tls-key", "k"},
 	} {
