--- a/hfintake/body.go
+++ b/hfintake/body.go
@@ -87,7 +87,7 @@
 
 // extend sets the deadline of the body by what has been received.
 func (b *body) extend() {
-	deadline := b.start.Add(bodyTimeout + time.Duration(b.received)*time.Second/minRate)
+	deadline := b.conn.intake.table.limits.bodyDeadline(b.start, b.received)
 	_ = b.control.SetReadDeadline(deadline) // fails only for a closed connection
 }
 
--- /dev/null
+++ b/hfintake/intake_test.go
@@ -0,0 +1,237 @@
+package hfintake
+
+import (
+	"bufio"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+)
+
+const testTimeout = 10 * time.Second // for what must hold eventually
+
+// front is a server behind an Intake. Its handler answers with the number of bytes of the body, or with 503.
+type front struct {
+	t        *testing.T
+	intake   *Intake
+	registry metrics.Registry
+	address  string
+	dial     func(address string) (net.Conn, error)
+}
+
+func startFront(t *testing.T, l Limits, config *tls.Config) *front {
+	t.Helper()
+	f := &front{t: t, registry: metrics.NewRegistry(), dial: func(a string) (net.Conn, error) { return net.Dial("tcp", a) }}
+	f.intake = New("callers", l, config != nil, func(map[string]int64) {}, f.registry)
+	ln, err := f.intake.Listen(t.Context(), "127.0.0.1:0")
+	require.NoError(t, err)
+	f.address = ln.Addr().String()
+	if config != nil {
+		ln = tls.NewListener(ln, config)
+		f.dial = func(a string) (net.Conn, error) { return tls.Dial("tcp", a, &tls.Config{InsecureSkipVerify: true}) }
+	}
+	server := f.intake.Server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, err := io.Copy(io.Discard, r.Body)
+		switch {
+		case errors.Is(err, ErrFull):
+			http.Error(w, "full", http.StatusServiceUnavailable)
+		case errors.Is(err, ErrSlow):
+			http.Error(w, "slow", http.StatusServiceUnavailable)
+		case err != nil:
+			http.Error(w, "incomplete", http.StatusBadRequest)
+		default:
+			_, _ = fmt.Fprint(w, n)
+		}
+	}), time.Minute)
+	var g errgroup.Group
+	g.Go(func() error { return server.Serve(ln) })
+	t.Cleanup(func() {
+		require.NoError(t, server.Close())
+		require.ErrorIs(t, g.Wait(), http.ErrServerClosed)
+		require.Eventually(t, func() bool {
+			f.intake.mu.Lock()
+			defer f.intake.mu.Unlock()
+			return f.intake.table.Check() == nil && len(f.intake.table.clients) == 0 && f.intake.table.held == 0 && len(f.intake.conns) == 0
+		}, testTimeout, time.Millisecond, "closed connections hold something")
+	})
+	return f
+}
+
+func (f *front) open(text string) net.Conn {
+	f.t.Helper()
+	conn, err := f.dial(f.address)
+	require.NoError(f.t, err)
+	f.t.Cleanup(func() { _ = conn.Close() })
+	_, err = io.WriteString(conn, text)
+	require.NoError(f.t, err)
+	return conn
+}
+
+// answer reads an answer and returns its status and body. The status is 0 if there is none.
+func answer(r *bufio.Reader) (int, string) {
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, strings.TrimSpace(string(raw))
+}
+
+func (f *front) call(text string) (int, string) { return answer(bufio.NewReader(f.open(text))) }
+
+func (f *front) refused(reason string) int64 {
+	return metrics.GetOrRegisterCounter("intake.callers.refused."+reason, f.registry).Count()
+}
+
+func post(length int, body string) string {
+	return fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", length, body)
+}
+
+func chunked(body string) string {
+	return fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+}
+
+// TestOneLargeBodyIsServedInCalm sends a body that is larger than the memory for all, alone.
+func TestOneLargeBodyIsServedInCalm(t *testing.T) {
+	f := startFront(t, testLimits(4), nil)
+	large := strings.Repeat("x", 2*testMemory)
+	for _, text := range []string{post(len(large), large), chunked(large)} {
+		status, body := f.call(text)
+		require.Equal(t, http.StatusOK, status)
+		require.Equal(t, fmt.Sprint(len(large)), body)
+	}
+}
+
+// TestStalledBodiesAreLetGo fills the memory with bodies that stall. Large and small ones are served beside
+// them.
+func TestStalledBodiesAreLetGo(t *testing.T) {
+	f := startFront(t, testLimits(40), nil)
+	const stalledBytes = 8 << 10
+	for range testMemory / stalledBytes * 2 {
+		f.open(post(stalledBytes, strings.Repeat("x", stalledBytes-1)))
+	}
+	for _, text := range []string{post(2, "{}"), chunked("{}"), post(32<<10, strings.Repeat("x", 32<<10))} {
+		require.Eventually(t, func() bool { status, _ := f.call(text); return status == http.StatusOK }, testTimeout, 10*time.Millisecond)
+	}
+	require.Positive(t, f.refused(ReasonLetGo))
+}
+
+// TestRefusedCallerIsToldAndKeepsItsConnection refuses a large body, as small ones hold the memory, and then
+// serves a call on the same connection.
+func TestRefusedCallerIsToldAndKeepsItsConnection(t *testing.T) {
+	f := startFront(t, testLimits(40), nil)
+	f.intake.with(func(table *table, now time.Time) {
+		id, _, _ := table.open("other", now)
+		table.enter(id, phaseBody, now)
+		_, ok := table.reserve(id, testMemory/2, now)
+		require.True(t, ok)
+		table.enter(id, phaseAnswer, now)
+	})
+	conn := f.open(post(testMemory/2, strings.Repeat("x", testMemory/2)))
+	reader := bufio.NewReader(conn)
+	status, _ := answer(reader)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Equal(t, int64(1), f.refused(ReasonMemory))
+	_, err := io.WriteString(conn, post(2, "{}"))
+	require.NoError(t, err)
+	status, body := answer(reader)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, "2", body)
+	f.intake.with(func(table *table, _ time.Time) { table.remove(1) })
+}
+
+// TestSlowBodyIsRefused sends a body that stops.
+func TestSlowBodyIsRefused(t *testing.T) {
+	l := testLimits(4)
+	l.bodyTimeout = 50 * time.Millisecond
+	f := startFront(t, l, nil)
+	status, body := f.call(post(10, "x"))
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Equal(t, "slow", body)
+	require.Equal(t, int64(1), f.refused(ReasonSlow))
+}
+
+// TestDeadlineOfABodyEndsWithIt checks that the deadline of a whole body does not end its handler, nor the
+// next call on its connection.
+func TestDeadlineOfABodyEndsWithIt(t *testing.T) {
+	l := testLimits(4)
+	l.bodyTimeout = 200 * time.Millisecond
+	f := startFront(t, l, nil)
+	conn := f.open(post(2, "{}"))
+	reader := bufio.NewReader(conn)
+	for range 3 {
+		status, _ := answer(reader)
+		require.Equal(t, http.StatusOK, status)
+		time.Sleep(2 * l.bodyTimeout)
+		_, err := io.WriteString(conn, post(2, "{}"))
+		require.NoError(t, err)
+	}
+}
+
+// TestHeads sends heads inside and outside the limits.
+func TestHeads(t *testing.T) {
+	f := startFront(t, testLimits(40), nil)
+	lines := func(n int) string { return strings.Repeat("X-A: b\r\n", n) }
+	status, _ := f.call("GET / HTTP/1.1\r\nHost: h\r\n" + lines(100) + "\r\n")
+	require.Equal(t, http.StatusOK, status)
+	status, _ = f.call("GET / HTTP/1.1\r\nHost: h\r\nX-A: " + strings.Repeat("x", MaxHeadBytes-100) + "\r\n\r\n")
+	require.Equal(t, http.StatusOK, status)
+	status, _ = f.call("GET / HTTP/1.1\r\nHost: h\r\nX-A: " + strings.Repeat("x", 2*MaxHeadBytes) + "\r\n\r\n")
+	require.Contains(t, []int{0, http.StatusRequestHeaderFieldsTooLarge}, status)
+	status, _ = f.call("GET / HTTP/1.1\r\nHost: h\r\n" + lines(MaxHeadBytes/9))
+	require.NotEqual(t, http.StatusOK, status)
+	require.Positive(t, f.refused(ReasonHead))
+}
+
+// TestLinesOfBodiesAreNotCounted sends several calls at once on one connection, whose bodies have more lines
+// than a head may have.
+func TestLinesOfBodiesAreNotCounted(t *testing.T) {
+	f := startFront(t, testLimits(4), nil)
+	body := strings.Repeat("\n", 10*MaxHeadLines)
+	reader := bufio.NewReader(f.open(strings.Repeat(post(len(body), body)+chunked(body), 5)))
+	for range 10 {
+		status, answered := answer(reader)
+		require.Equal(t, http.StatusOK, status)
+		require.Equal(t, fmt.Sprint(len(body)), answered)
+	}
+}
+
+// TestCallsUnderTLS checks that connections are bounded under TLS, too.
+func TestCallsUnderTLS(t *testing.T) {
+	certificates := httptest.NewTLSServer(http.NotFoundHandler())
+	defer certificates.Close()
+	f := startFront(t, testLimits(4), &tls.Config{Certificates: certificates.TLS.Certificates})
+	send := func(text string) (net.Conn, bool) {
+		conn, err := f.dial(f.address)
+		if err != nil {
+			return nil, false // refused
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		_, err = io.WriteString(conn, text)
+		return conn, err == nil
+	}
+	for range 8 {
+		require.Eventually(t, func() bool { _, ok := send(post(10, "x")); return ok }, testTimeout, 10*time.Millisecond)
+		require.Eventually(t, func() bool {
+			conn, ok := send(post(2, "{}"))
+			if !ok {
+				return false
+			}
+			status, _ := answer(bufio.NewReader(conn))
+			return status == http.StatusOK
+		}, testTimeout, 10*time.Millisecond)
+	}
+	require.LessOrEqual(t, metrics.GetOrRegisterGauge("intake.callers.connections", f.registry).Value(), int64(4))
+	require.Positive(t, f.refused(ReasonLetGo))
+}
--- a/hfintake/limits.go
+++ b/hfintake/limits.go
@@ -50,8 +50,9 @@
 
 // Limits are the limits of one listener.
 type Limits struct {
-	bodies int64 // bytes of the bodies in progress together
-	conns  int
+	bodies      int64 // bytes of the bodies in progress together
+	conns       int
+	bodyTimeout time.Duration
 }
 
 // NewLimits returns the limits of the callers' listener in a process that may take memory bytes and open a
@@ -62,7 +63,7 @@
 		cost = sealedConnBytes
 	}
 	conns := min(memory/connShare/cost, descriptors/descriptorShare)
-	return Limits{bodies: memory / bodyShare, conns: int(max(conns, 1))}
+	return Limits{bodies: memory / bodyShare, conns: int(max(conns, 1)), bodyTimeout: bodyTimeout}
 }
 
 // WithConns returns the limits with another number of connections.
@@ -71,6 +72,12 @@
 	return l
 }
 
+// bodyDeadline returns until when a body that began at start, and of which some bytes have been received, must
+// go on.
+func (l Limits) bodyDeadline(start time.Time, received int64) time.Time {
+	return start.Add(l.bodyTimeout + time.Duration(received)*time.Second/minRate)
+}
+
 // Conns returns the number of connections at once.
 func (l Limits) Conns() int { return l.conns }
 
--- a/hfintake/table.go
+++ b/hfintake/table.go
@@ -48,7 +48,8 @@
 
 // table decides which clients are served and which are let go. It is not safe for concurrent use.
 type table struct {
-	limits  Limits
+	limits  Limits                                // never change
+	order   func(a, b *client, now time.Time) int // who is let go first
 	clients map[uint64]*client
 	sources map[string]int // connections by source; the sum is len(clients)
 	held    int64          // sum of what the clients hold
@@ -56,7 +57,9 @@
 }
 
 func newTable(l Limits) *table {
-	return &table{limits: l, clients: map[uint64]*client{}, sources: map[string]int{}}
+	t := &table{limits: l, clients: map[uint64]*client{}, sources: map[string]int{}}
+	t.order = t.compare
+	return t
 }
 
 // open adds a connection. If there is no room, it lets another one go, or returns false.
@@ -88,7 +91,7 @@
 func (t *table) victim(now time.Time, may func(*client) bool) *client {
 	var first *client
 	for _, c := range t.clients {
-		if may(c) && (first == nil || t.compare(c, first, now) < 0) {
+		if may(c) && (first == nil || t.order(c, first, now) < 0) {
 			first = c
 		}
 	}
--- /dev/null
+++ b/hfintake/table_test.go
@@ -0,0 +1,172 @@
+package hfintake
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/heatherfront/heatherfront/hfseed"
+)
+
+const testMemory = 64 << 10 // for bodies
+
+func testLimits(conns int) Limits {
+	return Limits{bodies: testMemory, conns: conns, bodyTimeout: bodyTimeout}
+}
+
+// simulate makes random calls and checks what the table promises, with its rule of who goes first or another.
+func simulate(t *rapid.T, order func(a, b *client, now time.Time) int) error {
+	table := newTable(testLimits(6))
+	if order != nil {
+		table.order = order
+	}
+	now := time.Unix(1000, 0)
+	for range rapid.IntRange(1, 60).Draw(t, "steps") {
+		now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 1, 400, 1200}).Draw(t, "ms")) * time.Millisecond)
+		before := map[uint64]*client{}
+		for id, c := range table.clients {
+			copied := *c
+			before[id] = &copied
+		}
+		ids := slices.Sorted(maps.Keys(before))
+		var id uint64
+		if len(ids) > 0 {
+			id = rapid.SampledFrom(ids).Draw(t, "client")
+		}
+		var victims []uint64
+		asked := "-"
+		switch rapid.IntRange(0, 6).Draw(t, "call") {
+		case 0:
+			asked = rapid.SampledFrom([]string{"a", "a", "b"}).Draw(t, "source")
+			_, victims, _ = table.open(asked, now)
+		case 1, 2:
+			n := int64(rapid.SampledFrom([]int{100, blockBytes, 30 << 10}).Draw(t, "bytes"))
+			if id == 0 || before[id].phase != phaseBody {
+				continue
+			}
+			table.clients[id].progress, before[id].progress = now, now
+			others := table.held - table.clients[id].held
+			var ok bool
+			victims, ok = table.reserve(id, n, now)
+			if ok && table.held > testMemory && table.held > table.clients[id].held {
+				return fmt.Errorf("bodies hold %d bytes", table.held)
+			}
+			if !ok && others == 0 {
+				return fmt.Errorf("a body alone is refused %d bytes", n)
+			}
+			if !ok && before[id].held+n <= smallBody {
+				for _, c := range table.clients {
+					if c.id != id && c.phase == phaseBody && c.held > smallBody {
+						return fmt.Errorf("a small body is refused beside one of %d bytes", c.held)
+					}
+				}
+			}
+		case 3:
+			p := phase(rapid.IntRange(0, int(phaseDrain)).Draw(t, "phase"))
+			if p == phaseIdle || p == phaseDrain {
+				table.release(id)
+			}
+			table.enter(id, p, now)
+		case 4:
+			if c := table.clients[id]; c != nil && c.phase == phaseAnswer {
+				c.writing, c.progress = !c.writing, now
+			}
+		case 5:
+			if id != 0 && before[id].phase == phaseAnswer {
+				victims = table.answer(id, 20<<10, now)
+			}
+		case 6:
+			table.remove(id)
+		}
+		if err := checkVictims(table, before, victims, now, asked); err != nil {
+			return err
+		}
+		if err := table.Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkVictims checks that those who were let go had to be before those who stay.
+func checkVictims(t *table, before map[uint64]*client, victims []uint64, now time.Time, source string) error {
+	for _, id := range victims {
+		v := before[id]
+		if v.phase == phaseAnswer && !v.writing {
+			return fmt.Errorf("client %d was let go although its request was whole", id)
+		}
+		for _, c := range t.clients {
+			if b, known := before[c.id]; !known || b.held != c.held || !c.stalled(now) || source == "-" && c.held == 0 {
+				continue
+			}
+			if !v.stalled(now) {
+				return fmt.Errorf("client %d, which moves, was let go before %d, which is stalled", id, c.id)
+			}
+			if v.source == c.source && v.held < c.held {
+				return fmt.Errorf("client %d with %d bytes was let go before %d with %d", id, v.held, c.id, c.held)
+			}
+		}
+	}
+	return nil
+}
+
+func TestTheStalledAndTheLargeGoFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if err := simulate(t, nil); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// TestFaultyOrdersAreDetected checks that the test above finds wrong rules.
+func TestFaultyOrdersAreDetected(t *testing.T) {
+	for name, order := range map[string]func(a, b *client, now time.Time) int{
+		"the moving first": func(a, b *client, now time.Time) int { return compareBool(a.stalled(now), b.stalled(now)) },
+		"the small first":  func(a, b *client, _ time.Time) int { return int(a.held - b.held) },
+		"the oldest first": func(a, b *client, _ time.Time) int { return int(a.id) - int(b.id) },
+	} {
+		require.True(t, hfseed.FindsFailure(300, func(t *rapid.T) error { return simulate(t, order) }), name)
+	}
+}
+
+// TestOneSourceGivesWay checks that a source with most connections loses one to another source, and not to
+// itself.
+func TestOneSourceGivesWay(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := newTable(testLimits(4))
+	for range 4 {
+		id, _, ok := table.open("crowd", now)
+		require.True(t, ok)
+		table.enter(id, phaseBody, now)
+	}
+	_, _, ok := table.open("crowd", now)
+	require.False(t, ok)
+	_, victims, ok := table.open("other", now)
+	require.True(t, ok)
+	require.Len(t, victims, 1)
+	table.enter(2, phaseAnswer, now)
+	table.enter(3, phaseAnswer, now)
+	table.enter(4, phaseAnswer, now)
+	_, _, ok = table.open("third", now)
+	require.False(t, ok, "whole requests are answered")
+}
+
+// TestLimitsFollowFromMemoryAndDescriptors checks the figures of the operators' smallest machine and others.
+func TestLimitsFollowFromMemoryAndDescriptors(t *testing.T) {
+	l := NewLimits(284<<20, 16, 3900, false)
+	require.Equal(t, int64(284<<20/16), l.bodies)
+	require.Equal(t, 908, l.Conns(), "a quarter of the memory")
+	require.Equal(t, 100, NewLimits(284<<20, 16, 200, false).Conns(), "half of the descriptors")
+	require.Equal(t, 142, NewLimits(284<<20, 16, 3900, true).Conns(), "a quarter of the memory under TLS")
+	require.Equal(t, 1, NewLimits(1<<10, 16, 1, false).Conns())
+	start := time.Unix(1000, 0)
+	require.Equal(t, start.Add(10*time.Second), l.bodyDeadline(start, 0))
+	require.Equal(t, start.Add(42*time.Second), l.bodyDeadline(start, 256<<10))
+	require.Positive(t, Descriptors())
+	require.Positive(t, MachineMemory())
+}
