Keep connections for readiness and metrics of serve

Whole requests are never let go, so callers that wait for endpoints could take every connection of serve, and the balancer's check, which comes on the same listener, was refused. 16 connections beyond the limit now serve /ready, /live and /metrics; another call on one of them is closed before it begins. hfintake TestVitalCallsAreServedBesideWholeRequests.

--- a/hfapi/server.go
+++ b/hfapi/server.go
@@ -33,7 +33,7 @@
 // from the settings, or ""; maxBody bounds request bodies in bytes, and intake what all of them take.
 func New(backend Backend, dispatcher Dispatcher, operatorHash string, maxBody int64, intake *hfintake.Intake) *API {
 	a := &API{backend: backend, dispatcher: dispatcher, operatorHash: operatorHash, maxBody: maxBody}
-	a.server = intake.Server(a.Handler(), idleTimeout)
+	a.server = intake.Server(a.Handler(), idleTimeout, "/ready", "/live", "/metrics")
 	return a
 }
 
--- a/hfintake/body.go
+++ b/hfintake/body.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 )
 
@@ -32,6 +33,26 @@
 	})
 }
 
+// keepSpare returns a handler that closes spare connections with calls other than vital ones. These calls
+// have not begun.
+func (i *Intake) keepSpare(next http.Handler, vital []string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, _ := r.Context().Value(connKey{}).(*conn)
+		if c != nil && !slices.Contains(vital, r.URL.Path) {
+			i.mu.Lock()
+			refused := i.table.onlyVital(c.id)
+			if refused {
+				i.refuse(ReasonConnections, time.Now())
+			}
+			i.mu.Unlock()
+			if refused {
+				panic(http.ErrAbortHandler) // closes the connection without an answer
+			}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // body is the body of a request.
 type body struct {
 	io.ReadCloser
--- a/hfintake/intake.go
+++ b/hfintake/intake.go
@@ -75,10 +75,14 @@
 	return &listener{Listener: ln, intake: i}, nil
 }
 
-// Server returns a server for a listener of Listen.
-func (i *Intake) Server(handler http.Handler, idleTimeout time.Duration) *http.Server {
+// Server returns a server for a listener of Listen. The paths in vital are served also when all connections
+// are taken by whole requests.
+func (i *Intake) Server(handler http.Handler, idleTimeout time.Duration, vital ...string) *http.Server {
+	if len(vital) > 0 {
+		i.with(func(t *table, _ time.Time) { t.limits.spare = spareConns })
+	}
 	return &http.Server{
-		Handler: i.Handler(handler), ReadHeaderTimeout: HeadTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: MaxHeadBytes,
+		Handler: i.keepSpare(i.Handler(handler), vital), ReadHeaderTimeout: HeadTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: MaxHeadBytes,
 		ConnState: i.connState,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, connOf(c))
--- a/hfintake/intake_test.go
+++ b/hfintake/intake_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -20,7 +21,7 @@
 
 const testTimeout = 10 * time.Second // for what must hold eventually
 
-// front is a server behind an Intake. Its handler answers with the number of bytes of the body, or with 503.
+// front is a server behind an Intake.
 type front struct {
 	t        *testing.T
 	intake   *Intake
@@ -30,6 +31,26 @@
 }
 
 func startFront(t *testing.T, l Limits, config *tls.Config) *front {
+	t.Helper()
+	return startFrontWith(t, l, config, http.HandlerFunc(countBody))
+}
+
+// countBody answers with the number of bytes of the body, or with 503.
+func countBody(w http.ResponseWriter, r *http.Request) {
+	n, err := io.Copy(io.Discard, r.Body)
+	switch {
+	case errors.Is(err, ErrFull):
+		http.Error(w, "full", http.StatusServiceUnavailable)
+	case errors.Is(err, ErrSlow):
+		http.Error(w, "slow", http.StatusServiceUnavailable)
+	case err != nil:
+		http.Error(w, "incomplete", http.StatusBadRequest)
+	default:
+		_, _ = fmt.Fprint(w, n)
+	}
+}
+
+func startFrontWith(t *testing.T, l Limits, config *tls.Config, handler http.Handler, vital ...string) *front {
 	t.Helper()
 	f := &front{t: t, registry: metrics.NewRegistry(), dial: func(a string) (net.Conn, error) { return net.Dial("tcp", a) }}
 	f.intake = New("callers", l, config != nil, func(map[string]int64) {}, f.registry)
@@ -40,19 +61,7 @@
 		ln = tls.NewListener(ln, config)
 		f.dial = func(a string) (net.Conn, error) { return tls.Dial("tcp", a, &tls.Config{InsecureSkipVerify: true}) }
 	}
-	server := f.intake.Server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		n, err := io.Copy(io.Discard, r.Body)
-		switch {
-		case errors.Is(err, ErrFull):
-			http.Error(w, "full", http.StatusServiceUnavailable)
-		case errors.Is(err, ErrSlow):
-			http.Error(w, "slow", http.StatusServiceUnavailable)
-		case err != nil:
-			http.Error(w, "incomplete", http.StatusBadRequest)
-		default:
-			_, _ = fmt.Fprint(w, n)
-		}
-	}), time.Minute)
+	server := f.intake.Server(handler, time.Minute, vital...)
 	var g errgroup.Group
 	g.Go(func() error { return server.Serve(ln) })
 	t.Cleanup(func() {
@@ -207,6 +216,49 @@
 	}
 }
 
+// TestVitalCallsAreServedBesideWholeRequests takes all connections with requests whose handler does not end.
+func TestVitalCallsAreServedBesideWholeRequests(t *testing.T) {
+	const conns = 3
+	release := make(chan struct{})
+	var waiting sync.WaitGroup
+	waiting.Add(conns)
+	f := startFrontWith(t, testLimits(conns), nil, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			waiting.Done()
+			<-release
+		}
+	}), "/vital")
+	var held []*bufio.Reader
+	first := f.open("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	firstAnswers := bufio.NewReader(first)
+	status, _ := answer(firstAnswers)
+	require.Equal(t, http.StatusOK, status)
+	_, err := io.WriteString(first, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	held = append(held, firstAnswers)
+	for range conns - 1 {
+		held = append(held, bufio.NewReader(f.open("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")))
+	}
+	waiting.Wait()
+	for range spareConns { // a keep-alive connection that idles gives way after a while, and one whose call was refused is closed
+		status, _ = f.call("GET /vital HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		require.Equal(t, http.StatusOK, status)
+		status, _ = f.call("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.Zero(t, status, "not vital")
+	}
+	for range 3 {
+		f.open("GET /vital HTTP/1.1\r\nHost: h\r\n\r\n") // stays open
+	}
+	close(release)
+	_, err = io.WriteString(first, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	held = append(held, firstAnswers) // a connection that is not a spare one goes on
+	for _, r := range held {
+		status, _ := answer(r)
+		require.Equal(t, http.StatusOK, status, "whole requests are answered")
+	}
+}
+
 // TestCallsUnderTLS checks that connections are bounded under TLS, too.
 func TestCallsUnderTLS(t *testing.T) {
 	certificates := httptest.NewTLSServer(http.NotFoundHandler())
--- a/hfintake/limits.go
+++ b/hfintake/limits.go
@@ -45,6 +45,8 @@
 	// are for what the instance itself opens.
 	descriptorShare = 2
 
+	spareConns = 16 // connections beyond the limit, on which only vital calls are served
+
 	reportInterval = 10 * time.Second // between two reports of what was refused
 )
 
@@ -52,6 +54,7 @@
 type Limits struct {
 	bodies      int64 // bytes of the bodies in progress together
 	conns       int
+	spare       int // connections beyond conns that may be for a vital call
 	bodyTimeout time.Duration
 }
 
--- a/hfintake/table.go
+++ b/hfintake/table.go
@@ -24,6 +24,7 @@
 	id       uint64
 	source   string // address without the port
 	phase    phase
+	spare    bool      // opened when all other connections were taken
 	writing  bool      // a part of an answer is being written
 	since    time.Time // when the phase began
 	progress time.Time // when a byte was last read or written
@@ -48,7 +49,7 @@
 
 // table decides which clients are served and which are let go. It is not safe for concurrent use.
 type table struct {
-	limits  Limits                                // never change
+	limits  Limits                                // do not change once the listener is served
 	order   func(a, b *client, now time.Time) int // who is let go first
 	clients map[uint64]*client
 	sources map[string]int // connections by source; the sum is len(clients)
@@ -62,24 +63,32 @@
 	return t
 }
 
-// open adds a connection. If there is no room, it lets another one go, or returns false.
+// open adds a connection. If there is no room, it lets another one go, or takes a spare one, or returns false.
 func (t *table) open(source string, now time.Time) (id uint64, victims []uint64, ok bool) {
 	if len(t.clients) >= t.limits.conns {
 		v := t.victim(now, func(c *client) bool {
 			return c.stalled(now) || c.phase == phaseIdle && now.Sub(c.progress) > stallTime || t.heavy(c.source) && c.source != source && c.moving()
 		})
-		if v == nil {
+		switch {
+		case v != nil:
+			t.remove(v.id)
+			victims = append(victims, v.id)
+		case len(t.clients) >= t.limits.conns+t.limits.spare:
 			return 0, nil, false
 		}
-		t.remove(v.id)
-		victims = append(victims, v.id)
 	}
 	t.lastID++
-	t.clients[t.lastID] = &client{id: t.lastID, source: source, since: now, progress: now}
+	t.clients[t.lastID] = &client{id: t.lastID, source: source, spare: len(t.clients) >= t.limits.conns, since: now, progress: now}
 	t.sources[source]++
 	return t.lastID, victims, true
 }
 
+// onlyVital reports whether only vital calls may be served on a connection.
+func (t *table) onlyVital(id uint64) bool {
+	c := t.clients[id]
+	return c != nil && c.spare && len(t.clients) > t.limits.conns
+}
+
 // heavy reports whether a source has more than its share of the connections.
 func (t *table) heavy(source string) bool { return t.sources[source] > t.limits.conns/sourceShare }
 
@@ -204,7 +213,7 @@
 	switch {
 	case held != t.held:
 		return fmt.Errorf("clients hold %d bytes, counted are %d", held, t.held)
-	case len(t.clients) > t.limits.conns:
+	case len(t.clients) > t.limits.conns+t.limits.spare:
 		return fmt.Errorf("%d connections of %d", len(t.clients), t.limits.conns)
 	case len(sources) != len(t.sources):
 		return fmt.Errorf("%d sources, counted are %d", len(sources), len(t.sources))
