Make what the crowds send before they connect

Under the race detector and load the clients of the chunk and head tests spent their time encoding and gave up before they had sent it: TestServeUnderTinyChunks passed without a crowd (25 MB, 62 s at a load of 31). All now make their payload first, the test logs what was sent and fails if a client did not connect. Sizes of the crowds and bounds are unchanged.

--- a/hfcrowd/crowd_test.go
+++ b/hfcrowd/crowd_test.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -36,12 +38,27 @@
 	mu      sync.Mutex
 	conns   []net.Conn
 	senders sync.WaitGroup
+	sent    atomic.Int64  // bytes
 	done    chan struct{} // closed when the test ends
 }
 
+// sendingConn counts the bytes that were sent.
+type sendingConn struct {
+	net.Conn
+	sent *atomic.Int64
+}
+
+// Write implements net.Conn.
+func (c *sendingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.sent.Add(int64(n))
+	return n, err
+}
+
 // run connects size clients in waves, all of a wave at once. A wave ends when each has sent what it has to
 // send, was closed, or has given up because the process does not read. Their connections stay open.
 func run(p *target, size, waves int, send func(c *crowd, conn net.Conn, number int)) {
+	p.payload = newPayload(p)
 	c := &crowd{p: p, done: make(chan struct{})}
 	p.t.Cleanup(func() {
 		close(c.done)
@@ -66,10 +83,14 @@
 			c.conns = append(c.conns, conn)
 			c.mu.Unlock()
 			_ = conn.SetDeadline(time.Now().Add(sendTimeout))
-			send(c, conn, i)
+			send(c, &sendingConn{Conn: conn, sent: &c.sent}, i)
 		})
 	}
 	sent.Wait()
+	p.t.Logf("%d clients connected and sent %d MB", len(c.conns), c.sent.Load()>>20)
+	if len(c.conns) != size {
+		p.t.Errorf("%d of %d clients connected", len(c.conns), size)
+	}
 }
 
 // dialer opens connections that receive little before the client reads.
@@ -89,8 +110,35 @@
 	return fmt.Appendf(nil, p.post+"Transfer-Encoding: chunked\r\n\r\n", number+1)
 }
 
-// body returns a body of the largest legal size: a job, or one that names as many steps as fit.
-func (p *target) body(number int) []byte {
+// payload holds what all clients of a crowd send, made before the first one connects: under the race detector
+// it takes longer than a client waits.
+type payload struct {
+	bodies [2][]byte
+	chunks map[int][2][]byte // by size of the chunks
+	heads  [3][]byte
+	empty  []byte
+	unread []byte
+}
+
+func newPayload(p *target) payload {
+	d := payload{chunks: map[int][2][]byte{}, empty: bytes.Repeat([]byte("\r\n"), largeHead), unread: bytes.Repeat([]byte(p.get), unreadCalls)}
+	for i := range d.bodies {
+		d.bodies[i] = p.newBody(i)
+	}
+	for _, size := range []int{tinyChunk, largeChunk} {
+		d.chunks[size] = [2][]byte{encodeChunks(d.bodies[0], size), encodeChunks(d.bodies[1], size)}
+	}
+	for i := range d.heads {
+		d.heads[i] = newHead(i)
+	}
+	return d
+}
+
+// body returns a body of the largest legal size.
+func (p *target) body(number int) []byte { return p.payload.bodies[number%2] }
+
+// newBody returns a job, or a body that names as many steps as fit.
+func (p *target) newBody(number int) []byte {
 	text := `{"spec":"x","steps":[{"count":1,"cpu":1,"mem_mb":1}]`
 	if number%2 == 1 {
 		text = `{"spec":"x","steps":[{}` + strings.Repeat(",{}", (p.maxBody-len(text))/3) + `]`
@@ -103,14 +151,14 @@
 
 // encodeChunks returns a body in chunks of size bytes, with the end mark.
 func encodeChunks(body []byte, size int) []byte {
-	var out bytes.Buffer
+	var out []byte
 	for len(body) > 0 {
 		n := min(size, len(body))
-		fmt.Fprintf(&out, "%x\r\n%s\r\n", n, body[:n])
+		out = append(strconv.AppendInt(out, int64(n), 16), "\r\n"...)
+		out = append(append(out, body[:n]...), "\r\n"...)
 		body = body[n:]
 	}
-	out.WriteString("0\r\n\r\n")
-	return out.Bytes()
+	return append(out, "0\r\n\r\n"...)
 }
 
 // short leaves out the end of what most clients send.
@@ -152,17 +200,17 @@
 func sendChunks(size int) func(*crowd, net.Conn, int) {
 	return func(c *crowd, conn net.Conn, number int) {
 		const endMark = len("0\r\n\r\n")
-		write(conn, c.p.chunked(number), short(number, encodeChunks(c.p.body(number), size), endMark))
+		write(conn, c.p.chunked(number), short(number, c.p.payload.chunks[size][number%2], endMark))
 	}
 }
 
-// sendHeads sends heads without end, of one long line or of many short ones, and heads that are larger
-// than any limit.
-func sendHeads(c *crowd, conn net.Conn, number int) {
+// newHead returns a head without end, of one long line or of many short ones, or a head that is larger than
+// any limit.
+func newHead(number int) []byte {
 	const start = "GET / HTTP/1.1\r\nHost: jobs.example\r\n"
 	var head bytes.Buffer
 	head.WriteString(start)
-	switch number % 3 {
+	switch number {
 	case 0:
 		head.WriteString("X-Fill: " + strings.Repeat("x", largeHead-head.Len()-8))
 	case 1:
@@ -172,7 +220,11 @@
 	case 2:
 		head.WriteString("X-Fill: " + strings.Repeat("x", 2*largeHead) + "\r\n\r\n")
 	}
-	write(conn, head.Bytes())
+	return head.Bytes()
+}
+
+func sendHeads(c *crowd, conn net.Conn, number int) {
+	write(conn, c.p.payload.heads[number%len(c.p.payload.heads)])
 }
 
 // sendEmptyLines sends empty lines before a request that never comes, on every other connection after a
@@ -181,7 +233,7 @@
 	if number%2 == 1 {
 		write(conn, c.p.withLength(number, 2), []byte("{}"))
 	}
-	write(conn, bytes.Repeat([]byte("\r\n"), largeHead))
+	write(conn, c.p.payload.empty)
 }
 
 // sendOneAndIdle makes one call, reads its answer and keeps the connection open.
@@ -218,7 +270,7 @@
 
 // sendUnread sends requests one after the other and reads no answer.
 func sendUnread(c *crowd, conn net.Conn, _ int) {
-	write(conn, bytes.Repeat([]byte(c.p.get), unreadCalls))
+	write(conn, c.p.payload.unread)
 }
 
 // crowds are what was sent to the system, and what is like it.
@@ -230,8 +282,8 @@
 }{
 	"WholeBodies":     {largeCrowd, 1, manySockets, sendWhole},
 	"BodiesInPieces":  {largeCrowd, 4, manySockets, sendPieces},
-	"LargeChunks":     {largeCrowd, 1, manySockets, sendChunks(largeChunk)},
-	"TinyChunks":      {largeCrowd, 1, manySockets, sendChunks(tinyChunk)},
+	"LargeChunks":     {largeCrowd, 4, manySockets, sendChunks(largeChunk)},
+	"TinyChunks":      {largeCrowd, 4, manySockets, sendChunks(tinyChunk)},
 	"Heads":           {largeCrowd, 1, manySockets, sendHeads},
 	"EmptyLines":      {largeCrowd, 1, manySockets, sendEmptyLines},
 	"IdleConnections": {holdingCrowd, 1, fewSockets, sendOneAndIdle},
--- a/hfcrowd/process_test.go
+++ b/hfcrowd/process_test.go
@@ -52,6 +52,7 @@
 	memoryMB int64  // that the settings name
 	sockets  int    // limit of descriptors
 	ordinary func() error
+	payload  payload
 
 	cmd   *exec.Cmd
 	ended chan struct{} // closed when the process has exited
