Keep the promises about clients that were let go and about answers

Change: enter tells whether the client is still there; a handler of one that is not is not called, and its body ends in ErrFull, also together with its last bytes. From the end of the body on, under the same lock, it is not let go.

Change: an answer counts as stalled after 10 s in which its caller reads nothing, and goes after all others that are stalled.

--- a/hfintake/body.go
+++ b/hfintake/body.go
@@ -11,19 +11,22 @@
 )
 
 // Handler returns a handler whose request bodies are admitted as they come and have deadlines. Requests that
-// do not come through a listener of Listen are passed on as they are.
+// do not come through a listener of Listen are passed on as they are. The request of a client that was let
+// go does not run: next is not called, or reads ErrFull before the end of the body.
 func (i *Intake) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, _ := r.Context().Value(connKey{}).(*conn)
-		if c == nil || r.Body == nil || r.ContentLength == 0 {
+		if c == nil {
+			next.ServeHTTP(w, r)
+			return
+		}
+		if r.Body == nil || r.ContentLength == 0 {
+			c.enter(phaseAnswer)
 			next.ServeHTTP(w, r)
 			return
 		}
 		b := &body{ReadCloser: r.Body, conn: c, declared: r.ContentLength, control: http.NewResponseController(w)}
-		i.with(func(t *table, now time.Time) {
-			t.enter(c.id, phaseBody, now)
-			b.start = now
-		})
+		b.start = c.enter(phaseBody)
 		b.extend()
 		defer b.finish()
 		// The server keeps its own body in r, by which it decides what to do with the rest.
@@ -33,6 +36,16 @@
 	})
 }
 
+// enter begins a phase of the client, and returns when. It ends the handler of a client that was let go.
+func (c *conn) enter(p phase) (since time.Time) {
+	known := false
+	c.intake.with(func(t *table, now time.Time) { known, since = t.enter(c.id, p, now), now })
+	if !known {
+		panic(http.ErrAbortHandler) // closes the connection without an answer
+	}
+	return since
+}
+
 // keepSpare returns a handler that closes spare connections with calls other than vital ones. These calls
 // have not begun.
 func (i *Intake) keepSpare(next http.Handler, vital []string) http.Handler {
@@ -88,13 +101,21 @@
 	}
 	n, err := b.ReadCloser.Read(p)
 	b.received += int64(n)
-	b.conn.intake.with(func(t *table, _ time.Time) {
+	// A client that was let go may have sent the rest before. From the end of its body on it is not let go.
+	whole, known := errors.Is(err, io.EOF) || b.received == b.declared, false
+	b.conn.intake.with(func(t *table, now time.Time) {
 		if s := t.clients[b.conn.id]; s != nil {
-			s.received = b.received
+			s.received, known = b.received, true
+		}
+		if whole {
+			t.enter(b.conn.id, phaseAnswer, now)
 		}
 	})
 	switch {
-	case errors.Is(err, io.EOF), b.received == b.declared:
+	case !known && !b.whole:
+		b.err = ErrFull
+		return 0, b.err
+	case whole:
 		b.complete()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		b.conn.intake.mu.Lock()
@@ -119,7 +140,6 @@
 	}
 	b.whole = true
 	_ = b.control.SetReadDeadline(time.Time{})
-	b.conn.intake.with(func(t *table, now time.Time) { t.enter(b.conn.id, phaseAnswer, now) })
 }
 
 // finish frees what the body holds, and waits a little for the rest of one that was not read.
--- a/hfintake/conn.go
+++ b/hfintake/conn.go
@@ -92,9 +92,14 @@
 	if len(b) > smallBody {
 		i.mu.Lock()
 		now := time.Now()
-		dropped := i.drop(i.table.answer(c.id, int64(len(b)), now), now)
+		dropped := i.drop(i.table.beginAnswer(c.id, int64(len(b)), now), now)
+		i.updateGauges()
 		i.mu.Unlock()
 		closeAll(dropped)
+		defer i.with(func(t *table, _ time.Time) {
+			t.endAnswer(c.id)
+			i.updateGauges()
+		})
 	}
 	written := 0
 	for {
--- a/hfintake/intake.go
+++ b/hfintake/intake.go
@@ -151,7 +151,7 @@
 // updateGauges shows the connections and the bytes in use. The caller holds mu.
 func (i *Intake) updateGauges() {
 	metrics.GetOrRegisterGauge("intake."+i.name+".connections", i.registry).Update(int64(len(i.table.clients)))
-	metrics.GetOrRegisterGauge("intake."+i.name+".bytes", i.registry).Update(i.table.held)
+	metrics.GetOrRegisterGauge("intake."+i.name+".bytes", i.registry).Update(i.table.held + i.table.answers)
 }
 
 // reserve reserves n bytes for the body of a connection.
--- a/hfintake/intake_test.go
+++ b/hfintake/intake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"crypto/tls"
 	"errors"
 	"fmt"
@@ -11,6 +12,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -287,3 +289,112 @@
 	require.LessOrEqual(t, metrics.GetOrRegisterGauge("intake.callers.connections", f.registry).Value(), int64(4))
 	require.Positive(t, f.refused(ReasonLetGo))
 }
+
+// letGo lets all clients go, as the table does when there is no room.
+func (f *front) letGo() {
+	f.intake.mu.Lock()
+	var victims []uint64
+	for id := range f.intake.table.clients {
+		victims = append(victims, id)
+	}
+	for _, id := range victims {
+		f.intake.table.remove(id)
+	}
+	dropped := f.intake.drop(victims, time.Now())
+	f.intake.mu.Unlock()
+	closeAll(dropped)
+}
+
+// TestClientThatWasLetGoDoesNotRun lets a client go while its body is under way, and the rest of the body is
+// already in the buffers of the library.
+func TestClientThatWasLetGoDoesNotRun(t *testing.T) {
+	for name, text := range map[string]string{"with length": post(100, strings.Repeat("x", 100)), "chunked": chunked(strings.Repeat("x", 100))} {
+		t.Run(name, func(t *testing.T) {
+			begun, letGo, result := make(chan struct{}), make(chan struct{}), make(chan error, 1)
+			f := startFrontWith(t, testLimits(4), nil, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.ReadFull(r.Body, make([]byte, 1))
+				close(begun)
+				<-letGo
+				_, err := io.ReadAll(r.Body)
+				result <- err
+			}))
+			f.open(text)
+			<-begun
+			f.letGo()
+			close(letGo)
+			require.ErrorIs(t, <-result, ErrFull)
+		})
+	}
+}
+
+// TestClientThatWasLetGoBeforeItsHandlerDoesNotRun lets a client go after its head was read.
+func TestClientThatWasLetGoBeforeItsHandlerDoesNotRun(t *testing.T) {
+	for name, text := range map[string]string{"without a body": "DELETE / HTTP/1.1\r\nHost: h\r\n\r\n", "with a body": post(2, "{}")} {
+		t.Run(name, func(t *testing.T) {
+			var ran atomic.Bool
+			f := startFrontWith(t, testLimits(4), nil, http.NotFoundHandler())
+			handler := f.intake.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran.Store(true) }))
+			c := f.clientOf(f.open(text))
+			f.letGo()
+			request, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
+			require.NoError(t, err)
+			request = request.WithContext(context.WithValue(t.Context(), connKey{}, c))
+			require.PanicsWithValue(t, http.ErrAbortHandler, func() { handler.ServeHTTP(httptest.NewRecorder(), request) })
+			require.False(t, ran.Load())
+		})
+	}
+}
+
+// clientOf returns the server's side of a connection.
+func (f *front) clientOf(client net.Conn) *conn {
+	f.t.Helper()
+	var found *conn
+	require.Eventually(f.t, func() bool {
+		f.intake.mu.Lock()
+		defer f.intake.mu.Unlock()
+		for _, c := range f.intake.conns {
+			if c.RemoteAddr().String() == client.LocalAddr().String() {
+				found = c
+			}
+		}
+		return found != nil
+	}, testTimeout, time.Millisecond)
+	return found
+}
+
+const largeAnswer = 8 << 20
+
+func answerLarge(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet {
+		_, _ = w.Write(make([]byte, largeAnswer))
+		return
+	}
+	countBody(w, r)
+}
+
+// TestAnswerIsWholeAfterAPause pauses in the middle of a large answer while other callers need room.
+func TestAnswerIsWholeAfterAPause(t *testing.T) {
+	f := startFrontWith(t, testLimits(10), nil, http.HandlerFunc(answerLarge))
+	resp, err := http.ReadResponse(bufio.NewReader(f.open("GET / HTTP/1.1\r\nHost: h\r\n\r\n")), nil)
+	require.NoError(t, err)
+	time.Sleep(stallTime + stallTime/5)
+	status, _ := f.call(post(2, "{}"))
+	require.Equal(t, http.StatusOK, status)
+	read, err := io.Copy(io.Discard, resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, int64(largeAnswer), read)
+	require.Zero(t, f.refused(ReasonLetGo))
+}
+
+// TestAnswersTakeNothingOfBodies sends small and large bodies while a large answer is being written.
+func TestAnswersTakeNothingOfBodies(t *testing.T) {
+	f := startFrontWith(t, testLimits(10), nil, http.HandlerFunc(answerLarge))
+	resp, err := http.ReadResponse(bufio.NewReader(f.open("GET / HTTP/1.1\r\nHost: h\r\n\r\n")), nil)
+	require.NoError(t, err)
+	for _, n := range []int{2, testMemory / 2} {
+		status, _ := f.call(post(n, strings.Repeat("x", n)))
+		require.Equal(t, http.StatusOK, status, n)
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	require.NoError(t, err)
+}
--- a/hfintake/limits.go
+++ b/hfintake/limits.go
@@ -24,6 +24,8 @@
 	drainTimeout = time.Second
 	// stallTime is the pause after which a client counts as stalled. It matters only when there is no room.
 	stallTime = time.Second
+	// answerStallTime is the same for a caller that does not read its answer.
+	answerStallTime = 10 * time.Second
 
 	blockBytes = 4 << 10  // by which the reservation of a body grows
 	smallBody  = 16 << 10 // bytes; four times a job of the largest spec
@@ -53,20 +55,22 @@
 // Limits are the limits of one listener.
 type Limits struct {
 	bodies      int64 // bytes of the bodies in progress together
+	answers     int64 // bytes of the answers being written above which unread ones are let go
 	conns       int
 	spare       int // connections beyond conns that may be for a vital call
 	bodyTimeout time.Duration
 }
 
 // NewLimits returns the limits of the callers' listener in a process that may take memory bytes and open a
-// number of descriptors. bodyShare is the part of the memory, as a divisor, that bodies may take.
+// number of descriptors. bodyShare is the part of the memory, as a divisor, that bodies may take, and answers
+// once more.
 func NewLimits(memory, bodyShare, descriptors int64, sealed bool) Limits {
 	cost := int64(connBytes)
 	if sealed {
 		cost = sealedConnBytes
 	}
 	conns := min(memory/connShare/cost, descriptors/descriptorShare)
-	return Limits{bodies: memory / bodyShare, conns: int(max(conns, 1)), bodyTimeout: bodyTimeout}
+	return Limits{bodies: memory / bodyShare, answers: memory / bodyShare, conns: int(max(conns, 1)), bodyTimeout: bodyTimeout}
 }
 
 // WithConns returns the limits with another number of connections.
--- a/hfserve/node.go
+++ b/hfserve/node.go
@@ -28,10 +28,7 @@
 	// drainTime is how long a stopping instance still accepts requests, so that the
 	// load balancer and the other instances can notice the stop. It is limited to a
 	// third of the stop timeout in the settings.
-	drainTime = 2 * time.Second
-	// bodyMemoryShare is the part of the memory, as a divisor, that callers' bodies may take. The answers take
-	// as much again.
-	bodyMemoryShare  = 8
+	drainTime        = 2 * time.Second
 	heapLimitPercent = 80 // of --memory; above it the garbage collector works harder
 )
 
@@ -60,7 +57,7 @@
 	}
 	registry := metrics.NewRegistry()
 	log := hfevent.New(logger, registry)
-	limits := hfintake.NewLimits(s.Memory(), bodyMemoryShare, hfintake.Descriptors(), keys != nil)
+	limits := hfintake.NewLimits(s.Memory(), hfsettings.BodyMemoryShare, hfintake.Descriptors(), keys != nil)
 	intake := hfintake.New("callers", limits, keys != nil, func(refused map[string]int64) {
 		log.Event(hfevent.ClientsRefused, zap.Any("refused", refused))
 	}, registry)
--- a/hfsettings/access.go
+++ b/hfsettings/access.go
@@ -81,6 +81,10 @@
 // MaxBody returns the maximum size of the body of a request or answer in bytes.
 func (s *Settings) MaxBody() int64 { return s.maxBodyBytes }
 
+// BodyMemoryShare is the part of the memory, as a divisor, that the bodies of callers may take. The answers take
+// as much again, which is why it is small.
+const BodyMemoryShare = 8
+
 // Memory returns the memory that this process may take in bytes.
 func (s *Settings) Memory() int64 {
 	if s.memoryMB == 0 {
--- a/hfsettings/settings.go
+++ b/hfsettings/settings.go
@@ -73,7 +73,7 @@
 	s.suspectTimeout = fs.Duration("suspect", 3*time.Second, "time without messages after which an instance is suspected to have failed and others take over its responsibilities; at least six times --beat, because a heartbeat without news is sent only every second interval")
 	s.stopTimeout = fs.Duration("stop", 30*time.Second, "timeout of a graceful shutdown, 1s to 10m")
 	s.retention = fs.Duration("retain", 7*24*time.Hour, "retention time of finished jobs, 1m to 90 days")
-	fs.Int64Var(&s.maxBodyBytes, "max-body", 1<<20, "maximum body size of a request or answer in bytes, 1 to 16 MiB")
+	fs.Int64Var(&s.maxBodyBytes, "max-body", 1<<20, "maximum body size of a request or answer in bytes, 1 to 16 MiB and to an eighth of --memory")
 	fs.Int64Var(&s.memoryMB, "memory", 0, "memory that this process may take in MB, 64 to 1048576, or 0 for that of the machine; callers' bodies take an eighth, connections a quarter at most")
 	fs.IntVar(&s.maxQueued, "queue", 4096, "maximum number of requests that wait in this instance, 1 to 100000")
 	fs.StringVar(&s.logLevel, "log-level", "info", "minimum level of logged events: debug, info, warn or error")
@@ -181,7 +181,10 @@
 	if s.memoryMB == 0 {
 		return nil
 	}
-	return checkIntRange("memory", s.memoryMB, 64, 1<<20)
+	if err := checkIntRange("memory", s.memoryMB, 64, 1<<20); err != nil {
+		return err
+	}
+	return checkIntRange("max-body", s.maxBodyBytes, 1, s.Memory()/BodyMemoryShare)
 }
 
 func (s *Settings) checkSeeds() error {
--- a/hfsettings/settings_test.go
+++ b/hfsettings/settings_test.go
@@ -58,6 +58,14 @@
 	}
 }
 
+func TestLargestBodyFitsIntoTheMemory(t *testing.T) {
+	_, err := parse(append(validArgs(), "--memory", "64", "--max-body", "8388609"))
+	require.ErrorIs(t, err, ErrInvalidSetting)
+	require.ErrorContains(t, err, "--max-body")
+	_, err = parse(append(validArgs(), "--memory", "64", "--max-body", "8388608"))
+	require.NoError(t, err)
+}
+
 func TestEnvironment(t *testing.T) {
 	t.Setenv("HEATHERFRONT_NAME", "from-environment")
 	s, err := parse(validArgs()[2:])
