Charge connections what they take, so that legal callers meet no limit

Change: an idle connection takes 16 KiB of a quarter of the memory, 80 KiB of one half (with the idle ones) from the first byte of a head until its answer. A request without room lets a stalled one go, or is closed before it begins. Above three quarters answers ask to close. WithConns changes the memory of connections, too.

--- a/hfintake/body.go
+++ b/hfintake/body.go
@@ -20,6 +20,9 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		if i.crowded() {
+			w.Header().Set("Connection", "close")
+		}
 		if r.Body == nil || r.ContentLength == 0 {
 			c.enter(phaseAnswer)
 			next.ServeHTTP(w, r)
@@ -36,11 +39,11 @@
 	})
 }
 
-// enter begins a phase of the client, and returns when. It ends the handler of a client that was let go.
+// enter begins a phase of the client, and returns when. It ends the handler of a client that was let go, or for
+// which there is no room.
 func (c *conn) enter(p phase) (since time.Time) {
-	known := false
-	c.intake.with(func(t *table, now time.Time) { known, since = t.enter(c.id, p, now), now })
-	if !known {
+	since = time.Now()
+	if !c.intake.begin(c, p, false) {
 		panic(http.ErrAbortHandler) // closes the connection without an answer
 	}
 	return since
--- a/hfintake/conn.go
+++ b/hfintake/conn.go
@@ -70,14 +70,14 @@
 		return 0, errHead
 	}
 	n, err := c.Conn.Read(b)
+	if n > 0 && !i.begin(c, phaseHead, true) {
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: ErrFull} // closed without an answer
+	}
 	i.with(func(t *table, now time.Time) {
 		s := t.clients[c.id]
 		if s == nil || n == 0 {
 			return
 		}
-		if s.phase == phaseIdle {
-			t.enter(c.id, phaseHead, now)
-		}
 		s.progress = now
 		if s.phase == phaseHead {
 			c.head.scan(b[:n])
--- a/hfintake/intake.go
+++ b/hfintake/intake.go
@@ -115,7 +115,10 @@
 	defer i.mu.Unlock()
 	switch state {
 	case http.StateActive:
-		i.table.enter(c.id, phaseAnswer, time.Now())
+		// A request of which nothing was read by itself, as it came with the one before, begins with its handler.
+		if s := i.table.clients[c.id]; s != nil && s.phase != phaseIdle {
+			i.table.enter(c.id, phaseAnswer, time.Now())
+		}
 	case http.StateIdle:
 		i.table.release(c.id)
 		i.table.enter(c.id, phaseIdle, time.Now())
@@ -169,6 +172,32 @@
 	return ok
 }
 
+// begin begins a phase of a client, with ifIdle only if it is idle. It returns false if the client was let go or
+// there is no room for its request.
+func (i *Intake) begin(c *conn, p phase, ifIdle bool) bool {
+	i.mu.Lock()
+	s := i.table.clients[c.id]
+	if s == nil || ifIdle && s.phase != phaseIdle {
+		i.mu.Unlock()
+		return s != nil
+	}
+	now := time.Now()
+	victims, ok := i.table.begin(c.id, p, now)
+	if !ok {
+		i.refuse(ReasonConnections, now)
+	}
+	dropped := i.drop(victims, now)
+	i.mu.Unlock()
+	closeAll(dropped)
+	return ok
+}
+
+func (i *Intake) crowded() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.table.crowded()
+}
+
 func closeAll(conns []*conn) {
 	for _, c := range conns {
 		_ = c.Conn.Close()
--- a/hfintake/limits.go
+++ b/hfintake/limits.go
@@ -36,13 +36,24 @@
 
 	// receiveBytes is the receive buffer of a connection. The kernel holds it beside the process.
 	receiveBytes = 32 << 10
-	// connBytes is what a connection takes: receive buffer, head, and 32 KiB for stacks and buffers.
-	connBytes = receiveBytes + MaxHeadBytes + 32<<10
-	// sealedConnBytes is the same under TLS, where lines are not counted as they come: the library takes
-	// about 100 bytes for each of 5,000 short lines.
-	sealedConnBytes = 512 << 10
-	// connShare is the part of the memory, as a divisor, that connections may take.
-	connShare = 4
+	// idleBytes is what a connection takes between two requests, for stacks and buffers.
+	idleBytes = 16 << 10
+	// busyBytes is what a connection takes from the first byte of a head until the answer: receive buffer, head,
+	// and 32 KiB for stacks and buffers.
+	busyBytes = receiveBytes + MaxHeadBytes + 32<<10
+	// sealedIdleBytes and sealedBusyBytes are the same under TLS. Lines are not counted there as they come: the
+	// library takes about 100 bytes for each of 5,000 short lines.
+	sealedIdleBytes = 48 << 10
+	sealedBusyBytes = 512 << 10
+	// idleShare is the part of the memory, as a divisor, that connections may take while they idle, and
+	// connShare with what those take that are busy.
+	idleShare = 4
+	connShare = 2
+	// maxConns bounds the connections however large the memory is: who is let go is searched among all.
+	maxConns = 16 << 10
+	// crowdShare is the part of the connections, as a divisor, that are free when callers are first told to close
+	// theirs after the answer.
+	crowdShare = 4
 	// descriptorShare is the part of the descriptors, as a divisor, that connections may take. The others
 	// are for what the instance itself opens.
 	descriptorShare = 2
@@ -57,7 +68,9 @@
 	bodies      int64 // bytes of the bodies in progress together
 	answers     int64 // bytes of the answers being written above which unread ones are let go
 	conns       int
-	spare       int // connections beyond conns that may be for a vital call
+	spare       int   // connections beyond conns that may be for a vital call
+	idle, busy  int64 // bytes that a connection takes between and during requests
+	room        int64 // bytes that all connections may take
 	bodyTimeout time.Duration
 }
 
@@ -65,16 +78,21 @@
 // number of descriptors. bodyShare is the part of the memory, as a divisor, that bodies may take, and answers
 // once more.
 func NewLimits(memory, bodyShare, descriptors int64, sealed bool) Limits {
-	cost := int64(connBytes)
+	l := Limits{
+		bodies: memory / bodyShare, answers: memory / bodyShare, idle: idleBytes, busy: busyBytes, room: memory / connShare,
+		bodyTimeout: bodyTimeout,
+	}
 	if sealed {
-		cost = sealedConnBytes
+		l.idle, l.busy = sealedIdleBytes, sealedBusyBytes
 	}
-	conns := min(memory/connShare/cost, descriptors/descriptorShare)
-	return Limits{bodies: memory / bodyShare, answers: memory / bodyShare, conns: int(max(conns, 1)), bodyTimeout: bodyTimeout}
+	l.conns = int(max(min(memory/idleShare/l.idle, descriptors/descriptorShare, maxConns), 1))
+	l.room = max(l.room, l.busy) // a connection alone is served
+	return l
 }
 
-// WithConns returns the limits with another number of connections.
+// WithConns returns the limits with another number of connections, and as much of their memory.
 func (l Limits) WithConns(conns int) Limits {
+	l.room = max(l.room/int64(l.conns)*int64(conns), l.busy)
 	l.conns = conns
 	return l
 }
--- a/hfintake/table.go
+++ b/hfintake/table.go
@@ -24,7 +24,7 @@
 	id       uint64
 	source   string // address without the port
 	phase    phase
-	spare    bool      // opened when all other connections were taken
+	spare    bool      // opened when there was room for vital calls only
 	writing  bool      // a part of an answer is being written
 	since    time.Time // when the phase began
 	progress time.Time // when a byte was last read or written
@@ -56,6 +56,7 @@
 	sources map[string]int // connections by source; the sum is len(clients)
 	held    int64          // sum of what the clients hold for bodies
 	answers int64          // the same for answers
+	taken   int64          // sum of what the connections themselves take, by their phase
 	lastID  uint64
 }
 
@@ -67,33 +68,81 @@
 
 // open adds a connection. If there is no room, it lets another one go, or takes a spare one, or returns false.
 func (t *table) open(source string, now time.Time) (id uint64, victims []uint64, ok bool) {
-	if len(t.clients) >= t.limits.conns {
+	if t.full() {
 		v := t.victim(now, func(c *client) bool {
-			return c.stalled(now) || c.phase == phaseIdle && now.Sub(c.progress) > stallTime || t.heavy(c.source) && c.source != source && c.moving()
+			return c.stalled(now) || c.phase == phaseIdle && now.Sub(c.progress) > stallTime || t.givesWay(c, source)
 		})
 		switch {
 		case v != nil:
 			t.remove(v.id)
 			victims = append(victims, v.id)
-		case len(t.clients) >= t.limits.conns+t.limits.spare:
+		case len(t.clients) >= t.limits.conns+t.limits.spare || t.taken+t.limits.idle > t.roomFor(true):
 			return 0, nil, false
 		}
 	}
 	t.lastID++
-	t.clients[t.lastID] = &client{id: t.lastID, source: source, spare: len(t.clients) >= t.limits.conns, since: now, progress: now}
+	t.clients[t.lastID] = &client{id: t.lastID, source: source, spare: t.full(), since: now, progress: now}
 	t.sources[source]++
+	t.taken += t.limits.idle
 	return t.lastID, victims, true
 }
 
+// full reports whether there is room for another connection only beside the spare ones.
+func (t *table) full() bool {
+	return len(t.clients) >= t.limits.conns || t.taken+t.limits.idle > t.limits.room
+}
+
+// roomFor returns the bytes that connections may take, with a spare one or without.
+func (t *table) roomFor(spare bool) int64 {
+	if spare {
+		return t.limits.room + int64(t.limits.spare)*t.limits.busy
+	}
+	return t.limits.room
+}
+
+// crowded reports whether callers should close their connections after the answer.
+func (t *table) crowded() bool { return len(t.clients) > t.limits.conns-t.limits.conns/crowdShare }
+
+// begin begins a request of an idle client with a phase. If there is no room, it lets stalled clients go, or
+// returns false: the request must not run. Other phases are entered as with enter.
+func (t *table) begin(id uint64, p phase, now time.Time) (victims []uint64, ok bool) {
+	c := t.clients[id]
+	if c == nil {
+		return nil, false
+	}
+	for c.phase == phaseIdle && t.taken+t.limits.busy-t.limits.idle > t.roomFor(c.spare) {
+		v := t.victim(now, func(o *client) bool { return o != c && (o.stalled(now) || t.givesWay(o, c.source)) })
+		if v == nil {
+			return victims, false
+		}
+		t.remove(v.id)
+		victims = append(victims, v.id)
+	}
+	return victims, t.enter(id, p, now)
+}
+
 // onlyVital reports whether only vital calls may be served on a connection.
 func (t *table) onlyVital(id uint64) bool {
 	c := t.clients[id]
-	return c != nil && c.spare && len(t.clients) > t.limits.conns
+	return c != nil && c.spare && (len(t.clients) > t.limits.conns || t.taken > t.limits.room)
 }
 
 // heavy reports whether a source has more than its share of the connections.
 func (t *table) heavy(source string) bool { return t.sources[source] > t.limits.conns/sourceShare }
 
+// givesWay reports whether a client that moves may be let go for a source: its own has more than its share.
+func (t *table) givesWay(c *client, source string) bool {
+	return t.heavy(c.source) && c.source != source && c.moving()
+}
+
+// cost returns what a connection takes in a phase.
+func (t *table) cost(p phase) int64 {
+	if p == phaseIdle {
+		return t.limits.idle
+	}
+	return t.limits.busy
+}
+
 // moving reports whether a client's request is not whole yet, or not begun.
 func (c *client) moving() bool { return c.phase != phaseAnswer }
 
@@ -190,10 +239,11 @@
 	}
 }
 
-// enter begins a phase of a client. It returns false if the client was let go: its request must not run.
+// enter begins a phase of a client, begin that of one that may be idle. It returns false if the client was let go: its request must not run.
 func (t *table) enter(id uint64, p phase, now time.Time) bool {
 	c := t.clients[id]
 	if c != nil && c.phase != p {
+		t.taken += t.cost(p) - t.cost(c.phase)
 		c.phase, c.since, c.progress = p, now, now
 	}
 	return c != nil
@@ -206,6 +256,7 @@
 	}
 	t.release(id)
 	t.endAnswer(id)
+	t.taken -= t.cost(c.phase)
 	delete(t.clients, id)
 	if t.sources[c.source]--; t.sources[c.source] == 0 {
 		delete(t.sources, c.source)
@@ -214,12 +265,13 @@
 
 // Check returns the first broken invariant.
 func (t *table) Check() error {
-	var held, answers int64
+	var held, answers, taken int64
 	sources := map[string]int{}
 	for _, id := range slices.Sorted(maps.Keys(t.clients)) {
 		c := t.clients[id]
 		held += c.held
 		answers += c.answer
+		taken += t.cost(c.phase)
 		sources[c.source]++
 		if c.held < 0 || c.answer < 0 {
 			return fmt.Errorf("client %d holds %d bytes, %d of an answer", id, c.held, c.answer)
@@ -228,6 +280,10 @@
 	switch {
 	case held != t.held:
 		return fmt.Errorf("clients hold %d bytes, counted are %d", held, t.held)
+	case taken != t.taken:
+		return fmt.Errorf("connections take %d bytes, counted are %d", taken, t.taken)
+	case taken > t.roomFor(true):
+		return fmt.Errorf("connections take %d bytes of %d", taken, t.roomFor(true))
 	case answers != t.answers:
 		return fmt.Errorf("answers hold %d bytes, counted are %d", answers, t.answers)
 	case len(t.clients) > t.limits.conns+t.limits.spare:
