Count what the kernel holds for a connection, and play crowds that fill the limits

Cause: with idle connections at 16 KiB the limits were higher than the memory. New crowds of 1,600 connections with all 3,900 sockets, as trials on the commit before: entry 148 of 96 MB beside unread answers (86 MB of them unread in the kernel: about 80 KB a connection with a receive buffer of 32 KiB) and 129 MB beside heads; serve 131 of 128 MB beside unread answers. With buffers of 16 KiB the kernel held about 40 KB, with 8 KiB 17 KB a connection.

Change: receive buffers of 8 KiB, more than a legal call; 20 KiB for the kernel in what a connection takes, idle (36 KiB) or busy (68 KiB). So 1,137 connections at 160 MB, 1,308 at 184, 1,950 (half of the descriptors) at 284 MB. Spare connections are counted apart, so that they take no room from others: TestVitalCallsAreServedBesideWholeRequests found it.

--- a/hfcrowd/crowd_test.go
+++ b/hfcrowd/crowd_test.go
@@ -28,6 +28,7 @@
 	tinyChunk    = 8                     // bytes of the smallest chunks; below, the library refuses them
 	largeChunk   = 32 << 10
 	largeHead    = 1_000_000 // bytes, below the limit of 1 MiB that the library has without settings
+	wideCrowd    = 1600      // connections of a crowd that wants all that the memory allows
 	unreadCalls  = 800       // requests whose answers are not read
 	smallSegment = 536       // TCP_MAXSEG of a client that reads nothing, so that the sender buffers little
 )
@@ -289,6 +290,10 @@
 	"IdleConnections": {holdingCrowd, 1, fewSockets, sendOneAndIdle},
 	"TrickledBodies":  {holdingCrowd, 1, fewSockets, sendTrickle},
 	"UnreadAnswers":   {holdingCrowd, 1, fewSockets, sendUnread},
+	// What the limits of connections follow from; all sockets of the operators' machines.
+	"WideHeads":         {wideCrowd, 1, allSockets, sendHeads},
+	"WideTrickle":       {wideCrowd, 1, allSockets, sendTrickle},
+	"WideUnreadAnswers": {wideCrowd, 1, allSockets, sendUnread},
 }
 
 func testEntry(t *testing.T, name string) {
@@ -303,21 +308,27 @@
 	p.check()
 }
 
-func TestEntryUnderWholeBodies(t *testing.T)     { testEntry(t, "WholeBodies") }
-func TestEntryUnderBodiesInPieces(t *testing.T)  { testEntry(t, "BodiesInPieces") }
-func TestEntryUnderLargeChunks(t *testing.T)     { testEntry(t, "LargeChunks") }
-func TestEntryUnderTinyChunks(t *testing.T)      { testEntry(t, "TinyChunks") }
-func TestEntryUnderHeads(t *testing.T)           { testEntry(t, "Heads") }
-func TestEntryUnderEmptyLines(t *testing.T)      { testEntry(t, "EmptyLines") }
-func TestEntryUnderIdleConnections(t *testing.T) { testEntry(t, "IdleConnections") }
-func TestEntryUnderTrickledBodies(t *testing.T)  { testEntry(t, "TrickledBodies") }
-func TestEntryUnderUnreadAnswers(t *testing.T)   { testEntry(t, "UnreadAnswers") }
-func TestServeUnderWholeBodies(t *testing.T)     { testServe(t, "WholeBodies") }
-func TestServeUnderBodiesInPieces(t *testing.T)  { testServe(t, "BodiesInPieces") }
-func TestServeUnderLargeChunks(t *testing.T)     { testServe(t, "LargeChunks") }
-func TestServeUnderTinyChunks(t *testing.T)      { testServe(t, "TinyChunks") }
-func TestServeUnderHeads(t *testing.T)           { testServe(t, "Heads") }
-func TestServeUnderEmptyLines(t *testing.T)      { testServe(t, "EmptyLines") }
-func TestServeUnderIdleConnections(t *testing.T) { testServe(t, "IdleConnections") }
-func TestServeUnderTrickledBodies(t *testing.T)  { testServe(t, "TrickledBodies") }
-func TestServeUnderUnreadAnswers(t *testing.T)   { testServe(t, "UnreadAnswers") }
+func TestEntryUnderWholeBodies(t *testing.T)       { testEntry(t, "WholeBodies") }
+func TestEntryUnderBodiesInPieces(t *testing.T)    { testEntry(t, "BodiesInPieces") }
+func TestEntryUnderLargeChunks(t *testing.T)       { testEntry(t, "LargeChunks") }
+func TestEntryUnderTinyChunks(t *testing.T)        { testEntry(t, "TinyChunks") }
+func TestEntryUnderHeads(t *testing.T)             { testEntry(t, "Heads") }
+func TestEntryUnderEmptyLines(t *testing.T)        { testEntry(t, "EmptyLines") }
+func TestEntryUnderIdleConnections(t *testing.T)   { testEntry(t, "IdleConnections") }
+func TestEntryUnderTrickledBodies(t *testing.T)    { testEntry(t, "TrickledBodies") }
+func TestEntryUnderUnreadAnswers(t *testing.T)     { testEntry(t, "UnreadAnswers") }
+func TestServeUnderWholeBodies(t *testing.T)       { testServe(t, "WholeBodies") }
+func TestServeUnderBodiesInPieces(t *testing.T)    { testServe(t, "BodiesInPieces") }
+func TestServeUnderLargeChunks(t *testing.T)       { testServe(t, "LargeChunks") }
+func TestServeUnderTinyChunks(t *testing.T)        { testServe(t, "TinyChunks") }
+func TestServeUnderHeads(t *testing.T)             { testServe(t, "Heads") }
+func TestServeUnderEmptyLines(t *testing.T)        { testServe(t, "EmptyLines") }
+func TestServeUnderIdleConnections(t *testing.T)   { testServe(t, "IdleConnections") }
+func TestServeUnderTrickledBodies(t *testing.T)    { testServe(t, "TrickledBodies") }
+func TestServeUnderUnreadAnswers(t *testing.T)     { testServe(t, "UnreadAnswers") }
+func TestEntryUnderWideHeads(t *testing.T)         { testEntry(t, "WideHeads") }
+func TestEntryUnderWideTrickle(t *testing.T)       { testEntry(t, "WideTrickle") }
+func TestEntryUnderWideUnreadAnswers(t *testing.T) { testEntry(t, "WideUnreadAnswers") }
+func TestServeUnderWideHeads(t *testing.T)         { testServe(t, "WideHeads") }
+func TestServeUnderWideTrickle(t *testing.T)       { testServe(t, "WideTrickle") }
+func TestServeUnderWideUnreadAnswers(t *testing.T) { testServe(t, "WideUnreadAnswers") }
--- a/hfcrowd/process_test.go
+++ b/hfcrowd/process_test.go
@@ -30,6 +30,7 @@
 
 	manySockets = 1024 // descriptors of a process whose crowd needs fewer
 	fewSockets  = 200  // descriptors of a process whose crowd wants more
+	allSockets  = 3900 // descriptors of an instance of entry on the operators' machines
 	fileReserve = 200  // of limits.max_fds, kept for files by the platform (DEPLOY.md)
 
 	settleTimeout  = 20 * time.Second      // for what must hold eventually, also on a loaded machine
--- a/hfintake/limits.go
+++ b/hfintake/limits.go
@@ -34,16 +34,17 @@
 	// sourceShare is the part of the connections, as a divisor, above which a source gives way to others.
 	sourceShare = 2
 
-	// receiveBytes is the receive buffer of a connection. The kernel holds it beside the process.
-	receiveBytes = 32 << 10
-	// idleBytes is what a connection takes between two requests, for stacks and buffers.
-	idleBytes = 16 << 10
-	// busyBytes is what a connection takes from the first byte of a head until the answer: receive buffer, head,
-	// and 32 KiB for stacks and buffers.
-	busyBytes = receiveBytes + MaxHeadBytes + 32<<10
+	// receiveBytes is the receive buffer of a connection that is asked for. The kernel holds unreadBytes at most
+	// then, as measured, beside the process.
+	receiveBytes = 8 << 10
+	unreadBytes  = 20 << 10
+	// idleBytes is what a connection takes between two requests: what was not read yet, stacks and buffers.
+	idleBytes = unreadBytes + 16<<10
+	// busyBytes is what a connection takes from the first byte of a head until the answer.
+	busyBytes = idleBytes + MaxHeadBytes + 16<<10
 	// sealedIdleBytes and sealedBusyBytes are the same under TLS. Lines are not counted there as they come: the
 	// library takes about 100 bytes for each of 5,000 short lines.
-	sealedIdleBytes = 48 << 10
+	sealedIdleBytes = idleBytes + 32<<10
 	sealedBusyBytes = 512 << 10
 	// idleShare is the part of the memory, as a divisor, that connections may take while they idle, and
 	// connShare with what those take that are busy.
@@ -70,7 +71,7 @@
 	conns       int
 	spare       int   // connections beyond conns that may be for a vital call
 	idle, busy  int64 // bytes that a connection takes between and during requests
-	room        int64 // bytes that all connections may take
+	room        int64 // bytes that all connections but the spare ones may take
 	bodyTimeout time.Duration
 }
 
--- a/hfintake/table.go
+++ b/hfintake/table.go
@@ -56,7 +56,8 @@
 	sources map[string]int // connections by source; the sum is len(clients)
 	held    int64          // sum of what the clients hold for bodies
 	answers int64          // the same for answers
-	taken   int64          // sum of what the connections themselves take, by their phase
+	taken   int64          // sum of what the connections but the spare ones take by their phase
+	spares  int            // spare connections
 	lastID  uint64
 }
 
@@ -72,32 +73,29 @@
 		v := t.victim(now, func(c *client) bool {
 			return c.stalled(now) || c.phase == phaseIdle && now.Sub(c.progress) > stallTime || t.givesWay(c, source)
 		})
-		switch {
-		case v != nil:
+		if v != nil {
 			t.remove(v.id)
 			victims = append(victims, v.id)
-		case len(t.clients) >= t.limits.conns+t.limits.spare || t.taken+t.limits.idle > t.roomFor(true):
-			return 0, nil, false
 		}
 	}
+	c := &client{source: source, spare: t.full(), since: now, progress: now}
+	if c.spare {
+		if t.spares >= t.limits.spare {
+			return 0, victims, false
+		}
+		t.spares++
+	}
 	t.lastID++
-	t.clients[t.lastID] = &client{id: t.lastID, source: source, spare: t.full(), since: now, progress: now}
+	c.id = t.lastID
+	t.clients[c.id] = c
 	t.sources[source]++
-	t.taken += t.limits.idle
+	t.taken += t.cost(c, phaseIdle)
 	return t.lastID, victims, true
 }
 
 // full reports whether there is room for another connection only beside the spare ones.
 func (t *table) full() bool {
-	return len(t.clients) >= t.limits.conns || t.taken+t.limits.idle > t.limits.room
-}
-
-// roomFor returns the bytes that connections may take, with a spare one or without.
-func (t *table) roomFor(spare bool) int64 {
-	if spare {
-		return t.limits.room + int64(t.limits.spare)*t.limits.busy
-	}
-	return t.limits.room
+	return len(t.clients)-t.spares >= t.limits.conns || t.taken+t.limits.idle > t.limits.room
 }
 
 // crowded reports whether callers should close their connections after the answer.
@@ -110,7 +108,7 @@
 	if c == nil {
 		return nil, false
 	}
-	for c.phase == phaseIdle && t.taken+t.limits.busy-t.limits.idle > t.roomFor(c.spare) {
+	for c.phase == phaseIdle && t.taken+t.cost(c, p)-t.cost(c, phaseIdle) > t.limits.room {
 		v := t.victim(now, func(o *client) bool { return o != c && (o.stalled(now) || t.givesWay(o, c.source)) })
 		if v == nil {
 			return victims, false
@@ -124,7 +122,7 @@
 // onlyVital reports whether only vital calls may be served on a connection.
 func (t *table) onlyVital(id uint64) bool {
 	c := t.clients[id]
-	return c != nil && c.spare && (len(t.clients) > t.limits.conns || t.taken > t.limits.room)
+	return c != nil && c.spare && (len(t.clients) > t.limits.conns || t.taken+t.limits.busy > t.limits.room)
 }
 
 // heavy reports whether a source has more than its share of the connections.
@@ -135,9 +133,12 @@
 	return t.heavy(c.source) && c.source != source && c.moving()
 }
 
-// cost returns what a connection takes in a phase.
-func (t *table) cost(p phase) int64 {
-	if p == phaseIdle {
+// cost returns what a connection takes of the room in a phase.
+func (t *table) cost(c *client, p phase) int64 {
+	switch {
+	case c.spare:
+		return 0
+	case p == phaseIdle:
 		return t.limits.idle
 	}
 	return t.limits.busy
@@ -243,7 +244,7 @@
 func (t *table) enter(id uint64, p phase, now time.Time) bool {
 	c := t.clients[id]
 	if c != nil && c.phase != p {
-		t.taken += t.cost(p) - t.cost(c.phase)
+		t.taken += t.cost(c, p) - t.cost(c, c.phase)
 		c.phase, c.since, c.progress = p, now, now
 	}
 	return c != nil
@@ -256,7 +257,10 @@
 	}
 	t.release(id)
 	t.endAnswer(id)
-	t.taken -= t.cost(c.phase)
+	t.taken -= t.cost(c, c.phase)
+	if c.spare {
+		t.spares--
+	}
 	delete(t.clients, id)
 	if t.sources[c.source]--; t.sources[c.source] == 0 {
 		delete(t.sources, c.source)
@@ -266,12 +270,16 @@
 // Check returns the first broken invariant.
 func (t *table) Check() error {
 	var held, answers, taken int64
+	spares := 0
 	sources := map[string]int{}
 	for _, id := range slices.Sorted(maps.Keys(t.clients)) {
 		c := t.clients[id]
 		held += c.held
 		answers += c.answer
-		taken += t.cost(c.phase)
+		taken += t.cost(c, c.phase)
+		if c.spare {
+			spares++
+		}
 		sources[c.source]++
 		if c.held < 0 || c.answer < 0 {
 			return fmt.Errorf("client %d holds %d bytes, %d of an answer", id, c.held, c.answer)
@@ -282,11 +290,13 @@
 		return fmt.Errorf("clients hold %d bytes, counted are %d", held, t.held)
 	case taken != t.taken:
 		return fmt.Errorf("connections take %d bytes, counted are %d", taken, t.taken)
-	case taken > t.roomFor(true):
-		return fmt.Errorf("connections take %d bytes of %d", taken, t.roomFor(true))
+	case taken > t.limits.room:
+		return fmt.Errorf("connections take %d bytes of %d", taken, t.limits.room)
+	case spares != t.spares || spares > t.limits.spare:
+		return fmt.Errorf("%d spare connections of %d, counted are %d", spares, t.limits.spare, t.spares)
 	case answers != t.answers:
 		return fmt.Errorf("answers hold %d bytes, counted are %d", answers, t.answers)
-	case len(t.clients) > t.limits.conns+t.limits.spare:
+	case len(t.clients)-spares > t.limits.conns:
 		return fmt.Errorf("%d connections of %d", len(t.clients), t.limits.conns)
 	case len(sources) != len(t.sources):
 		return fmt.Errorf("%d sources, counted are %d", len(sources), len(t.sources))
--- a/hfintake/table_test.go
+++ b/hfintake/table_test.go
@@ -233,13 +233,13 @@
 func TestLimitsFollowFromMemoryAndDescriptors(t *testing.T) {
 	l := NewLimits(284<<20, 16, 3900, false)
 	require.Equal(t, int64(284<<20/16), l.bodies)
-	for _, mb := range []int64{160, 184, 284} {
-		require.Equal(t, 1950, NewLimits(mb<<20, 16, 3900, false).Conns(), "half of the descriptors")
+	require.Equal(t, 1950, l.Conns(), "half of the descriptors")
+	for mb, conns := range map[int64]int{64: 455, 96: 682, 160: 1137, 184: 1308} {
+		require.Equal(t, conns, NewLimits(mb<<20, 16, 3900, false).Conns(), "a quarter of the memory")
 	}
 	require.Equal(t, 100, NewLimits(284<<20, 16, 200, false).Conns(), "half of the descriptors")
-	require.Equal(t, 1024, NewLimits(64<<20, 16, 3900, false).Conns(), "a quarter of the memory")
 	require.Equal(t, int64(142<<20), l.room, "half of the memory")
-	require.Equal(t, 1514, NewLimits(284<<20, 16, 3900, true).Conns(), "a quarter of the memory under TLS")
+	require.Equal(t, 1069, NewLimits(284<<20, 16, 3900, true).Conns(), "a quarter of the memory under TLS")
 	require.Equal(t, maxConns, NewLimits(1<<40, 16, 1<<20, false).Conns())
 	require.Equal(t, 1, NewLimits(1<<10, 16, 1, false).Conns())
 	start := time.Unix(1000, 0)
