Send the chunks of the first crowd all at once again

Change: LargeChunksAtOnce and TinyChunksAtOnce are the crowds of, with its size and bounds; the waves stay beside them.

--- a/hfcrowd/crowd_test.go
+++ b/hfcrowd/crowd_test.go
@@ -281,15 +281,17 @@
 	sockets int
 	send    func(*crowd, net.Conn, int)
 }{
-	"WholeBodies":     {largeCrowd, 1, manySockets, sendWhole},
-	"BodiesInPieces":  {largeCrowd, 4, manySockets, sendPieces},
-	"LargeChunks":     {largeCrowd, 4, manySockets, sendChunks(largeChunk)},
-	"TinyChunks":      {largeCrowd, 4, manySockets, sendChunks(tinyChunk)},
-	"Heads":           {largeCrowd, 1, manySockets, sendHeads},
-	"EmptyLines":      {largeCrowd, 1, manySockets, sendEmptyLines},
-	"IdleConnections": {holdingCrowd, 1, fewSockets, sendOneAndIdle},
-	"TrickledBodies":  {holdingCrowd, 1, fewSockets, sendTrickle},
-	"UnreadAnswers":   {holdingCrowd, 1, fewSockets, sendUnread},
+	"WholeBodies":       {largeCrowd, 1, manySockets, sendWhole},
+	"BodiesInPieces":    {largeCrowd, 4, manySockets, sendPieces},
+	"LargeChunks":       {largeCrowd, 4, manySockets, sendChunks(largeChunk)},
+	"TinyChunks":        {largeCrowd, 4, manySockets, sendChunks(tinyChunk)},
+	"LargeChunksAtOnce": {largeCrowd, 1, manySockets, sendChunks(largeChunk)},
+	"TinyChunksAtOnce":  {largeCrowd, 1, manySockets, sendChunks(tinyChunk)},
+	"Heads":             {largeCrowd, 1, manySockets, sendHeads},
+	"EmptyLines":        {largeCrowd, 1, manySockets, sendEmptyLines},
+	"IdleConnections":   {holdingCrowd, 1, fewSockets, sendOneAndIdle},
+	"TrickledBodies":    {holdingCrowd, 1, fewSockets, sendTrickle},
+	"UnreadAnswers":     {holdingCrowd, 1, fewSockets, sendUnread},
 	// What the limits of connections follow from; all sockets of the operators' machines.
 	"WideHeads":         {wideCrowd, 1, allSockets, sendHeads},
 	"WideTrickle":       {wideCrowd, 1, allSockets, sendTrickle},
@@ -332,3 +334,7 @@
 func TestServeUnderWideHeads(t *testing.T)         { testServe(t, "WideHeads") }
 func TestServeUnderWideTrickle(t *testing.T)       { testServe(t, "WideTrickle") }
 func TestServeUnderWideUnreadAnswers(t *testing.T) { testServe(t, "WideUnreadAnswers") }
+func TestEntryUnderLargeChunksAtOnce(t *testing.T) { testEntry(t, "LargeChunksAtOnce") }
+func TestEntryUnderTinyChunksAtOnce(t *testing.T)  { testEntry(t, "TinyChunksAtOnce") }
+func TestServeUnderLargeChunksAtOnce(t *testing.T) { testServe(t, "LargeChunksAtOnce") }
+func TestServeUnderTinyChunksAtOnce(t *testing.T)  { testServe(t, "TinyChunksAtOnce") }
