Leave the heap of serve room for what the kernel holds, and requests a third of the memory

Cause: WideUnreadAnswers of serve passed five times in a row with up to 122 of 128 MB, too near its bound: the heap may take 80%, the kernel up to 21 MB beside it.

--- a/hfintake/limits.go
+++ b/hfintake/limits.go
@@ -49,7 +49,7 @@
 	// idleShare is the part of the memory, as a divisor, that connections may take while they idle, and
 	// connShare with what those take that are busy.
 	idleShare = 4
-	connShare = 2
+	connShare = 3
 	// maxConns bounds the connections however large the memory is: who is let go is searched among all.
 	maxConns = 16 << 10
 	// crowdShare is the part of the connections, as a divisor, that are free when callers are first told to close
--- a/hfsettings/settings.go
+++ b/hfsettings/settings.go
@@ -76,7 +76,7 @@
 	s.stopTimeout = fs.Duration("stop", 30*time.Second, "timeout of a graceful shutdown, 1s to 10m")
 	s.retention = fs.Duration("retain", 7*24*time.Hour, "retention time of finished jobs, 1m to 90 days")
 	fs.Int64Var(&s.maxBodyBytes, "max-body", 1<<20, "maximum body size of a request or answer in bytes, 1 to 16 MiB and to an eighth of --memory")
-	fs.Int64Var(&s.memoryMB, "memory", 0, "memory that this process may take in MB, 64 to 1048576, or 0 for that of the machine; callers' bodies and answers take an eighth each, connections a half at most")
+	fs.Int64Var(&s.memoryMB, "memory", 0, "memory that this process may take in MB, 64 to 1048576, or 0 for that of the machine; callers' bodies and answers take an eighth each, connections a third at most")
 	fs.IntVar(&s.maxQueued, "queue", 4096, "maximum number of requests that wait in this instance, 1 to 100000")
 	fs.StringVar(&s.logLevel, "log-level", "info", "minimum level of logged events: debug, info, warn or error")
 	fs.StringVar(&s.certificateFile, "tls-certificate", "", "PEM file of this instance's certificate; turns on TLS between instances and for callers")
