--- a/hfsettings/settings.go
+++ b/hfsettings/settings.go
@@ -11,6 +11,8 @@
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/rotisserie/eris"
+
+	"golang.org/x/sys/unix"
 )
 
 // EnvPrefix is the prefix of the environment variables: the flag --store-url
@@ -44,6 +46,7 @@
 	retention         *time.Duration
 	maxBodyBytes      int64
 	maxQueued         int
+	memoryMB          int64 // 0: that of the machine
 	logLevel          string
 
 	certificateFile string
@@ -72,7 +75,8 @@
 	s.suspectTimeout = fs.Duration("suspect", 3*time.Second, "time without messages after which an instance is suspected to have failed and others take over its responsibilities; at least six times --beat, because a heartbeat without news is sent only every second interval")
 	s.stopTimeout = fs.Duration("stop", 30*time.Second, "timeout of a graceful shutdown, 1s to 10m")
 	s.retention = fs.Duration("retain", 7*24*time.Hour, "retention time of finished jobs, 1m to 90 days")
-	fs.Int64Var(&s.maxBodyBytes, "max-body", 1<<20, "maximum body size of a request or answer in bytes, 1 to 16 MiB")
+	fs.Int64Var(&s.maxBodyBytes, "max-body", 1<<20, "maximum body size of a request or answer in bytes, 1 to 16 MiB and to an eighth of --memory")
+	fs.Int64Var(&s.memoryMB, "memory", 0, "memory that this process may take in MB, 64 to 1048576, or 0 for that of the machine; callers' bodies and answers take an eighth each, connections a third at most")
 	fs.IntVar(&s.maxQueued, "queue", 4096, "maximum number of requests that wait in this instance, 1 to 100000")
 	fs.StringVar(&s.logLevel, "log-level", "info", "minimum level of logged events: debug, info, warn or error")
 	fs.StringVar(&s.certificateFile, "tls-certificate", "", "PEM file of this instance's certificate; turns on TLS between instances and for callers")
@@ -115,6 +119,7 @@
 		checkDurationRange("retain", *s.retention, time.Minute, 90*24*time.Hour),
 		checkDurationRange("lease", *s.taskLease, *s.suspectTimeout+2**s.pollInterval+2**s.heartbeatInterval, 5*time.Minute),
 		checkIntRange("max-body", s.maxBodyBytes, 1, 16<<20),
+		s.checkMemory(),
 		checkIntRange("queue", int64(s.maxQueued), 1, 100000),
 		s.checkSeeds(), s.checkTLS(),
 	}
@@ -174,6 +179,28 @@
 	return nil
 }
 
+// machineMemory returns the memory of the machine in bytes, or unknownMemory.
+func machineMemory() int64 {
+	var info unix.Sysinfo_t
+	if err := unix.Sysinfo(&info); err != nil {
+		return unknownMemory
+	}
+	return int64(info.Totalram) * int64(info.Unit)
+}
+
+// unknownMemory is assumed where the memory is not known: that of a node for control (CONTRIBUTING.md).
+const unknownMemory = 128 << 20
+
+func (s *Settings) checkMemory() error {
+	if s.memoryMB == 0 {
+		return nil
+	}
+	if err := checkIntRange("memory", s.memoryMB, 64, 1<<20); err != nil {
+		return err
+	}
+	return checkIntRange("max-body", s.maxBodyBytes, 1, s.Memory()/BodyMemoryShare)
+}
+
 func (s *Settings) checkSeeds() error {
 	for name, address := range s.Seeds() {
 		if name == "" {
