--- a/hfsoak/env_test.go
+++ b/hfsoak/env_test.go
@@ -28,7 +28,7 @@
 	workersPerRack        = 3
 	acceleratorsPerWorker = 8
 	callerKey             = "soak-key"
-	maxAttempts           = 4 // of each task
+	maxAttempts           = 4    // of each task
 	maxLeaseMS            = 4000 // longest lease of a task in milliseconds
 	maxClockError         = 0.02 // by which the clock of a worker may be slow
 
