--- a/hfentry/fenced_writer.go
+++ b/hfentry/fenced_writer.go
@@ -153,13 +153,14 @@
 			batch.Put(c.key, c.value, "")
 		}
 	}
-	if err := f.write(ctx, batch); err != nil {
+	version, err := f.writeVersion(ctx, batch)
+	if err != nil {
 		return fmt.Errorf("batch: %w", err)
 	}
 	for _, c := range changes {
 		f.layout.committed(c)
 		if c.value != nil {
-			f.onStore(c.key, c.value, f.version)
+			f.onStore(c.key, c.value, version)
 		}
 	}
 	return nil
--- a/hfplan/budget.go
+++ b/hfplan/budget.go
@@ -59,9 +59,26 @@
 	room      float64 // share of the pool that less urgent work may still take beside the recent peak of urgent work
 }
 
-// keepBack returns how many of a number of waiting tasks get no worker, as room is kept for urgent work that
+// keepBack decides how many tasks of a group stay waiting in this pass: all but one if the group goes first, and
+// those whose room is kept for urgent work. Work that waits in vain beside ample room gets some: callers expect that
+// something of each job runs.
+func (s *Scheduler) keepBack(g *group, b *budget, now time.Time) {
+	g.keptBack = 0
+	waiting := g.waiting()
+	switch kept := b.keptFor(g, waiting); {
+	case g.goesFirst:
+		g.keptBack = waiting - g.leastTasks()
+	case kept == 0:
+	case !s.waitsInVain(g, s.permittedNeed(g, now), g.leastTasks(), now):
+		g.keptBack = kept
+	case !g.gang():
+		g.keptBack = min(kept, waiting-1)
+	}
+}
+
+// keptFor returns how many of a number of waiting tasks get no worker, as room is kept for urgent work that
 // may come. A gang is kept back as a whole, or not at all while there is some room.
-func (b *budget) keepBack(g *group, waiting int) int {
+func (b *budget) keptFor(g *group, waiting int) int {
 	share := g.size.DominantShare(b.capacity)
 	switch {
 	case !b.slowStops || !g.usesRoom() || share <= 0:
@@ -111,6 +128,7 @@
 // where stops are slow.
 func (s *Scheduler) gangBudgets(now time.Time) map[string]*budget {
 	byPool := map[string]*budget{}
+	clear(s.slowStops)
 	for _, q := range s.queues {
 		if byPool[q.GetPool()] == nil {
 			capacity, _ := s.resources.Total(q.GetPool())
@@ -118,8 +136,9 @@
 		}
 	}
 	for _, q := range s.queues {
-		if q.GetPriority() == 0 && q.GetStretch() > 0 && s.timing.stop() > time.Duration(q.GetObjective())*time.Millisecond {
+		if q.GetPriority() == 0 && q.GetStretch() > 0 && q.GetObjective() > 0 && s.timing.stop() > time.Duration(q.GetObjective())*time.Millisecond {
 			byPool[q.GetPool()].slowStops = true
+			s.slowStops[q.GetPool()] = true
 		}
 	}
 	urgent, used := map[string]float64{}, map[string]float64{}
--- a/hfplan/isolation.go
+++ b/hfplan/isolation.go
@@ -51,9 +51,12 @@
 
 // waitingShared returns the number of tasks that may get a worker now and may share it.
 func (g *group) waitingShared(now time.Time) int {
-	return max(0, g.waitingBesideOthers(now)-g.keptBack)
+	return min(g.waitingBesideOthers(now), max(0, g.waiting()-g.keptBack))
 }
 
+// allPlaced reports whether all tasks have a worker but those that are kept back.
+func (g *group) allPlaced() bool { return g.waiting() <= g.keptBack }
+
 // waitingBesideOthers returns the number of tasks that need a worker and may share it.
 func (g *group) waitingBesideOthers(now time.Time) int {
 	if !g.crashed && g.sparedTasks == 0 {
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -183,15 +183,6 @@
 	return 1
 }
 
-// placedTogether returns the number of tasks to be placed now that may share a worker: one if it goes first, unless it is a
-// gang, or else all.
-func (g *group) placedTogether(now time.Time) int {
-	if g.goesFirst {
-		return min(g.waitingShared(now), g.leastTasks())
-	}
-	return g.waitingShared(now)
-}
-
 // tasksOf returns the number of tasks of a group that may be running on the worker, or will be: with
 // their run, an orphan that is being stopped, or a run of an earlier scheduler.
 func (w *worker) tasksOf(g *group) int {
@@ -271,11 +262,8 @@
 			continue
 		}
 		budget, budgeted := budgets[g.job.queue.GetPool()], c.priority > 0 && g.uncheckpointedGang() && !g.goesFirst
-		g.keptBack = 0
-		if kept := budget.keepBack(g, g.waiting()); kept > 0 && !g.goesFirst && !s.waitsInVain(g, s.placementNeed(g, now), count, now) {
-			if g.keptBack = kept; kept == g.waiting() {
-				continue
-			}
+		if s.keepBack(g, budget, now); g.allPlaced() {
+			continue
 		}
 		if budgeted && !budget.take(g) {
 			if !s.waitsInVain(g, s.placementNeed(g, now), count, now) {
@@ -284,14 +272,13 @@
 			budgeted = false
 		}
 		g.awaitingRack = false
-		active := g.active
-		placed := s.placeGroup(g, now)
-		budget.use(g, g.active-active)
-		if placed || g.keptBack > 0 {
-			continue
+		active, preempted := g.active, noRoom
+		placed := s.placeGroup(g, now) || g.allPlaced()
+		if !placed {
+			preempted = s.preempt(g, now)
 		}
-		preempted := s.preempt(g, now)
-		if preempted == allAssigned {
+		budget.use(g, g.active-active)
+		if placed || preempted == allAssigned {
 			continue
 		}
 		if budgeted {
@@ -333,14 +320,14 @@
 // placeOn assigns the waiting tasks of a group that need not be isolated to workers that meet the
 // given requirements.
 func (s *Scheduler) placeOn(g *group, need hfplacement.Need, now time.Time) bool {
-	count := g.placedTogether(now)
+	count := g.waitingShared(now)
 	if !g.gang() {
 		placements, placed := s.resources.PlaceAcrossRacks(need, count)
 		s.assign(g, placements, now)
-		return placed == count && (count > 0 && g.goesFirst || g.waiting() == 0)
+		return placed == count && g.allPlaced()
 	}
 	if count == 0 {
-		return g.waiting() == 0
+		return g.allPlaced()
 	}
 	if g.spec.GetCompact() {
 		if placements, ok := s.resources.PlaceInOneRack(need, count); ok {
--- a/hfplan/preempt.go
+++ b/hfplan/preempt.go
@@ -30,7 +30,7 @@
 	if now.Before(g.preemptNotBefore) {
 		return noRoom
 	}
-	need, count := s.placementNeed(g, now), g.placedTogether(now)
+	need, count := s.placementNeed(g, now), g.waitingShared(now)
 	if count == 0 {
 		return noRoom
 	}
@@ -68,8 +68,8 @@
 	// endWaitShare is the part of its slack that an urgent group spends on waiting for runs that end by themselves.
 	// Run times are declared too short by a factor of up to 1.9, so that the wait may be twice as long as expected.
 	endWaitShare = 1.0 / 3
-	// minSlack is the slack with which a group stops others at the latest: enough to stop them in two tries.
-	minSlack = 2 * stopTime
+	// endWaitTries is for how many tries to stop others the slack of a group has to last while it waits.
+	endWaitTries = 2
 	// maxGuaranteedEndWait limits that wait for what a guarantee covers, which has to start within a few seconds.
 	maxGuaranteedEndWait = 500 * time.Millisecond
 	// maxEndForecasts is the number of groups in a pass for which ends are forecast. A forecast goes over all runs;
@@ -80,14 +80,14 @@
 // awaitsEnds reports whether a group waits for runs that are expected to end by themselves in time, rather than throw
 // work away. It reserves their workers for it.
 func (s *Scheduler) awaitsEnds(g *group, count int, now time.Time) bool {
-	if s.bySize || s.endForecasts >= maxEndForecasts || g.job.queue.GetPriority() > 0 || g.job.queue.GetStretch() <= 0 || g.spec.GetLasting() || g.gang() && g.spec.GetCompact() {
+	if s.bySize || g.cautious || s.endForecasts >= maxEndForecasts || g.job.queue.GetPriority() > 0 || g.job.queue.GetStretch() <= 0 || g.spec.GetLasting() || g.gang() && g.spec.GetCompact() {
 		return false
 	}
 	if g.job.guaranteed && now.Sub(g.job.learnedAt) >= maxGuaranteedEndWait {
 		return false
 	}
 	slack := g.claim(1).Slack(now)
-	if slack < minSlack {
+	if slack < endWaitTries*s.timing.roomDelay() {
 		return false
 	}
 	workers := s.unreservedWorkers(g.job.queue.GetPool())
@@ -185,7 +185,7 @@
 func (s *Scheduler) victims(preemptor *group, now time.Time) []hfplacement.Victim[victim] {
 	var list []hfplacement.Victim[victim]
 	queue := preemptor.job.queue
-	preempting := preemption{claim: preemptor.claim(s.rank(preemptor)), guaranteed: preemptor.job.guaranteed}
+	preempting := preemption{claim: preemptor.claim(s.rank(preemptor)), guaranteed: preemptor.job.guaranteed, roomDelay: s.timing.roomDelay()}
 	add := func(v victim, weighed stopWeight) {
 		cost, ok := preempting.stopCost(v, weighed, now)
 		if !ok {
@@ -234,14 +234,11 @@
 	}
 }
 
-// stopTime is how long it takes from a stop until its room can be used: the order, the end on the worker, which
-// normally takes 200 ms, and the report of it.
-const stopTime = 300 * time.Millisecond
-
 // preemption is the search for victims for one group.
 type preemption struct {
 	claim      hfcost.Claim // of the preemptor
 	guaranteed bool
+	roomDelay  time.Duration // from a stop until its room can be used
 }
 
 // stopWeight is what is weighed for all runs of a group.
@@ -271,7 +268,7 @@
 		}
 		return cost * g.lossFactor(), true
 	}
-	if !p.guaranteed && v.endsWithin(stopTime, now) {
+	if !p.guaranteed && v.endsWithin(p.roomDelay, now) {
 		return 0, false
 	}
 	for _, r := range v.runs {
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -73,12 +73,17 @@
 // stopRetryInterval returns the time after which a stop that has had no effect is repeated.
 func (t Timing) stopRetryInterval() time.Duration { return t.stop() + orderTransitMargin }
 
+// roomDelay returns how long it takes from a stop until its room can be used: the order, the end on the worker
+// and the report of it.
+func (t Timing) roomDelay() time.Duration { return t.stop() + reportMargin }
+
 // assignmentTimeout returns how long an assigned run waits for its resources. If a preempted run has
 // not ended by then, its stop is delayed.
 func (t Timing) assignmentTimeout() time.Duration { return t.stop() + assignmentMargin }
 
 const (
 	orderTransitMargin = 300 * time.Millisecond // time for the last order to arrive
+	reportMargin       = 100 * time.Millisecond // time for an order and for the report of its effect
 	assignmentMargin   = 700 * time.Millisecond // time for a stop to be sent, and for the report of the end
 	refusalBackoff     = 400 * time.Millisecond // a worker gets no tasks after it refused a start
 )
@@ -103,6 +108,7 @@
 	groups           []*group              // groups with open tasks, of jobs that are not final
 	recoveryDeadline time.Time             // when the leases of an earlier scheduler have expired
 	recovered        bool                  // all runs of earlier schedulers are accounted for
+	slowStops        map[string]bool       // pools that keep room for urgent work, see budget
 	usage            map[string]*poolUsage // by pool
 	suspension       suspension
 	unstored         unstored                    // ends that are not known to be stored
@@ -157,7 +163,7 @@
 	s := &Scheduler{
 		timing: timing, runNumberBase: max(term-1, 0) * runsPerTerm, policy: &hfwork.Policy{}, queues: map[string]*hfwork.Queue{},
 		resources: hfplacement.New(), workers: map[string]*worker{}, jobs: map[string]*job{}, unloaded: map[string]*job{}, memory: hfbudget.New(defaultMemory), orphans: map[hfwork.TaskID]int{},
-		recoveryDeadline: now.Add(timing.leaseExpiryDelay()), pendingAcks: map[*worker]int64{}, dirtyJobs: map[string]*job{}, usage: map[string]*poolUsage{},
+		recoveryDeadline: now.Add(timing.leaseExpiryDelay()), pendingAcks: map[*worker]int64{}, dirtyJobs: map[string]*job{}, usage: map[string]*poolUsage{}, slowStops: map[string]bool{},
 		unstored: newUnstored(), waves: map[int64]*wave{}, dirtyWaves: map[int64]*hfwork.Wave{}, missing: map[string]*missingWorker{}, unstable: map[string]time.Time{}, judge: hfsuspect.New(), onTrial: map[string]bool{}, proofsWanted: map[string]time.Time{}, trialWorkers: map[string]map[string]bool{}, suspectReserved: map[string]int{}, urgentWaits: map[string]bool{}, notAmple: map[placementShape]int{}, slowWorkers: map[string]bool{}, poolWorkers: map[string]*poolWorkers{}, stopWeights: map[*group]stopWeight{},
 	}
 	return s.WithOrder(DefaultOrder)
--- a/hfplan/suspicion.go
+++ b/hfplan/suspicion.go
@@ -204,10 +204,10 @@
 	if !s.hasRoomTwice(g, need, g.leastTasks(), now) {
 		return true
 	}
-	// With enough room it must start within 3 s, however much of the pool is in use. Gangs that ask for a rack, or have none of the room
-	// that is kept for urgent work, have another wait of maxIdleWait before them. Others may have waited under
+	// With enough room it must start within 3 s, however much of the pool is in use. Gangs that ask for a rack, and work that has
+	// none of the room that is kept for urgent work, have another wait of maxIdleWait. Others may have waited under
 	// an earlier scheduler.
-	waitsAgain := g.spec.GetCompact() || g.job.queue.GetPriority() > 0 && g.uncheckpointedGang()
+	waitsAgain := g.spec.GetCompact() || g.job.queue.GetPriority() > 0 && (g.uncheckpointedGang() || s.slowStops[g.job.queue.GetPool()])
 	return !waitsAgain && !g.inherited && now.Before(g.provedBy.Add(maxIdleWait-proofWait))
 }
 
@@ -224,12 +224,15 @@
 	g.spare(g.lastAttempt)
 	s.placePreferred(g, now)
 	g.spare(nil)
-	return g.waiting() == 0
+	return g.allPlaced()
 }
 
 // placePreferred assigns the waiting tasks of a group, if possible to workers that have proved sound or
 // at least are no suspects.
 func (s *Scheduler) placePreferred(g *group, now time.Time) bool {
+	if g.waitingShared(now) == 0 {
+		return g.allPlaced()
+	}
 	need, pool := s.placementNeed(g, now), g.job.queue.GetPool()
 	trusted := need.AlsoExcluding(func(id string) bool { return s.judge.Avoided(pool, id) })
 	if since, outbreak := s.badSince(g, now); outbreak && (g.gang() || g.job.queue.GetPriority() == 0) {
--- a/hfstore/hedged.go
+++ b/hfstore/hedged.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,10 +24,11 @@
 	latencyWeight  = 0.1         // weight of the latest answer in the usual time to an answer
 )
 
-// Hedged sends a call again, on another connection, when its answer is late: it may be lost, while the
-// store answers other calls. Only calls are repeated of which a second one has no effect: reads,
-// renewals, and batches with a condition. If an earlier attempt of a batch took effect, a later one
-// fails with ErrConflict, which callers resolve by reading a key back.
+// Hedged sends a Get, a Renew or a Commit again, on another connection, when its answer is late: it may be
+// lost, while the store answers other calls. Only calls are repeated of which a second one has no
+// effect: of batches those that change a key on condition of its version, or only remove keys. If an earlier
+// attempt of a batch took effect, a later one fails with ErrConflict, which callers resolve by reading a
+// key back.
 type Hedged struct {
 	Committer
 	hedges metrics.Counter // calls that were sent again
@@ -62,7 +64,7 @@
 
 // Commit implements Committer. It fails with ErrRefused only if no attempt may take effect.
 func (h *Hedged) Commit(ctx context.Context, b *Batch) (int64, error) {
-	if len(b.Conditions()) == 0 {
+	if !repeatable(b) {
 		return h.Committer.Commit(ctx, b)
 	}
 	revision, err := hedge(ctx, h, func(ctx context.Context) (int64, error) { return h.Committer.Commit(ctx, b) })
@@ -72,12 +74,24 @@
 	return revision, nil
 }
 
+// repeatable reports whether a batch that is carried out a second time has no effect.
+func repeatable(b *Batch) bool {
+	changed := map[string]bool{}
+	for _, w := range b.Writes() {
+		changed[w.Key()] = true
+	}
+	for _, key := range b.Removals() {
+		changed[key] = true
+	}
+	return len(b.Writes()) == 0 || slices.ContainsFunc(b.Conditions(), func(c Condition) bool { return changed[c.Key()] })
+}
+
 // delay returns how long to wait for an answer before a call is sent again, and false if it is not to
-// be, as the store is down.
+// be, as the store is down or so slow that every call would be.
 func (h *Hedged) delay(now time.Time) (time.Duration, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return min(max(hedgeFactor*h.usual, minHedgeDelay), maxHedgeDelay), now.Sub(h.last) <= answeredWithin
+	return min(max(hedgeFactor*h.usual, minHedgeDelay), maxHedgeDelay), now.Sub(h.last) <= answeredWithin && h.usual <= maxHedgeDelay
 }
 
 // answered records an answer to an attempt.
--- a/hfstore/hedged_test.go
+++ b/hfstore/hedged_test.go
@@ -115,21 +115,40 @@
 		s.results, s.calls, s.delay = nil, 0, 250*time.Millisecond
 		_, _ = h.Commit(t.Context(), batch)
 		require.Equal(t, 1, s.calls)
+		s.delay = 400 * time.Millisecond // longer than the longest wait
+		for range 30 {
+			_, _ = h.Commit(t.Context(), batch)
+		}
+		s.calls = 0
+		_, _ = h.Commit(t.Context(), batch)
+		require.Equal(t, 1, s.calls)
 	})
 }
 
-// A batch without a condition would take effect twice.
-func TestUnconditionalBatchIsSentOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := &lossyStore{}
-		h := hfstore.NewHedged(s, metrics.NewRegistry())
-		_, err := h.Commit(t.Context(), (&hfstore.Batch{}).Put("k", nil, ""))
-		require.NoError(t, err)
-		s.results, s.calls = []error{errLate}, 0
-		ctx, cancel := context.WithTimeout(t.Context(), 600*time.Millisecond)
-		defer cancel()
-		_, err = h.Commit(ctx, (&hfstore.Batch{}).Put("k", nil, ""))
-		require.ErrorIs(t, err, hfstore.ErrUnavailable)
-		require.Equal(t, 1, s.calls)
-	})
+// A batch that changes nothing on condition of its own version would take effect twice, the second time over a
+// newer value.
+func TestBatchThatWouldTakeEffectTwiceIsSentOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		batch *hfstore.Batch
+		calls int
+	}{
+		"no condition":               {(&hfstore.Batch{}).Put("k", nil, ""), 1},
+		"condition on another key":   {(&hfstore.Batch{}).Require("lead", 1).Put("k", nil, ""), 1},
+		"removals":                   {(&hfstore.Batch{}).Require("lead", 1).Remove("k"), 2},
+		"condition on a changed key": {(&hfstore.Batch{}).Require("lead", 1).Require("k", 1).Put("k", nil, "").Put("l", nil, ""), 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &lossyStore{}
+				h := hfstore.NewHedged(s, metrics.NewRegistry())
+				_, err := h.Commit(t.Context(), (&hfstore.Batch{}).Require("k", 0).Put("k", nil, ""))
+				require.NoError(t, err)
+				s.results, s.calls = []error{errLate, nil}, 0
+				ctx, cancel := context.WithTimeout(t.Context(), 600*time.Millisecond)
+				defer cancel()
+				_, _ = h.Commit(ctx, c.batch)
+				require.Equal(t, c.calls, s.calls)
+			})
+		})
+	}
 }
