Tell again when more workers seem bad than may be kept off work

Change: it is forgotten when a pass finds no sign of bad workers. Found by reading; the tests of suspicion pass, none looks for the second event.

--- a/hfplan/suspicion.go
+++ b/hfplan/suspicion.go
@@ -33,6 +33,7 @@
 func (s *Scheduler) reviewSuspects(now time.Time) {
 	s.vigilant = !s.judge.Calm(now)
 	if !s.vigilant {
+		s.sparedSuspects = 0
 		return
 	}
 	if !now.Before(s.proofsDue) {
