Tell where a job would go now, without sending it

heatherfront where posts a job to the leading entry instance, which decides on a view of its scheduler: rank and what is ahead, workers that fit and why others do not, victims, expected start, or the refusal. Nothing is changed, stored or sent.

--- a/hfcommand/client.go
+++ b/hfcommand/client.go
@@ -97,7 +97,7 @@
 		exit = ExitNotFound
 	case resp.StatusCode == http.StatusConflict:
 		exit = ExitConflict
-	case resp.StatusCode == http.StatusServiceUnavailable:
+	case resp.StatusCode == http.StatusServiceUnavailable, resp.StatusCode == http.StatusMisdirectedRequest:
 		exit = ExitNotRun
 	}
 	return &exitError{exit: exit, reason: p.Reason}
--- a/hfcommand/run.go
+++ b/hfcommand/run.go
@@ -67,7 +67,7 @@
 		Subcommands: []*ffcli.Command{
 			serveCommand(s), entryCommand(s), traceCommand(s), hashCommand(s), newIDCommand(s),
 			applyCommand(s), getCommand(s), listCommand(s), deleteCommand(s), watchCommand(s), waitCommand(s), planCommand(s),
-			submitCommand(s), statusCommand(s), explainCommand(s), cancelCommand(s), historyCommand(s), callCommand(s),
+			submitCommand(s), statusCommand(s), explainCommand(s), whereCommand(s), cancelCommand(s), historyCommand(s), callCommand(s),
 			systemCommand(s), burnCommand(s),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
--- a/hforder/leader.go
+++ b/hforder/leader.go
@@ -83,6 +83,7 @@
 	observer  Observer
 	timing    hfplan.Timing
 	inbox     chan hfplan.Msg
+	questions chan question
 	group     *errgroup.Group
 	fail      context.CancelCauseFunc // ends the leadership
 
@@ -102,7 +103,7 @@
 func NewLeader(s *hfplan.Scheduler, t Tenure, m Minions, a Adviser, machines Machines, name string, r RecordStore, o Observer, timing hfplan.Timing) *Leader {
 	return &Leader{
 		scheduler: s, tenure: t, minions: m, adviser: a, machines: machines, name: name, records: r, observer: o, timing: timing,
-		inbox: make(chan hfplan.Msg, inboxSize), dispatchers: map[string]*dispatcher{}, done: make(chan struct{}),
+		inbox: make(chan hfplan.Msg, inboxSize), questions: make(chan question, maxQuestions), dispatchers: map[string]*dispatcher{}, done: make(chan struct{}),
 		storeCmds: make(chan hfplan.StoreCmd, 1), adviceCmds: make(chan hfplan.AdviceCmd, 1),
 	}
 }
@@ -165,6 +166,7 @@
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	lastLoad, lastPass := time.Now(), time.Now()
+	var lastQuestion time.Time
 	nextPass := time.NewTimer(0) // fires when a postponed pass is due
 	defer nextPass.Stop()
 	for _, msg := range initial {
@@ -188,6 +190,7 @@
 				lastLoad = now
 				l.observer.LoadSampled(l.scheduler.Load(now))
 			}
+			lastQuestion = l.answerQuestion(lastQuestion)
 		}
 		l.processQueued(ctx)
 		if wait := passInterval - time.Since(lastPass); wait > 0 {
--- a/hfplacement/placement.go
+++ b/hfplacement/placement.go
@@ -18,6 +18,7 @@
 	group          any                  // group of the tasks, matched against worker reservations
 	expectedEnd    time.Time            // when the tasks end if they start now; zero if unknown
 	besideIsolated bool                 // workers that are isolated may be used
+	outranks       func(group any) bool // reports groups whose reservations do not count, may be nil
 }
 
 // NewNeed returns the requirements of tasks of the given size in a pool.
@@ -51,6 +52,9 @@
 // BesideIsolated allows workers that run a task that no other task is placed beside.
 func (n Need) BesideIsolated() Need { n.besideIsolated = true; return n }
 
+// Outranking ignores the reservations for the groups for which outranks returns true.
+func (n Need) Outranking(outranks func(group any) bool) Need { n.outranks = outranks; return n }
+
 // ForGroup sets the group of the tasks and when they are expected to end if they start now.
 // Reserved workers are used if they are reserved for the group, or if the tasks end
 // before the reservation starts.
@@ -99,12 +103,18 @@
 	if !w.usable || (w.isolated && !n.besideIsolated) || (n.excluded != nil && n.excluded(w.id)) {
 		return false
 	}
-	if w.reservedFor != nil && w.reservedFor != n.group && (n.expectedEnd.IsZero() || n.expectedEnd.After(w.reservedUntil)) {
+	if n.Barred(w) {
 		return false
 	}
 	return n.label == "" || slices.Contains(w.labels, n.label)
 }
 
+// Barred reports whether the worker may not be used as it is reserved for another group.
+func (n Need) Barred(w *Worker) bool {
+	return w.reservedFor != nil && w.reservedFor != n.group && (n.expectedEnd.IsZero() || n.expectedEnd.After(w.reservedUntil)) &&
+		(n.outranks == nil || !n.outranks(w.reservedFor))
+}
+
 // candidate is a worker on which at least one task fits.
 type candidate struct {
 	worker   *Worker
--- a/hfplan/suspicion.go
+++ b/hfplan/suspicion.go
@@ -296,7 +296,7 @@
 // prove it. While others wait for workers that have proved sound, it also assigns them to workers that have
 // proved nothing yet.
 func (s *Scheduler) placeTrials(g *group, now time.Time) {
-	if g.gang() || g.spec.GetLasting() || g.spec.GetApart() > 0 || g.job.queue.GetPriority() == 0 {
+	if !g.mayTry() {
 		return
 	}
 	pool := g.job.queue.GetPool()
@@ -343,6 +343,11 @@
 	return ready
 }
 
+// mayTry reports whether tasks of the group may be tried on suspects.
+func (g *group) mayTry() bool {
+	return !g.gang() && !g.spec.GetLasting() && g.spec.GetApart() == 0 && g.job.queue.GetPriority() > 0
+}
+
 // addUnproved adds the workers of a pool that have proved nothing since the outbreak began, and have no run
 // that may do so.
 func (s *Scheduler) addUnproved(pool string, ready map[string]bool, now time.Time) {
