Tell where a job would go by the order of costs and beside kept room

The command's view follows the order by cost, waits for ends, caution and room that is kept for urgent work as they stand after the joins: what is kept back or goes first is decided by keepBack for it as for the pass, and what is allowed may displace others.

--- a/hfplacement/workers.go
+++ b/hfplacement/workers.go
@@ -149,6 +149,9 @@
 // Reserved reports whether the worker is reserved for a group.
 func (w *Worker) Reserved() bool { return w.reservedFor != nil }
 
+// ReservedFor returns the group that the worker is reserved for, or nil.
+func (w *Worker) ReservedFor() any { return w.reservedFor }
+
 // Reset drops all tasks, for a worker that was restarted.
 func (w *Worker) Reset() { w.free, w.used = w.capacity, Resources{} }
 
--- a/hfplan/forecast.go
+++ b/hfplan/forecast.go
@@ -38,7 +38,7 @@
 		}
 		w := s.workers[resources.ID()]
 		f.rooms = append(f.rooms, forecastRoom{worker: w})
-		f.free(len(f.rooms)-1, resources.Free())
+		f.free(len(f.rooms)-1, resources.Free().Plus(s.taken[w.id()], -1))
 		for _, e := range w.expectedReleases(now) {
 			f.releases = append(f.releases, forecastRelease{expectedRelease: e, room: len(f.rooms) - 1})
 		}
--- a/hfplan/job.go
+++ b/hfplan/job.go
@@ -57,6 +57,7 @@
 	rackSoughtAt     time.Time         // when a compact gang first had room on several racks but not in one; zero before
 	ampleSince       time.Time         // since when a waiting gang has had ample room; zero if it has not
 	awaitingRack     bool              // in this pass, a compact gang had room on several racks and waited for one
+	endForecasts     int               // how often this pass has forecast the ends of runs for it
 	keptBack         int               // tasks that stay waiting in this pass, for urgent work that may come or as one goes first
 	crashed          bool              // a worker has crashed under one of its tasks
 	durations        []durationSample  // of its measured tasks
--- a/hfplan/order.go
+++ b/hfplan/order.go
@@ -111,7 +111,9 @@
 		return false
 	}
 	if _, fits := s.resources.FitsWhenEmpty(s.permittedNeed(g, now), g.leastTasks()); !fits {
-		g.goFirstNotBefore = now.Add(goFirstRetryInterval)
+		if !s.isView {
+			g.goFirstNotBefore = now.Add(goFirstRetryInterval)
+		}
 		return false
 	}
 	return true
--- a/hfplan/pass.go
+++ b/hfplan/pass.go
@@ -247,6 +247,7 @@
 	candidates := s.candidates(now)
 	clear(s.urgentWaits)
 	for _, c := range candidates {
+		c.group.endForecasts = 0
 		if c.priority == 0 {
 			s.urgentWaits[c.group.job.queue.GetPool()] = true
 		}
--- a/hfplan/preempt.go
+++ b/hfplan/preempt.go
@@ -39,7 +39,8 @@
 			return noRoom // it waits for better workers, not for room
 		}
 	}
-	if s.awaitsEnds(g, count, now) {
+	if r, ok := s.awaitedEnds(g, count, now); ok {
+		r.apply(g)
 		return awaitsReserved
 	}
 	victims := s.victims(g, now)
@@ -77,31 +78,32 @@
 	maxEndForecasts = 8
 )
 
-// awaitsEnds reports whether a group waits for runs that are expected to end by themselves in time, rather than throw
-// work away. It reserves their workers for it.
-func (s *Scheduler) awaitsEnds(g *group, count int, now time.Time) bool {
+// awaitedEnds returns the workers to be reserved for a group that waits for runs that are expected to end by
+// themselves in time, rather than throw work away. It reports false if the group does not.
+func (s *Scheduler) awaitedEnds(g *group, count int, now time.Time) (reservation, bool) {
+	none := reservation{}
 	if s.bySize || g.cautious || s.endForecasts >= maxEndForecasts || g.job.queue.GetPriority() > 0 || g.job.queue.GetStretch() <= 0 || g.spec.GetLasting() || g.gang() && g.spec.GetCompact() {
-		return false
+		return none, false
 	}
 	if g.job.guaranteed && now.Sub(g.job.learnedAt) >= maxGuaranteedEndWait {
-		return false
+		return none, false
 	}
 	slack := g.claim(1).Slack(now)
 	if slack < endWaitTries*s.timing.roomDelay() {
-		return false
+		return none, false
 	}
 	workers := s.unreservedWorkers(g.job.queue.GetPool())
 	unreserved := workers.unreserved
 	if float64(workers.total-len(unreserved)) >= maxReservedShare*float64(workers.total) { // what the group needs itself may go beyond it
-		return false
+		return none, false
 	}
 	s.endForecasts++
+	g.endForecasts++
 	r, ok := s.findReservation(s.reservationNeed(g, now), unreserved, count, now)
 	if !ok || r.startsAt.Sub(now) > time.Duration(endWaitShare*float64(slack)) {
-		return false
+		return none, false
 	}
-	r.apply(g)
-	return true
+	return r, true
 }
 
 // poolWorkers is the workers of a pool, listed once in a pass.
@@ -121,10 +123,15 @@
 			p.total++
 		})
 	}
-	p.unreserved = slices.DeleteFunc(p.unreserved, (*hfplacement.Worker).Reserved)
+	p.unreserved = slices.DeleteFunc(p.unreserved, s.reserved)
 	return p
 }
 
+// reserved reports whether a worker is reserved for a group whose reservations count.
+func (s *Scheduler) reserved(w *hfplacement.Worker) bool {
+	return w.Reserved() && (s.outranks == nil || !s.outranks(w.ReservedFor()))
+}
+
 // preemptedShapes returns whether the room for a group may be freed in one rack (true) or anywhere
 // (false), in the order in which to try.
 func (g *group) preemptedShapes(now time.Time) []bool {
@@ -226,6 +233,9 @@
 
 // countSpared counts runs that are not stopped, each once.
 func (s *Scheduler) countSpared(runs []*run) {
+	if s.isView {
+		return
+	}
 	for _, r := range runs {
 		if !r.spared {
 			r.spared = true
--- a/hfplan/scheduler.go
+++ b/hfplan/scheduler.go
@@ -151,9 +151,11 @@
 	adviceInFlight   bool                     // an AdviceCmd is in flight
 	adviceNotBefore  time.Time                // earliest next AdviceCmd
 	cmds             []Cmd
-	outranks         func(group any) bool // only in the view of Where: reports groups whose reservations do not count
-	needsPass        bool                 // a change may allow a task to start
-	invariantErr     error                // first violated invariant
+	isView           bool                             // it is the view of Where, which changes nothing that it shares
+	outranks         func(group any) bool             // only in the view of Where: reports groups whose reservations do not count
+	taken            map[string]hfplacement.Resources // only in that view: what the new group takes, by worker
+	needsPass        bool                             // a change may allow a task to start
+	invariantErr     error                            // first violated invariant
 }
 
 // New returns a scheduler without jobs. Each leader passes the number of its term,
--- a/hfplan/where.go
+++ b/hfplan/where.go
@@ -129,6 +129,11 @@
 	j.guaranteed = view.wouldBeGuaranteed(j)
 	a.Guaranteed = j.guaranteed
 	candidates := view.candidates(now)
+	for _, c := range candidates {
+		if c.priority == 0 {
+			view.urgentWaits[c.group.job.queue.GetPool()] = true
+		}
+	}
 	for _, g := range o.groups {
 		a.Steps = append(a.Steps, view.whereStep(g, candidates, now))
 	}
@@ -139,7 +144,12 @@
 // has copies of what decisions keep for later.
 func (s *Scheduler) view() *Scheduler {
 	v := *s
-	v.cmds, v.notAmple, v.onTrial = nil, maps.Clone(s.notAmple), map[string]bool{}
+	v.isView = true
+	v.cmds, v.waitingList = nil, nil
+	v.notAmple, v.urgentWaits, v.slowWorkers = map[placementShape]int{}, map[string]bool{}, map[string]bool{}
+	v.slowStops = maps.Clone(s.slowStops)
+	v.onTrial, v.trialWorkers, v.proofsWanted = map[string]bool{}, map[string]map[string]bool{}, maps.Clone(s.proofsWanted)
+	v.poolWorkers, v.stopWeights, v.suspectReserved = map[string]*poolWorkers{}, map[*group]stopWeight{}, maps.Clone(s.suspectReserved)
 	v.usage = map[string]*poolUsage{}
 	for pool, u := range s.usage {
 		c := *u
@@ -151,6 +161,7 @@
 		c.releases, c.releasesAt = nil, time.Time{}
 		v.workers[id] = &c
 	}
+	v.listSlowWorkers()
 	if v.vigilant {
 		v.listTrials()
 	}
@@ -194,12 +205,18 @@
 	a := WhereStep{Step: g.step, Tasks: len(g.tasks), Ahead: []WhereAhead{}, Placements: []WherePlacement{}, Displaced: []WhereDisplaced{}}
 	ahead := map[any]bool{}
 	var groupsAhead []*group
+	s.endForecasts = 0
+	clear(s.poolWorkers) // what is reserved depends on the rank
 	for _, c := range candidates {
 		if c.group == g {
-			a.Rank = len(groupsAhead) + 1
+			a.Rank, g.goesFirst = len(groupsAhead)+1, c.first
 			break
 		}
-		if c.group.job.queue.GetPool() != g.job.queue.GetPool() || c.group.job == g.job {
+		if c.group.job == g.job || ahead[c.group] {
+			continue
+		}
+		s.endForecasts += c.group.endForecasts
+		if c.group.job.queue.GetPool() != g.job.queue.GetPool() {
 			continue
 		}
 		ahead[c.group] = true
@@ -242,22 +259,22 @@
 // skippedAfter reports whether a pass does not try a new group, as one of the same shape that goes first, with as many
 // or fewer tasks, has found no room.
 func (g *group) skippedAfter(ahead []*group, now time.Time) bool {
-	if g.job.queue.GetPriority() == 0 || !g.unconstrained(now) {
+	if g.job.queue.GetPriority() == 0 || !g.unconstrainedButForCaution(now) {
 		return false
 	}
 	return slices.ContainsFunc(ahead, func(other *group) bool {
 		budgeted := other.job.queue.GetPriority() > 0 && other.uncheckpointedGang() // may not have been tried
-		return !budgeted && !other.awaitingRack && other.unconstrained(now) && other.placementShape() == g.placementShape() &&
+		tried := !budgeted && !other.allPlaced() && (!other.cautious || other.lacksRoom)
+		return tried && !other.awaitingRack && other.unconstrainedButForCaution(now) && other.placementShape() == g.placementShape() &&
 			(!g.gang() || other.waiting() <= len(g.tasks))
 	})
 }
 
 // decideWhere decides as a pass does: room first, then victims, then waiting.
 func (s *Scheduler) decideWhere(a *WhereStep, g *group, need hfplacement.Need, ahead []*group, now time.Time) {
-	count := len(g.tasks)
-	if b := s.gangBudgets(now)[g.job.queue.GetPool()]; g.job.queue.GetPriority() > 0 && g.uncheckpointedGang() && !b.take(g) && !s.waitsInVain(g, need, count, now) {
-		a.Outcome, a.Why = WhereWaits, "room is kept for urgent work, which would stop a gang without checkpoints again"
-		if _, placed := s.resources.PlaceAcrossRacks(need, count); placed == count && s.hasAmpleRoom(g, need, count, now) {
+	if why := s.keepsRoomFrom(g, now); why != "" {
+		a.Outcome, a.Why = WhereWaits, why
+		if _, placed := s.resources.PlaceAcrossRacks(need, len(g.tasks)); placed == len(g.tasks) && s.hasAmpleRoom(g, need, g.leastTasks(), now) {
 			a.Why += fmt.Sprintf("; with as much room as now for %v at most", maxIdleWait)
 			a.Start = &WhereStart{Earliest: now, Expected: now.Add(maxIdleWait)}
 			return
@@ -265,28 +282,47 @@
 		a.Start = s.expectedStart(g, need, ahead, now)
 		return
 	}
+	count := g.waitingShared(now) // all but those that are kept back
 	trials := s.wouldTry(g, now)
+	need = besideTrials(g, need, trials)
 	var placements []hfplacement.Placement
 	awaitsRack := false
 	for _, n := range s.whereNeeds(g, need, now) {
 		var placed int
 		placements, placed, awaitsRack = s.wouldPlace(g, n, count-len(trials), now)
-		if a.Placed = placed + len(trials); a.Placed == count {
+		if a.Placed = placed + len(trials); a.Placed == len(g.tasks) {
 			a.Outcome, a.Why, a.Start = WhereStarts, "there is room", &WhereStart{Earliest: now, Expected: now}
-			a.place(append(trials, placements...))
+			a.place(slices.Concat(trials, placements))
 			return
 		}
 	}
-	a.place(append(trials, placements...))
-	if victims, ok := s.wouldPreempt(g, need, count-len(trials), a.Placed-len(trials), now); ok {
-		a.displace(victims)
-		a.Outcome, a.Why = WhereDisplaces, "there is too little room beside runs that it may stop"
-		a.Start = &WhereStart{Earliest: now, Expected: now.Add(s.timing.stop())}
-		return
+	a.place(slices.Concat(trials, placements))
+	if a.Placed < count {
+		victims, ends, ok := s.wouldPreempt(g, need, trials, placements, now)
+		switch {
+		case ok:
+			a.displace(victims)
+			a.Outcome, a.Why = WhereDisplaces, "there is too little room beside runs that it may stop"
+			a.Start = &WhereStart{Earliest: now, Expected: now.Add(s.timing.stop())}
+			return
+		case !ends.IsZero():
+			a.Outcome, a.Why = WhereWaits, "runs that it could stop are expected to end by themselves in time"
+			if a.Placed > 0 {
+				a.Outcome = WherePartly
+			}
+			a.Start = s.expectedStart(g, need, ahead, now)
+			if a.Start == nil {
+				a.Start = &WhereStart{Earliest: ends, Expected: ends}
+			}
+			return
+		}
 	}
 	switch usable := s.fitsUsable(g, need); {
 	case a.Placed > 0:
-		a.Outcome, a.Why = WherePartly, fmt.Sprintf("there is room for %d of %d tasks", a.Placed, count)
+		a.Outcome, a.Why = WherePartly, fmt.Sprintf("there is room for %d of %d tasks", a.Placed, len(g.tasks))
+		if g.keptBack > 0 {
+			a.Why += fmt.Sprintf("; %d are kept back for urgent work, as stops take long", g.keptBack)
+		}
 	case awaitsRack:
 		a.Outcome, a.Why = WhereWaits, "there is room in several racks, and one is worth waiting for"
 	case g.cautious:
@@ -300,6 +336,35 @@
 	a.Start = s.expectedStart(g, need, ahead, now)
 }
 
+// keepsRoomFrom returns why room is kept for urgent work rather than given to any task of a new group, or "". It also
+// sets how many of the tasks are kept back.
+func (s *Scheduler) keepsRoomFrom(g *group, now time.Time) string {
+	b := s.gangBudgets(now)[g.job.queue.GetPool()]
+	if g.goesFirst {
+		return ""
+	}
+	// A new group has not waited beside ample room for maxIdleWait.
+	if s.keepBack(g, b, now); g.allPlaced() {
+		return "room is kept for urgent work, as stops take longer than that can wait"
+	}
+	if g.job.queue.GetPriority() > 0 && g.uncheckpointedGang() && !b.take(g) {
+		return "room is kept for urgent work, which would stop a gang without checkpoints again"
+	}
+	return ""
+}
+
+// besideTrials restricts the requirements of a new group to what is left on the workers that it tries.
+func besideTrials(g *group, need hfplacement.Need, trials []hfplacement.Placement) hfplacement.Need {
+	if len(trials) == 0 {
+		return need
+	}
+	taken := map[string]int{}
+	for _, p := range trials {
+		taken[p.Worker().ID()] = math.MaxInt32 - max(0, p.Worker().Free().CountFitting(g.size)-1)
+	}
+	return need.MaxPerWorker(math.MaxInt32, func(id string) int { return taken[id] })
+}
+
 // whereNeeds returns the requirements that a pass tries for a new group, in order. The last ones include all
 // workers that the others do.
 func (s *Scheduler) whereNeeds(g *group, need hfplacement.Need, now time.Time) []hfplacement.Need {
@@ -321,17 +386,25 @@
 	return needs
 }
 
-// wouldTry returns the placements of tasks of a new group on suspects that are tried, one on each. From then on the
-// others are kept off these.
+// wouldTry returns the placements of tasks of a new group on workers that are tried, one on each. From then on the
+// others are kept off the suspects among these.
 func (s *Scheduler) wouldTry(g *group, now time.Time) []hfplacement.Placement {
 	if !s.vigilant || !g.mayTry() || g.attemptsLeft(&g.tasks[0]) < trialAttempts {
 		return nil
 	}
 	pool := g.job.queue.GetPool()
-	need := s.permittedNeed(g, now).AlsoExcluding(func(id string) bool { return !s.judge.Avoided(pool, id) || s.onTrial[id] }).MaxPerWorker(1, nil)
-	placements, _ := s.resources.PlaceAcrossRacks(need, len(g.tasks))
+	ready := s.readyForTrial(pool, now)
+	if len(ready) == 0 {
+		return nil
+	}
+	need := s.permittedNeed(g, now).AlsoExcluding(func(id string) bool { return !ready[id] }).MaxPerWorker(1, nil)
+	placements, _ := s.resources.PlaceAcrossRacks(need, g.waitingShared(now))
 	for _, p := range placements {
-		s.onTrial[p.Worker().ID()] = true
+		id := p.Worker().ID()
+		delete(ready, id)
+		if s.judge.Avoided(pool, id) {
+			s.onTrial[id] = true
+		}
 	}
 	return placements
 }
@@ -354,16 +427,24 @@
 	return placements, placed, false
 }
 
-// wouldPreempt returns the victims for count tasks of a new group, for placed of which there is room.
-func (s *Scheduler) wouldPreempt(g *group, need hfplacement.Need, count, placed int, now time.Time) ([]hfplacement.Victim[victim], bool) {
+// wouldPreempt returns the victims for the tasks of a new group, some of which are tried or have
+// room, or when the runs are expected to end for which it waits instead.
+func (s *Scheduler) wouldPreempt(g *group, need hfplacement.Need, trials, placements []hfplacement.Placement, now time.Time) (_ []hfplacement.Victim[victim], ends time.Time, _ bool) {
+	count, placed := g.waitingShared(now)-len(trials), 0
+	for _, p := range placements {
+		placed += p.Tasks()
+	}
 	if g.cautious {
 		if count -= max(0, s.roomBesidesSuspects(g, count, now)-placed); count <= placed {
-			return nil, false // the others wait for better workers, not for room
+			return nil, ends, false // the others wait for better workers, not for room
 		}
 	}
+	if at, ok := s.wouldAwaitEnds(g, count-placed, slices.Concat(trials, placements), now); ok {
+		return nil, at, false
+	}
 	victims := s.victims(g, now)
 	if len(victims) == 0 {
-		return nil, false
+		return nil, ends, false
 	}
 	needs := []hfplacement.Need{need}
 	if fast, ok := s.withoutSlow(g, need); ok {
@@ -372,11 +453,32 @@
 	for _, compact := range g.preemptedShapes(now) {
 		for _, n := range needs {
 			if chosen, ok := hfplacement.SelectVictims(s.resources, n, count, compact, victims); ok {
-				return chosen, true
+				return chosen, ends, true
 			}
 		}
 	}
-	return nil, false
+	return nil, ends, false
+}
+
+// wouldAwaitEnds returns when the runs are expected to end for which count tasks of a new group wait, beside those that
+// are placed.
+func (s *Scheduler) wouldAwaitEnds(g *group, count int, placements []hfplacement.Placement, now time.Time) (time.Time, bool) {
+	workers := s.workers
+	s.workers, s.taken = maps.Clone(workers), map[string]hfplacement.Resources{}
+	next := 0
+	for _, p := range placements {
+		id := p.Worker().ID()
+		w := *s.workers[id]
+		w.runs, w.releases, w.releasesAt = maps.Clone(w.runs), nil, time.Time{}
+		for range p.Tasks() {
+			w.runs[&run{task: &g.tasks[next], worker: &w, number: 1, phase: assigned}] = struct{}{}
+			next++
+		}
+		s.workers[id], s.taken[id] = &w, s.taken[id].Plus(g.size, int64(p.Tasks()))
+	}
+	r, ok := s.awaitedEnds(g, count, now)
+	s.workers, s.taken = workers, nil
+	return r.startsAt, ok
 }
 
 // expectedStart returns when all tasks of a new group are expected to have room, or nil if that is not known.
--- a/hfplan/where_test.go
+++ b/hfplan/where_test.go
@@ -242,10 +242,17 @@
 
 // playQuestions plays a random world and returns what the scheduler decided in it. If it asks where each job would go,
 // it requires that as many tasks as told get a worker in the pass after the submission, unless another pass was due.
-func playQuestions(t *testing.T, seed uint64, asks bool) []Note {
+func playQuestions(t *testing.T, seed uint64, stop time.Duration, asks bool) []Note {
 	t.Helper()
 	random := rand.New(rand.NewPCG(seed, 49))
 	w := newWorld(t, 1+random.IntN(3), 2+random.IntN(4))
+	if stop > 0 {
+		w.stopDelay, w.timing = stop, NewTiming(6*time.Second).WithStopTime(stop)
+		for _, q := range w.policy.Queues {
+			q.Stretch, q.Objective = 1.5, 400
+		}
+		w.replaceScheduler()
+	}
 	w.advance(time.Second)
 	outcomes, unsettled := map[WhereOutcome]int{}, 0
 	for i := range 40 {
@@ -297,6 +304,14 @@
 // The worlds with questions and those without decide the same, and do what was told.
 func TestWhereChangesNoDecision(t *testing.T) {
 	for seed := range uint64(16) {
-		require.Equal(t, playQuestions(t, seed, false), playQuestions(t, seed, true), "seed %d", seed)
+		require.Equal(t, playQuestions(t, seed, 0, false), playQuestions(t, seed, 0, true), "seed %d", seed)
+	}
+}
+
+// The same where stops take longer than urgent work can wait, so that room is kept for it.
+func TestWhereChangesNoDecisionWhereStopsTakeLong(t *testing.T) {
+	const stop = 900 * time.Millisecond
+	for seed := range uint64(8) {
+		require.Equal(t, playQuestions(t, seed, stop, false), playQuestions(t, seed, stop, true), "seed %d", seed)
 	}
 }
