--- a/hfplan/preempt.go
+++ b/hfplan/preempt.go
@@ -30,7 +30,7 @@
 	if now.Before(g.preemptNotBefore) {
 		return noRoom
 	}
-	need, count := s.placementNeed(g, now), g.placedTogether(now)
+	need, count := s.placementNeed(g, now), g.waitingShared(now)
 	if count == 0 {
 		return noRoom
 	}
@@ -39,7 +39,8 @@
 			return noRoom // it waits for better workers, not for room
 		}
 	}
-	if s.awaitsEnds(g, count, now) {
+	if r, ok := s.awaitedEnds(g, count, now); ok {
+		r.apply(g)
 		return awaitsReserved
 	}
 	victims := s.victims(g, now)
@@ -68,8 +69,8 @@
 	// endWaitShare is the part of its slack that an urgent group spends on waiting for runs that end by themselves.
 	// Run times are declared too short by a factor of up to 1.9, so that the wait may be twice as long as expected.
 	endWaitShare = 1.0 / 3
-	// minSlack is the slack with which a group stops others at the latest: enough to stop them in two tries.
-	minSlack = 2 * stopTime
+	// endWaitTries is for how many tries to stop others the slack of a group has to last while it waits.
+	endWaitTries = 2
 	// maxGuaranteedEndWait limits that wait for what a guarantee covers, which has to start within a few seconds.
 	maxGuaranteedEndWait = 500 * time.Millisecond
 	// maxEndForecasts is the number of groups in a pass for which ends are forecast. A forecast goes over all runs;
@@ -77,31 +78,32 @@
 	maxEndForecasts = 8
 )
 
-// awaitsEnds reports whether a group waits for runs that are expected to end by themselves in time, rather than throw
-// work away. It reserves their workers for it.
-func (s *Scheduler) awaitsEnds(g *group, count int, now time.Time) bool {
-	if s.bySize || s.endForecasts >= maxEndForecasts || g.job.queue.GetPriority() > 0 || g.job.queue.GetStretch() <= 0 || g.spec.GetLasting() || g.gang() && g.spec.GetCompact() {
-		return false
+// awaitedEnds returns the workers to be reserved for a group that waits for runs that are expected to end by
+// themselves in time, rather than throw work away. It reports false if the group does not.
+func (s *Scheduler) awaitedEnds(g *group, count int, now time.Time) (reservation, bool) {
+	none := reservation{}
+	if s.bySize || g.cautious || s.endForecasts >= maxEndForecasts || g.job.queue.GetPriority() > 0 || g.job.queue.GetStretch() <= 0 || g.spec.GetLasting() || g.gang() && g.spec.GetCompact() {
+		return none, false
 	}
 	if g.job.guaranteed && now.Sub(g.job.learnedAt) >= maxGuaranteedEndWait {
-		return false
+		return none, false
 	}
 	slack := g.claim(1).Slack(now)
-	if slack < minSlack {
-		return false
+	if slack < endWaitTries*s.timing.roomDelay() {
+		return none, false
 	}
 	workers := s.unreservedWorkers(g.job.queue.GetPool())
 	unreserved := workers.unreserved
 	if float64(workers.total-len(unreserved)) >= maxReservedShare*float64(workers.total) { // what the group needs itself may go beyond it
-		return false
+		return none, false
 	}
 	s.endForecasts++
+	g.endForecasts++
 	r, ok := s.findReservation(s.reservationNeed(g, now), unreserved, count, now)
 	if !ok || r.startsAt.Sub(now) > time.Duration(endWaitShare*float64(slack)) {
-		return false
+		return none, false
 	}
-	r.apply(g)
-	return true
+	return r, true
 }
 
 // poolWorkers is the workers of a pool, listed once in a pass.
@@ -121,10 +123,15 @@
 			p.total++
 		})
 	}
-	p.unreserved = slices.DeleteFunc(p.unreserved, (*hfplacement.Worker).Reserved)
+	p.unreserved = slices.DeleteFunc(p.unreserved, s.reserved)
 	return p
 }
 
+// reserved reports whether a worker is reserved for a group whose reservations count.
+func (s *Scheduler) reserved(w *hfplacement.Worker) bool {
+	return w.Reserved() && (s.outranks == nil || !s.outranks(w.ReservedFor()))
+}
+
 // preemptedShapes returns whether the room for a group may be freed in one rack (true) or anywhere
 // (false), in the order in which to try.
 func (g *group) preemptedShapes(now time.Time) []bool {
@@ -185,7 +192,7 @@
 func (s *Scheduler) victims(preemptor *group, now time.Time) []hfplacement.Victim[victim] {
 	var list []hfplacement.Victim[victim]
 	queue := preemptor.job.queue
-	preempting := preemption{claim: preemptor.claim(s.rank(preemptor)), guaranteed: preemptor.job.guaranteed}
+	preempting := preemption{claim: preemptor.claim(s.rank(preemptor)), guaranteed: preemptor.job.guaranteed, roomDelay: s.timing.roomDelay()}
 	add := func(v victim, weighed stopWeight) {
 		cost, ok := preempting.stopCost(v, weighed, now)
 		if !ok {
@@ -226,6 +233,9 @@
 
 // countSpared counts runs that are not stopped, each once.
 func (s *Scheduler) countSpared(runs []*run) {
+	if s.isView {
+		return
+	}
 	for _, r := range runs {
 		if !r.spared {
 			r.spared = true
@@ -234,14 +244,11 @@
 	}
 }
 
-// stopTime is how long it takes from a stop until its room can be used: the order, the end on the worker, which
-// normally takes 200 ms, and the report of it.
-const stopTime = 300 * time.Millisecond
-
 // preemption is the search for victims for one group.
 type preemption struct {
 	claim      hfcost.Claim // of the preemptor
 	guaranteed bool
+	roomDelay  time.Duration // from a stop until its room can be used
 }
 
 // stopWeight is what is weighed for all runs of a group.
@@ -271,7 +278,7 @@
 		}
 		return cost * g.lossFactor(), true
 	}
-	if !p.guaranteed && v.endsWithin(stopTime, now) {
+	if !p.guaranteed && v.endsWithin(p.roomDelay, now) {
 		return 0, false
 	}
 	for _, r := range v.runs {
--- a/hfplan/suspicion.go
+++ b/hfplan/suspicion.go
@@ -33,6 +33,7 @@
 func (s *Scheduler) reviewSuspects(now time.Time) {
 	s.vigilant = !s.judge.Calm(now)
 	if !s.vigilant {
+		s.sparedSuspects = 0
 		return
 	}
 	if !now.Before(s.proofsDue) {
@@ -44,6 +45,11 @@
 		s.emit(NoteCmd{note: NoteTooManySuspects, tasks: spared, reason: "too many workers seem to be bad"})
 	}
 	s.sparedSuspects = spared
+	s.listTrials()
+}
+
+// listTrials updates the set of suspects with a run whose outcome is not known yet.
+func (s *Scheduler) listTrials() {
 	clear(s.onTrial)
 	clear(s.trialWorkers)
 	for _, id := range s.judge.AllSuspects() {
@@ -204,10 +210,10 @@
 	if !s.hasRoomTwice(g, need, g.leastTasks(), now) {
 		return true
 	}
-	// With enough room it must start within 3 s, however much of the pool is in use. Gangs that ask for a rack, or have none of the room
-	// that is kept for urgent work, have another wait of maxIdleWait before them. Others may have waited under
+	// With enough room it must start within 3 s, however much of the pool is in use. Gangs that ask for a rack, and work that has
+	// none of the room that is kept for urgent work, have another wait of maxIdleWait. Others may have waited under
 	// an earlier scheduler.
-	waitsAgain := g.spec.GetCompact() || g.job.queue.GetPriority() > 0 && g.uncheckpointedGang()
+	waitsAgain := g.spec.GetCompact() || g.job.queue.GetPriority() > 0 && (g.uncheckpointedGang() || s.slowStops[g.job.queue.GetPool()])
 	return !waitsAgain && !g.inherited && now.Before(g.provedBy.Add(maxIdleWait-proofWait))
 }
 
@@ -224,12 +230,15 @@
 	g.spare(g.lastAttempt)
 	s.placePreferred(g, now)
 	g.spare(nil)
-	return g.waiting() == 0
+	return g.allPlaced()
 }
 
 // placePreferred assigns the waiting tasks of a group, if possible to workers that have proved sound or
 // at least are no suspects.
 func (s *Scheduler) placePreferred(g *group, now time.Time) bool {
+	if g.waitingShared(now) == 0 {
+		return g.allPlaced()
+	}
 	need, pool := s.placementNeed(g, now), g.job.queue.GetPool()
 	trusted := need.AlsoExcluding(func(id string) bool { return s.judge.Avoided(pool, id) })
 	if since, outbreak := s.badSince(g, now); outbreak && (g.gang() || g.job.queue.GetPriority() == 0) {
@@ -292,7 +301,7 @@
 // prove it. While others wait for workers that have proved sound, it also assigns them to workers that have
 // proved nothing yet.
 func (s *Scheduler) placeTrials(g *group, now time.Time) {
-	if g.gang() || g.spec.GetLasting() || g.spec.GetApart() > 0 || g.job.queue.GetPriority() == 0 {
+	if !g.mayTry() {
 		return
 	}
 	pool := g.job.queue.GetPool()
@@ -339,6 +348,11 @@
 	return ready
 }
 
+// mayTry reports whether tasks of the group may be tried on suspects.
+func (g *group) mayTry() bool {
+	return !g.gang() && !g.spec.GetLasting() && g.spec.GetApart() == 0 && g.job.queue.GetPriority() > 0
+}
+
 // addUnproved adds the workers of a pool that have proved nothing since the outbreak began, and have no run
 // that may do so.
 func (s *Scheduler) addUnproved(pool string, ready map[string]bool, now time.Time) {
--- a/hfserve/node.go
+++ b/hfserve/node.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -14,6 +15,7 @@
 
 	"github.com/heatherfront/heatherfront/hfapi"
 	"github.com/heatherfront/heatherfront/hfevent"
+	"github.com/heatherfront/heatherfront/hfintake"
 	"github.com/heatherfront/heatherfront/hfkey"
 	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hfsettings"
@@ -26,7 +28,8 @@
 	// drainTime is how long a stopping instance still accepts requests, so that the
 	// load balancer and the other instances can notice the stop. It is limited to a
 	// third of the stop timeout in the settings.
-	drainTime = 2 * time.Second
+	drainTime        = 2 * time.Second
+	heapLimitPercent = 65 // of --memory; above it the garbage collector works harder. The kernel holds up to 14% for connections
 )
 
 // Node is a Server with its listeners and HTTP API.
@@ -52,10 +55,20 @@
 		}
 		dialer = keys.Dialer(bound)
 	}
-	public, err := net.Listen("tcp", s.Listen())
+	registry := metrics.NewRegistry()
+	log := hfevent.New(logger, registry)
+	limits := hfintake.NewLimits(s.Memory(), hfsettings.BodyMemoryShare, hfintake.Descriptors(), keys != nil)
+	const listener = "callers"
+	intake := hfintake.New(listener, limits, keys != nil, func(refused map[string]int64) {
+		log.Event(hfevent.ClientsRefused, zap.String("listener", listener), zap.Any("refused", refused))
+	}, registry)
+	public, err := intake.Listen(context.Background(), s.Listen())
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
 	}
+	if s.MemoryLimited() {
+		debug.SetMemoryLimit(s.Memory() / 100 * heapLimitPercent)
+	}
 	peer, err := net.Listen("tcp", s.Peer())
 	if err != nil {
 		_ = public.Close()
@@ -68,10 +81,10 @@
 	counting := &countingDialer{dialer: bound, registry: metrics.NewRegistry()}
 	transport := &http.Transport{DialContext: counting.DialContext, MaxIdleConnsPerHost: maxIdlePlatformConns, IdleConnTimeout: time.Minute}
 	platform := &http.Client{Transport: transport}
-	server := New(s, logger, hfstore.New(s.StoreURL(), platform, storeTimeout), platform, dialer)
+	server := New(s, log, registry, hfstore.New(s.StoreURL(), platform, storeTimeout), platform, dialer)
 	counting.registerCounters(server.Registry())
 	return &Node{
-		server: server, api: hfapi.New(server, server.Dispatcher(), s.OperatorHash(), s.MaxBody()),
+		server: server, api: hfapi.New(server, server.Dispatcher(), s.OperatorHash(), s.MaxBody(), intake),
 		public: public, peer: peer, stopTimeout: s.StopTimeout,
 	}, nil
 }
--- a/hfsettings/settings_test.go
+++ b/hfsettings/settings_test.go
@@ -47,6 +47,8 @@
 		{"retain", "1s"},
 		{"max-body", "0"},
 		{"queue", "0"},
+		{"memory", "1"},
+		{"memory", "-1"},
 		{"seeds", "x"},
 		{"tls-key", "k"},
 	} {
@@ -56,6 +58,25 @@
 	}
 }
 
+func TestMemoryIsThatOfTheMachineUnlessSet(t *testing.T) {
+	s, err := parse(validArgs())
+	require.NoError(t, err)
+	require.Positive(t, s.Memory())
+	require.False(t, s.MemoryLimited())
+	s, err = parse(append(validArgs(), "--memory", "64"))
+	require.NoError(t, err)
+	require.Equal(t, int64(64<<20), s.Memory())
+	require.True(t, s.MemoryLimited())
+}
+
+func TestLargestBodyFitsIntoTheMemory(t *testing.T) {
+	_, err := parse(append(validArgs(), "--memory", "64", "--max-body", "8388609"))
+	require.ErrorIs(t, err, ErrInvalidSetting)
+	require.ErrorContains(t, err, "--max-body")
+	_, err = parse(append(validArgs(), "--memory", "64", "--max-body", "8388608"))
+	require.NoError(t, err)
+}
+
 func TestEnvironment(t *testing.T) {
 	t.Setenv("HEATHERFRONT_NAME", "from-environment")
 	s, err := parse(validArgs()[2:])
