Say what the order of known takers holds

Cause: the comment said that some of the ids are forgotten already, but both parts of takers lose an id together. Change: the comment only; no code.

--- a/hfentry/push.go
+++ b/hfentry/push.go
@@ -26,7 +26,7 @@
 // connections stay.
 type takers struct {
 	byJob map[string]string // instance by job id
-	order []string          // job ids, the oldest first; some are forgotten already
+	order []string          // the job ids in byJob, the oldest first
 }
 
 func newTakers() *takers { return &takers{byJob: map[string]string{}} }
