Add crowds at every listener, a silent store and an unread log

What callers saw on: instances are killed for their memory by whoever reaches the listener for other instances; the balancer takes instances out while a crowd stands at their readiness listener; an instance passes its memory while the store is silent and whole jobs come in.

The crowds and bounds are fixed here, before the product changes.

The tests of the first crowds measure the unread bytes of the new listeners, too, and their processes know another instance and account. Their crowds and bounds are unchanged. In a first run the entry tests did not start their process (two addresses were the same) and the heartbeats went on for minutes in a process of 4.7 GB; both were mended in the tests.

--- a/hfcrowd/crowd_test.go
+++ b/hfcrowd/crowd_test.go
@@ -60,6 +60,11 @@
 // send, was closed, or has given up because the process does not read. Their connections stay open.
 func run(p *target, size, waves int, send func(c *crowd, conn net.Conn, number int)) {
 	p.payload = newPayload(p)
+	runFrom(p, dialer, p.front, size, waves, send)
+}
+
+// runFrom is run with the clients' dialer and the address that they connect to.
+func runFrom(p *target, dialer net.Dialer, address string, size, waves int, send func(c *crowd, conn net.Conn, number int)) {
 	c := &crowd{p: p, done: make(chan struct{})}
 	p.t.Cleanup(func() {
 		close(c.done)
@@ -76,7 +81,7 @@
 			sent.Wait()
 		}
 		sent.Go(func() {
-			conn, err := dialer.Dial("tcp", p.front)
+			conn, err := dialer.Dial("tcp", address)
 			if err != nil {
 				return
 			}
--- a/hfcrowd/process_test.go
+++ b/hfcrowd/process_test.go
@@ -21,6 +21,8 @@
 
 	"github.com/heatherfront/heatherfront/hfaccount"
 	"github.com/heatherfront/heatherfront/hfstand"
+	"github.com/heatherfront/heatherfront/hfwire"
+	"github.com/heatherfront/heatherfront/hfwork"
 )
 
 // The bounds and the settings of the processes are fixed with the crowds.
@@ -33,10 +35,16 @@
 	allSockets  = 3900 // descriptors of an instance of entry on the operators' machines
 	fileReserve = 200  // of limits.max_fds, kept for files by the platform (DEPLOY.md)
 
+	logTail        = 2000                  // bytes of the log that are shown after a failure
 	settleTimeout  = 20 * time.Second      // for what must hold eventually, also on a loaded machine
 	sampleInterval = 20 * time.Millisecond // between measurements of a process
 
+	otherName    = "e1"              // another instance, which the membership lists
+	otherAddress = "127.0.0.9:15000" // of that instance, which listens nowhere
+
 	callerKey      = "crowd-key"
+	crowdAccount   = "crowd" // of clients that hand in jobs without end
+	crowdKey       = "other-key"
 	operatorSecret = "operator-secret"
 	callerSecret   = "caller-secret"
 )
@@ -46,13 +54,17 @@
 	t        *testing.T
 	name     string
 	front    string // address that callers use
+	peer     string // address that other instances use
 	ready    string // URL of the readiness check
+	checks   string // address of the readiness check
 	post     string // request line of a submission, with headers, up to those of the body
 	get      string // a whole request without a body
 	maxBody  int    // legal size of a body in bytes
 	memoryMB int64  // that the settings name
 	sockets  int    // limit of descriptors
 	ordinary func() error
+	store    *hfstand.Store
+	gate     *gate // before the store
 	payload  payload
 
 	cmd   *exec.Cmd
@@ -64,6 +76,7 @@
 	peakHeld    atomic.Int64 // bytes resident and received but not read yet
 	peakUnread  atomic.Int64 // bytes received but not read yet
 	logFileName string
+	stdout      *os.File // standard output, if not with standard error in the file of the log
 }
 
 // buildProgram builds the program once, without the race detector, whose memory would count.
@@ -93,6 +106,27 @@
 	return address
 }
 
+// freePorts returns two ports in a row of 127.0.0.1 on which nothing listens.
+func freePorts(t *testing.T) (first, second int) {
+	t.Helper()
+	for range 100 {
+		if first, second = freePort(t), freePort(t); second == first+1 {
+			return first, second
+		}
+	}
+	require.Fail(t, "no free ports")
+	return 0, 0
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	_, text, err := net.SplitHostPort(freeAddress(t))
+	require.NoError(t, err)
+	port, err := strconv.Atoi(text)
+	require.NoError(t, err)
+	return port
+}
+
 // start starts the process with a limit of descriptors and measures it until the test ends.
 func (p *target) start(environment []string, args ...string) {
 	t := p.t
@@ -106,6 +140,9 @@
 	p.cmd = exec.Command("/bin/sh", append([]string{"-c", "ulimit -n " + strconv.Itoa(p.sockets) + ` && exec "$0" "$@"`, binary}, args...)...)
 	p.cmd.Env = append(os.Environ(), environment...)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
+	if p.stdout != nil {
+		p.cmd.Stdout = p.stdout
+	}
 	p.ended, p.done = make(chan struct{}), make(chan struct{})
 	require.NoError(t, p.cmd.Start())
 	go func() { _ = p.cmd.Wait(); close(p.ended) }()
@@ -114,6 +151,9 @@
 		<-p.ended
 		_ = log.Close()
 		raw, _ := os.ReadFile(p.logFileName)
+		if t.Failed() {
+			t.Logf("end of the log: %s", raw[max(len(raw)-logTail, 0):])
+		}
 		for _, line := range strings.Split(string(raw), "\n") {
 			if strings.Contains(line, "invariant-lost") || strings.HasPrefix(line, "panic:") || strings.HasPrefix(line, "fatal error:") {
 				t.Errorf("%s: %s", p.name, line)
@@ -155,7 +195,10 @@
 	if entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid)); err == nil {
 		raise(&p.peakFDs, int64(len(entries)))
 	}
-	unread := unreadBytes(p.front)
+	unread := unreadBytes(p.front) + unreadBytes(p.peer)
+	if p.checks != p.front {
+		unread += unreadBytes(p.checks)
+	}
 	raise(&p.peakUnread, unread)
 	raise(&p.peakHeld, p.statusBytes("VmRSS")+unread)
 }
@@ -237,8 +280,49 @@
 	}
 }
 
+// gate is before a server, which gives no answer while it is shut.
+type gate struct {
+	mu   sync.Mutex
+	open chan struct{} // closed unless the gate is shut
+}
+
+func newGate() *gate {
+	g := &gate{open: make(chan struct{})}
+	close(g.open)
+	return g
+}
+
+// shut shuts the gate until the function that it returns is called.
+func (g *gate) shut() (open func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	opened := make(chan struct{})
+	g.open = opened
+	return func() { close(opened) }
+}
+
+// handler returns a handler that calls next for requests that the gate lets through.
+func (g *gate) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.mu.Lock()
+		open := g.open
+		g.mu.Unlock()
+		select {
+		case <-open:
+			next.ServeHTTP(w, r)
+		case <-r.Context().Done():
+		}
+	})
+}
+
 // startEntry starts one entry instance of the operators' platform.
 func startEntry(t *testing.T, sockets int) *target {
+	t.Helper()
+	return startEntryWith(t, sockets, func(*target) {})
+}
+
+// startEntryWith is startEntry with what prepare changes before the process starts.
+func startEntryWith(t *testing.T, sockets int, prepare func(*target)) *target {
 	t.Helper()
 	store := hfstand.NewStore()
 	require.NoError(t, store.Set("op/config", map[string]any{
@@ -247,20 +331,26 @@
 			"name": "usual", "host": "jobs.example", "prefix": "/usual/", "service": "pool", "priority": 1,
 			"max_attempts": 4, "stretch_factor": 3, "slo_ms": 1000, "anonymous": false,
 		}},
-		"tenants": []map[string]any{{"name": "plants", "api_keys": []string{callerKey}}},
+		"tenants": []map[string]any{{"name": "plants", "api_keys": []string{callerKey}}, {"name": crowdAccount, "api_keys": []string{crowdKey}}},
 	}))
-	p := &target{t: t, name: "entry", front: freeAddress(t), maxBody: 1 << 18, memoryMB: entryMemoryMB, sockets: sockets}
+	otherInstance, err := hfwire.Encode(&hfwork.Instance{Name: otherName, Address: otherAddress, Domain: "z", Region: "r", Noted: time.Now().UnixMilli()})
+	require.NoError(t, err)
+	store.SetBytes("hf/peer/"+otherName, otherInstance)
+	metricsPort, peerPort := freePorts(t)
+	p := &target{t: t, name: "entry", front: freeAddress(t), maxBody: 1 << 18, memoryMB: entryMemoryMB, sockets: sockets, store: store, gate: newGate()}
+	p.peer = net.JoinHostPort("127.0.0.1", strconv.Itoa(peerPort))
 	readiness := freeAddress(t)
-	p.ready = "http://" + readiness + "/v1/ready"
+	p.ready, p.checks = "http://"+readiness+"/v1/ready", readiness
 	// %016x in the path stands for the id of the job.
 	p.post = "POST /usual/%016x HTTP/1.1\r\nHost: jobs.example\r\nHeatherfront-Key: " + callerKey + "\r\nContent-Type: application/json\r\n"
 	p.get = "GET /usual/ HTTP/1.1\r\nHost: jobs.example\r\nHeatherfront-Key: " + callerKey + "\r\n\r\n"
 	settings := filepath.Join(t.TempDir(), "settings.json")
 	raw, err := json.Marshal(map[string]any{
 		"node_name": "e0", "ip": "127.0.0.1", "zone": "z", "region": "r", "listen": map[string]string{"front": p.front, "readiness": readiness},
-		"limits": map[string]any{"memory_mb": entryMemoryMB, "max_fds": sockets + fileReserve}, "heartbeat_ms": 1500,
+		"internal_ports": []int{metricsPort, peerPort},
+		"limits":         map[string]any{"memory_mb": entryMemoryMB, "max_fds": sockets + fileReserve}, "heartbeat_ms": 1500,
 		"bounds":   map[string]int{"hold_max_ms": 4000, "gang_timeout_ms": 3000, "stop_ms": 200, "status_s": 120, "grace_s": 6},
-		"platform": map[string]any{"address": serveHTTP(t, store.PlatformHandler()), "ttl_min_ms": 1000},
+		"platform": map[string]any{"address": serveHTTP(t, p.gate.handler(store.PlatformHandler())), "ttl_min_ms": 1000},
 	})
 	require.NoError(t, err)
 	require.NoError(t, os.WriteFile(settings, raw, 0o600))
@@ -277,6 +367,7 @@
 		}
 		return nil
 	}
+	prepare(p)
 	p.start(nil, "entry", "--settings", settings)
 	return p
 }
@@ -286,11 +377,12 @@
 	t.Helper()
 	store, members, minion := hfstand.NewStore(), hfstand.NewMembers(), hfstand.NewMinion("m0", 8)
 	peer := freeAddress(t)
-	p := &target{t: t, name: "serve", front: freeAddress(t), maxBody: 1 << 20, memoryMB: serveMemoryMB, sockets: sockets}
-	p.ready = "http://" + p.front + "/ready"
+	p := &target{t: t, name: "serve", front: freeAddress(t), peer: peer, store: store, maxBody: 1 << 20, memoryMB: serveMemoryMB, sockets: sockets}
+	p.ready, p.checks = "http://"+p.front+"/ready", p.front
 	p.post = "POST /v1/requests/lookup?%x HTTP/1.1\r\nHost: instance.example\r\nAuthorization: Bearer plant:" + callerSecret + "\r\n"
 	p.get = "GET /metrics HTTP/1.1\r\nHost: instance.example\r\n\r\n"
 	members.Set(hfstand.Member{Name: "e0", Role: "instance", Address: peer, Domain: "a", Region: "one", State: "live"})
+	members.Set(hfstand.Member{Name: otherName, Role: "instance", Address: otherAddress, Domain: "a", Region: "one", State: "live"})
 	members.Set(hfstand.Member{Name: "m0", Role: "minion", Address: serveHTTP(t, minion.Handler()), Domain: "a", Region: "one", Slots: 8, State: "live"})
 	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	call := func(method, path, credential, body string) error {
