Bound the listener for other instances

What callers saw: whoever reached that listener ended the instance. 24 connections with 200 unfinished messages each took entry to 3,695 of 96 MB and serve to 3,694 of 128 MB, 20,000 empty streams a connection entry to 171 MB, and 256 idle connections all descriptors.

Cause: no bound on connections, 1,024 streams each, a window of 256 KB each that the multiplexer fills before anybody reads, and messages whose memory was taken by the length that they announce. The multiplexer's window cannot be set lower.

Change: hfpeer.Server admits each connection, stream and frame by its head, before the multiplexer takes memory for it, and counts what messages are decoded to (hfwire.DecodedSize) and replies until they are read, in 1/8 of the memory together. A connection waits up to a second for room, which slows its sender down; then it is closed. Connections from addresses that the membership lists go before others, which take a quarter at most; among them the stalled, then the much larger ones give way, so that an instance that is real but broken counts like an unknown one. Links opens fewer streams than a server takes, writes in parts of 16 KB, and closes a link whose peer opens streams. A message is read as its bytes come.

Why this works: each byte is counted at the only place where it can enter. The refusal counts of hfintake moved to a type that both listeners use.

--- a/hfentry/hint.go
+++ b/hfentry/hint.go
@@ -84,7 +84,14 @@
 
 // servePeers serves the calls of other instances on ln until ctx ends.
 func (n *Node) servePeers(ctx context.Context, ln net.Listener) {
-	if err := hfpeer.Serve(ctx, ln, hfpeer.Guard(n.handleCall, n.Panicked)); err != nil {
+	lists := func(ip string) bool {
+		return hfloop.With(n.mirror, func(m *Mirror) bool { return m.listsIP(ip, n.name) })
+	}
+	report := func(refused map[string]int64) {
+		n.log.Event(hfevent.ClientsRefused, zap.String("listener", "instances"), zap.Any("refused", refused))
+	}
+	server := hfpeer.NewServer(n.peerLimits, lists, report, n.registry)
+	if err := server.Serve(ctx, ln, hfpeer.Guard(n.handleCall, n.Panicked)); err != nil {
 		n.log.Event(hfevent.HintsUnavailable, zap.String("error", err.Error()))
 	}
 }
--- a/hfentry/hint_test.go
+++ b/hfentry/hint_test.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/heatherfront/heatherfront/hfevent"
+	"github.com/heatherfront/heatherfront/hfintake"
 	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hfpeer"
 	"github.com/heatherfront/heatherfront/hfstand"
@@ -28,6 +29,7 @@
 		mirror:       hfloop.NewGuarded(NewMirror(fakeFormats{}, time.Second)),
 		held:         hfloop.NewGuarded(&holdingRoom{}),
 		rejectedRows: hfloop.NewGuarded(hfevent.NewRejections(maxKeyBytes + hfevent.MaxReasonBytes)),
+		peerLimits:   hfpeer.NewLimits(hfintake.DefaultMemory/hfpeer.MemoryShare, 1<<10, false),
 		links:        hfpeer.NewLinks(name, name, &net.Dialer{}, registry), hints: make(chan hfstore.Item, hintQueueSize),
 		takers: hfloop.NewGuarded(newTakers()), pushes: make(chan push, pushQueueSize),
 	}
--- a/hfentry/instance.go
+++ b/hfentry/instance.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"net"
 	"slices"
 	"time"
 
@@ -26,6 +27,7 @@
 )
 
 func (m *Mirror) applyInstance(name string, i hfstore.Item) change {
+	m.instanceIPs = nil
 	if i.Deleted() {
 		delete(m.instances, name)
 		m.limitMemory()
@@ -40,6 +42,19 @@
 	return change{}
 }
 
+// listsIP reports whether an instance other than the named one has an IP address.
+func (m *Mirror) listsIP(ip, self string) bool {
+	if m.instanceIPs == nil {
+		m.instanceIPs = map[string]bool{}
+		for name, inst := range m.instances {
+			if host, _, err := net.SplitHostPort(inst.GetAddress()); err == nil && name != self {
+				m.instanceIPs[host] = true
+			}
+		}
+	}
+	return m.instanceIPs[ip]
+}
+
 // expiredInstances lists the instances whose entries were last written before the given time.
 func (m *Mirror) expiredInstances(before time.Time) []string {
 	var list []string
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -124,6 +124,7 @@
 	term              int64
 	appliedRevision   int64                       // all our records up to this store revision are applied
 	instances         map[string]*hfwork.Instance // by name; includes this one and some that have ended
+	instanceIPs       map[string]bool             // of the instances but this one; nil if it has to be made anew
 	rejected          *hfevent.Rejections         // entries that were last invalid, by key
 }
 
@@ -164,7 +165,7 @@
 		m.evacuated = map[string]bool{}
 		changes = append(changes, change{workers: true})
 	case recordPrefix:
-		m.lead, m.instances = nil, map[string]*hfwork.Instance{}
+		m.lead, m.instances, m.instanceIPs = nil, map[string]*hfwork.Instance{}, nil
 		changes = append(changes, change{lead: true})
 	}
 	m.writtenAfter = time.Time{} // the age of the entries in a list is not known
--- a/hfentry/node.go
+++ b/hfentry/node.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/heatherfront/heatherfront/hfevent"
+	"github.com/heatherfront/heatherfront/hfintake"
 	"github.com/heatherfront/heatherfront/hflease"
 	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hforder"
@@ -84,7 +85,8 @@
 	endedJobs    chan string  // jobs that may be shown as completed before that is stored
 	order        hfplan.Order // in which this instance schedules as the leader; set before the goroutines start
 	trusting     bool         // as the leader, it suspects no workers; set before the goroutines start
-	peerAddress  string       // at which the other instances reach this one; set before the goroutines start
+	peerLimits   hfpeer.Limits
+	peerAddress  string // at which the other instances reach this one; set before the goroutines start
 }
 
 // New returns a node that has not started.
@@ -103,7 +105,7 @@
 		leaderless:   make(chan struct{}, 1), stopStarted: make(chan struct{}),
 		links: hfpeer.NewLinks(s.Name(), uuid.NewString(), dialer, registry), hints: make(chan hfstore.Item, hintQueueSize),
 		takers: hfloop.NewGuarded(newTakers()), pushes: make(chan push, pushQueueSize), endedJobs: make(chan string, endedQueueSize),
-		followNow: make(chan struct{}, 1),
+		followNow: make(chan struct{}, 1), peerLimits: hfpeer.NewLimits(hfintake.DefaultMemory/hfpeer.MemoryShare, hfintake.Descriptors(), false),
 	}
 	n.relay = hfrelay.New(store, n.links, n.otherInstances, func(direct bool, cause error) {
 		if direct {
@@ -133,6 +135,12 @@
 	return n
 }
 
+// WithPeerLimits sets the limits of the listener for other instances. It must be called before Run.
+func (n *Node) WithPeerLimits(l hfpeer.Limits) *Node {
+	n.peerLimits = l
+	return n
+}
+
 // Run keeps the mirror current, takes part in the leader election, and serves the other
 // instances on ln, until ctx ends.
 func (n *Node) Run(ctx context.Context, ln net.Listener) error {
--- a/hfintake/intake.go
+++ b/hfintake/intake.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -36,20 +35,14 @@
 	errHead = eris.New("the head has too many lines")
 )
 
-// Reporter is told how many clients were refused since the last report, by reason.
-type Reporter func(refused map[string]int64)
-
 // Intake keeps one listener within its limits.
 type Intake struct {
 	mu       sync.Mutex
 	table    *table
 	conns    map[uint64]*conn
-	refused  map[string]int64 // by reason, since the last report
-	reportAt time.Time        // no report before
+	refusals *Refusals
 
 	sealed      bool // the bytes of connections are encrypted
-	report      Reporter
-	counters    map[string]metrics.Counter // of refusals, by reason; not changed
 	connections metrics.Gauge
 	bytes       metrics.Gauge
 }
@@ -58,14 +51,11 @@
 // refused.
 func New(name string, l Limits, sealed bool, report Reporter, registry metrics.Registry) *Intake {
 	i := &Intake{
-		table: newTable(l), conns: map[uint64]*conn{}, refused: map[string]int64{}, sealed: sealed, report: report,
-		counters:    map[string]metrics.Counter{},
+		table: newTable(l), conns: map[uint64]*conn{}, sealed: sealed,
+		refusals:    NewRefusals(name, []string{ReasonConnections, ReasonLetGo, ReasonMemory, ReasonHead, ReasonSlow}, report, registry),
 		connections: metrics.GetOrRegisterGauge("intake."+name+".connections", registry),
 		bytes:       metrics.GetOrRegisterGauge("intake."+name+".bytes", registry),
 	}
-	for _, reason := range []string{ReasonConnections, ReasonLetGo, ReasonMemory, ReasonHead, ReasonSlow} {
-		i.counters[reason] = metrics.GetOrRegisterCounter("intake."+name+".refused."+reason, registry)
-	}
 	return i
 }
 
@@ -133,22 +123,8 @@
 	}
 }
 
-// refuse counts a refusal and reports the refusals, at most once per reportInterval. The caller holds mu.
-func (i *Intake) refuse(reason string, now time.Time) {
-	i.counters[reason].Inc(1)
-	i.refused[reason]++
-	i.reportRefused(now)
-}
-
-// reportRefused reports the refusals since the last report, if it is time. The caller holds mu.
-func (i *Intake) reportRefused(now time.Time) {
-	if len(i.refused) == 0 || now.Before(i.reportAt) {
-		return
-	}
-	i.reportAt = now.Add(reportInterval)
-	i.report(maps.Clone(i.refused))
-	clear(i.refused)
-}
+// refuse counts a refusal. The caller holds mu.
+func (i *Intake) refuse(reason string, now time.Time) { i.refusals.Add(reason, now) }
 
 // drop forgets clients and returns their connections, which the caller closes without mu.
 func (i *Intake) drop(victims []uint64, now time.Time) []*conn {
@@ -168,7 +144,7 @@
 func (i *Intake) updateGauges() {
 	i.connections.Update(int64(len(i.table.clients)))
 	i.bytes.Update(i.table.held + i.table.answers)
-	i.reportRefused(time.Now())
+	i.refusals.Report(time.Now())
 }
 
 // reserve reserves n bytes for the body of a connection.
--- a/hfintake/limits.go
+++ b/hfintake/limits.go
@@ -60,8 +60,6 @@
 	descriptorShare = 2
 
 	spareConns = 16 // connections beyond the limit, on which only vital calls are served
-
-	reportInterval = 10 * time.Second // between two reports of what was refused
 )
 
 // Limits are the limits of one listener.
--- a/hfpeer/links.go
+++ b/hfpeer/links.go
@@ -15,9 +15,7 @@
 	"github.com/hashicorp/yamux"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
-	"golang.org/x/sync/errgroup"
 
-	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hfwire"
 )
 
@@ -40,7 +38,6 @@
 	silentAfter       = 600 * time.Millisecond // without a byte from the peer since a call, one that fails closes the link
 	maxIdleStreams    = 16                     // kept open per link for later calls
 	readBufferSize    = 512                    // bytes; most messages are smaller
-	maxServedStreams  = 1024                   // streams of one connection that are served at once, idle ones included
 	acceptPause       = 100 * time.Millisecond // after a connection that could not be accepted
 )
 
@@ -49,6 +46,16 @@
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+// NewDialer returns a dialer that connects from the address on which the instance listens for others: they know it
+// by that, and rules of a firewall for it cover both directions.
+func NewDialer(address string) *net.Dialer {
+	d := &net.Dialer{Timeout: dialTimeout}
+	if a, err := net.ResolveTCPAddr("tcp", address); err == nil && !a.IP.IsUnspecified() {
+		d.LocalAddr = &net.TCPAddr{IP: a.IP}
+	}
+	return d
+}
+
 // Handler serves one call from another instance and returns the reply, or nil to close
 // the stream without a reply.
 type Handler func(ctx context.Context, in *hfwire.Envelope) *hfwire.Envelope
@@ -112,7 +119,17 @@
 // heardConn is a connection that counts the reads that brought something.
 type heardConn struct {
 	net.Conn
-	reads atomic.Uint64
+	reads   atomic.Uint64
+	scanner frameScanner // used by the reader of the multiplexer alone
+	pings   pingLimit    // used by the same reader
+}
+
+// admit fails if the peer opens a stream, which nobody would serve.
+func (c *heardConn) admit(h frameHead) error {
+	if h.flags&flagOpen != 0 && (h.kind == frameData || h.kind == frameWindow) {
+		return errFrame
+	}
+	return c.pings.admit(h, time.Now())
 }
 
 // Read implements net.Conn.
@@ -121,16 +138,22 @@
 	if n > 0 {
 		c.reads.Add(1)
 	}
+	if scanErr := c.scanner.scan(p[:n], c.admit, func(int) {}); scanErr != nil {
+		return 0, scanErr
+	}
 	return n, err
 }
 
-// acquireStream returns an idle stream if there is one, or opens a new stream.
+// acquireStream returns an idle stream if there is one, or opens a new one unless the link has too many.
 func (l *link) acquireStream() (*yamux.Stream, error) {
 	select {
 	case s := <-l.idleStreams:
 		return s, nil
 	default:
 	}
+	if n := l.NumStreams(); n >= maxCallStreams {
+		return nil, fmt.Errorf("open stream beside %d: %w", n, ErrNoLink)
+	}
 	s, err := l.OpenStream()
 	if err != nil {
 		return nil, fmt.Errorf("open stream: %w", err)
@@ -195,7 +218,7 @@
 // exchange writes one message and reads its reply.
 func (l *Links) exchange(stream net.Conn, region string, out *hfwire.Envelope) (*hfwire.Envelope, error) {
 	conn := CountBytes(stream, l.byteCounter("in", region), l.byteCounter("out", region))
-	if err := hfwire.Write(conn, out); err != nil {
+	if err := hfwire.Write(&partWriter{Writer: conn}, out); err != nil {
 		return nil, fmt.Errorf("exchange: %w", err)
 	}
 	in, err := hfwire.Read(bufio.NewReaderSize(conn, readBufferSize), &hfwire.Envelope{})
@@ -266,80 +289,3 @@
 	config.StreamOpenTimeout = writeTimeout
 	return config
 }
-
-// Serve serves the calls of other instances until ctx ends or the listener fails.
-func Serve(ctx context.Context, ln net.Listener, handle Handler) error {
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error {
-		<-ctx.Done()
-		return ln.Close()
-	})
-	g.Go(func() error {
-		for {
-			conn, err := ln.Accept()
-			if ctx.Err() != nil {
-				return nil
-			}
-			if errors.Is(err, net.ErrClosed) {
-				return fmt.Errorf("accept instance: %w", err)
-			}
-			if err != nil {
-				// Descriptors may be short, or the peer may have gone. This must not end the
-				// calls of all others.
-				hfloop.Sleep(ctx, acceptPause)
-				continue
-			}
-			g.Go(func() error {
-				serveSession(ctx, conn, handle)
-				return nil
-			})
-		}
-	})
-	if err := g.Wait(); err != nil && ctx.Err() == nil {
-		return fmt.Errorf("serve instances: %w", err)
-	}
-	return nil
-}
-
-func serveSession(ctx context.Context, conn net.Conn, handle Handler) {
-	session, err := yamux.Server(conn, yamuxConfig())
-	if err != nil {
-		_ = conn.Close()
-		return
-	}
-	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
-	defer stop()
-	defer func() { _ = session.Close() }()
-	var g errgroup.Group
-	g.SetLimit(maxServedStreams)
-	for {
-		stream, err := session.AcceptStream()
-		if err != nil {
-			break
-		}
-		g.Go(func() error {
-			serveStream(ctx, stream, handle)
-			return nil
-		})
-	}
-	_ = g.Wait() // always nil; a failed stream is noticed by its caller
-}
-
-// serveStream serves the calls on a stream one after another until the peer closes it.
-func serveStream(ctx context.Context, stream *yamux.Stream, handle Handler) {
-	defer func() { _ = stream.Close() }()
-	reader := bufio.NewReaderSize(stream, readBufferSize)
-	for {
-		in, err := hfwire.Read(reader, &hfwire.Envelope{})
-		if err != nil {
-			return
-		}
-		out := handle(ctx, in)
-		if out == nil {
-			return
-		}
-		if err := hfwire.Write(stream, out); err != nil {
-			return // the caller notices that the reply is missing
-		}
-	}
-}
--- a/hfpeer/peer_test.go
+++ b/hfpeer/peer_test.go
@@ -130,7 +130,7 @@
 	}, func(any, []byte) { panics.Add(1) })
 	ctx, cancel := context.WithCancel(t.Context())
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return Serve(ctx, ln, handler) })
+	group.Go(func() error { return newTestServer().Serve(ctx, ln, handler) })
 	links := NewLinks("a", "a", &net.Dialer{}, metrics.NewRegistry())
 	defer links.Close()
 	peer := NewPeer("b", inner.Addr().String())
--- a/hfpeer/silent_test.go
+++ b/hfpeer/silent_test.go
@@ -14,6 +14,11 @@
 	"github.com/heatherfront/heatherfront/hfwire"
 )
 
+// newTestServer returns a server with the limits of a large process, which knows all instances.
+func newTestServer() *Server {
+	return NewServer(NewLimits(128<<20, 1<<10, false), func(string) bool { return true }, func(map[string]int64) {}, metrics.NewRegistry())
+}
+
 // openLinks serves calls with a handler and returns links to it that end with the test.
 func openLinks(t *testing.T, dialer Dialer, handle Handler) (*Links, Peer) {
 	t.Helper()
@@ -21,7 +26,7 @@
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	var g errgroup.Group
-	g.Go(func() error { return Serve(ctx, ln, handle) })
+	g.Go(func() error { return newTestServer().Serve(ctx, ln, handle) })
 	links := NewLinks("a", "a", dialer, metrics.NewRegistry())
 	t.Cleanup(func() {
 		links.Close()
--- a/hfpeer/state.go
+++ b/hfpeer/state.go
@@ -3,6 +3,7 @@
 package hfpeer
 
 import (
+	"net"
 	"sort"
 	"time"
 
@@ -21,6 +22,7 @@
 	suspectAt   time.Time // time at which it is suspected unless a heartbeat arrives
 	leaving     bool
 	listed      bool   // in the membership list
+	listedIP    string // address in that list without the port
 	sequence    uint64 // of the latest heartbeat
 	digest      uint64 // of its configuration
 	revision    int64  // up to which its configuration is complete
@@ -182,7 +184,7 @@
 			p = &Peer{name: m.name}
 			s.peers[m.name] = p
 		}
-		p.listed = true
+		p.listed, p.listedIP = true, hostOf(m.address)
 		if p.incarnation == "" {
 			p.address, p.domain, p.region = m.address, m.domain, m.region
 		}
@@ -192,7 +194,7 @@
 		if listed[name] {
 			continue
 		}
-		p.listed = false
+		p.listed, p.listedIP = false, ""
 		if p.incarnation == "" {
 			delete(s.peers, name)
 			cmds = append(cmds, GoneCmd{peer: *p})
@@ -229,6 +231,24 @@
 	return nil
 }
 
+// Lists reports whether the membership lists another instance with an IP address.
+func (s *State) Lists(ip string) bool {
+	for _, p := range s.peers {
+		if p.listed && p.listedIP == ip {
+			return true
+		}
+	}
+	return false
+}
+
+func hostOf(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return host
+}
+
 // handleTick detects a pause of this process and the peers that are suspected or have left.
 func (s *State) handleTick(now time.Time) []Cmd {
 	var cmds []Cmd
--- a/hfserve/node.go
+++ b/hfserve/node.go
@@ -18,6 +18,7 @@
 	"github.com/heatherfront/heatherfront/hfintake"
 	"github.com/heatherfront/heatherfront/hfkey"
 	"github.com/heatherfront/heatherfront/hfloop"
+	"github.com/heatherfront/heatherfront/hfpeer"
 	"github.com/heatherfront/heatherfront/hfsettings"
 	"github.com/heatherfront/heatherfront/hfstore"
 )
@@ -44,7 +45,7 @@
 // Listen opens the listeners of an instance. It fails if an address is in use or a key
 // file is unusable.
 func Listen(s *hfsettings.Settings, logger *zap.Logger) (*Node, error) {
-	bound := newBoundDialer(s.Peer())
+	bound := hfpeer.NewDialer(s.Peer())
 	var dialer Dialer = bound
 	var keys *hfkey.Keys
 	if s.TLSEnabled() {
@@ -69,10 +70,10 @@
 	if s.MemoryLimited() {
 		debug.SetMemoryLimit(s.Memory() / 100 * heapLimitPercent)
 	}
-	peer, err := net.Listen("tcp", s.Peer())
+	peer, err := hfpeer.Listen(context.Background(), s.Peer())
 	if err != nil {
 		_ = public.Close()
-		return nil, fmt.Errorf("listen for instances: %w", err)
+		return nil, fmt.Errorf("serve: %w", err)
 	}
 	if keys != nil {
 		public = tls.NewListener(public, keys.CallerTLSConfig())
@@ -89,16 +90,6 @@
 	}, nil
 }
 
-// newBoundDialer returns a dialer that connects from the address on which the instance
-// listens for others, so that firewall rules for that address cover both directions.
-func newBoundDialer(peer string) *net.Dialer {
-	d := &net.Dialer{Timeout: time.Second}
-	if a, err := net.ResolveTCPAddr("tcp", peer); err == nil && !a.IP.IsUnspecified() {
-		d.LocalAddr = &net.TCPAddr{IP: a.IP}
-	}
-	return d
-}
-
 // Server returns the instance.
 func (n *Node) Server() *Server { return n.server }
 
--- a/hfserve/server.go
+++ b/hfserve/server.go
@@ -23,6 +23,7 @@
 	"github.com/heatherfront/heatherfront/hfendpoint"
 	"github.com/heatherfront/heatherfront/hfevent"
 	"github.com/heatherfront/heatherfront/hfgang"
+	"github.com/heatherfront/heatherfront/hfintake"
 	"github.com/heatherfront/heatherfront/hfledger"
 	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hfpeer"
@@ -158,8 +159,13 @@
 	for _, loop := range loops {
 		g.Go(func() error { return loop(ctx) })
 	}
+	peers := hfpeer.NewServer(hfpeer.NewLimits(s.settings.Memory()/hfpeer.MemoryShare, hfintake.Descriptors(), s.settings.TLSEnabled()), func(ip string) bool {
+		return hfloop.With(s.members, func(m *hfpeer.State) bool { return m.Lists(ip) })
+	}, func(refused map[string]int64) {
+		s.log.Event(hfevent.ClientsRefused, zap.String("listener", "instances"), zap.Any("refused", refused))
+	}, s.registry)
 	g.Go(func() error {
-		if err := hfpeer.Serve(ctx, ln, hfpeer.Guard(s.handle, s.reportPanic)); err != nil {
+		if err := peers.Serve(ctx, ln, hfpeer.Guard(s.handle, s.reportPanic)); err != nil {
 			return fmt.Errorf("serve instances: %w", err)
 		}
 		return nil
--- a/hfwire/codec.go
+++ b/hfwire/codec.go
@@ -4,6 +4,9 @@
 
 import (
 	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 
@@ -32,11 +35,32 @@
 //
 //	env, err := hfwire.Read(reader, &hfwire.Envelope{})
 func Read[T proto.Message](r *bufio.Reader, into T) (T, error) {
-	opts := protodelim.UnmarshalOptions{MaxSize: MaxFrameBytes}
-	if err := opts.UnmarshalFrom(r, into); err != nil {
-		return into, fmt.Errorf("read frame: %w", err)
+	raw, err := ReadFrame(r)
+	if err != nil {
+		return into, err
 	}
-	return into, nil
+	return Decode(raw, into)
+}
+
+// ReadFrame reads the bytes of one length-prefixed message from a stream. It fails with a size error if the
+// message is larger than MaxFrameBytes, and with io.EOF if the stream ended before it. Memory is taken as the
+// bytes come, not by the length that was announced.
+func ReadFrame(r *bufio.Reader) ([]byte, error) {
+	size, err := binary.ReadUvarint(r)
+	if err != nil {
+		return nil, fmt.Errorf("read frame: %w", err)
+	}
+	if size > MaxFrameBytes {
+		return nil, fmt.Errorf("read frame: %w", &protodelim.SizeTooLargeError{Size: size, MaxSize: MaxFrameBytes})
+	}
+	var raw bytes.Buffer
+	if _, err := io.CopyN(&raw, r, int64(size)); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		return nil, fmt.Errorf("read frame: %w", err)
+	}
+	return raw.Bytes(), nil
 }
 
 // Encode returns the bytes of a record for storage. Those of equal records are equal.
