Keep a bounded number of instances that are not listed

Cause: each heartbeat adds an instance, as the membership list lags behind, with names of any length, and its reports of workers were kept.

Change: at most 64 instances are kept that are not listed, names have at most 256 bytes as in the list, and reports of an instance that is not listed yet are refused, so that it sends them again.

--- a/hfpeer/limits.go
+++ b/hfpeer/limits.go
@@ -5,8 +5,10 @@
 // What the connections of other instances may take. Links of this package, one to each instance, meet none of
 // these figures.
 const (
-	// maxNameBytes bounds the name of an instance and its incarnation.
+	// maxNameBytes bounds the name of an instance, its incarnation, and where it is.
 	maxNameBytes = 256
+	// maxUnlisted bounds the instances that are heard before the membership lists them.
+	maxUnlisted = 64
 
 	maxStreams     = 256 // that the other side has opened on a connection
 	maxCallStreams = 192 // that Links opens on a connection; less, as closed ones are noticed late
--- a/hfpeer/peer_test.go
+++ b/hfpeer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -148,3 +149,24 @@
 	cancel()
 	require.NoError(t, group.Wait())
 }
+
+// Instances that nobody lists, and long names, would take memory without bound.
+func TestUnlistedInstancesAreBounded(t *testing.T) {
+	now := time.Unix(0, 0)
+	s := newTestState(now)
+	for i := range 10 * maxUnlisted {
+		sendHeartbeat(s, fmt.Sprint("x", i), "i", 1, false, now)
+	}
+	require.Len(t, s.Known(), maxUnlisted)
+	s.Update(Listed([]Member{NewMember("p", "127.0.0.1:2", "b", "one", false)}), now)
+	require.Len(t, sendHeartbeat(s, "p", "i", 1, false, now), 1, "a listed one is heard beside them")
+	p, ok := s.Find("p")
+	require.True(t, ok && p.Listed())
+	require.True(t, s.Lists("127.0.0.1"))
+
+	s = newTestState(now)
+	long := strings.Repeat("x", maxNameBytes+1)
+	require.Empty(t, sendHeartbeat(s, long, "i", 1, false, now))
+	require.Empty(t, sendHeartbeat(s, "y", long, 1, false, now))
+	require.Empty(t, s.Known())
+}
--- a/hfpeer/state.go
+++ b/hfpeer/state.go
@@ -52,6 +52,9 @@
 	return p.incarnation == incarnation && p.sequence == sequence
 }
 
+// Listed reports whether the membership lists the instance.
+func (p Peer) Listed() bool { return p.listed }
+
 // Leaving reports whether the instance is being stopped.
 func (p Peer) Leaving() bool { return p.leaving }
 
@@ -205,13 +208,16 @@
 
 // handleHeartbeat applies a heartbeat unless a later one of the same incarnation was
 // received before. It also adds instances that are not listed, because the membership list
-// lags behind.
+// lags behind, but no more than maxUnlisted.
 func (s *State) handleHeartbeat(m HeartbeatMsg, now time.Time) []Cmd {
-	if m.sender == s.self.name {
+	if m.sender == s.self.name || !m.valid() {
 		return nil
 	}
 	p, ok := s.peers[m.sender]
 	if !ok {
+		if s.unlisted() >= maxUnlisted {
+			return nil
+		}
 		p = &Peer{name: m.sender}
 		s.peers[m.sender] = p
 	}
@@ -231,6 +237,27 @@
 	return nil
 }
 
+// valid reports whether a heartbeat may be kept.
+func (m HeartbeatMsg) valid() bool {
+	for _, text := range []string{m.sender, m.incarnation, m.heartbeat.GetAddress(), m.heartbeat.GetDomain(), m.heartbeat.GetRegion()} {
+		if len(text) > maxNameBytes {
+			return false
+		}
+	}
+	return true
+}
+
+// unlisted returns the number of other instances that the membership does not list.
+func (s *State) unlisted() int {
+	n := 0
+	for _, p := range s.peers {
+		if !p.listed {
+			n++
+		}
+	}
+	return n
+}
+
 // Lists reports whether the membership lists another instance with an IP address.
 func (s *State) Lists(ip string) bool {
 	for _, p := range s.peers {
--- a/hfserve/heartbeat.go
+++ b/hfserve/heartbeat.go
@@ -267,6 +267,9 @@
 		// of this process, the heartbeats sent meanwhile arrive all at once.
 		return s.newRefusal("an older beat", false)
 	}
+	if !p.Listed() {
+		return s.newRefusal("the instance is not listed yet", false) // what it reports is not kept; it reports it again
+	}
 	s.syncConfig(ctx, p, beat)
 	fleetCmds := hfloop.With(s.fleet, func(f *hfworker.Fleet) []hfworker.Cmd {
 		return f.Update(hfworker.PeerReports(in.GetSender(), in.GetIncarnation(), beat.GetFull(), beat.GetReports()), now)
