Take hints within the memory of jobs, of listed instances alone

What callers saw: 24 connections that hinted jobs nobody stored took entry to 134 of 96 MB, and all calls of the account were answered 429.

Cause: any item of which anybody told was applied to the mirror, though it was not read from the store: jobs beyond the memory of their account, states of unknown jobs, configurations and workers.

Change: a hint is applied only if it comes from an address that an instance listed in the store has, tells of a job that fits beside the others of its account, or of the state or cancellation of a job that is known, and takes at most 1 MB decoded. Other hints are refused; the watch brings what they tell of, so a refusal costs the time of the watch and nothing else.

The nodes of openHints list each other now, as real ones do.

--- a/hfentry/hint.go
+++ b/hfentry/hint.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -21,6 +22,7 @@
 	// leader. Further ones are dropped, as the leader's watch brings their items.
 	hintQueueSize = 256
 	hintTimeout   = 400 * time.Millisecond // bounds the call for one hint
+	maxHintBytes  = 1 << 20                // of a hinted item once it is decoded
 )
 
 // queueHint queues an item that was just stored, to be sent to the leader. The leader's watch
@@ -70,6 +72,11 @@
 	switch {
 	case in.GetHint() != nil:
 		h := in.GetHint()
+		if !hfpeer.FromListed(ctx) || !hfloop.With(n.mirror, func(m *Mirror) bool { return m.acceptsHint(h) }) {
+			metrics.GetOrRegisterCounter("hint.refused", n.registry).Inc(1)
+			out.Body = &hfwire.Envelope_Refusal{Refusal: &hfwire.Refusal{Reason: "the watch will bring the item"}}
+			break
+		}
 		n.noteTaker(h.GetKey(), in.GetSender())
 		n.applyItem(hfstore.NewItem(h.GetKey(), h.GetValue(), h.GetVersion(), false))
 		out.Body = &hfwire.Envelope_Ack{Ack: &hfwire.Ack{}}
@@ -82,6 +89,25 @@
 	return out
 }
 
+// acceptsHint reports whether an item of which another instance tells may be applied before the watch brings it.
+// What is hinted was not read from the store, so it must not take memory without bound: a job has to fit beside
+// the others, and the rest has to belong to a job that is known.
+func (m *Mirror) acceptsHint(h *hfwire.Hint) bool {
+	if id, ok := strings.CutPrefix(h.GetKey(), jobPrefix); ok {
+		if len(id) > maxKeyBytes || hfwire.DecodedSize(h.GetValue(), (*hfwork.Job)(nil)) > maxHintBytes {
+			return false
+		}
+		job, err := hfwire.Decode(h.GetValue(), &hfwork.Job{})
+		return err == nil && (m.jobs[id] != nil || m.memory.Fits(m.memoryOwner(job), hfwork.Footprint(job)))
+	}
+	for _, prefix := range []string{progressPrefix, cancelPrefix} {
+		if id, ok := strings.CutPrefix(h.GetKey(), prefix); ok {
+			return m.jobs[id] != nil && hfwire.DecodedSize(h.GetValue(), (*hfwork.Progress)(nil)) <= maxHintBytes
+		}
+	}
+	return false
+}
+
 // servePeers serves the calls of other instances on ln until ctx ends.
 func (n *Node) servePeers(ctx context.Context, ln net.Listener) {
 	lists := func(ip string) bool {
--- a/hfentry/hint_test.go
+++ b/hfentry/hint_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/heatherfront/heatherfront/hfevent"
 	"github.com/heatherfront/heatherfront/hfintake"
@@ -42,6 +44,11 @@
 	require.NoError(t, err)
 	leader, follower = newTestNode("leader"), newTestNode("follower")
 	follower.links = hfpeer.NewLinks("follower", "follower", dialer, follower.registry)
+	for _, n := range []*Node{leader, follower} {
+		for _, name := range []string{"leader", "follower"} {
+			n.applyItem(newItem(t, peerPrefix+name, 1, &hfwork.Instance{Name: name, Address: "127.0.0.1:1"}))
+		}
+	}
 	group, ctx := errgroup.WithContext(t.Context())
 	group.Go(func() error { leader.servePeers(ctx, ln); return nil })
 	group.Go(func() error { follower.sendHints(ctx); return nil })
@@ -95,3 +102,50 @@
 	}
 	require.Equal(t, int64(hintQueueSize), metrics.GetOrRegisterCounter("hint.dropped", n.registry).Count())
 }
+
+// What another instance tells of was not read from the store: an instance that is broken must not fill the memory
+// with jobs that nobody stored, or with states of jobs that nobody knows.
+func TestHintsAreBounded(t *testing.T) {
+	n := newTestNode("leader")
+	accepts := func(key string, m proto.Message) bool {
+		value, err := hfwire.Encode(m)
+		require.NoError(t, err)
+		return hfloop.With(n.mirror, func(m *Mirror) bool { return m.acceptsHint(&hfwire.Hint{Key: key, Value: value, Version: 1}) })
+	}
+	require.False(t, accepts(progressPrefix+"unknown", &hfwork.Progress{}))
+	require.False(t, accepts(cancelPrefix+"unknown", &hfwork.Progress{}))
+	require.False(t, accepts(peerPrefix+"other", &hfwork.Instance{}))
+	require.False(t, accepts("op/config", &hfwork.Instance{}))
+	require.False(t, accepts(jobPrefix+strings.Repeat("x", maxKeyBytes+1), &hfwork.Job{}))
+	tiny := &hfwork.Job{}
+	for range 20_000 {
+		tiny.Steps = append(tiny.Steps, &hfwork.Step{})
+	}
+	require.False(t, accepts(jobPrefix+"tiny", tiny), "two bytes stand for each step")
+
+	accepted := 0
+	for ; accepted < 1000; accepted++ {
+		job := newWideJob(accepted)
+		if !accepts(jobPrefix+job.GetId(), job) {
+			break
+		}
+		n.applyItem(newItem(t, jobPrefix+job.GetId(), 1, job))
+	}
+	require.Positive(t, accepted)
+	require.Less(t, accepted, 1000)
+	total, limit := hfloop.With2(n.mirror, func(m *Mirror) (int64, int64) { return m.memory.Total(), m.memory.Limit() })
+	require.LessOrEqual(t, total, limit)
+	known := newWideJob(0)
+	require.True(t, accepts(jobPrefix+known.GetId(), known), "a job that is known takes no more memory")
+	require.True(t, accepts(cancelPrefix+known.GetId(), &hfwork.Progress{}))
+}
+
+// Hints of an instance that is not listed are refused. The watch brings what they tell of.
+func TestHintsOfUnlistedInstancesAreRefused(t *testing.T) {
+	n := newTestNode("leader")
+	id := "5c0e7a21d94b36f8"
+	item := newItem(t, jobPrefix+id, 1, &hfwork.Job{Id: id})
+	in := &hfwire.Envelope{Sender: "x", Body: &hfwire.Envelope_Hint{Hint: &hfwire.Hint{Key: item.Key(), Value: item.Value(), Version: 1}}}
+	require.NotNil(t, n.handleCall(t.Context(), in).GetRefusal())
+	require.Nil(t, n.cachedJob(id))
+}
--- a/hfpeer/server.go
+++ b/hfpeer/server.go
@@ -367,7 +367,7 @@
 
 // serveCall serves a call, and reports whether the stream goes on.
 func (c *served) serveCall(ctx context.Context, stream *yamux.Stream, raw []byte, handle Handler) bool {
-	c.identify()
+	listed := c.identify()
 	size, decoded := c.settle(stream.StreamID(), len(raw)), hfwire.DecodedSize(raw, (*hfwire.Envelope)(nil))
 	if c.server.take(c.id, func(a *admission, now time.Time) ([]uint64, bool) { return a.begin(c.id, size, decoded, now) }) != nil {
 		_ = c.Close() // what the stream holds was settled
@@ -378,17 +378,26 @@
 	if err != nil || len(in.GetSender()) > maxNameBytes || len(in.GetIncarnation()) > maxNameBytes {
 		return false
 	}
-	out := handle(ctx, in)
+	out := handle(context.WithValue(ctx, listedKey{}, listed), in)
 	return out != nil && c.reply(stream, out) == nil
 }
 
-// identify checks again whether the instance is known. It may have been listed since the connection was opened.
-func (c *served) identify() {
+// identify reports whether the instance is known. It may have been listed since the connection was opened.
+func (c *served) identify() bool {
 	if c.sealed {
-		return
+		return true
 	}
 	member := c.server.lists(c.source)
 	c.server.with(func(a *admission, _ time.Time) { a.setMember(c.id, member) })
+	return member
+}
+
+type listedKey struct{}
+
+// FromListed reports whether the call that a Handler serves comes from a known instance.
+func FromListed(ctx context.Context) bool {
+	listed, _ := ctx.Value(listedKey{}).(bool)
+	return listed
 }
 
 // hold reserves memory until free is called.
