Bound what is read from the store for other instances

What callers saw: 24 connections that asked for a list of 1.6 MB 50 times each took entry to 1,062 of 96 MB.

Cause: each call of another instance was made at once, and its result read whole before its size was looked at.

Change: 64 calls and 64 watches are made for others at the same time, with results of up to 16 KB. A call that finds no room within the time that the other instance waits for it is refused, had no effect, and is no failure of the store.

--- a/hfrelay/relay.go
+++ b/hfrelay/relay.go
@@ -54,6 +54,7 @@
 	peers         func() []hfpeer.Peer           // the other instances, nearest first
 	onRouteChange func(direct bool, cause error) // called when the direct route is lost or restored
 	registry      metrics.Registry
+	room          room // for calls of other instances
 
 	mu           sync.Mutex
 	routes       routes
@@ -70,7 +71,7 @@
 //	s := hfrelay.New(client, links, peers, onRouteChange, registry)
 //	g.Go(func() error { s.Run(ctx, "key"); return nil })
 func New(direct hfstore.Committer, links PeerCaller, peers func() []hfpeer.Peer, onRouteChange func(direct bool, cause error), registry metrics.Registry) *Store {
-	s := &Store{direct: direct, links: links, peers: peers, onRouteChange: onRouteChange, registry: registry}
+	s := &Store{direct: direct, links: links, peers: peers, onRouteChange: onRouteChange, registry: registry, room: newRoom()}
 	s.directCtx, s.cancelDirect = context.WithCancel(context.Background())
 	s.recoveredCtx, s.endRecovered = context.WithCancel(context.Background())
 	return s
--- a/hfrelay/serve.go
+++ b/hfrelay/serve.go
@@ -29,10 +29,17 @@
 	if !s.Direct() {
 		return &hfwire.StoreReply{Fault: hfwire.StoreReply_REFUSED}
 	}
-	reply, err := s.callDirect(ctx, call)
+	reply, err := s.callWithinRoom(ctx, call)
+	if errors.Is(err, errNoRoom) {
+		s.incCounter("relay.full")
+		return &hfwire.StoreReply{Fault: hfwire.StoreReply_REFUSED}
+	}
 	if ctx.Err() == nil {
 		s.recordDirect(err)
 	}
+	if errors.Is(err, hfstore.ErrTooLarge) {
+		return &hfwire.StoreReply{Fault: hfwire.StoreReply_REFUSED}
+	}
 	if err != nil {
 		return &hfwire.StoreReply{Fault: encodeError(err)}
 	}
@@ -42,6 +49,68 @@
 	return reply
 }
 
+// What calls for other instances may take together.
+const (
+	maxServedCalls   = 64       // that are not watches
+	maxServedWatches = 64       // which wait for events
+	smallResult      = 16 << 10 // bytes of the result of a call that is made beside others
+	// maxLargeResults bounds the results above smallResult, which may be as large as a message.
+	maxLargeResults = 1
+)
+
+var errNoRoom = eris.New("too many calls for other instances")
+
+// room bounds the calls that are made for other instances at the same time.
+type room struct {
+	calls, watches, large chan struct{}
+}
+
+func newRoom() room {
+	return room{
+		calls: make(chan struct{}, maxServedCalls), watches: make(chan struct{}, maxServedWatches), large: make(chan struct{}, maxLargeResults),
+	}
+}
+
+// enter waits for a place, at most as long as the other instance waits for its call, and returns the function that
+// frees it.
+func enter(ctx context.Context, places chan struct{}) (leave func(), err error) {
+	timeout := time.NewTimer(relayTimeout)
+	defer timeout.Stop()
+	select {
+	case places <- struct{}{}:
+		return func() { <-places }, nil
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+	return nil, errNoRoom
+}
+
+// callWithinRoom makes a call for another instance. It fails with errNoRoom if it was not made because of too many
+// others.
+func (s *Store) callWithinRoom(ctx context.Context, call *hfwire.StoreCall) (*hfwire.StoreReply, error) {
+	places := s.room.calls
+	if call.GetWatch() != nil {
+		places = s.room.watches
+	}
+	if _, list := call.GetKind().(*hfwire.StoreCall_List); !list {
+		leave, err := enter(ctx, places)
+		if err != nil {
+			return nil, err
+		}
+		reply, err := s.callDirect(hfstore.WithMaxBytes(ctx, smallResult), call)
+		leave()
+		if !errors.Is(err, hfstore.ErrTooLarge) {
+			return reply, err
+		}
+	}
+	leave, err := enter(ctx, s.room.large)
+	if err != nil {
+		return nil, err
+	}
+	defer leave()
+	return s.callDirect(hfstore.WithMaxBytes(ctx, hfwire.MaxFrameBytes), call)
+}
+
 // callDirect makes a call over the direct route. The store client bounds its duration.
 func (s *Store) callDirect(ctx context.Context, call *hfwire.StoreCall) (*hfwire.StoreReply, error) {
 	r := &hfwire.StoreReply{}
