Bound the bytes of the log that nobody reads

What callers saw: while the reader of standard output had stalled, refused calls with long paths took entry to 157 of 96 MB.

Cause: 4,096 lines are buffered, each as long as callers make it: a path of 14 KB takes 28 KB in JSON.

Change: 4 MB are buffered at most. Further lines are dropped and counted as before (lines-dropped).

--- a/hfcommand/entry.go
+++ b/hfcommand/entry.go
@@ -19,9 +19,11 @@
 	hfplatform "github.com/heatherfront/heatherfront/platform"
 )
 
-// logBufferLines is the number of log lines that are buffered for a slow reader of standard
-// output.
-const logBufferLines = 4096
+// The log that is buffered for a slow reader of standard output.
+const (
+	logBufferLines = 4096
+	logBufferBytes = 4 << 20
+)
 
 // Values of --suspicion.
 const (
@@ -57,7 +59,7 @@
 			// The platform sends SIGHUP when the settings file has changed. It is not needed,
 			// as the file is polled for changes, and its default action would end the process.
 			signal.Ignore(syscall.SIGHUP)
-			sink := hfevent.NewSink(os.Stdout, logBufferLines)
+			sink := hfevent.NewSink(os.Stdout, logBufferLines, logBufferBytes)
 			config := zap.NewProductionEncoderConfig()
 			config.EncodeTime = zapcore.ISO8601TimeEncoder
 			logger := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), sink, parsed))
--- a/hfevent/sink.go
+++ b/hfevent/sink.go
@@ -10,27 +10,40 @@
 // Sink is an asynchronous writer of log lines that never blocks its callers. Lines that
 // arrive while its buffer is full are dropped and counted.
 type Sink struct {
-	lines   chan []byte
-	dropped atomic.Int64
-	out     io.Writer
+	lines    chan []byte
+	buffered atomic.Int64 // bytes of the lines
+	maxBytes int64
+	dropped  atomic.Int64
+	out      io.Writer
 }
 
-// NewSink returns a Sink that buffers up to size lines for out. Run writes them.
-func NewSink(out io.Writer, size int) *Sink {
-	return &Sink{lines: make(chan []byte, size), out: out}
+// NewSink returns a Sink that buffers up to size lines and maxBytes for out. Run writes them.
+func NewSink(out io.Writer, size int, maxBytes int64) *Sink {
+	return &Sink{lines: make(chan []byte, size), maxBytes: maxBytes, out: out}
 }
 
 // Write implements io.Writer. It copies one line to the buffer, or drops it when the
 // buffer is full.
 func (s *Sink) Write(line []byte) (int, error) {
-	select {
-	case s.lines <- append([]byte(nil), line...):
-	default:
-		s.dropped.Add(1)
+	size := int64(len(line))
+	if s.buffered.Add(size) <= s.maxBytes {
+		select {
+		case s.lines <- append([]byte(nil), line...):
+			return len(line), nil
+		default:
+		}
 	}
+	s.buffered.Add(-size)
+	s.dropped.Add(1)
 	return len(line), nil
 }
 
+// add appends a line to a batch. The line is buffered no longer.
+func (s *Sink) add(batch, line []byte) []byte {
+	s.buffered.Add(-int64(len(line)))
+	return append(batch, line...)
+}
+
 // Sync implements zapcore.WriteSyncer. It does nothing: Run writes the buffered lines.
 func (s *Sink) Sync() error { return nil }
 
@@ -46,14 +59,14 @@
 		batch = batch[:0]
 		select {
 		case line := <-s.lines:
-			batch = append(batch, line...)
+			batch = s.add(batch, line)
 		case <-ctx.Done():
 			ended = true
 		}
 		for more := true; more && len(batch) < maxBatchBytes; {
 			select {
 			case line := <-s.lines:
-				batch = append(batch, line...)
+				batch = s.add(batch, line)
 			default:
 				more = false
 			}
--- a/hfevent/sink_test.go
+++ b/hfevent/sink_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"testing"
 	"time"
 
@@ -27,7 +28,7 @@
 func TestStalledReaderBlocksNobody(t *testing.T) {
 	const buffered, lines = 8, 1000
 	out := stalledWriter{batches: make(chan int, 2), release: make(chan struct{})}
-	s := NewSink(out, buffered)
+	s := NewSink(out, buffered, 1<<20)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- s.Run(ctx) }()
@@ -62,3 +63,23 @@
 	}
 	require.Equal(t, buffered, rest, "the buffered lines are written when the sink ends")
 }
+
+// Guards against long lines, such as those with the paths of callers, that take memory without bound while the
+// reader of the log stalls.
+func TestBufferedBytesAreBounded(t *testing.T) {
+	const maxBytes, length = 1000, 300
+	s := NewSink(io.Discard, 100, maxBytes)
+	line := append(bytes.Repeat([]byte("x"), length-1), '\n')
+	for range 10 {
+		n, err := s.Write(line)
+		require.NoError(t, err)
+		require.Equal(t, length, n)
+	}
+	require.Equal(t, int64(7), s.Dropped())
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.NoError(t, s.Run(ctx))
+	require.Zero(t, s.buffered.Load())
+	_, _ = s.Write(line)
+	require.Zero(t, s.Dropped(), "there is room again")
+}
