Admit the balancer's checks beside clients that have just come

What callers saw: with 400 clients that came again and again to the readiness listener, 50 of 50 checks failed, in serve 49 of 50; the balancer takes such an instance out.

Cause: for a second, until they count as stalled, connections gave way to nobody, so that the listener was full of new ones for ever. A writer of pipelined answers had ten seconds. Each of the inner listeners could also take 1/16 of the memory for bodies and again for answers.

Change: on the readiness and the metrics listener the oldest connections give way to a new one at once, those whose answer is under way last; a request that is being handled never does. Bodies and answers may take 1 MB there. In serve the spare connections, which are for vital calls, give way in the same manner.

--- a/hfintake/limits.go
+++ b/hfintake/limits.go
@@ -59,6 +59,8 @@
 	// are for what the instance itself opens.
 	descriptorShare = 2
 
+	briefBytes = 1 << 20 // of all bodies, and of all answers, on a listener of brief requests
+
 	spareConns = 16 // connections beyond the limit, on which only vital calls are served
 )
 
@@ -71,6 +73,7 @@
 	idle, busy  int64 // bytes that a connection takes between and during requests
 	room        int64 // bytes that all connections but the spare ones may take
 	bodyTimeout time.Duration
+	brief       bool // requests end at once, so that the oldest connections give way when there is no room
 }
 
 // NewLimits returns the limits of the callers' listener in a process that may take memory bytes and open a
@@ -96,6 +99,14 @@
 	return l
 }
 
+// Brief returns the limits for a listener whose requests have no bodies to wait for and are answered at once. When
+// there is no room, the oldest connections give way to new ones.
+func (l Limits) Brief() Limits {
+	l.brief = true
+	l.bodies, l.answers = briefBytes, briefBytes
+	return l
+}
+
 // bodyDeadline returns until when a body that began at start, and of which some bytes have been received, must
 // go on.
 func (l Limits) bodyDeadline(start time.Time, received int64) time.Time {
--- a/hfintake/table.go
+++ b/hfintake/table.go
@@ -67,11 +67,12 @@
 	return t
 }
 
-// open adds a connection. If there is no room, it lets another one go, or takes a spare one, or returns false.
+// open adds a connection. If there is no room, it lets another one go, or takes a spare one, for which other spare
+// ones give way, or returns false.
 func (t *table) open(source string, now time.Time) (id uint64, victims []uint64, ok bool) {
 	if t.full() {
 		v := t.victim(now, func(c *client) bool {
-			return c.stalled(now) || c.phase == phaseIdle && now.Sub(c.progress) > stallTime || t.givesWay(c, source)
+			return c.stalled(now) || c.phase == phaseIdle && now.Sub(c.progress) > stallTime || t.givesWay(c, source) || t.overdue(c)
 		})
 		if v != nil {
 			t.remove(v.id)
@@ -81,7 +82,12 @@
 	c := &client{source: source, spare: t.full(), since: now, progress: now}
 	if c.spare {
 		if t.spares >= t.limits.spare {
-			return 0, victims, false
+			v := t.victim(now, func(o *client) bool { return o.spare && o.moving() })
+			if v == nil {
+				return 0, victims, false
+			}
+			t.remove(v.id)
+			victims = append(victims, v.id)
 		}
 		t.spares++
 	}
@@ -109,7 +115,7 @@
 		return nil, false
 	}
 	for c.phase == phaseIdle && t.taken+t.cost(c, p)-t.cost(c, phaseIdle) > t.limits.room {
-		v := t.victim(now, func(o *client) bool { return o != c && (o.stalled(now) || t.givesWay(o, c.source)) })
+		v := t.victim(now, func(o *client) bool { return o != c && (o.stalled(now) || t.givesWay(o, c.source) || t.overdue(o)) })
 		if v == nil {
 			return victims, false
 		}
@@ -133,6 +139,10 @@
 	return t.heavy(c.source) && c.source != source && c.moving()
 }
 
+// overdue reports whether a client of a listener of brief requests may be let go: one that comes later is served
+// before it is, unless its request is being handled.
+func (t *table) overdue(c *client) bool { return t.limits.brief && (c.moving() || c.writing) }
+
 // cost returns what a connection takes of the room in a phase.
 func (t *table) cost(c *client, p phase) int64 {
 	switch {
@@ -161,6 +171,9 @@
 }
 
 func (t *table) compare(a, b *client, now time.Time) int {
+	if t.limits.brief {
+		return cmp.Or(compareBool(a.phase == phaseAnswer, b.phase == phaseAnswer), cmp.Compare(a.id, b.id))
+	}
 	return cmp.Or(
 		-compareBool(a.stalled(now), b.stalled(now)), compareBool(a.phase == phaseAnswer, b.phase == phaseAnswer),
 		-compareBool(t.heavy(a.source), t.heavy(b.source)), -cmp.Compare(a.held+a.answer, b.held+b.answer), a.progress.Compare(b.progress), cmp.Compare(a.id, b.id),
--- a/hfintake/table_test.go
+++ b/hfintake/table_test.go
@@ -247,3 +247,50 @@
 	require.Equal(t, start.Add(42*time.Second), l.bodyDeadline(start, 256<<10))
 	require.Positive(t, Descriptors())
 }
+
+// A listener of brief requests admits a new connection beside any crowd that sends or reads nothing, without waiting
+// until that has stalled.
+func TestBriefListenerAdmitsNewConnections(t *testing.T) {
+	limits := testLimits(4).Brief()
+	limits.room = 4 * idleBytes
+	table := newTable(limits)
+	now := time.Unix(1000, 0)
+	for i := range 20 {
+		id, _, ok := table.open("crowd", now)
+		require.True(t, ok)
+		p := []phase{phaseIdle, phaseHead, phaseBody, phaseAnswer}[i%4]
+		if _, ok := table.begin(id, p, now); ok && p == phaseAnswer {
+			table.clients[id].writing = true
+		}
+	}
+	id, _, ok := table.open("balancer", now)
+	require.True(t, ok)
+	_, ok = table.begin(id, phaseHead, now)
+	require.True(t, ok)
+	require.True(t, table.enter(id, phaseAnswer, now))
+	for range 20 {
+		_, _, _ = table.open("crowd", now)
+	}
+	require.Contains(t, table.clients, id, "its request is being handled")
+	require.NoError(t, table.Check())
+}
+
+// Vital calls are served when a crowd that has not stalled yet holds all spare connections, too.
+func TestSpareConnectionsGiveWayToNewOnes(t *testing.T) {
+	limits := testLimits(2)
+	limits.spare = 2
+	table := newTable(limits)
+	now := time.Unix(1000, 0)
+	for i := range 10 {
+		id, _, ok := table.open(fmt.Sprint("crowd ", i), now)
+		require.True(t, ok)
+		_, ok = table.begin(id, phaseHead, now)
+		require.True(t, ok)
+		now = now.Add(time.Millisecond)
+	}
+	id, victims, ok := table.open("balancer", now)
+	require.True(t, ok)
+	require.Len(t, victims, 1)
+	require.True(t, table.clients[id].spare)
+	require.NoError(t, table.Check())
+}
