Plan the memory of an instance as one sum

Change: hfentry.MemoryPlan adds up the program, the collector's slack, jobs, bodies, answers, links, calls for other instances, the inner listeners and the log. Callers' connections get what is left, a third at most and a sixteenth at least, by what the jobs take now: their records, and at the leader what it has loaded. When jobs take more, idle and unfinished connections give way within 0.2 s; a request that is whole is not broken off.

--- a/hfcommand/entry.go
+++ b/hfcommand/entry.go
@@ -13,17 +13,16 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/heatherfront/heatherfront/hfentry"
 	"github.com/heatherfront/heatherfront/hfevent"
 	"github.com/heatherfront/heatherfront/hfplan"
 	"github.com/heatherfront/heatherfront/hfsettings"
 	hfplatform "github.com/heatherfront/heatherfront/platform"
 )
 
-// The log that is buffered for a slow reader of standard output.
-const (
-	logBufferLines = 4096
-	logBufferBytes = 4 << 20
-)
+// logBufferLines is the number of log lines that are buffered for a slow reader of standard
+// output.
+const logBufferLines = 4096
 
 // Values of --suspicion.
 const (
@@ -59,7 +58,7 @@
 			// The platform sends SIGHUP when the settings file has changed. It is not needed,
 			// as the file is polled for changes, and its default action would end the process.
 			signal.Ignore(syscall.SIGHUP)
-			sink := hfevent.NewSink(os.Stdout, logBufferLines, logBufferBytes)
+			sink := hfevent.NewSink(os.Stdout, logBufferLines, hfentry.LogBytes)
 			config := zap.NewProductionEncoderConfig()
 			config.EncodeTime = zapcore.ISO8601TimeEncoder
 			logger := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), sink, parsed))
--- a/hfentry/memory.go
+++ b/hfentry/memory.go
@@ -47,20 +47,36 @@
 // countMemory counts the memory of a job anew, after a change of its record. Of a job that has ended,
 // only what callers may still ask for is kept.
 func (m *Mirror) countMemory(r *jobRecord) {
-	m.memory.Add(r.owner, -r.memory)
-	r.owner, r.memory = hfbudget.Owner{}, 0
+	m.forgetMemory(r)
 	if r.job == nil {
 		return
 	}
-	r.owner, r.memory = m.memoryOwner(r.job), hfwork.Footprint(r.job)
+	r.owner, r.memory, r.recorded = m.memoryOwner(r.job), hfwork.Footprint(r.job), hfwork.RecordFootprint(r.job)
 	if hfwork.IsFinal(r.progress.GetState()) {
-		r.memory = hfwork.EndedFootprint
+		r.memory, r.recorded = hfwork.EndedFootprint, hfwork.EndedFootprint
 		r.job = &hfwork.Job{
 			Id: r.job.GetId(), Queue: r.job.GetQueue(), Account: r.job.GetAccount(), Policy: r.job.GetPolicy(),
 			Settings: &hfwork.Queue{Priority: r.job.GetSettings().GetPriority()},
 		}
 	}
 	m.memory.Add(r.owner, r.memory)
+	m.recorded += r.recorded
+}
+
+// forgetMemory counts the memory of a job no longer.
+func (m *Mirror) forgetMemory(r *jobRecord) {
+	m.memory.Add(r.owner, -r.memory)
+	m.recorded -= r.recorded
+	r.owner, r.memory, r.recorded = hfbudget.Owner{}, 0, 0
+}
+
+// jobMemory returns how much memory the jobs take at most: their records, and at the leader the tasks that it has
+// loaded.
+func (m *Mirror) jobMemory(leads bool) int64 {
+	if !leads {
+		return m.recorded
+	}
+	return m.recorded + min(m.memory.Total()-m.recorded, m.loadableMemory())
 }
 
 // memoryOwner returns for whom the memory of a job is counted.
@@ -71,7 +87,7 @@
 // removeJob removes the record of a job.
 func (m *Mirror) removeJob(id string) {
 	if r := m.jobs[id]; r != nil {
-		m.memory.Add(r.owner, -r.memory)
+		m.forgetMemory(r)
 		delete(m.jobs, id)
 	}
 }
--- a/hfentry/mirror.go
+++ b/hfentry/mirror.go
@@ -64,6 +64,7 @@
 	endSeen    time.Time // when a final state was first applied, on the clock of Mirror.receivedAt; zero before
 	cancelled  bool
 	memory     int64          // bytes that are counted for the job in Mirror.memory
+	recorded   int64          // part of memory that each instance holds, in Mirror.recorded
 	owner      hfbudget.Owner // for whom they are counted
 	told       bool           // the leader has told that it has completed, before that is stored
 	shown      bool           // it is shown as completed, also before that is stored
@@ -124,6 +125,7 @@
 	term              int64
 	appliedRevision   int64                       // all our records up to this store revision are applied
 	instances         map[string]*hfwork.Instance // by name; includes this one and some that have ended
+	recorded          int64                       // bytes of the records of all jobs
 	instanceIPs       map[string]bool             // of the instances but this one; nil if it has to be made anew
 	rejected          *hfevent.Rejections         // entries that were last invalid, by key
 }
--- a/hfintake/intake.go
+++ b/hfintake/intake.go
@@ -42,7 +42,8 @@
 	conns    map[uint64]*conn
 	refusals *Refusals
 
-	sealed      bool // the bytes of connections are encrypted
+	maxRoom     int64 // bytes that connections may take at most
+	sealed      bool  // the bytes of connections are encrypted
 	connections metrics.Gauge
 	bytes       metrics.Gauge
 }
@@ -51,7 +52,7 @@
 // refused.
 func New(name string, l Limits, sealed bool, report Reporter, registry metrics.Registry) *Intake {
 	i := &Intake{
-		table: newTable(l), conns: map[uint64]*conn{}, sealed: sealed,
+		table: newTable(l), conns: map[uint64]*conn{}, maxRoom: l.room, sealed: sealed,
 		refusals:    NewRefusals(name, []string{ReasonConnections, ReasonLetGo, ReasonMemory, ReasonHead, ReasonSlow}, report, registry),
 		connections: metrics.GetOrRegisterGauge("intake."+name+".connections", registry),
 		bytes:       metrics.GetOrRegisterGauge("intake."+name+".bytes", registry),
@@ -126,6 +127,16 @@
 // refuse counts a refusal. The caller holds mu.
 func (i *Intake) refuse(reason string, now time.Time) { i.refusals.Add(reason, now) }
 
+// SetRoom changes the bytes that all connections may take together, up to those of the limits.
+func (i *Intake) SetRoom(bytes int64) {
+	i.mu.Lock()
+	now := time.Now()
+	dropped := i.drop(i.table.setRoom(min(bytes, i.maxRoom), now), now)
+	i.updateGauges()
+	i.mu.Unlock()
+	closeAll(dropped)
+}
+
 // drop forgets clients and returns their connections, which the caller closes without mu.
 func (i *Intake) drop(victims []uint64, now time.Time) []*conn {
 	var dropped []*conn
--- a/hfintake/limits.go
+++ b/hfintake/limits.go
@@ -47,9 +47,9 @@
 	sealedIdleBytes = idleBytes + 32<<10
 	sealedBusyBytes = 512 << 10
 	// idleShare is the part of the memory, as a divisor, that connections may take while they idle, and
-	// connShare with what those take that are busy.
+	// ConnShare with what those take that are busy.
 	idleShare = 4
-	connShare = 3
+	ConnShare = 3
 	// maxConns bounds the connections however large the memory is: who is let go is searched among all.
 	maxConns = 16 << 10
 	// crowdShare is the part of the connections, as a divisor, that are free when callers are first told to close
@@ -59,7 +59,8 @@
 	// are for what the instance itself opens.
 	descriptorShare = 2
 
-	briefBytes = 1 << 20 // of all bodies, and of all answers, on a listener of brief requests
+	// BriefBytes bounds all bodies, and all answers, on a listener of brief requests.
+	BriefBytes = 1 << 20
 
 	spareConns = 16 // connections beyond the limit, on which only vital calls are served
 )
@@ -81,7 +82,7 @@
 // once more.
 func NewLimits(memory, bodyShare, descriptors int64, sealed bool) Limits {
 	l := Limits{
-		bodies: memory / bodyShare, answers: memory / bodyShare, idle: idleBytes, busy: busyBytes, room: memory / connShare,
+		bodies: memory / bodyShare, answers: memory / bodyShare, idle: idleBytes, busy: busyBytes, room: memory / ConnShare,
 		bodyTimeout: bodyTimeout,
 	}
 	if sealed {
@@ -103,7 +104,7 @@
 // there is no room, the oldest connections give way to new ones.
 func (l Limits) Brief() Limits {
 	l.brief = true
-	l.bodies, l.answers = briefBytes, briefBytes
+	l.bodies, l.answers = BriefBytes, BriefBytes
 	return l
 }
 
--- a/hfintake/table.go
+++ b/hfintake/table.go
@@ -57,6 +57,7 @@
 	held    int64          // sum of what the clients hold for bodies
 	answers int64          // the same for answers
 	taken   int64          // sum of what the connections but the spare ones take by their phase
+	excess  int64          // part of taken above the room since that became less; never grows
 	spares  int            // spare connections
 	lastID  uint64
 }
@@ -125,6 +126,22 @@
 	return victims, t.enter(id, p, now)
 }
 
+// setRoom changes the bytes that connections may take. Those whose requests are not whole, or whose
+// answers are not read, give way until they fit.
+func (t *table) setRoom(room int64, now time.Time) (victims []uint64) {
+	t.limits.room = max(room, t.limits.busy)
+	for t.taken > t.limits.room {
+		v := t.victim(now, func(c *client) bool { return !c.spare && (c.moving() || c.stalled(now)) })
+		if v == nil {
+			break
+		}
+		t.remove(v.id)
+		victims = append(victims, v.id)
+	}
+	t.excess = max(t.taken-t.limits.room, 0)
+	return victims
+}
+
 // onlyVital reports whether only vital calls may be served on a connection.
 func (t *table) onlyVital(id uint64) bool {
 	c := t.clients[id]
@@ -258,6 +275,7 @@
 	c := t.clients[id]
 	if c != nil && c.phase != p {
 		t.taken += t.cost(c, p) - t.cost(c, c.phase)
+		t.excess = min(t.excess, max(t.taken-t.limits.room, 0))
 		c.phase, c.since, c.progress = p, now, now
 	}
 	return c != nil
@@ -271,6 +289,7 @@
 	t.release(id)
 	t.endAnswer(id)
 	t.taken -= t.cost(c, c.phase)
+	t.excess = min(t.excess, max(t.taken-t.limits.room, 0))
 	if c.spare {
 		t.spares--
 	}
@@ -303,7 +322,7 @@
 		return fmt.Errorf("clients hold %d bytes, counted are %d", held, t.held)
 	case taken != t.taken:
 		return fmt.Errorf("connections take %d bytes, counted are %d", taken, t.taken)
-	case taken > t.limits.room:
+	case taken > t.limits.room+t.excess:
 		return fmt.Errorf("connections take %d bytes of %d", taken, t.limits.room)
 	case spares != t.spares || spares > t.limits.spare:
 		return fmt.Errorf("%d spare connections of %d, counted are %d", spares, t.limits.spare, t.spares)
--- a/hfintake/table_test.go
+++ b/hfintake/table_test.go
@@ -46,7 +46,7 @@
 		}
 		var victims []uint64
 		asked := "-"
-		switch rapid.IntRange(0, 6).Draw(t, "call") {
+		switch rapid.IntRange(0, 7).Draw(t, "call") {
 		case 0:
 			asked = rapid.SampledFrom([]string{"a", "a", "b"}).Draw(t, "source")
 			_, victims, _ = table.open(asked, now)
@@ -97,6 +97,14 @@
 			}
 		case 6:
 			table.remove(id)
+		case 7:
+			asked = "room"
+			victims = table.setRoom(int64(rapid.IntRange(1, 6).Draw(t, "new room"))*busyBytes, now)
+			for _, c := range table.clients {
+				if table.taken > table.limits.room && !c.spare && c.moving() {
+					return fmt.Errorf("client %d moves although connections take %d bytes of %d", c.id, table.taken, table.limits.room)
+				}
+			}
 		}
 		if err := checkVictims(table, before, victims, now, asked); err != nil {
 			return err
@@ -116,7 +124,8 @@
 			return fmt.Errorf("client %d was let go although its request was whole", id)
 		}
 		for _, c := range t.clients {
-			if b, known := before[c.id]; !known || b.held != c.held || !c.stalled(now) || source == "-" && c.held == 0 || source == "answer" && c.answer == 0 {
+			if b, known := before[c.id]; !known || b.held != c.held || !c.stalled(now) || source == "-" && c.held == 0 || source == "answer" && c.answer == 0 ||
+				source == "room" && c.spare { // frees no room
 				continue
 			}
 			if v.phase == phaseAnswer && c.phase != phaseAnswer {
--- a/hfrelay/serve.go
+++ b/hfrelay/serve.go
@@ -51,11 +51,17 @@
 
 // What calls for other instances may take together.
 const (
-	maxServedCalls   = 64       // that are not watches
+	maxServedCalls   = 32       // that are not watches
 	maxServedWatches = 64       // which wait for events
 	smallResult      = 16 << 10 // bytes of the result of a call that is made beside others
 	// maxLargeResults bounds the results above smallResult, which may be as large as a message.
 	maxLargeResults = 1
+	// resultCopies is how many times a byte of a result is held until it is in a reply: as it comes from the store, up
+	// to twice its length there, and decoded.
+	resultCopies = 4
+
+	// ServedBytes is what calls for other instances take at most, without their messages and replies.
+	ServedBytes = resultCopies * ((maxServedCalls+maxServedWatches)*smallResult + maxLargeResults*hfwire.MaxFrameBytes)
 )
 
 var errNoRoom = eris.New("too many calls for other instances")
