Share who goes first, and close connections at once

A connection of another instance that was let go counted as refused for memory, too. Under TLS closing one could wait 5 s for its other side, in the loop that accepts the next.

--- a/hfintake/table.go
+++ b/hfintake/table.go
@@ -178,35 +178,19 @@
 // moving, those with an answer under way after others, those of a heavy source before others, the large before
 // the small, the silent before the recent.
 func (t *table) victim(now time.Time, may func(*client) bool) *client {
-	var first *client
-	for _, c := range t.clients {
-		if may(c) && (first == nil || t.order(c, first, now) < 0) {
-			first = c
-		}
-	}
-	return first
+	return First(t.clients, may, func(a, b *client) int { return t.order(a, b, now) })
 }
 
 func (t *table) compare(a, b *client, now time.Time) int {
 	if t.limits.brief {
-		return cmp.Or(compareBool(a.phase == phaseAnswer, b.phase == phaseAnswer), cmp.Compare(a.id, b.id))
+		return cmp.Or(CompareBool(a.phase == phaseAnswer, b.phase == phaseAnswer), cmp.Compare(a.id, b.id))
 	}
 	return cmp.Or(
-		-compareBool(a.stalled(now), b.stalled(now)), compareBool(a.phase == phaseAnswer, b.phase == phaseAnswer),
-		-compareBool(t.heavy(a.source), t.heavy(b.source)), -cmp.Compare(a.held+a.answer, b.held+b.answer), a.progress.Compare(b.progress), cmp.Compare(a.id, b.id),
+		-CompareBool(a.stalled(now), b.stalled(now)), CompareBool(a.phase == phaseAnswer, b.phase == phaseAnswer),
+		-CompareBool(t.heavy(a.source), t.heavy(b.source)), -cmp.Compare(a.held+a.answer, b.held+b.answer), a.progress.Compare(b.progress), cmp.Compare(a.id, b.id),
 	)
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
-}
-
 // reserve adds n bytes to what a client holds. If there is no room, it lets stalled clients go, for a small
 // body also large ones that still move, or returns false.
 func (t *table) reserve(id uint64, n int64, now time.Time) (victims []uint64, ok bool) {
--- a/hfintake/table_test.go
+++ b/hfintake/table_test.go
@@ -156,7 +156,7 @@
 // TestFaultyOrdersAreDetected checks that the test above finds wrong rules.
 func TestFaultyOrdersAreDetected(t *testing.T) {
 	for name, order := range map[string]func(a, b *client, now time.Time) int{
-		"the moving first": func(a, b *client, now time.Time) int { return compareBool(a.stalled(now), b.stalled(now)) },
+		"the moving first": func(a, b *client, now time.Time) int { return CompareBool(a.stalled(now), b.stalled(now)) },
 		"the small first":  func(a, b *client, _ time.Time) int { return int(a.held - b.held) },
 		"the oldest first": func(a, b *client, _ time.Time) int { return int(a.id) - int(b.id) },
 	} {
--- a/hfpeer/admission.go
+++ b/hfpeer/admission.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"fmt"
 	"time"
+
+	"github.com/heatherfront/heatherfront/hfintake"
 )
 
 // admitted is what is known of a connection.
@@ -179,32 +181,16 @@
 // victim returns the connection to close first among those that may be closed, or nil: of unknown instances before
 // others, the stalled before the moving, the large before the small, the silent before the recent.
 func (a *admission) victim(now time.Time, may func(*admitted) bool) *admitted {
-	var first *admitted
-	for _, c := range a.conns {
-		if may(c) && (first == nil || a.compare(c, first, now) < 0) {
-			first = c
-		}
-	}
-	return first
+	return hfintake.First(a.conns, may, func(x, y *admitted) int { return a.compare(x, y, now) })
 }
 
 func (a *admission) compare(x, y *admitted, now time.Time) int {
 	return cmp.Or(
-		compareBool(x.member, y.member), -compareBool(x.stalled(now), y.stalled(now)), -cmp.Compare(a.cost(x), a.cost(y)),
+		hfintake.CompareBool(x.member, y.member), -hfintake.CompareBool(x.stalled(now), y.stalled(now)), -cmp.Compare(a.cost(x), a.cost(y)),
 		x.progress.Compare(y.progress), cmp.Compare(x.id, y.id),
 	)
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
-}
-
 // touch records that a connection has moved.
 func (a *admission) touch(id uint64, now time.Time) {
 	if c := a.conns[id]; c != nil {
--- a/hfpeer/server.go
+++ b/hfpeer/server.go
@@ -132,8 +132,12 @@
 	return dropped
 }
 
+// closeAll closes connections at once: TLS would wait until the other side takes a last message.
 func closeAll(conns []net.Conn) {
 	for _, c := range conns {
+		if sealed, ok := c.(interface{ NetConn() net.Conn }); ok {
+			c = sealed.NetConn()
+		}
 		_ = c.Close()
 	}
 }
@@ -161,8 +165,8 @@
 		now := time.Now()
 		victims, ok := f(s.table, now)
 		dropped := s.drop(victims, now)
-		over := s.table.conns[id] == nil || now.After(end)
-		if !ok && over {
+		closed, late := s.table.conns[id] == nil, now.After(end)
+		if !ok && !closed && late {
 			s.refusals.Add(ReasonMemory, now)
 		}
 		s.update(now)
@@ -171,7 +175,7 @@
 		switch {
 		case ok:
 			return nil
-		case over:
+		case closed || late:
 			return errNoRoom
 		}
 	}
@@ -207,8 +211,8 @@
 func (c *served) serve(ctx context.Context, handle Handler) {
 	defer c.server.remove(c.id)
 	defer func() { _ = c.Close() }()
-	stopHandshake := context.AfterFunc(ctx, func() { _ = c.Close() })
-	defer stopHandshake()
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() }) // which ends the handshake, and then the session
+	defer stop()
 	if h, ok := c.Conn.(handshaker); ok {
 		handshakeCtx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 		err := h.HandshakeContext(handshakeCtx)
@@ -222,8 +226,6 @@
 	if err != nil {
 		return
 	}
-	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
-	defer stop()
 	defer func() { _ = session.Close() }()
 	var g errgroup.Group
 	for {
