Keep the place of a new connection until its head can be read

Cause: with no room, each accepted connection had the oldest spare one (on listeners of brief requests the oldest of all) close, whose client connected anew at once. The loop that accepts ran ahead of the goroutines that read, so all 16 were replaced before the head of a check, which had come, was read. A head that trickled kept its place before one that had just come, too.

Change: a quarter of these connections gives way in 5 ms at most; the next one waits in the kernel's queue. So a connection keeps its place for 15 ms however many come after it, and 800 a second are still admitted in serve, 3,200 in an entry with 64. Spare ones give way by age alone.

Evidence: TestNewConnectionsDoNotGiveWayAtOnce (before: 0 s instead of 15 ms), TestSpareConnectionsThatTrickleGiveWayByAge (before: the newest went).

--- a/hfintake/conn.go
+++ b/hfintake/conn.go
@@ -33,6 +33,11 @@
 		source = raw.RemoteAddr().String()
 	}
 	i.mu.Lock()
+	for pause := i.table.pause(time.Now()); pause > 0; pause = i.table.pause(time.Now()) {
+		i.mu.Unlock()
+		time.Sleep(pause)
+		i.mu.Lock()
+	}
 	now := time.Now()
 	id, victims, ok := i.table.open(source, now)
 	dropped := i.drop(victims, now)
--- a/hfintake/limits.go
+++ b/hfintake/limits.go
@@ -63,6 +63,10 @@
 	BriefBytes = 1 << 20
 
 	spareConns = 16 // connections beyond the limit, on which only vital calls are served
+	// turnoverTime is how long it takes at least until new connections have replaced all of a brief listener, or all
+	// spare ones: a head that was sent at once is read before. They are replaced in parts, turnShare as a divisor.
+	turnoverTime = 20 * time.Millisecond
+	turnShare    = 4
 )
 
 // Limits are the limits of one listener.
--- a/hfintake/table.go
+++ b/hfintake/table.go
@@ -59,6 +59,8 @@
 	taken   int64          // sum of what the connections but the spare ones take by their phase
 	excess  int64          // part of taken above the room since that became less; never grows
 	spares  int            // spare connections
+	turned  int            // connections that gave way to new ones since turnAt
+	turnAt  time.Time      // when the first of them did
 	lastID  uint64
 }
 
@@ -68,6 +70,35 @@
 	return t
 }
 
+// turns returns how many connections may give way to new ones at once before those that come have to wait, and how
+// long. A connection that does not give way until all others have keeps at least three quarters of turnoverTime.
+func (t *table) turns() (count int, pause time.Duration) {
+	all := t.limits.spare
+	if t.limits.brief {
+		all = t.limits.conns
+	}
+	count = max(all/turnShare, 1)
+	return count, turnoverTime * time.Duration(count) / time.Duration(max(all, 1))
+}
+
+// pause returns how long the next connection must wait before it is opened, as others gave way just now. Their
+// successors could not send a request before they had to give way, too.
+func (t *table) pause(now time.Time) time.Duration {
+	count, pause := t.turns()
+	if !t.full() || t.turned < count {
+		return 0
+	}
+	return max(t.turnAt.Add(pause).Sub(now), 0)
+}
+
+// turn counts a connection that gives way to a new one.
+func (t *table) turn(now time.Time) {
+	if _, pause := t.turns(); now.Sub(t.turnAt) >= pause {
+		t.turned, t.turnAt = 0, now
+	}
+	t.turned++
+}
+
 // open adds a connection. If there is no room, it lets another one go, or takes a spare one, for which other spare
 // ones give way, or returns false.
 func (t *table) open(source string, now time.Time) (id uint64, victims []uint64, ok bool) {
@@ -76,6 +107,9 @@
 			return c.stalled(now) || c.phase == phaseIdle && now.Sub(c.progress) > stallTime || t.givesWay(c, source) || t.overdue(c)
 		})
 		if v != nil {
+			if t.overdue(v) {
+				t.turn(now)
+			}
 			t.remove(v.id)
 			victims = append(victims, v.id)
 		}
@@ -83,10 +117,11 @@
 	c := &client{source: source, spare: t.full(), since: now, progress: now}
 	if c.spare {
 		if t.spares >= t.limits.spare {
-			v := t.victim(now, func(o *client) bool { return o.spare && o.moving() })
+			v := First(t.clients, func(o *client) bool { return o.spare && o.moving() }, compareAge)
 			if v == nil {
 				return 0, victims, false
 			}
+			t.turn(now)
 			t.remove(v.id)
 			victims = append(victims, v.id)
 		}
@@ -181,9 +216,14 @@
 	return First(t.clients, may, func(a, b *client) int { return t.order(a, b, now) })
 }
 
+// compareAge orders clients by age, those with an answer under way last.
+func compareAge(a, b *client) int {
+	return cmp.Or(CompareBool(a.phase == phaseAnswer, b.phase == phaseAnswer), cmp.Compare(a.id, b.id))
+}
+
 func (t *table) compare(a, b *client, now time.Time) int {
 	if t.limits.brief {
-		return cmp.Or(CompareBool(a.phase == phaseAnswer, b.phase == phaseAnswer), cmp.Compare(a.id, b.id))
+		return compareAge(a, b)
 	}
 	return cmp.Or(
 		-CompareBool(a.stalled(now), b.stalled(now)), CompareBool(a.phase == phaseAnswer, b.phase == phaseAnswer),
--- a/hfintake/table_test.go
+++ b/hfintake/table_test.go
@@ -303,3 +303,58 @@
 	require.True(t, table.clients[id].spare)
 	require.NoError(t, table.Check())
 }
+
+// A connection keeps its place for a while however many come after it.
+func TestNewConnectionsDoNotGiveWayAtOnce(t *testing.T) {
+	brief := testLimits(16).Brief()
+	spare := testLimits(1)
+	spare.spare = spareConns
+	for name, limits := range map[string]Limits{"brief": brief, "spare": spare} {
+		t.Run(name, func(t *testing.T) {
+			table := newTable(limits)
+			now := time.Unix(1000, 0)
+			connect := func() uint64 {
+				if pause := table.pause(now); pause > 0 {
+					require.LessOrEqual(t, pause, turnoverTime/turnShare)
+					now = now.Add(pause)
+				}
+				id, _, ok := table.open("crowd", now)
+				require.True(t, ok)
+				return id
+			}
+			for range 100 {
+				connect()
+			}
+			id, start := connect(), now
+			for table.clients[id] != nil {
+				connect()
+			}
+			require.GreaterOrEqual(t, now.Sub(start), turnoverTime/turnShare*(turnShare-1))
+			require.LessOrEqual(t, now.Sub(start), 2*turnoverTime)
+			require.NoError(t, table.Check())
+		})
+	}
+}
+
+// Spare connections that trickle a head have no advantage over one that has just come.
+func TestSpareConnectionsThatTrickleGiveWayByAge(t *testing.T) {
+	limits := testLimits(1)
+	limits.spare = 2
+	table := newTable(limits)
+	now := time.Unix(1000, 0)
+	var ids []uint64
+	for range 3 {
+		id, _, ok := table.open("crowd", now)
+		require.True(t, ok)
+		ids = append(ids, id)
+		now = now.Add(time.Millisecond)
+	}
+	for _, id := range ids[:2] {
+		_, ok := table.begin(id, phaseHead, now)
+		require.True(t, ok)
+		table.clients[id].progress = now
+	}
+	_, victims, ok := table.open("crowd", now)
+	require.True(t, ok)
+	require.Equal(t, ids[1:2], victims)
+}
