Let connections go only where that makes room

What callers saw: a check on a spare connection could be cut off for a caller's connection, which was then refused all the same.

Cause: open and begin looked for room among all clients, also the spare ones, which take nothing of the room of the others. begin went on until no spare one that was stalled, or of a source with most connections, was left.

Change: only connections that count towards the room are let go for it.

--- a/hfintake/table.go
+++ b/hfintake/table.go
@@ -104,7 +104,7 @@
 func (t *table) open(source string, now time.Time) (id uint64, victims []uint64, ok bool) {
 	if t.full() {
 		v := t.victim(now, func(c *client) bool {
-			return c.stalled(now) || c.phase == phaseIdle && now.Sub(c.progress) > stallTime || t.givesWay(c, source) || t.overdue(c)
+			return !c.spare && (c.stalled(now) || c.phase == phaseIdle && now.Sub(c.progress) > stallTime || t.givesWay(c, source) || t.overdue(c))
 		})
 		if v != nil {
 			if t.overdue(v) {
@@ -151,7 +151,7 @@
 		return nil, false
 	}
 	for c.phase == phaseIdle && t.taken+t.cost(c, p)-t.cost(c, phaseIdle) > t.limits.room {
-		v := t.victim(now, func(o *client) bool { return o != c && (o.stalled(now) || t.givesWay(o, c.source) || t.overdue(o)) })
+		v := t.victim(now, func(o *client) bool { return o != c && !o.spare && (o.stalled(now) || t.givesWay(o, c.source) || t.overdue(o)) })
 		if v == nil {
 			return victims, false
 		}
--- a/hfintake/table_test.go
+++ b/hfintake/table_test.go
@@ -358,3 +358,28 @@
 	require.True(t, ok)
 	require.Equal(t, ids[1:2], victims)
 }
+
+// A spare connection that is let go makes no room among the others.
+func TestSpareConnectionsStayWhenTheyMakeNoRoom(t *testing.T) {
+	limits := testLimits(2)
+	limits.spare = 1
+	table := newTable(limits)
+	now := time.Unix(1000, 0)
+	first, _, ok := table.open("a", now)
+	require.True(t, ok)
+	second, _, ok := table.open("b", now)
+	require.True(t, ok)
+	for _, id := range []uint64{first, second} {
+		require.True(t, table.enter(id, phaseAnswer, now))
+	}
+	spare, _, ok := table.open("c", now)
+	require.True(t, ok)
+	require.True(t, table.enter(spare, phaseHead, now))
+	now = now.Add(2 * stallTime)
+	require.True(t, table.enter(first, phaseIdle, now))
+	table.limits.room = table.taken
+	victims, ok := table.begin(first, phaseHead, now)
+	require.False(t, ok)
+	require.Empty(t, victims)
+	require.Contains(t, table.clients, spare)
+}
