Let unread answers give way before a connection that has just come

Cause: on a listener of brief requests whoever had an answer under way gave way last, however long it had not been read. With the listener full of such clients a new check was the first to go.

Evidence: TestUnreadAnswersOfBriefListenerGiveWayFirst (before: the new connection went).

--- a/hfintake/table.go
+++ b/hfintake/table.go
@@ -117,7 +117,7 @@
 	c := &client{source: source, spare: t.full(), since: now, progress: now}
 	if c.spare {
 		if t.spares >= t.limits.spare {
-			v := First(t.clients, func(o *client) bool { return o.spare && o.moving() }, compareAge)
+			v := First(t.clients, func(o *client) bool { return o.spare && o.moving() }, func(a, b *client) int { return compareAge(a, b, now) })
 			if v == nil {
 				return 0, victims, false
 			}
@@ -151,7 +151,9 @@
 		return nil, false
 	}
 	for c.phase == phaseIdle && t.taken+t.cost(c, p)-t.cost(c, phaseIdle) > t.limits.room {
-		v := t.victim(now, func(o *client) bool { return o != c && !o.spare && (o.stalled(now) || t.givesWay(o, c.source) || t.overdue(o)) })
+		v := t.victim(now, func(o *client) bool {
+			return o != c && !o.spare && (o.stalled(now) || t.givesWay(o, c.source) || t.overdue(o))
+		})
 		if v == nil {
 			return victims, false
 		}
@@ -216,14 +218,17 @@
 	return First(t.clients, may, func(a, b *client) int { return t.order(a, b, now) })
 }
 
-// compareAge orders clients by age, those with an answer under way last.
-func compareAge(a, b *client) int {
-	return cmp.Or(CompareBool(a.phase == phaseAnswer, b.phase == phaseAnswer), cmp.Compare(a.id, b.id))
+// compareAge orders clients by age, those with an answer under way last while it is read.
+func compareAge(a, b *client, now time.Time) int {
+	answered := func(c *client) bool {
+		return c.phase == phaseAnswer && !(c.writing && now.Sub(c.progress) > turnoverTime)
+	}
+	return cmp.Or(CompareBool(answered(a), answered(b)), cmp.Compare(a.id, b.id))
 }
 
 func (t *table) compare(a, b *client, now time.Time) int {
 	if t.limits.brief {
-		return compareAge(a, b)
+		return compareAge(a, b, now)
 	}
 	return cmp.Or(
 		-CompareBool(a.stalled(now), b.stalled(now)), CompareBool(a.phase == phaseAnswer, b.phase == phaseAnswer),
--- a/hfintake/table_test.go
+++ b/hfintake/table_test.go
@@ -383,3 +383,28 @@
 	require.Empty(t, victims)
 	require.Contains(t, table.clients, spare)
 }
+
+// Answers that nobody reads give way before the connection that has just come.
+func TestUnreadAnswersOfBriefListenerGiveWayFirst(t *testing.T) {
+	table := newTable(testLimits(4).Brief())
+	now := time.Unix(1000, 0)
+	for range 3 {
+		id, _, ok := table.open("crowd", now)
+		require.True(t, ok)
+		require.True(t, table.enter(id, phaseAnswer, now))
+		table.clients[id].writing = true
+	}
+	id, _, ok := table.open("balancer", now)
+	require.True(t, ok)
+	_, victims, ok := table.open("other", now)
+	require.True(t, ok)
+	require.Equal(t, []uint64{id}, victims, "answers under way are kept")
+	now = now.Add(2 * turnoverTime)
+	id, victims, ok = table.open("balancer", now)
+	require.True(t, ok)
+	require.Equal(t, []uint64{1}, victims, "an answer that nobody reads")
+	_, victims, ok = table.open("crowd", now)
+	require.True(t, ok)
+	require.Equal(t, []uint64{2}, victims)
+	require.Contains(t, table.clients, id)
+}
