Add two crowds at the listener for other instances under TLS

Callers' TLS had tests of a number of connections, that of instances none. The crowds were written after the bounds, so there is no mend here.

The authority for tests moves from hfkey to hfstand, as both use it.

--- a/hfcrowd/link_test.go
+++ b/hfcrowd/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -87,8 +88,12 @@
 // checkPeer checks that a call of another instance is answered.
 func (p *target) checkPeer() {
 	p.t.Helper()
-	dialer := dialFrom(orderlyAddress)
-	links := hfpeer.NewLinks(otherName, "orderly", &dialer, metrics.NewRegistry())
+	plain := dialFrom(orderlyAddress)
+	var dialer hfpeer.Dialer = &plain
+	if p.keys != nil {
+		dialer = p.keys.Dialer(&plain)
+	}
+	links := hfpeer.NewLinks(otherName, "orderly", dialer, metrics.NewRegistry())
 	defer links.Close()
 	require.Eventually(p.t, func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -216,3 +221,25 @@
 	}
 	testLinks(p, strangerAddress, linkCrowd, sendLists)
 }
+
+// sendHalfHandshake sends most of the first record of a handshake, on every other connection nothing.
+func sendHalfHandshake(_ *crowd, conn net.Conn, number int) {
+	const record, handshake, length = 22, 1, 16 << 10
+	if number%2 == 0 {
+		head := []byte{record, 3, 1, length >> 8, length & 0xff, handshake, 0, (length - 4) >> 8, (length - 4) & 0xff}
+		write(conn, head, make([]byte, length-len(head)))
+	}
+}
+
+func TestSealedServeUnderHalfHandshakes(t *testing.T) {
+	testLinks(startSealedServe(t, fewSockets), strangerAddress, holdingCrowd, sendHalfHandshake)
+}
+
+// A peer that has a certificate but is broken.
+func TestSealedServeUnderUnfinishedMessagesOfInstance(t *testing.T) {
+	p := startSealedServe(t, manySockets)
+	config := &tls.Config{MinVersion: tls.VersionTLS13, InsecureSkipVerify: true, Certificates: []tls.Certificate{p.certificate}}
+	testLinks(p, brokenAddress, linkCrowd, func(c *crowd, conn net.Conn, number int) {
+		sendUnfinished(c, tls.Client(conn, config), number)
+	})
+}
--- a/hfcrowd/process_test.go
+++ b/hfcrowd/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -20,6 +21,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/heatherfront/heatherfront/hfaccount"
+	"github.com/heatherfront/heatherfront/hfkey"
 	"github.com/heatherfront/heatherfront/hfstand"
 	"github.com/heatherfront/heatherfront/hfwire"
 	"github.com/heatherfront/heatherfront/hfwork"
@@ -76,7 +78,9 @@
 	peakHeld    atomic.Int64 // bytes resident and received but not read yet
 	peakUnread  atomic.Int64 // bytes received but not read yet
 	logFileName string
-	stdout      *os.File // standard output, if not with standard error in the file of the log
+	keys        *hfkey.Keys     // of another instance; nil without TLS
+	certificate tls.Certificate // of the same
+	stdout      *os.File        // standard output, if not with standard error in the file of the log
 }
 
 // buildProgram builds the program once, without the race detector, whose memory would count.
@@ -174,8 +178,13 @@
 	})
 }
 
+// newClient returns a client that uses each connection once and believes every certificate.
+func newClient(timeout time.Duration) *http.Client {
+	return &http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true, TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}}
+}
+
 func (p *target) isReady() bool {
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := newClient(time.Second)
 	resp, err := client.Get(p.ready)
 	if err != nil {
 		return false
@@ -374,19 +383,43 @@
 
 // startServe starts one instance of serve, with an endpoint.
 func startServe(t *testing.T, sockets int) *target {
+	t.Helper()
+	return startServeWith(t, sockets, "http")
+}
+
+// startSealedServe is startServe under TLS.
+func startSealedServe(t *testing.T, sockets int) *target {
+	t.Helper()
+	authority, err := hfstand.NewAuthority()
+	require.NoError(t, err)
+	dir := t.TempDir()
+	cert, key, root, err := authority.Issue(dir, "e0", 2)
+	require.NoError(t, err)
+	p := startServeWith(t, sockets, "https", "--tls-certificate", cert, "--tls-key", key, "--tls-authority", root)
+	cert, key, root, err = authority.Issue(dir, otherName, 3)
+	require.NoError(t, err)
+	p.keys, err = hfkey.New(cert, key, root)
+	require.NoError(t, err)
+	p.certificate, err = tls.LoadX509KeyPair(cert, key)
+	require.NoError(t, err)
+	return p
+}
+
+// startServeWith is startServe with a scheme and further arguments.
+func startServeWith(t *testing.T, sockets int, scheme string, arguments ...string) *target {
 	t.Helper()
 	store, members, minion := hfstand.NewStore(), hfstand.NewMembers(), hfstand.NewMinion("m0", 8)
 	peer := freeAddress(t)
 	p := &target{t: t, name: "serve", front: freeAddress(t), peer: peer, store: store, maxBody: 1 << 20, memoryMB: serveMemoryMB, sockets: sockets}
-	p.ready, p.checks = "http://"+p.front+"/ready", p.front
+	p.ready, p.checks = scheme+"://"+p.front+"/ready", p.front
 	p.post = "POST /v1/requests/lookup?%x HTTP/1.1\r\nHost: instance.example\r\nAuthorization: Bearer plant:" + callerSecret + "\r\n"
 	p.get = "GET /metrics HTTP/1.1\r\nHost: instance.example\r\n\r\n"
 	members.Set(hfstand.Member{Name: "e0", Role: "instance", Address: peer, Domain: "a", Region: "one", State: "live"})
 	members.Set(hfstand.Member{Name: otherName, Role: "instance", Address: otherAddress, Domain: "a", Region: "one", State: "live"})
 	members.Set(hfstand.Member{Name: "m0", Role: "minion", Address: serveHTTP(t, minion.Handler()), Domain: "a", Region: "one", Slots: 8, State: "live"})
-	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := newClient(5 * time.Second)
 	call := func(method, path, credential, body string) error {
-		req, err := http.NewRequest(method, "http://"+p.front+path, strings.NewReader(body))
+		req, err := http.NewRequest(method, scheme+"://"+p.front+path, strings.NewReader(body))
 		if err != nil {
 			return err
 		}
@@ -418,9 +451,9 @@
 		return call(http.MethodPost, "/v1/requests/lookup", "plant:"+callerSecret, "price")
 	}
 	p.start([]string{"HEATHERFRONT_MEMORY=" + strconv.Itoa(serveMemoryMB)},
-		"serve", "--name", "e0", "--domain", "a", "--region", "one", "--listen", p.front, "--peer", peer,
-		"--store-url", "http://"+serveHTTP(t, store.Handler()), "--members-url", "http://"+serveHTTP(t, members.Handler()),
-		"--operator-hash", hfaccount.Hash(operatorSecret), "--max-body", strconv.Itoa(p.maxBody),
-		"--lease", "8s", "--poll", "500ms", "--beat", "250ms", "--check", "250ms", "--suspect", "2s")
+		append([]string{"serve", "--name", "e0", "--domain", "a", "--region", "one", "--listen", p.front, "--peer", peer,
+			"--store-url", "http://" + serveHTTP(t, store.Handler()), "--members-url", "http://" + serveHTTP(t, members.Handler()),
+			"--operator-hash", hfaccount.Hash(operatorSecret), "--max-body", strconv.Itoa(p.maxBody),
+			"--lease", "8s", "--poll", "500ms", "--beat", "250ms", "--check", "250ms", "--suspect", "2s"}, arguments...)...)
 	return p
 }
--- a/hfkey/keys_test.go
+++ b/hfkey/keys_test.go
@@ -1,67 +1,32 @@
 package hfkey
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"io"
-	"math/big"
 	"net"
 	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/heatherfront/heatherfront/hfstand"
 )
 
 // authority is a certificate authority that issues certificates for 127.0.0.1.
-type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-	der  []byte
-}
+type authority struct{ *hfstand.Authority }
 
 func newAuthority(t *testing.T) authority {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true, BasicConstraintsValid: true,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	require.NoError(t, err)
-	cert, err := x509.ParseCertificate(der)
+	a, err := hfstand.NewAuthority()
 	require.NoError(t, err)
-	return authority{cert: cert, key: key, der: der}
-}
-
-func writePEM(t *testing.T, file, blockType string, der []byte) {
-	require.NoError(t, os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: blockType, Bytes: der}), 0o600))
+	return authority{a}
 }
 
 // issue writes a new certificate, its key and the authority's certificate to files
 // and returns the file names.
 func (a authority) issue(t *testing.T, dir, name string, serial int64) (cert, key, root string) {
-	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: name}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &private.PublicKey, a.key)
-	require.NoError(t, err)
-	keyDER, err := x509.MarshalECPrivateKey(private)
+	cert, key, root, err := a.Issue(dir, name, serial)
 	require.NoError(t, err)
-	cert, key, root = filepath.Join(dir, name+".pem"), filepath.Join(dir, name+".key"), filepath.Join(dir, name+".ca")
-	writePEM(t, cert, "CERTIFICATE", der)
-	writePEM(t, key, "EC PRIVATE KEY", keyDER)
-	writePEM(t, root, "CERTIFICATE", a.der)
 	return cert, key, root
 }
 
