--- a/hfcrowd/process_test.go
+++ b/hfcrowd/process_test.go
@@ -451,9 +451,11 @@
 		return call(http.MethodPost, "/v1/requests/lookup", "plant:"+callerSecret, "price")
 	}
 	p.start([]string{"HEATHERFRONT_MEMORY=" + strconv.Itoa(serveMemoryMB)},
-		append([]string{"serve", "--name", "e0", "--domain", "a", "--region", "one", "--listen", p.front, "--peer", peer,
+		append([]string{
+			"serve", "--name", "e0", "--domain", "a", "--region", "one", "--listen", p.front, "--peer", peer,
 			"--store-url", "http://" + serveHTTP(t, store.Handler()), "--members-url", "http://" + serveHTTP(t, members.Handler()),
 			"--operator-hash", hfaccount.Hash(operatorSecret), "--max-body", strconv.Itoa(p.maxBody),
-			"--lease", "8s", "--poll", "500ms", "--beat", "250ms", "--check", "250ms", "--suspect", "2s"}, arguments...)...)
+			"--lease", "8s", "--poll", "500ms", "--beat", "250ms", "--check", "250ms", "--suspect", "2s",
+		}, arguments...)...)
 	return p
 }
