--- a/hfcrowd/process_test.go
+++ b/hfcrowd/process_test.go
@@ -49,6 +49,7 @@
 	crowdKey       = "other-key"
 	operatorSecret = "operator-secret"
 	callerSecret   = "caller-secret"
+	crowdSecret    = "crowd-secret" // of a caller that hands in jobs without end
 )
 
 // target is a process under test, which was started with the system's own command.
@@ -65,8 +66,10 @@
 	memoryMB int64  // that the settings name
 	sockets  int    // limit of descriptors
 	ordinary func() error
+	call     func(method, path, credential, body string) error // of serve
 	store    *hfstand.Store
-	gate     *gate // before the store
+	members  *hfstand.Members // of serve
+	gate     *gate            // before the store
 	payload  payload
 
 	cmd   *exec.Cmd
@@ -410,7 +413,7 @@
 	t.Helper()
 	store, members, minion := hfstand.NewStore(), hfstand.NewMembers(), hfstand.NewMinion("m0", 8)
 	peer := freeAddress(t)
-	p := &target{t: t, name: "serve", front: freeAddress(t), peer: peer, store: store, maxBody: 1 << 20, memoryMB: serveMemoryMB, sockets: sockets}
+	p := &target{t: t, name: "serve", front: freeAddress(t), peer: peer, store: store, members: members, maxBody: 1 << 20, memoryMB: serveMemoryMB, sockets: sockets}
 	p.ready, p.checks = scheme+"://"+p.front+"/ready", p.front
 	p.post = "POST /v1/requests/lookup?%x HTTP/1.1\r\nHost: instance.example\r\nAuthorization: Bearer plant:" + callerSecret + "\r\n"
 	p.get = "GET /metrics HTTP/1.1\r\nHost: instance.example\r\n\r\n"
@@ -418,7 +421,7 @@
 	members.Set(hfstand.Member{Name: otherName, Role: "instance", Address: otherAddress, Domain: "a", Region: "one", State: "live"})
 	members.Set(hfstand.Member{Name: "m0", Role: "minion", Address: serveHTTP(t, minion.Handler()), Domain: "a", Region: "one", Slots: 8, State: "live"})
 	client := newClient(5 * time.Second)
-	call := func(method, path, credential, body string) error {
+	p.call = func(method, path, credential, body string) error {
 		req, err := http.NewRequest(method, scheme+"://"+p.front+path, strings.NewReader(body))
 		if err != nil {
 			return err
@@ -429,7 +432,7 @@
 			return err
 		}
 		defer func() { _ = resp.Body.Close() }()
-		if resp.StatusCode != http.StatusOK {
+		if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusAccepted {
 			return fmt.Errorf("status %d", resp.StatusCode)
 		}
 		return nil
@@ -439,16 +442,19 @@
 		if !declared {
 			for kind, body := range map[string]string{
 				"account/plants": "kind: account\nname: plants\nspec: {}\n",
+				"account/crowd":  "kind: account\nname: crowd\nspec: {}\n",
+				"work/train":     "kind: work\nname: train\nspec: {type: job, class: batch, idempotent: true, preemptible: true, accounts: [plants, crowd]}\n",
+				"caller/crowd":   "kind: caller\nname: crowd\nspec: {account: crowd, role: caller, hash: " + hfaccount.Hash(crowdSecret) + "}\n",
 				"work/lookup":    "kind: work\nname: lookup\nspec: {type: request, class: normal, idempotent: true, accounts: [plants], timeout: 8000}\n",
 				"caller/plant":   "kind: caller\nname: plant\nspec: {account: plants, role: caller, hash: " + hfaccount.Hash(callerSecret) + "}\n",
 			} {
-				if err := call(http.MethodPut, "/v1/resources/"+kind, "root:"+operatorSecret, body); err != nil {
+				if err := p.call(http.MethodPut, "/v1/resources/"+kind, "root:"+operatorSecret, body); err != nil {
 					return err
 				}
 			}
 			declared = true
 		}
-		return call(http.MethodPost, "/v1/requests/lookup", "plant:"+callerSecret, "price")
+		return p.call(http.MethodPost, "/v1/requests/lookup", "plant:"+callerSecret, "price")
 	}
 	p.start([]string{"HEATHERFRONT_MEMORY=" + strconv.Itoa(serveMemoryMB)},
 		append([]string{
