Bound the memory of the jobs of serve

What callers saw: whoever had one account's key could take an instance of serve past its memory with whole legal jobs.

Cause: hfgang bounded the number of open jobs of a domain (50,000), not their bytes, and finished ones, which stay for a week, not at all.

Change: each leader counts what its jobs take (records as they are and as stored, history, grants) and accepts one while it fits into 1/6 of the memory, divided by the failure domains, with hfbudget's shares: one account may take half, others always find room. Without room, finished jobs of the same account go, the oldest first, once their ids are too old to be accepted again, so that none runs twice; else the answer is 503 with not-run. What is stored is loaded in any case.

Ruled out: dropping others' finished jobs (one account would end another's retention), a smaller number of jobs (4,000 bytes and 250 are not the same).

TestJobsStayWithinTheirMemory, TestFinishedJobsMakeRoom; Check compares the count with the sum after each step of hfgang's simulations.

--- a/hfgang/job.go
+++ b/hfgang/job.go
@@ -62,6 +62,7 @@
 // job is a job record together with the leader's in-memory state.
 type job struct {
 	record             *hfwire.Job
+	memory             int64       // bytes counted for it
 	commitCopy         *hfwire.Job // copy in the commit in flight
 	storedCopy         *hfwire.Job // last stored copy, which callers see; nil before the first commit
 	members            []*member
--- a/hfgang/leader.go
+++ b/hfgang/leader.go
@@ -67,14 +67,16 @@
 	ended     chan struct{}
 }
 
-// NewLeader returns a leader of a domain under a tenure.
-func NewLeader(domain string, t *hflease.Tenure, s hfstore.Store, w Workers, o Observer, timing Timing) *Leader {
+// NewLeader returns a leader of a domain under a tenure, whose jobs may take jobMemory bytes.
+func NewLeader(domain string, t *hflease.Tenure, store hfstore.Store, w Workers, o Observer, timing Timing, jobMemory int64) *Leader {
 	l := &Leader{
-		domain: domain, tenure: t, store: s, workers: w, observer: o, lease: timing.lease,
+		domain: domain, tenure: t, store: store, workers: w, observer: o, lease: timing.lease,
 		callSlots: make(chan struct{}, maxWorkerCalls), replies: hfloop.NewReplies[ReplyCmd](), addresses: map[string]string{},
 		ended: make(chan struct{}),
 	}
-	l.loop = hfloop.New[Msg, Cmd](New(domain, timing), l.execute, o.InvariantViolated)
+	s := New(domain, timing)
+	s.SetMemory(jobMemory)
+	l.loop = hfloop.New[Msg, Cmd](s, l.execute, o.InvariantViolated)
 	return l
 }
 
--- a/hfgang/partition_test.go
+++ b/hfgang/partition_test.go
@@ -266,7 +266,7 @@
 // revoked the attempt.
 func TestEndedTenurePermitsNothing(t *testing.T) {
 	tenure := hflease.NewTenure(1, hflease.Now(), time.Hour)
-	l := NewLeader("a", tenure, nil, nil, noObserver{}, NewTiming(simLease, simPoll, time.Hour))
+	l := NewLeader("a", tenure, nil, nil, noObserver{}, NewTiming(simLease, simPoll, time.Hour), unlimitedMemory)
 	revoked, _ := l.Revoked()
 	require.Nil(t, revoked, "no records are loaded")
 	gang := hfworker.NewGang("j1", 1)
--- a/hfgang/records.go
+++ b/hfgang/records.go
@@ -14,6 +14,7 @@
 // addJob adds a job to the scheduler's tables.
 func (s *Scheduler) addJob(j *job) {
 	s.jobs[j.id()] = j
+	s.count(j)
 	s.byShard[shardOf(j.id())][j.id()] = j
 	if !j.final() {
 		s.open[j.id()] = j
@@ -51,6 +52,7 @@
 			j.deferredInCommit, j.deferred = j.deferred, nil
 			j.vacatedInCommit, j.vacated = j.vacated, nil
 			j.commitCopy = hfwire.Copy(j.record)
+			s.count(j)
 		}
 		if j.commitCopy != nil {
 			record.Jobs = append(record.Jobs, j.commitCopy)
--- a/hfgang/requests.go
+++ b/hfgang/requests.go
@@ -25,7 +25,7 @@
 	if s.isWithdrawn(m.job.GetId(), m.job.GetAccount(), now) {
 		return refuse(m.token, CodeConflict, "the job was cancelled before it was submitted")
 	}
-	if code, reason := s.admit(m.job); code != CodeOK {
+	if code, reason := s.admit(m.job, now); code != CodeOK {
 		return refuse(m.token, code, reason)
 	}
 	j := &job{record: hfwire.Copy(m.job)}
@@ -59,7 +59,7 @@
 
 // admit checks whether a job can be accepted, and refuses in particular jobs that could
 // never run. It returns CodeOK, or another code and the reason.
-func (s *Scheduler) admit(r *hfwire.Job) (Code, string) {
+func (s *Scheduler) admit(r *hfwire.Job, now time.Time) (Code, string) {
 	if s.directory == nil {
 		return CodeRetryLater, "the configuration is not loaded"
 	}
@@ -80,6 +80,9 @@
 	if len(s.open) >= MaxOpen {
 		return CodeRetryLater, "too many open jobs"
 	}
+	if !s.makeRoom(r, now) {
+		return CodeRetryLater, "the jobs of account " + r.GetAccount() + " take too much memory"
+	}
 	return CodeOK, ""
 }
 
--- a/hfgang/scheduler.go
+++ b/hfgang/scheduler.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/heatherfront/heatherfront/hfaccount"
+	"github.com/heatherfront/heatherfront/hfbudget"
 	"github.com/heatherfront/heatherfront/hfwire"
 	"github.com/heatherfront/heatherfront/hfworker"
 )
@@ -138,8 +139,10 @@
 	revokePending   bool         // the stopping jobs may have changed since the last RevokeCmd
 	assignPending   bool         // accelerators were vacated or the usable workers changed
 	reserved        *reservation // the current reservation, or nil
-	lastExpiry      time.Time    // last time finished jobs were dropped
-	lastRetry       time.Time    // last tick that reconsidered the waiting jobs
+	memory          *hfbudget.Budget
+	lastMakeRoom    time.Time // last time finished jobs were dropped for lack of memory
+	lastExpiry      time.Time // last time finished jobs were dropped
+	lastRetry       time.Time // last tick that reconsidered the waiting jobs
 }
 
 // New returns a scheduler without records. It schedules nothing until it receives a LoadMsg.
@@ -150,7 +153,7 @@
 	s := &Scheduler{
 		domain: domain, rules: defaultRules(), timing: timing, listedWorkers: map[string]hfworker.Worker{}, workers: map[string]*worker{},
 		jobs: map[string]*job{}, open: map[string]*job{}, withdrawals: map[withdrawal]time.Time{}, usage: map[string]int{}, vacatingJobs: map[*job]bool{}, isolatedJobs: map[*job]bool{}, estimates: map[string]*estimate{},
-		layout: NewLayout(domain, nil),
+		layout: NewLayout(domain, nil), memory: hfbudget.New(unlimitedMemory),
 	}
 	for i := range s.byShard {
 		s.byShard[i] = map[string]*job{}
@@ -368,7 +371,7 @@
 	if err := s.checkGuarantees(); err != nil {
 		return fmt.Errorf("guarantees: %w", err)
 	}
-	return nil
+	return s.checkMemory()
 }
 
 func (s *Scheduler) checkJob(j *job, owner map[string]*job) error {
--- a/hfgang/tick.go
+++ b/hfgang/tick.go
@@ -134,11 +134,9 @@
 		return
 	}
 	s.lastExpiry = now
-	for id, j := range s.jobs {
-		if j.final() && !j.dirty && !j.inCommit && j.record.GetFinished() < oldest {
-			delete(s.jobs, id)
-			delete(s.byShard[shardOf(id)], id)
-			s.dirtyShards[shardOf(id)] = true
+	for _, j := range s.jobs {
+		if j.droppable() && j.record.GetFinished() < oldest {
+			s.drop(j)
 		}
 	}
 }
--- a/hfserve/leadership.go
+++ b/hfserve/leadership.go
@@ -173,7 +173,7 @@
 		return // held by another instance, or the store is unavailable; the next round tries again
 	}
 	timing := hfgang.NewTiming(s.settings.TaskLease(), s.freshness(), s.settings.Retention())
-	leader := hfgang.NewLeader(domain, tenure, s.store, s.workers, leaderObserver{server: s}, timing)
+	leader := hfgang.NewLeader(domain, tenure, s.store, s.workers, leaderObserver{server: s}, timing, s.settings.JobMemory()/int64(max(len(s.Domains()), 1)))
 	s.setLocalLeader(domain, leader)
 	s.log.Event(hfevent.LeaderElected, zap.String("domain", domain), zap.Int64("epoch", tenure.Epoch()))
 	s.group.Go(func() error {
--- a/hfsettings/access.go
+++ b/hfsettings/access.go
@@ -83,6 +83,12 @@
 // as much again, which is why it is small.
 const BodyMemoryShare = 8
 
+// jobMemoryShare is the part of the memory, as a divisor, that jobs may take if this instance leads all domains.
+const jobMemoryShare = 6
+
+// JobMemory returns the memory that the jobs of all domains may take in bytes.
+func (s *Settings) JobMemory() int64 { return s.Memory() / jobMemoryShare }
+
 // Memory returns the memory that this process may take in bytes.
 func (s *Settings) Memory() int64 {
 	if s.memoryMB == 0 {
--- a/hfsettings/settings.go
+++ b/hfsettings/settings.go
@@ -74,7 +74,7 @@
 	s.healthInterval = fs.Duration("check", time.Second, "interval between health checks of an endpoint, 50ms to 3s")
 	s.suspectTimeout = fs.Duration("suspect", 3*time.Second, "time without messages after which an instance is suspected to have failed and others take over its responsibilities; at least six times --beat, because a heartbeat without news is sent only every second interval")
 	s.stopTimeout = fs.Duration("stop", 30*time.Second, "timeout of a graceful shutdown, 1s to 10m")
-	s.retention = fs.Duration("retain", 7*24*time.Hour, "retention time of finished jobs, 1m to 90 days")
+	s.retention = fs.Duration("retain", 7*24*time.Hour, "retention time of finished jobs, 1m to 90 days; shorter if the account's new jobs need their memory (OPERATIONS.md)")
 	fs.Int64Var(&s.maxBodyBytes, "max-body", 1<<20, "maximum body size of a request or answer in bytes, 1 to 16 MiB and to an eighth of --memory")
 	fs.Int64Var(&s.memoryMB, "memory", 0, "memory that this process may take in MB, 64 to 1048576, or 0 for that of the machine; callers' bodies and answers take an eighth each, connections a third at most")
 	fs.IntVar(&s.maxQueued, "queue", 4096, "maximum number of requests that wait in this instance, 1 to 100000")
