Reserve the memory of lists of jobs, and write them job by job

What callers saw: 200 clients that read lists of 1,000 jobs took serve past its memory.

Cause: a list was in memory several times, as jobs, as JSON of each and of all, and counted only while its last copy was written.

Change: a list reserves 6 KiB for each job of its limit before the leaders are asked, from the memory of bodies (503 without room; one alone is always served), and its jobs are encoded and written one at a time.

--- a/hfapi/job.go
+++ b/hfapi/job.go
@@ -24,6 +24,7 @@
 	maxCommandBytes = 4 << 10
 	defaultJobLimit = 50
 	maxJobLimit     = 1000
+	listedJobBytes  = 6 << 10 // of a job in a list, until it is written
 )
 
 // JobRequest is the body of a job submission.
@@ -136,16 +137,38 @@
 		}
 		q.Limit = uint32(limit)
 	}
+	if err := hfintake.Reserve(c.Request(), int64(q.GetLimit())*listedJobBytes); err != nil {
+		return backendProblem(err)
+	}
 	jobs, unreachable := a.backend.Jobs(c.Request().Context(), q)
-	list := make([]json.RawMessage, 0, len(jobs))
+	return writeJobs(c, jobs, unreachable)
+}
+
+// writeJobs writes a list, one job encoded at a time.
+func writeJobs(c echo.Context, jobs []*hfwire.Job, unreachable []string) error {
+	missing, err := json.Marshal(unreachable)
+	if err != nil {
+		return problem(http.StatusInternalServerError, err.Error())
+	}
+	w := c.Response()
+	w.Header().Set(echo.HeaderContentType, echo.MIMEApplicationJSON)
+	w.WriteHeader(http.StatusOK)
+	separator := `{"jobs":[`
 	for _, j := range jobs {
 		raw, err := encodeJob(j)
 		if err != nil {
-			return problem(http.StatusInternalServerError, err.Error())
+			panic(http.ErrAbortHandler) // cuts the answer off, as its status is sent
 		}
-		list = append(list, raw)
+		if _, err := w.Write(append([]byte(separator), raw...)); err != nil {
+			return nil // the caller has disconnected
+		}
+		separator = ","
+	}
+	if len(jobs) > 0 {
+		separator = ""
 	}
-	return c.JSON(http.StatusOK, map[string]any{"jobs": list, "missing": unreachable})
+	_, _ = fmt.Fprintf(w, "%s],\"missing\":%s}\n", separator, missing) // an error means that the caller has disconnected
+	return nil
 }
 
 func (a *API) cancelJob(c echo.Context) error {
