Share the listener with its receive buffer, and the host of an address

Read of the change. hfpeer had hfintake's socket option again, and hostOf's lines again; finished jobs were ordered by a difference.

--- a/hfgang/memory.go
+++ b/hfgang/memory.go
@@ -1,6 +1,7 @@
 package hfgang
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -73,7 +74,7 @@
 	dropped := sortedByID(s.jobs, func(j *job) bool {
 		return j.droppable() && owner(j.record) == o && j.record.GetSubmitted() < oldest
 	})
-	slices.SortStableFunc(dropped, func(a, b *job) int { return int(a.record.GetFinished() - b.record.GetFinished()) })
+	slices.SortStableFunc(dropped, func(a, b *job) int { return cmp.Compare(a.record.GetFinished(), b.record.GetFinished()) })
 	for _, j := range dropped {
 		if s.memory.Fits(o, bytes) {
 			break
--- a/hfintake/intake.go
+++ b/hfintake/intake.go
@@ -60,13 +60,18 @@
 	return i
 }
 
-// Listen opens a listener that keeps to the limits. Its connections receive little before they are read.
-func (i *Intake) Listen(ctx context.Context, address string) (net.Listener, error) {
+// Listen opens a listener whose connections ask for a receive buffer of a number of bytes.
+func Listen(ctx context.Context, address string, buffer int) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		// Without this option there is only more memory in use.
-		return raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBytes) })
+		return raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, buffer) })
 	}}
-	ln, err := config.Listen(ctx, "tcp", address)
+	return config.Listen(ctx, "tcp", address) //nolint:wrapcheck // callers name the listener
+}
+
+// Listen opens a listener that keeps to the limits. Its connections receive little before they are read.
+func (i *Intake) Listen(ctx context.Context, address string) (net.Listener, error) {
+	ln, err := Listen(ctx, address, receiveBytes)
 	if err != nil {
 		return nil, fmt.Errorf("intake: %w", err)
 	}
--- a/hfpeer/server.go
+++ b/hfpeer/server.go
@@ -8,13 +8,11 @@
 	"io"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/hashicorp/yamux"
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/heatherfront/heatherfront/hfintake"
@@ -46,11 +44,7 @@
 
 // Listen opens a listener for Serve. Its connections receive little before they are read.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		// Without this option there is only more memory in use.
-		return raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBytes) })
-	}}
-	ln, err := config.Listen(ctx, "tcp", address)
+	ln, err := hfintake.Listen(ctx, address, receiveBytes)
 	if err != nil {
 		return nil, fmt.Errorf("listen for instances: %w", err)
 	}
@@ -98,10 +92,7 @@
 
 // open admits a connection, or returns nil if there is no room.
 func (s *Server) open(conn net.Conn) *served {
-	source, _, err := net.SplitHostPort(conn.RemoteAddr().String())
-	if err != nil {
-		source = conn.RemoteAddr().String()
-	}
+	source := hostOf(conn.RemoteAddr().String())
 	_, sealed := conn.(handshaker)
 	member := !sealed && s.lists(source) // a sealed one shows its certificate first
 	s.mu.Lock()
