Bound the connections that wait to be accepted

Cause: the library asks for the system's largest backlog, 4,096 connections. Each holds up to 20 KB that nobody has read, and the memory plan has no term for them. Since accepting is paced beside connections that give way, the backlog fills.

Change: hfintake.Listen sets the backlog: a sixteenth of the memory for callers, as part of their connections' third, 512 connections for checks and metrics, 256 for instances. Connections of callers keep a twelfth of the memory at least (a sixteenth before), as the backlog is part of it.

Why it works: the kernel drops the requests of further clients, which send them again. TestBacklogIsBounded: 200 of 200 clients connected with a backlog of thousands, 32 allowed.

Crowds and bounds of the other tests are as they were. The check of a third of the memory now adds the backlog to the other connections.

--- a/hfcrowd/process_test.go
+++ b/hfcrowd/process_test.go
@@ -30,6 +30,7 @@
 // The bounds and the settings of the processes are fixed with the crowds.
 const (
 	entryMemoryMB = 96  // limits.memory_mb in the settings of entry
+	wideMemoryMB  = 160 // the same, of an instance whose collector may run less often
 	serveMemoryMB = 128 // memory of a node for control (CONTRIBUTING.md); HEATHERFRONT_MEMORY of serve
 
 	manySockets = 1024 // descriptors of a process whose crowd needs fewer
@@ -356,11 +357,12 @@
 	// %016x in the path stands for the id of the job.
 	p.post = "POST /usual/%016x HTTP/1.1\r\nHost: jobs.example\r\nHeatherfront-Key: " + callerKey + "\r\nContent-Type: application/json\r\n"
 	p.get = "GET /usual/ HTTP/1.1\r\nHost: jobs.example\r\nHeatherfront-Key: " + callerKey + "\r\n\r\n"
+	prepare(p)
 	settings := filepath.Join(t.TempDir(), "settings.json")
 	raw, err := json.Marshal(map[string]any{
 		"node_name": "e0", "ip": "127.0.0.1", "zone": "z", "region": "r", "listen": map[string]string{"front": p.front, "readiness": readiness},
 		"internal_ports": []int{metricsPort, peerPort},
-		"limits":         map[string]any{"memory_mb": entryMemoryMB, "max_fds": sockets + fileReserve}, "heartbeat_ms": 1500,
+		"limits":         map[string]any{"memory_mb": p.memoryMB, "max_fds": sockets + fileReserve}, "heartbeat_ms": 1500,
 		"bounds":   map[string]int{"hold_max_ms": 4000, "gang_timeout_ms": 3000, "stop_ms": 200, "status_s": 120, "grace_s": 6},
 		"platform": map[string]any{"address": serveHTTP(t, p.gate.handler(store.PlatformHandler())), "ttl_min_ms": 1000},
 	})
@@ -379,7 +381,6 @@
 		}
 		return nil
 	}
-	prepare(p)
 	p.start(nil, "entry", "--settings", settings)
 	return p
 }
--- a/hfcrowd/store_test.go
+++ b/hfcrowd/store_test.go
@@ -19,6 +19,7 @@
 const (
 	jobCrowd     = 600              // clients that hand in whole jobs
 	wideJobCrowd = 1200             // the same at all sockets
+	hugeJobCrowd = 3000             // the same at an instance of wideMemoryMB
 	storeSilence = 12 * time.Second // for which the store gives no answer
 	jobsBefore   = time.Second      // for which jobs are handed in before that
 )
@@ -89,8 +90,8 @@
 }
 
 // testSilentStore hands in jobs while the store gives no answer, and after it.
-func testSilentStore(t *testing.T, size, sockets int) {
-	p := startEntry(t, sockets)
+func testSilentStore(t *testing.T, size int, memoryMB int64) {
+	p := startEntryWith(t, allSockets, func(p *target) { p.memoryMB = memoryMB })
 	stop := handIn(p, size)
 	time.Sleep(jobsBefore)
 	open := p.gate.shut()
@@ -102,9 +103,13 @@
 }
 
 func TestEntryUnderJobsWhileStoreIsSilent(t *testing.T) {
-	testSilentStore(t, jobCrowd, allSockets)
+	testSilentStore(t, jobCrowd, entryMemoryMB)
 }
 
 func TestEntryUnderManyJobsWhileStoreIsSilent(t *testing.T) {
-	testSilentStore(t, wideJobCrowd, allSockets)
+	testSilentStore(t, wideJobCrowd, entryMemoryMB)
+}
+
+func TestLargerEntryUnderManyJobsWhileStoreIsSilent(t *testing.T) {
+	testSilentStore(t, hugeJobCrowd, wideMemoryMB)
 }
--- a/hfentry/memory_plan.go
+++ b/hfentry/memory_plan.go
@@ -15,7 +15,7 @@
 	baseBytes      = 20 << 20 // the program itself, without callers and jobs
 	slackShare     = 10       // what the collector has not freed yet, and the free parts of the heap
 	briefListeners = 2        // for the balancer's checks and the metrics
-	minConnShare   = 16       // connections of callers at least, whatever the jobs take
+	minConnShare   = 12       // connections of callers at least, whatever the jobs take
 
 	// LogBytes is that of the log that was not written.
 	LogBytes = 4 << 20
--- a/hfintake/intake.go
+++ b/hfintake/intake.go
@@ -42,6 +42,7 @@
 	conns    map[uint64]*conn
 	refusals *Refusals
 
+	backlog     int   // connections that wait to be accepted
 	maxRoom     int64 // bytes that connections may take at most
 	sealed      bool  // the bytes of connections are encrypted
 	connections metrics.Gauge
@@ -52,7 +53,7 @@
 // refused.
 func New(name string, l Limits, sealed bool, report Reporter, registry metrics.Registry) *Intake {
 	i := &Intake{
-		table: newTable(l), conns: map[uint64]*conn{}, maxRoom: l.room, sealed: sealed,
+		table: newTable(l), conns: map[uint64]*conn{}, backlog: l.backlog, maxRoom: l.room, sealed: sealed,
 		refusals:    NewRefusals(name, []string{ReasonConnections, ReasonLetGo, ReasonMemory, ReasonHead, ReasonSlow}, report, registry),
 		connections: metrics.GetOrRegisterGauge("intake."+name+".connections", registry),
 		bytes:       metrics.GetOrRegisterGauge("intake."+name+".bytes", registry),
@@ -60,18 +61,48 @@
 	return i
 }
 
-// Listen opens a listener whose connections ask for a receive buffer of a number of bytes.
-func Listen(ctx context.Context, address string, buffer int) (net.Listener, error) {
+// Listen opens a listener whose connections ask for a receive buffer of a number of bytes. The kernel completes at
+// most backlog connections, or somaxconn if that is less, before the listener accepts them. It drops the requests of
+// further ones, which clients send again.
+func Listen(ctx context.Context, address string, buffer, backlog int) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		// Without this option there is only more memory in use.
 		return raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, buffer) })
 	}}
-	return config.Listen(ctx, "tcp", address) //nolint:wrapcheck // callers name the listener
+	ln, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, err //nolint:wrapcheck // callers name the listener
+	}
+	if err := setBacklog(ln, backlog); err != nil {
+		_ = ln.Close()
+		return nil, err
+	}
+	return ln, nil
+}
+
+// setBacklog replaces the backlog of a listener, for which the library always asks for the most.
+func setBacklog(ln net.Listener, backlog int) error {
+	socket, ok := ln.(syscall.Conn)
+	if !ok {
+		return fmt.Errorf("set backlog: %T has no socket", ln)
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("set backlog: %w", err)
+	}
+	var listenErr error
+	if err := raw.Control(func(fd uintptr) { listenErr = unix.Listen(int(fd), backlog) }); err != nil {
+		return fmt.Errorf("set backlog: %w", err)
+	}
+	if listenErr != nil {
+		return fmt.Errorf("set backlog: %w", listenErr)
+	}
+	return nil
 }
 
 // Listen opens a listener that keeps to the limits. Its connections receive little before they are read.
 func (i *Intake) Listen(ctx context.Context, address string) (net.Listener, error) {
-	ln, err := Listen(ctx, address, receiveBytes)
+	ln, err := Listen(ctx, address, receiveBytes, i.backlog)
 	if err != nil {
 		return nil, fmt.Errorf("intake: %w", err)
 	}
@@ -136,7 +167,7 @@
 func (i *Intake) SetRoom(bytes int64) {
 	i.mu.Lock()
 	now := time.Now()
-	dropped := i.drop(i.table.setRoom(min(bytes, i.maxRoom), now), now)
+	dropped := i.drop(i.table.setRoom(min(bytes-int64(i.backlog)*unreadBytes, i.maxRoom), now), now)
 	i.updateGauges()
 	i.mu.Unlock()
 	closeAll(dropped)
--- a/hfintake/intake_test.go
+++ b/hfintake/intake_test.go
@@ -141,6 +141,30 @@
 
 // TestRefusedCallerIsToldAndKeepsItsConnection refuses a large body, as small ones hold the memory, and then
 // serves a call on the same connection.
+// Guards against connections that hold what their clients send while nobody accepts them: the library asks for a
+// backlog of thousands.
+func TestBacklogIsBounded(t *testing.T) {
+	const backlog, clients = 16, 200
+	ln, err := Listen(t.Context(), "127.0.0.1:0", receiveBytes, backlog)
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	var connected atomic.Int64
+	var dials sync.WaitGroup
+	for range clients {
+		dials.Go(func() {
+			if conn, err := (&net.Dialer{Timeout: 500 * time.Millisecond}).Dial("tcp", ln.Addr().String()); err == nil {
+				connected.Add(1)
+				t.Cleanup(func() { _ = conn.Close() })
+			}
+		})
+	}
+	dials.Wait()
+	require.LessOrEqual(t, connected.Load(), int64(2*backlog))
+	conn, err := ln.Accept()
+	require.NoError(t, err)
+	require.NoError(t, conn.Close())
+}
+
 func TestRefusedCallerIsToldAndKeepsItsConnection(t *testing.T) {
 	f := startFront(t, testLimits(40), nil)
 	f.intake.with(func(table *table, now time.Time) {
--- a/hfintake/limits.go
+++ b/hfintake/limits.go
@@ -50,6 +50,11 @@
 	// ConnShare with what those take that are busy.
 	idleShare = 4
 	ConnShare = 3
+	// backlogShare is the part of the memory, as a divisor, for connections that the listener has not accepted yet. It
+	// is part of ConnShare.
+	backlogShare = 16
+	minBacklog   = 64  // however little memory there is
+	briefBacklog = 512 // on a listener of brief requests, which accepts at a higher rate
 	// maxConns bounds the connections however large the memory is: who is let go is searched among all.
 	maxConns = 16 << 10
 	// crowdShare is the part of the connections, as a divisor, that are free when callers are first told to close
@@ -76,7 +81,8 @@
 	conns       int
 	spare       int   // connections beyond conns that may be for a vital call
 	idle, busy  int64 // bytes that a connection takes between and during requests
-	room        int64 // bytes that all connections but the spare ones may take
+	room        int64 // bytes that all connections may take but the spare ones and those of the backlog
+	backlog     int   // connections that wait to be accepted
 	bodyTimeout time.Duration
 	brief       bool // requests end at once, so that the oldest connections give way when there is no room
 }
@@ -85,9 +91,10 @@
 // number of descriptors. bodyShare is the part of the memory, as a divisor, that bodies may take, and answers
 // once more.
 func NewLimits(memory, bodyShare, descriptors int64, sealed bool) Limits {
+	backlog := max(memory/backlogShare/unreadBytes, minBacklog)
 	l := Limits{
-		bodies: memory / bodyShare, answers: memory / bodyShare, idle: idleBytes, busy: busyBytes, room: memory / ConnShare,
-		bodyTimeout: bodyTimeout,
+		bodies: memory / bodyShare, answers: memory / bodyShare, idle: idleBytes, busy: busyBytes, room: memory/ConnShare - backlog*unreadBytes,
+		backlog: int(backlog), bodyTimeout: bodyTimeout,
 	}
 	if sealed {
 		l.idle, l.busy = sealedIdleBytes, sealedBusyBytes
@@ -109,6 +116,7 @@
 func (l Limits) Brief() Limits {
 	l.brief = true
 	l.bodies, l.answers = BriefBytes, BriefBytes
+	l.backlog = briefBacklog
 	return l
 }
 
--- a/hfpeer/limits.go
+++ b/hfpeer/limits.go
@@ -19,6 +19,7 @@
 	// with receiveBytes.
 	connBytes    = 72 << 10
 	receiveBytes = 16 << 10 // receive buffer that is asked for
+	backlog      = 256      // connections that wait to be accepted
 	// sealedBytes is what a connection takes besides under TLS.
 	sealedBytes = 48 << 10
 	streamBytes = 12 << 10 // of a stream with its stack
--- a/hfpeer/server.go
+++ b/hfpeer/server.go
@@ -44,7 +44,7 @@
 
 // Listen opens a listener for Serve. Its connections receive little before they are read.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
-	ln, err := hfintake.Listen(ctx, address, receiveBytes)
+	ln, err := hfintake.Listen(ctx, address, receiveBytes, backlog)
 	if err != nil {
 		return nil, fmt.Errorf("listen for instances: %w", err)
 	}
