Leave the kernel and the program their part of an instance's memory

Cause: the collector's limit was 80% of the memory. From 128 MB on it lets garbage grow to five times what is in use, so that the heap reaches its limit with hardly any load; the program (13 MB) and the kernel's part came on top.

Change: MemoryPlan.HeapLimit, the memory without 16 MB of the program and without KernelBytes, a fifth, for callers' connections and the backlog; at most 80%. 63% of 96 MB, 70% of 160 MB, 74% of 284 MB.

Evidence: TestHeapLeavesRoomForKernel fails with 80%: 118 of 101 million bytes at 96 MB.

Why it works: whatever the heap holds up to its limit, all that the kernel may hold still fits beside it.

--- a/hfentry/memory_plan.go
+++ b/hfentry/memory_plan.go
@@ -12,10 +12,12 @@
 
 // What the parts of an instance may take of its memory, as divisors of it or in bytes. MemoryPlan adds them up.
 const (
-	baseBytes      = 20 << 20 // the program itself, without callers and jobs
-	slackShare     = 10       // what the collector has not freed yet, and the free parts of the heap
-	briefListeners = 2        // for the balancer's checks and the metrics
-	minConnShare   = 12       // connections of callers at least, whatever the jobs take
+	baseBytes        = 20 << 20 // the program itself, without callers and jobs
+	programBytes     = 16 << 20 // of baseBytes, what is not the collector's
+	heapLimitPercent = 80       // of the memory at most for the heap; the collector works harder above it
+	slackShare       = 10       // what the collector has not freed yet, and the free parts of the heap
+	briefListeners   = 2        // for the balancer's checks and the metrics
+	minConnShare     = 12       // connections of callers at least, whatever the jobs take
 
 	// LogBytes is that of the log that was not written.
 	LogBytes = 4 << 20
@@ -56,6 +58,12 @@
 // Fits reports whether all parts fit into the memory together.
 func (p MemoryPlan) Fits(jobs int64) bool { return p.fixed()+jobs+p.Connections(jobs) <= p.total }
 
+// HeapLimit returns the bytes above which the collector works harder. The program itself and what the kernel holds
+// unread come on top.
+func (p MemoryPlan) HeapLimit() int64 {
+	return min(p.total/100*heapLimitPercent, max(p.total-programBytes-hfintake.KernelBytes(p.total), p.total/2))
+}
+
 // JobMemory returns how many bytes the jobs take at most at this instance.
 func (n *Node) JobMemory() int64 {
 	leads := n.claiming.Load() || n.leader.Load() != nil
--- a/hfentry/memory_plan_test.go
+++ b/hfentry/memory_plan_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/heatherfront/heatherfront/hfintake"
 	"github.com/heatherfront/heatherfront/hfloop"
 	"github.com/heatherfront/heatherfront/hfwork"
 )
@@ -22,6 +23,16 @@
 	}
 }
 
+// The heap may grow to its limit while the kernel holds all that it may.
+func TestHeapLeavesRoomForKernel(t *testing.T) {
+	for _, mb := range []int64{96, 128, 160, 184, 284, 4096} {
+		total := mb << 20
+		limit := NewMemoryPlan(total).HeapLimit()
+		require.LessOrEqual(t, limit+programBytes+hfintake.KernelBytes(total), total, "%d MB", mb)
+		require.Greater(t, limit, total/2)
+	}
+}
+
 // Jobs take room of callers' connections, but never all of it.
 func TestConnectionsGiveWayToJobs(t *testing.T) {
 	const total = 284 << 20
--- a/hfintake/limits.go
+++ b/hfintake/limits.go
@@ -104,6 +104,11 @@
 	return l
 }
 
+// KernelBytes returns what the kernel holds unread at most for the connections of NewLimits, beside the process.
+func KernelBytes(memory int64) int64 {
+	return memory/idleShare/idleBytes*unreadBytes + memory/backlogShare
+}
+
 // WithConns returns the limits with another number of connections, and as much of their memory.
 func (l Limits) WithConns(conns int) Limits {
 	l.room = max(l.room/int64(l.conns)*int64(conns), l.busy)
