Require the answer of each probe in the burst tests

The probes of runBurst passed over an error, which the renewals before them required not to come. Also the words on the backlog in SetRoom and in serve's limit of the heap: the kernel holds up to a fifth now.

--- a/hfintake/intake.go
+++ b/hfintake/intake.go
@@ -163,7 +163,8 @@
 // refuse counts a refusal. The caller holds mu.
 func (i *Intake) refuse(reason string, now time.Time) { i.refusals.Add(reason, now) }
 
-// SetRoom changes the bytes that all connections may take together, up to those of the limits.
+// SetRoom changes the bytes that all connections may take together, with those of the backlog, up to those of the
+// limits.
 func (i *Intake) SetRoom(bytes int64) {
 	i.mu.Lock()
 	now := time.Now()
--- a/hforder/outbox_test.go
+++ b/hforder/outbox_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/heatherfront/heatherfront/hflease"
@@ -174,7 +175,7 @@
 	for begin := time.Now(); time.Since(begin) < 6*time.Second; time.Sleep(probeInterval) {
 		probes.Go(func() {
 			sent := time.Now()
-			if m.send(t.Context(), renewalBytes) == nil {
+			if assert.NoError(t, m.send(t.Context(), renewalBytes)) {
 				mu.Lock()
 				defer mu.Unlock()
 				r.longestRenewal = max(r.longestRenewal, time.Since(sent))
--- a/hfserve/node.go
+++ b/hfserve/node.go
@@ -30,7 +30,7 @@
 	// load balancer and the other instances can notice the stop. It is limited to a
 	// third of the stop timeout in the settings.
 	drainTime        = 2 * time.Second
-	heapLimitPercent = 65 // of --memory; above it the garbage collector works harder. The kernel holds up to 14% for connections
+	heapLimitPercent = 65 // of --memory; above it the garbage collector works harder. The kernel holds up to a fifth for connections
 )
 
 // Node is a Server with its listeners and HTTP API.
