Keep the backlog beside the room of connections

Cause: took the backlog out of the connections' room, which left 2 MB of 96 beside the plan's other parts: 56 idle connections fill it.

Change: the room is as before, with the check of a third as it was; the backlog stays bounded and in the limit of the heap.

--- a/hfentry/memory_plan.go
+++ b/hfentry/memory_plan.go
@@ -17,7 +17,7 @@
 	heapLimitPercent = 80       // of the memory at most for the heap; the collector works harder above it
 	slackShare       = 10       // what the collector has not freed yet, and the free parts of the heap
 	briefListeners   = 2        // for the balancer's checks and the metrics
-	minConnShare     = 12       // connections of callers at least, whatever the jobs take
+	minConnShare     = 16       // connections of callers at least, whatever the jobs take
 
 	// LogBytes is that of the log that was not written.
 	LogBytes = 4 << 20
--- a/hfintake/intake.go
+++ b/hfintake/intake.go
@@ -163,12 +163,11 @@
 // refuse counts a refusal. The caller holds mu.
 func (i *Intake) refuse(reason string, now time.Time) { i.refusals.Add(reason, now) }
 
-// SetRoom changes the bytes that all connections may take together, with those of the backlog, up to those of the
-// limits.
+// SetRoom changes the bytes that all connections may take together, up to those of the limits.
 func (i *Intake) SetRoom(bytes int64) {
 	i.mu.Lock()
 	now := time.Now()
-	dropped := i.drop(i.table.setRoom(min(bytes-int64(i.backlog)*unreadBytes, i.maxRoom), now), now)
+	dropped := i.drop(i.table.setRoom(min(bytes, i.maxRoom), now), now)
 	i.updateGauges()
 	i.mu.Unlock()
 	closeAll(dropped)
--- a/hfintake/limits.go
+++ b/hfintake/limits.go
@@ -50,8 +50,7 @@
 	// ConnShare with what those take that are busy.
 	idleShare = 4
 	ConnShare = 3
-	// backlogShare is the part of the memory, as a divisor, for connections that the listener has not accepted yet. It
-	// is part of ConnShare.
+	// backlogShare is the part of the memory, as a divisor, for connections that the listener has not accepted yet.
 	backlogShare = 16
 	minBacklog   = 64  // however little memory there is
 	briefBacklog = 512 // on a listener of brief requests, which accepts at a higher rate
@@ -81,7 +80,7 @@
 	conns       int
 	spare       int   // connections beyond conns that may be for a vital call
 	idle, busy  int64 // bytes that a connection takes between and during requests
-	room        int64 // bytes that all connections may take but the spare ones and those of the backlog
+	room        int64 // bytes that all connections but the spare ones may take
 	backlog     int   // connections that wait to be accepted
 	bodyTimeout time.Duration
 	brief       bool // requests end at once, so that the oldest connections give way when there is no room
@@ -93,7 +92,7 @@
 func NewLimits(memory, bodyShare, descriptors int64, sealed bool) Limits {
 	backlog := max(memory/backlogShare/unreadBytes, minBacklog)
 	l := Limits{
-		bodies: memory / bodyShare, answers: memory / bodyShare, idle: idleBytes, busy: busyBytes, room: memory/ConnShare - backlog*unreadBytes,
+		bodies: memory / bodyShare, answers: memory / bodyShare, idle: idleBytes, busy: busyBytes, room: memory / ConnShare,
 		backlog: int(backlog), bodyTimeout: bodyTimeout,
 	}
 	if sealed {
