Make room for a request when a connection is opened

Cause: a new connection had one idle one let go, which is just its own idle part. Its request takes 32 KB more, for which idle connections do not give way, so that it was refused, and the next connection met the same.

Change: opening a connection lets go stalled and unused ones until a request fits, too. Idle connections still stay beside requests of others (TestIdleConnectionsTakeLessThanBusyOnes).

Evidence: TestRequestBeginsBesideIdleConnections fails before. Letting idle connections go when a request begins was tried first; it broke TestIdleConnectionsTakeLessThanBusyOnes. All tests of hfintake pass.

--- a/hfintake/table.go
+++ b/hfintake/table.go
@@ -33,6 +33,11 @@
 	answer   int64     // bytes of the part of the answer that is being written
 }
 
+// unused reports whether a client has sent nothing for a while since its connection or its last answer.
+func (c *client) unused(now time.Time) bool {
+	return c.phase == phaseIdle && now.Sub(c.progress) > stallTime
+}
+
 // stalled reports whether a client keeps the instance waiting.
 func (c *client) stalled(now time.Time) bool {
 	paused := now.Sub(c.progress) > stallTime
@@ -99,12 +104,12 @@
 	t.turned++
 }
 
-// open adds a connection. If there is no room, it lets another one go, or takes a spare one, for which other spare
+// open adds a connection. If there is no room for it and a request, it lets others go, or takes a spare one, for which other spare
 // ones give way, or returns false.
 func (t *table) open(source string, now time.Time) (id uint64, victims []uint64, ok bool) {
 	if t.full() {
 		v := t.victim(now, func(c *client) bool {
-			return !c.spare && (c.stalled(now) || c.phase == phaseIdle && now.Sub(c.progress) > stallTime || t.givesWay(c, source) || t.overdue(c))
+			return !c.spare && (c.stalled(now) || c.unused(now) || t.givesWay(c, source) || t.overdue(c))
 		})
 		if v != nil {
 			if t.overdue(v) {
@@ -114,6 +119,15 @@
 			victims = append(victims, v.id)
 		}
 	}
+	// A request takes more than an idle connection, which is not let go when the request begins.
+	for t.taken+t.limits.busy > t.limits.room {
+		v := t.victim(now, func(c *client) bool { return !c.spare && (c.stalled(now) || c.unused(now)) })
+		if v == nil {
+			break
+		}
+		t.remove(v.id)
+		victims = append(victims, v.id)
+	}
 	c := &client{source: source, spare: t.full(), since: now, progress: now}
 	if c.spare {
 		if t.spares >= t.limits.spare {
--- a/hfintake/table_test.go
+++ b/hfintake/table_test.go
@@ -260,6 +260,25 @@
 	require.Positive(t, Descriptors())
 }
 
+// A request begins beside idle connections that take all the room, as it may be less than that of the connections'
+// number.
+func TestRequestBeginsBesideIdleConnections(t *testing.T) {
+	limits := testLimits(8)
+	limits.room = 4 * idleBytes
+	table := newTable(limits)
+	now := time.Unix(1000, 0)
+	for range 4 {
+		_, _, ok := table.open("callers", now)
+		require.True(t, ok)
+	}
+	now = now.Add(2 * stallTime)
+	id, _, ok := table.open("callers", now)
+	require.True(t, ok)
+	_, ok = table.begin(id, phaseHead, now)
+	require.True(t, ok)
+	require.NoError(t, table.Check())
+}
+
 // A listener of brief requests admits a new connection beside any crowd that sends or reads nothing, without waiting
 // until that has stalled.
 func TestBriefListenerAdmitsNewConnections(t *testing.T) {
