Share the host of an address, and the reporter of refusals in serve

Cause: hfintake and hfpeer each cut the port off an address, with the same fallback; hfserve wrote the function that logs refusals once for each of its two listeners.

Change: hfintake.Host serves both packages, reportRefusals of hfserve both listeners. The comment of table.open is wrapped. Behaviour is the same.

--- a/hfintake/conn.go
+++ b/hfintake/conn.go
@@ -26,12 +26,18 @@
 	}
 }
 
-// open returns a connection that is kept within the limits, or nil if there is no room.
-func (i *Intake) open(raw net.Conn) *conn {
-	source, _, err := net.SplitHostPort(raw.RemoteAddr().String())
+// Host returns an address without its port.
+func Host(address string) string {
+	host, _, err := net.SplitHostPort(address)
 	if err != nil {
-		source = raw.RemoteAddr().String()
+		return address
 	}
+	return host
+}
+
+// open returns a connection that is kept within the limits, or nil if there is no room.
+func (i *Intake) open(raw net.Conn) *conn {
+	source := Host(raw.RemoteAddr().String())
 	i.mu.Lock()
 	for pause := i.table.pause(time.Now()); pause > 0; pause = i.table.pause(time.Now()) {
 		i.mu.Unlock()
--- a/hfintake/table.go
+++ b/hfintake/table.go
@@ -104,8 +104,8 @@
 	t.turned++
 }
 
-// open adds a connection. If there is no room for it and a request, it lets others go, or takes a spare one, for which other spare
-// ones give way, or returns false.
+// open adds a connection. If there is no room for it and a request, it lets others go, or takes a spare one, for which
+// other spare ones give way, or returns false.
 func (t *table) open(source string, now time.Time) (id uint64, victims []uint64, ok bool) {
 	if t.full() {
 		v := t.victim(now, func(c *client) bool {
--- a/hfpeer/server.go
+++ b/hfpeer/server.go
@@ -92,7 +92,7 @@
 
 // open admits a connection, or returns nil if there is no room.
 func (s *Server) open(conn net.Conn) *served {
-	source := hostOf(conn.RemoteAddr().String())
+	source := hfintake.Host(conn.RemoteAddr().String())
 	_, sealed := conn.(handshaker)
 	member := !sealed && s.lists(source) // a sealed one shows its certificate first
 	s.mu.Lock()
--- a/hfpeer/state.go
+++ b/hfpeer/state.go
@@ -3,12 +3,12 @@
 package hfpeer
 
 import (
-	"net"
 	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/heatherfront/heatherfront/hfintake"
 	"github.com/heatherfront/heatherfront/hfwire"
 )
 
@@ -187,7 +187,7 @@
 			p = &Peer{name: m.name}
 			s.peers[m.name] = p
 		}
-		p.listed, p.listedIP = true, hostOf(m.address)
+		p.listed, p.listedIP = true, hfintake.Host(m.address)
 		if p.incarnation == "" {
 			p.address, p.domain, p.region = m.address, m.domain, m.region
 		}
@@ -268,14 +268,6 @@
 	return false
 }
 
-func hostOf(address string) string {
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return address
-	}
-	return host
-}
-
 // handleTick detects a pause of this process and the peers that are suspected or have left.
 func (s *State) handleTick(now time.Time) []Cmd {
 	var cmds []Cmd
--- a/hfserve/node.go
+++ b/hfserve/node.go
@@ -59,10 +59,7 @@
 	registry := metrics.NewRegistry()
 	log := hfevent.New(logger, registry)
 	limits := hfintake.NewLimits(s.Memory(), hfsettings.BodyMemoryShare, hfintake.Descriptors(), keys != nil)
-	const listener = "callers"
-	intake := hfintake.New(listener, limits, keys != nil, func(refused map[string]int64) {
-		log.Event(hfevent.ClientsRefused, zap.String("listener", listener), zap.Any("refused", refused))
-	}, registry)
+	intake := hfintake.New("callers", limits, keys != nil, reportRefusals(log, "callers"), registry)
 	public, err := intake.Listen(context.Background(), s.Listen())
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
@@ -132,3 +129,10 @@
 	}
 	return nil
 }
+
+// reportRefusals returns a function that logs what a listener has refused.
+func reportRefusals(log *hfevent.Log, listener string) hfintake.Reporter {
+	return func(refused map[string]int64) {
+		log.Event(hfevent.ClientsRefused, zap.String("listener", listener), zap.Any("refused", refused))
+	}
+}
--- a/hfserve/server.go
+++ b/hfserve/server.go
@@ -161,9 +161,7 @@
 	}
 	peers := hfpeer.NewServer(hfpeer.NewLimits(s.settings.Memory()/hfpeer.MemoryShare, hfintake.Descriptors(), s.settings.TLSEnabled()), func(ip string) bool {
 		return hfloop.With(s.members, func(m *hfpeer.State) bool { return m.Lists(ip) })
-	}, func(refused map[string]int64) {
-		s.log.Event(hfevent.ClientsRefused, zap.String("listener", "instances"), zap.Any("refused", refused))
-	}, s.registry)
+	}, reportRefusals(s.log, "instances"), s.registry)
 	g.Go(func() error {
 		if err := peers.Serve(ctx, ln, hfpeer.Guard(s.handle, s.reportPanic)); err != nil {
 			return fmt.Errorf("serve instances: %w", err)
